--- /dev/null
+++ b/chicorybridge/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy fleet for targets that fail grayly."""
--- /dev/null
+++ b/chicorybridge/errors.py
@@ -0,0 +1,83 @@
+"""Exceptions with codes; `docs/errors.md` is their catalogue."""
+
+from enum import Enum
+
+
+class ErrorCode(Enum):
+    """Name every error that an operator or a caller can be shown."""
+
+    # Settings and declarations.
+    setting_unknown = 'CB1001'
+    setting_missing = 'CB1002'
+    setting_type = 'CB1003'
+    setting_range = 'CB1004'
+    setting_reference = 'CB1005'
+    setting_duplicate = 'CB1006'
+    declaration_unreadable = 'CB1007'
+
+    # Platform.
+    store_unavailable = 'CB2001'
+    store_unanswered = 'CB2002'
+    store_refused = 'CB2003'
+
+    # Streams between processes.
+    stream_closed = 'CB3001'
+    stream_unauthenticated = 'CB3002'
+    message_malformed = 'CB3003'
+
+    # Requests of callers.
+    request_malformed = 'CB4001'
+    request_too_large = 'CB4002'
+    request_timeout = 'CB4003'
+    route_unknown = 'CB4004'
+    no_target = 'CB4005'
+    target_failed = 'CB4006'
+    overloaded = 'CB4007'
+    no_configuration = 'CB4008'
+    workspace_limit = 'CB4009'
+    request_quarantined = 'CB4010'
+    key_conflict = 'CB4011'
+    claim_unavailable = 'CB4012'
+    host_leaving = 'CB4013'
+    host_cut_off = 'CB4014'
+
+    # Operations.
+    apply_conflict = 'CB5001'
+    apply_rejected = 'CB5002'
+    control_unreachable = 'CB5003'
+    operator_unauthorised = 'CB5004'
+
+    # Promises asserted inside the program.
+    promise_broken = 'CB9001'
+
+
+class ChicorybridgeError(Exception):
+    """Carry a code besides the message."""
+
+    def __init__(self, *, code: ErrorCode, detail: str) -> None:
+        """Keep `code` for programs and `detail` for people."""
+        super().__init__(f'{code.value} {code.name}: {detail}')
+        self.code = code
+        self.detail = detail
+
+
+class StoreError(ChicorybridgeError):
+    """Report a failed request to the platform."""
+
+
+class StreamError(ChicorybridgeError):
+    """Report a broken stream between processes."""
+
+
+class RequestError(ChicorybridgeError):
+    """Report why a caller's request was not answered by a target."""
+
+
+class PromiseError(ChicorybridgeError):
+    """Report a broken promise; never caught by the program."""
+
+
+def require(*, promise: str, holds: bool) -> None:
+    """Raise `PromiseError` naming `promise` unless `holds`."""
+    if not holds:
+        raise PromiseError(code=ErrorCode.promise_broken, detail=promise)
--- /dev/null
+++ b/chicorybridge/events.py
@@ -0,0 +1,119 @@
+"""Numbered events; `docs/events.md` is their catalogue."""
+
+import dataclasses
+import json
+import logging
+from collections import deque
+from enum import Enum
+from typing import Any
+
+from chicorybridge.clocks import Clock
+from chicorybridge.identities import HostId, Incarnation
+
+logger = logging.getLogger(__name__)
+
+# Events that a process keeps in memory for `chicorybridge timeline`.
+RING_EVENTS = 4096
+
+
+class EventKind(Enum):
+    """Number every event; a number is never used again."""
+
+    # 100: processes.
+    process_started = 100
+    process_stopping = 101
+    process_stopped = 102
+    process_failed = 103
+
+    # 200: configuration.
+    configuration_received = 200
+    configuration_active = 201
+    configuration_confirmed = 202
+    configuration_accepted = 203
+    configuration_refused = 204
+
+    # 300: membership.
+    peer_heard = 300
+    peer_lost = 301
+    host_withdrawn = 302
+    host_returned = 303
+
+    # 400: targets.
+    target_weighed = 400
+    target_ejected = 401
+    target_readmitted = 402
+    target_leaving = 403
+    permit_taken = 410
+    permit_given = 411
+    permit_lost = 412
+
+    # 500: requests.
+    request_refused = 500
+    request_retried = 501
+    answer_aborted = 502
+    request_quarantined = 503
+    claim_decided = 510
+
+    # 600: platform.
+    store_lost = 600
+    store_back = 601
+
+    # 900: promises.
+    promise_broken = 900
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Event:
+    """One thing that happened: its kind and the ids it concerns."""
+
+    kind: EventKind
+    facts: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+
+class EventLog:
+    """Stamp events with host, process and logical time, and keep the last."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        host_id: HostId,
+        process: str,
+        incarnation: Incarnation,
+    ) -> None:
+        """Keep who writes; `process` is the name of the binary."""
+        self._clock = clock
+        self._source = {
+            'host': host_id,
+            'process': process,
+            'incarnation': incarnation,
+        }
+        self._ring: deque[dict[str, Any]] = deque(maxlen=RING_EVENTS)
+        self._logical_time = 0
+
+    @property
+    def logical_time(self) -> int:
+        """Return the Lamport time of the last event."""
+        return self._logical_time
+
+    def observe(self, *, logical_time: int) -> None:
+        """Take in the Lamport time of a message received."""
+        self._logical_time = max(self._logical_time, logical_time)
+
+    def emit(self, event: Event) -> None:
+        """Write `event` as one line of JSON and keep it in the ring."""
+        self._logical_time += 1
+        record = {
+            'number': event.kind.value,
+            'event': event.kind.name,
+            'at_ms': round(self._clock.epoch()),
+            'logical_time': self._logical_time,
+            **self._source,
+            **event.facts,
+        }
+        self._ring.append(record)
+        logger.info(json.dumps(record, default=str))
+
+    def recent(self) -> tuple[dict[str, Any], ...]:
+        """Return the events kept, oldest first."""
+        return tuple(self._ring)
--- /dev/null
+++ b/chicorybridge/identities.py
@@ -0,0 +1,28 @@
+"""Types of the ids that name entities across processes."""
+
+from typing import NewType
+
+HostId = NewType('HostId', str)
+TargetId = NewType('TargetId', str)
+ServiceId = NewType('ServiceId', str)
+PoolId = NewType('PoolId', str)
+RouteId = NewType('RouteId', str)
+WorkspaceId = NewType('WorkspaceId', str)
+ZoneId = NewType('ZoneId', str)
+RegionId = NewType('RegionId', str)
+ApplyId = NewType('ApplyId', str)
+PermitId = NewType('PermitId', str)
+
+# Hexadecimal SHA-256 of a body.
+Digest = NewType('Digest', str)
+
+# Value of the Idempotency-Key header.
+RequestKey = NewType('RequestKey', str)
+
+# Random 63-bit number drawn anew at every start of a process.
+Incarnation = NewType('Incarnation', int)
+
+# Number of an accepted configuration, from 1; 0 means none.
+Version = NewType('Version', int)
+
+NO_VERSION = Version(0)
--- /dev/null
+++ b/chicorybridge/settings.py
@@ -0,0 +1,27 @@
+"""Defaults of every setting; `docs/settings.md` lists them all.
+
+Times end in `_MS` and are milliseconds; shares run from 0 to 1.
+"""
+
+# Declaration: regions and services.
+LINK_BITS_PER_SECOND = 30_000_000
+LINK_SHARE = 0.5
+FLOOR = 0.7
+SENSITIVITY = 0.5
+TIMEOUT_MS = 5000
+RETRY_SHARE = 0.1
+MAX_BODY_BYTES = 64 * 1024 * 1024
+PROBE_PATH = '/health'
+
+# Declaration: pools.
+HARDWARE = 'standard'
+SPEED = 1.0
+SLOTS = 6
+CONNECTIONS = 400
+WARM_UP_MS = 10_000
+
+# Declaration: workspaces.
+WORKSPACE_REQUESTS_PER_SECOND = 1000
+
+# Control process.
+TICK_MS = 100
--- /dev/null
+++ b/chicorybridge/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each module of the package."""
--- /dev/null
+++ b/chicorybridge/tests/test_tables.py
@@ -0,0 +1,32 @@
+"""Tests of tables in memory."""
+
+from chicorybridge.stores import (
+    Condition,
+    ReadRows,
+    RowKey,
+    StoreOutcome,
+    Transact,
+    Write,
+)
+from chicorybridge.tables import MemoryTables
+
+HEAD = RowKey(table='configuration', key='head')
+
+
+def _write(*, base: int, name: str) -> Transact:
+    return Transact(
+        conditions=(Condition(row_key=HEAD, version=base),),
+        writes=(Write(row_key=HEAD, body={'name': name}),),
+    )
+
+
+def test_conflicting_transaction_writes_nothing():
+    """The second of two writes on the same base loses and sees the row."""
+    tables = MemoryTables()
+    first = tables.execute(_write(base=0, name='first'))
+    second = tables.execute(_write(base=0, name='second'))
+    assert first.outcome is StoreOutcome.done
+    assert second.outcome is StoreOutcome.conflict
+    assert second.rows[0].body == {'name': 'first'}
+    read = tables.execute(ReadRows(row_keys=(HEAD,)))
+    assert read.rows == second.rows
