--- /dev/null
+++ b/chicorybridge/faults.py
@@ -0,0 +1,32 @@
+"""Faults of the platform, for stand-ins and tests."""
+
+import random
+
+from chicorybridge.stores import StoreOutcome, StoreReply, StoreRequest
+from chicorybridge.tables import MemoryTables
+
+
+class FaultyTables:
+    """Carry out store requests, or fail them as the knobs say."""
+
+    def __init__(self, *, tables: MemoryTables, rng: random.Random) -> None:
+        """Start without faults; `rng` draws which replies are lost."""
+        self.tables = tables
+        self.outage = False
+        # Share of requests that take effect and whose reply is lost.
+        self.unanswered_share: float = 0
+        self._rng = rng
+
+    def execute(self, request: StoreRequest, *, token: str = '') -> StoreReply:
+        """Return the reply, or an outcome of unavailable or unanswered."""
+        if self.outage:
+            return self.unavailable(token)
+        reply = self.tables.execute(request, token=token)
+        if self._rng.random() < self.unanswered_share:
+            return StoreReply(token=token, outcome=StoreOutcome.unanswered)
+        return reply
+
+    @classmethod
+    def unavailable(cls, token: str) -> StoreReply:
+        """Return the reply to a request that did not reach the platform."""
+        return StoreReply(token=token, outcome=StoreOutcome.unavailable)
--- /dev/null
+++ b/chicorybridge/tools/channels.py
@@ -0,0 +1,142 @@
+"""A faulty channel that joins decision systems of many hosts in memory.
+
+It carries out the effects of the systems: sends, platform requests and
+events. Messages pass through the codec, so that an unregistered type
+fails here as it would on the wire. Everything is drawn from one seeded
+generator; the same seed gives the same run.
+"""
+
+import heapq
+import random
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+from chicorybridge.clocks import ManualClock, Millis
+from chicorybridge.codecs import pack, unpack
+from chicorybridge.events import Event
+from chicorybridge.faults import FaultyTables
+from chicorybridge.identities import HostId
+from chicorybridge.settings import TICK_MS
+from chicorybridge.systems import Ask, Effect, Emit, Send, SendEntries, System
+from chicorybridge.tables import MemoryTables
+
+Step = Callable[[], None]
+
+
+class FaultyChannel:
+    """Run the systems of many hosts on one manual clock."""
+
+    def __init__(self, *, seed: int) -> None:
+        """Start without hosts and without faults."""
+        self.clock = ManualClock()
+        self.rng = random.Random(seed)
+        self.store = FaultyTables(tables=MemoryTables(), rng=self.rng)
+        self.systems_by_host: dict[HostId, Sequence[System]] = {}
+        self.events: list[tuple[Millis, HostId, Event]] = []
+        self.entry_messages: list[tuple[Millis, HostId, Any]] = []
+        # One-way links that carry nothing, as (sender, receiver).
+        self.cut_links: set[tuple[HostId, HostId]] = set()
+        # Hosts that are paused, and hosts that do not reach the store.
+        self.paused: set[HostId] = set()
+        self.storeless: set[HostId] = set()
+        self.loss_share: float = 0
+        self.duplicate_share: float = 0
+        self.delay_ms = (0.5, 1)
+        self.store_delay_ms = (1, 5)
+        self._queue: list[tuple[float, int, Step]] = []
+        self._serial = 0
+
+    def add(self, host_id: HostId, *systems: System) -> None:
+        """Add a host, or replace it by a new incarnation."""
+        self.systems_by_host[host_id] = systems
+
+    def remove(self, host_id: HostId) -> None:
+        """Let a host crash; what is under way to it is lost."""
+        self.systems_by_host.pop(host_id, None)
+
+    def run(self, *, for_ms: float, tick_ms: float = TICK_MS) -> None:
+        """Advance the clock by `for_ms`, ticking every host."""
+        end = self.clock.now() + for_ms
+        while self.clock.now() < end:
+            self._deliver_until(min(end, self.clock.now() + tick_ms))
+            for host_id in sorted(self.systems_by_host):
+                self.tick(host_id)
+
+    def tick(self, host_id: HostId) -> None:
+        """Tick all systems of one host unless it is paused."""
+        if host_id in self.paused:
+            return
+        for system in self.systems_by_host.get(host_id, ()):
+            self.carry_out(host_id, system.tick(now=self.clock.now()))
+
+    def hand_in(self, host_id: HostId, message: Any, *, sender: HostId) -> None:
+        """Pass `message` to all systems of one host, now."""
+        for system in self.systems_by_host.get(host_id, ()):
+            effects = system.receive(
+                message, sender=sender, now=self.clock.now()
+            )
+            self.carry_out(host_id, effects)
+
+    def carry_out(self, host_id: HostId, effects: Iterable[Effect]) -> None:
+        """Carry out what a system of `host_id` returned."""
+        for effect in effects:
+            match effect:
+                case Send():
+                    self._send(host_id, effect)
+                case SendEntries():
+                    self.entry_messages.append(
+                        (self.clock.now(), host_id, effect.message)
+                    )
+                case Ask():
+                    self._ask(host_id, effect)
+                case Emit():
+                    self.events.append(
+                        (self.clock.now(), host_id, effect.event)
+                    )
+
+    def _send(self, sender: HostId, send: Send) -> None:
+        if (sender, send.to) in self.cut_links:
+            return
+        if self.rng.random() < self.loss_share:
+            return
+        body = pack(send.message)
+        copies = 2 if self.rng.random() < self.duplicate_share else 1
+        for _ in range(copies):
+            self._arrive(send.to, sender, body)
+
+    def _arrive(self, receiver: HostId, sender: HostId, body: bytes) -> None:
+        def arrive() -> None:  # noqa: WPS430
+            if receiver in self.paused:
+                self._later(TICK_MS, arrive)
+                return
+            self.hand_in(receiver, unpack(body), sender=sender)
+
+        self._later(self.rng.uniform(*self.delay_ms), arrive)
+
+    def _ask(self, host_id: HostId, ask: Ask) -> None:
+        incarnation = self.systems_by_host.get(host_id)
+        if host_id in self.storeless:
+            reply = FaultyTables.unavailable(ask.token)
+        else:
+            reply = self.store.execute(ask.request, token=ask.token)
+
+        def answer() -> None:  # noqa: WPS430
+            if host_id in self.paused:
+                self._later(TICK_MS, answer)
+                return
+            if self.systems_by_host.get(host_id) is incarnation:
+                self.hand_in(host_id, reply, sender=host_id)
+
+        self._later(self.rng.uniform(*self.store_delay_ms), answer)
+
+    def _later(self, delay_ms: float, step: Step) -> None:
+        self._serial += 1
+        due = self.clock.now() + delay_ms
+        heapq.heappush(self._queue, (due, self._serial, step))
+
+    def _deliver_until(self, end: float) -> None:
+        while self._queue and self._queue[0][0] <= end:
+            due, _, step = heapq.heappop(self._queue)
+            self.clock.advance(by_ms=max(0, due - self.clock.now()))
+            step()
+        self.clock.advance(by_ms=end - self.clock.now())
