Read declarations from INI files, with every problem named at once

Fields check type and range, sections check keys and references, and the reader goes on after an error, so that one pass shows the operator all of them.

--- /dev/null
+++ b/chicorybridge/fields.py
@@ -0,0 +1,164 @@
+"""Fields of INI sections: how the text of a key becomes a checked value."""
+
+import dataclasses
+import ipaddress
+from enum import Enum
+from types import MappingProxyType
+from typing import Any
+
+from chicorybridge.errors import ErrorCode
+
+FLAGS_BY_TEXT = MappingProxyType(
+    {'yes': True, 'no': False, 'true': True, 'false': False}
+)
+MAX_PORT = 65535
+
+
+class FieldError(Exception):
+    """Report text that a field refuses."""
+
+    def __init__(self, *, code: ErrorCode, detail: str) -> None:
+        """Keep the code and what was expected."""
+        super().__init__(detail)
+        self.code = code
+        self.detail = detail
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Field:
+    """A key of a section; plain text unless a subclass says otherwise."""
+
+    required: bool = False
+
+    def parse(self, text: str) -> Any:
+        """Return the value of `text` or raise `FieldError`."""
+        if not text:
+            raise FieldError(
+                code=ErrorCode.setting_type, detail='expected some text'
+            )
+        return text
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NumberField(Field):
+    """A decimal number from `low` to `high`, both included."""
+
+    low: float
+    high: float
+
+    def parse(self, text: str) -> Any:
+        """Return the number or raise `FieldError`."""
+        try:
+            number = self.convert(text)
+        except ValueError:
+            raise self._refuse(ErrorCode.setting_type, text) from None
+        if self.low <= number <= self.high:
+            return number
+        raise self._refuse(ErrorCode.setting_range, text)
+
+    def convert(self, text: str) -> float:
+        """Convert the text; raise `ValueError` if it is no number."""
+        return float(text)
+
+    def _refuse(self, code: ErrorCode, text: str) -> FieldError:
+        expected = f'expected a number from {self.low} to {self.high}'
+        return FieldError(code=code, detail=f'{expected}, found {text!r}')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class IntegerField(NumberField):
+    """A whole number from `low` to `high`, both included."""
+
+    def convert(self, text: str) -> int:
+        """Convert the text; raise `ValueError` if it is no whole number."""
+        return int(text)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FlagField(Field):
+    """A flag: yes, no, true or false."""
+
+    def parse(self, text: str) -> Any:
+        """Return the flag or raise `FieldError`."""
+        flag = FLAGS_BY_TEXT.get(text.lower())
+        if flag is None:
+            raise FieldError(
+                code=ErrorCode.setting_type,
+                detail=f'expected yes or no, found {text!r}',
+            )
+        return flag
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AddressField(Field):
+    """An IP number and a port, such as 127.0.0.1:8080."""
+
+    def parse(self, text: str) -> Any:
+        """Return the address as IP:PORT or raise `FieldError`."""
+        host, _, port = text.rpartition(':')
+        try:
+            ipaddress.ip_address(host.strip('[]'))
+        except ValueError:
+            raise self._refuse(text) from None
+        if port.isdecimal() and int(port) <= MAX_PORT:
+            return text
+        raise self._refuse(text)
+
+    def _refuse(self, text: str) -> FieldError:
+        return FieldError(
+            code=ErrorCode.setting_type,
+            detail=f'expected IP:PORT, found {text!r}',
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PathField(Field):
+    """A path that starts with a slash."""
+
+    def parse(self, text: str) -> Any:
+        """Return the path or raise `FieldError`."""
+        if text.startswith('/'):
+            return text
+        raise FieldError(
+            code=ErrorCode.setting_type,
+            detail=f'expected a path that starts with /, found {text!r}',
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WordsField(Field):
+    """Words separated by spaces, in upper case."""
+
+    def parse(self, text: str) -> Any:
+        """Return a tuple of words."""
+        return tuple(text.upper().split())
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChoiceField(Field):
+    """A member of an enum, by its value."""
+
+    choices: type[Enum]
+
+    def parse(self, text: str) -> Any:
+        """Return the member or raise `FieldError`."""
+        try:
+            return self.choices(text)
+        except ValueError:
+            known = ', '.join(choice.value for choice in self.choices)
+            raise FieldError(
+                code=ErrorCode.setting_range,
+                detail=f'expected one of {known}, found {text!r}',
+            ) from None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReferenceField(Field):
+    """The id of another section, of the given kind."""
+
+    kind: str
+
+
+def share(*, required: bool = False) -> NumberField:
+    """Return a field for a share from 0 to 1."""
+    return NumberField(low=0, high=1, required=required)
--- /dev/null
+++ b/chicorybridge/tests/test_sections.py
@@ -0,0 +1,75 @@
+"""Tests of declarations read from INI files."""
+
+import pathlib
+
+import pytest
+
+from chicorybridge.codecs import unpack
+from chicorybridge.readers import SettingsError
+from chicorybridge.sections import read_declaration
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+
+FAULTY = """
+[declaration faulty]
+
+[region noord]
+speed = 3
+
+[zone groningen]
+region = nowhere
+
+[service quote]
+floor = 1.5
+timeout_ms = soon
+
+[pool old]
+service = quote
+slots = 0
+
+[target a]
+pool = old
+zone = groningen
+address = quote.example:80
+
+[target b]
+pool = missing
+zone = groningen
+
+[shelf c]
+
+[target a]
+pool = old
+"""
+
+
+@pytest.mark.parametrize(
+    ('name', 'targets', 'slots'),
+    [('bureau', 38, 30 * 6), ('kente', 33, 25 * 6)],
+)
+def test_examples_are_whole(name, targets, slots):
+    """The examples carry the sizes of the brief and survive the codec."""
+    declaration = read_declaration(EXAMPLES / name)
+    service_id = next(iter(declaration.services_by_id))
+    assert len(declaration.targets_by_id) == targets
+    assert declaration.slots_of(service_id) == slots
+    assert unpack(declaration.body) == declaration
+
+
+def test_every_problem_is_named_at_once(tmp_path, snapshot):
+    """One pass names file, section, key and code of each problem."""
+    file = tmp_path / 'faulty.ini'
+    file.write_text(FAULTY)
+    try:
+        read_declaration(file)
+    except SettingsError as error:
+        lines = str(error.detail).replace(str(tmp_path), '').splitlines()
+    assert lines == snapshot
+
+
+def test_unreadable_file_is_a_problem(tmp_path):
+    """Text outside a section is refused with the file's name."""
+    file = tmp_path / 'broken.ini'
+    file.write_text('floor = 1\n')
+    with pytest.raises(SettingsError, match='broken.ini'):
+        read_declaration(file)
