--- a/chicorybridge/errors.py
+++ b/chicorybridge/errors.py
@@ -50,13 +50,17 @@
     # Promises asserted inside the program.
     promise_broken = 'CB9001'
 
+    def __str__(self) -> str:
+        """Return the number and the name."""
+        return ' '.join((self.value, self.name))
+
 
 class ChicorybridgeError(Exception):
     """Carry a code besides the message."""
 
     def __init__(self, *, code: ErrorCode, detail: str) -> None:
         """Keep `code` for programs and `detail` for people."""
-        super().__init__(f'{code.value} {code.name}: {detail}')
+        super().__init__(f'{code}: {detail}')
         self.code = code
         self.detail = detail
 
--- a/chicorybridge/readers.py
+++ b/chicorybridge/readers.py
@@ -28,8 +28,7 @@
     def __str__(self) -> str:
         """Return one line for people."""
         place = f'[{self.section}] {self.key}'.rstrip()
-        code = f'{self.code.value} {self.code.name}'
-        return ': '.join((self.file, place, code, self.detail))
+        return ': '.join((self.file, place, str(self.code), self.detail))
 
 
 class SettingsError(ChicorybridgeError):
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -25,3 +25,11 @@
 
 # Control process.
 TICK_MS = 100
+
+# HTTP on both sides.
+MAX_HEAD_BYTES = 32 * 1024
+RECEIVE_BYTES = 64 * 1024
+HEAD_TOO_LARGE_STATUS = 431
+
+# Streams between processes.
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
--- /dev/null
+++ b/chicorybridge/sockets.py
@@ -0,0 +1,90 @@
+"""Sockets of curio: opening, probing without reading, aborting."""
+
+import socket
+import struct
+
+import curio
+
+# Zero linger: closing resets the connection instead of ending it.
+NO_LINGER = struct.pack('ii', 1, 0)
+
+LISTEN_BACKLOG = 1024
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split IP:PORT."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+def join_address(pair: tuple[str, int]) -> str:
+    """Join an IP number and a port to IP:PORT."""
+    host, port = pair[:2]
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+
+
+def listen(address: str) -> curio.io.Socket:
+    """Return a listening socket bound to IP:PORT; port 0 picks one."""
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    return curio.network.tcp_server_socket(
+        host, port, family=family, backlog=LISTEN_BACKLOG
+    )
+
+
+def bound_address(listener: curio.io.Socket) -> str:
+    """Return the IP:PORT that a listening socket is bound to."""
+    return join_address(listener.getsockname())
+
+
+async def connect(address: str) -> curio.io.Socket:
+    """Open a connection to IP:PORT; raise `OSError` if it fails."""
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    sock = curio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        await sock.connect((host, port))
+    except BaseException:
+        await sock.close()
+        raise
+    disable_delay(sock)
+    return sock
+
+
+def disable_delay(sock: curio.io.Socket) -> None:
+    """Send small writes at once."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def is_quiet(sock: curio.io.Socket) -> bool:
+    """Return whether an idle connection is open with nothing to read."""
+    try:
+        with sock.blocking() as plain:
+            plain.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def is_closed(sock: curio.io.Socket) -> bool:
+    """Return whether the other end has closed or reset the connection."""
+    try:
+        with sock.blocking() as plain:
+            return not plain.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+async def abort(sock: curio.io.Socket) -> None:
+    """Reset the connection, so that no answer looks whole."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    except OSError:
+        # Already closed by the other end.
+        return
+    finally:
+        await sock.close()
