--- a/chicorybridge/tests/test_streams.py
+++ b/chicorybridge/tests/test_streams.py
@@ -28,13 +28,10 @@
         await second.open(accepted=True)
     except StreamError as error:
         await second.close()
-        await task.join()
+        await task.wait()
         return error
-    try:
-        await task.join()
-    except curio.TaskError as failure:
-        return failure.__cause__
-    return None
+    await task.wait()
+    return task.exception
 
 
 async def _exchange(**second):
