Forward a request to a target and read its answer

A small answer is read whole before the caller sees any of it, so that a cut one can be tried elsewhere; a large one is relayed as it arrives. Time spent waiting for the caller is not counted against the target. The kernel ends connections on which nothing is acknowledged.

--- a/chicorybridge/attempts.py
+++ b/chicorybridge/attempts.py
@@ -16,8 +16,8 @@
     answered = 'answered'
     # A whole answer with a status of 500 or more that is not shedding.
     failed = 'failed'
-    # The target said that it did not run the request (503 or 429 with
-    # `Retry-After`, or with `Chicorybridge-Outcome: not-run`).
+    # The target sheds load: the answer has `Chicorybridge-Outcome: not-run`
+    # or, to an idempotent request, is a 503 or 429 with `Retry-After`.
     shed = 'shed'
     # No connection was opened: nothing was sent.
     unreachable = 'unreachable'
@@ -52,3 +52,4 @@
     received_bytes: int = 0
     fresh_connection: bool = False
     leaving: bool = False
+    marked_not_run: bool = False
--- /dev/null
+++ b/chicorybridge/calls.py
@@ -0,0 +1,35 @@
+"""A caller's request as the entry process decides on it."""
+
+import dataclasses
+
+from chicorybridge.bodies import RequestBody
+from chicorybridge.clocks import Millis
+from chicorybridge.configurations import ActiveConfiguration
+from chicorybridge.declarations import Route, Service
+from chicorybridge.exchanges import CallerExchange, Head
+from chicorybridge.identities import RequestKey, WorkspaceId
+
+DEADLINE_HEADER = b'chicorybridge-deadline-ms'
+WORKSPACE_HEADER = b'chicorybridge-workspace'
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Call:
+    """One request with all that governs it.
+
+    `configuration` is the one in force when the request came; it governs
+    the request to its end. `key` is its idempotency key, if any.
+    """
+
+    exchange: CallerExchange
+    head: Head
+    body: RequestBody
+    route: Route
+    service: Service
+    configuration: ActiveConfiguration
+    idempotent: bool
+    deadline_at: Millis
+    workspace_id: WorkspaceId | None = None
+    key: RequestKey | None = None
+    # Whether a part of an answer went to the caller.
+    committed: bool = False
--- a/chicorybridge/clocks.py
+++ b/chicorybridge/clocks.py
@@ -43,6 +43,6 @@
         return self._now
 
 
-def to_seconds(duration: float) -> float:
+def as_seconds(duration: float) -> float:
     """Convert milliseconds to the seconds that libraries expect."""
     return duration / MILLIS_PER_SECOND
--- /dev/null
+++ b/chicorybridge/configurations.py
@@ -0,0 +1,35 @@
+"""The configuration that governs a process."""
+
+import dataclasses
+
+from chicorybridge.declarations import Declaration
+from chicorybridge.identities import NO_VERSION, Digest, Version
+from chicorybridge.routes import RouteTable
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ActiveConfiguration:
+    """A version with its declaration and what is derived from it."""
+
+    version: Version
+    digest: Digest
+    declaration: Declaration
+    routes: RouteTable
+
+
+def activate(
+    *, version: Version, digest: Digest, declaration: Declaration
+) -> ActiveConfiguration:
+    """Derive what requests need from a declaration."""
+    return ActiveConfiguration(
+        version=version,
+        digest=digest,
+        declaration=declaration,
+        routes=RouteTable(declaration=declaration),
+    )
+
+
+def is_newer(version: Version, active: ActiveConfiguration | None) -> bool:
+    """Return whether `version` follows the active configuration."""
+    held = NO_VERSION if active is None else active.version
+    return version > held
--- a/chicorybridge/errors.py
+++ b/chicorybridge/errors.py
@@ -40,6 +40,7 @@
     claim_unavailable = 'CB4012'
     host_leaving = 'CB4013'
     host_cut_off = 'CB4014'
+    workspace_unknown = 'CB4015'
 
     # Operations.
     apply_conflict = 'CB5001'
--- /dev/null
+++ b/chicorybridge/forwards.py
@@ -0,0 +1,224 @@
+"""One attempt of a request at a target, and the relay of its answer."""
+
+import socket
+
+import curio
+
+from chicorybridge import settings
+from chicorybridge.attempts import Attempt, AttemptOutcome
+from chicorybridge.bodies import CallerError
+from chicorybridge.calls import Call
+from chicorybridge.clocks import Clock, as_seconds
+from chicorybridge.connections import TargetConnections
+from chicorybridge.declarations import Target
+from chicorybridge.errors import ChicorybridgeError, RequestError
+from chicorybridge.exchanges import (
+    CHUNKED,
+    ExchangeError,
+    Head,
+    TargetExchange,
+)
+from chicorybridge.heads import (
+    WholeAnswer,
+    answer_headers,
+    is_draining,
+    is_not_run,
+    outcome_of_answer,
+    request_headers,
+    retry_after_ms,
+    whole_answer,
+)
+
+
+class Forward:
+    """Send one request to one target and read its answer.
+
+    A small answer is kept whole in `answer`, so that a cut one can be
+    tried elsewhere; a large one is relayed while it arrives.
+    """
+
+    def __init__(
+        self,
+        *,
+        call: Call,
+        target: Target,
+        connections: TargetConnections,
+        clock: Clock,
+    ) -> None:
+        """Prepare an attempt of `call` at `target`."""
+        self.answer: WholeAnswer | None = None
+        self._call = call
+        self._target = target
+        self._connections = connections
+        self._clock = clock
+        self._started_at = clock.now()
+        self._exchange: TargetExchange | None = None
+        self._sent_before = 0
+        self._fresh = False
+        self._first_byte_ms: float | None = None
+        self._head: Head | None = None
+        # Time spent waiting for the caller, which the target is not
+        # to blame for.
+        self._caller_ms: float = 0
+        self._sending_to_caller = False
+        self._caller_error: ChicorybridgeError | None = None
+
+    async def run(self) -> Attempt:
+        """Make the attempt; the outcome says how it ended.
+
+        Raise `CallerError` or `RequestError` when the caller is the
+        reason that it did not end.
+        """
+        left_ms = self._call.deadline_at - self._started_at
+        try:
+            async with curio.timeout_after(as_seconds(max(0, left_ms))):
+                outcome = await self._run()
+        except curio.TaskTimeout:
+            outcome = self._timed_out()
+        except ExchangeError:
+            outcome = AttemptOutcome.cut
+        finally:
+            await self._release()
+        return self.result(outcome)
+
+    def result(self, outcome: AttemptOutcome) -> Attempt:
+        """Return the attempt as it stands, with `outcome`."""
+        elapsed = self._clock.now() - self._started_at
+        waited = self._caller_ms + self._call.body.wait_ms
+        return Attempt(
+            service_id=self._call.service.service_id,
+            target_id=self._target.target_id,
+            route_id=self._call.route.route_id,
+            outcome=outcome,
+            started_at=self._started_at,
+            elapsed_ms=max(0, elapsed - waited),
+            first_byte_ms=self._first_byte_ms,
+            retry_after_ms=retry_after_ms(self._head),
+            sent_bytes=self._sent_bytes,
+            fresh_connection=self._fresh,
+            leaving=is_draining(self._head),
+            marked_not_run=is_not_run(self._head),
+        )
+
+    @property
+    def _sent_bytes(self) -> int:
+        if self._exchange is None:
+            return 0
+        return self._exchange.sent_bytes - self._sent_before
+
+    async def _run(self) -> AttemptOutcome:
+        try:
+            exchange = await self._connect()
+        except (OSError, curio.TaskTimeout):
+            return AttemptOutcome.unreachable
+        self._exchange = exchange
+        self._fresh = exchange.fresh
+        self._sent_before = exchange.sent_bytes
+        body = self._call.body.whole
+        await exchange.send_request(
+            method=self._call.head.method,
+            path=self._call.head.path,
+            headers=request_headers(self._call, body, now=self._clock.now()),
+            body=body,
+        )
+        if body is None:
+            self._head = await self._upload(exchange)
+        else:
+            self._head = await exchange.read_head()
+        self._first_byte_ms = self._clock.now() - self._started_at
+        await self._read_answer(exchange, self._head)
+        return outcome_of_answer(self._head, idempotent=self._call.idempotent)
+
+    async def _connect(self) -> TargetExchange:
+        # A non-idempotent request must not meet a stale connection.
+        max_idle_ms = settings.CONNECTION_IDLE_MS
+        if not self._call.idempotent:
+            max_idle_ms = settings.CONNECTION_PROVEN_MS
+        async with curio.timeout_after(as_seconds(settings.CONNECT_MS)):
+            return await self._connections.take(
+                self._target.address, max_idle_ms=max_idle_ms
+            )
+
+    async def _upload(self, exchange: TargetExchange) -> Head:
+        """Send the body while waiting for the answer, which may be early."""
+        pump = await curio.spawn(self._pump(exchange))
+        try:
+            return await exchange.read_head()
+        except ExchangeError:
+            if self._caller_error is not None:
+                raise self._caller_error from None
+            raise
+        finally:
+            await pump.cancel()
+
+    async def _pump(self, exchange: TargetExchange) -> None:
+        try:
+            await self._send_body(exchange)
+        except (CallerError, RequestError) as error:
+            # Ends the wait for an answer that can't come any more.
+            self._caller_error = error
+            await exchange.sock.shutdown(socket.SHUT_RDWR)
+        except ExchangeError:
+            # The target closed early; its answer may still be read.
+            return
+
+    async def _send_body(self, exchange: TargetExchange) -> None:
+        chunk = await self._call.body.next_chunk()
+        while chunk:
+            await exchange.send_chunk(chunk)
+            chunk = await self._call.body.next_chunk()
+        await exchange.finish()
+
+    async def _read_answer(self, exchange: TargetExchange, head: Head) -> None:
+        chunks: list[bytes] = []
+        size = 0
+        while size < settings.BUFFER_BYTES:
+            chunk = await exchange.read_chunk()
+            if not chunk:
+                body = b''.join(chunks)
+                self.answer = whole_answer(self._call, head, body)
+                return
+            chunks.append(chunk)
+            size += len(chunk)
+        await self._relay(exchange, head, b''.join(chunks))
+
+    async def _relay(
+        self, exchange: TargetExchange, head: Head, first: bytes
+    ) -> None:
+        headers = answer_headers(self._call, head)
+        if head.length is None:
+            headers.append(CHUNKED)
+        self._call.committed = True
+        caller = self._call.exchange
+        await self._to_caller(
+            caller.send_head(status=head.status, headers=headers)
+        )
+        chunk = first
+        while chunk:
+            await self._to_caller(caller.send_chunk(chunk))
+            chunk = await exchange.read_chunk()
+        await self._to_caller(caller.finish())
+
+    async def _to_caller(self, sending) -> None:
+        began = self._clock.now()
+        self._sending_to_caller = True
+        try:
+            await sending
+        except ExchangeError as error:
+            raise CallerError(code=error.code, detail=error.detail) from error
+        self._sending_to_caller = False
+        self._caller_ms += self._clock.now() - began
+
+    def _timed_out(self) -> AttemptOutcome:
+        if self._call.body.waiting or self._sending_to_caller:
+            return AttemptOutcome.cancelled
+        return AttemptOutcome.timed_out
+
+    async def _release(self) -> None:
+        exchange = self._exchange
+        if exchange is None:
+            return
+        if self._head is None:
+            await self._connections.drop(exchange)
+            return
+        await self._connections.give_back(exchange)
--- /dev/null
+++ b/chicorybridge/problems.py
@@ -0,0 +1,65 @@
+"""Coded problem documents (RFC 9457) that answer refused requests."""
+
+import json
+import math
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from chicorybridge.clocks import MILLIS_PER_SECOND
+from chicorybridge.errors import ErrorCode
+from chicorybridge.exchanges import Headers
+
+STATUSES_BY_CODE: Mapping[ErrorCode, int] = MappingProxyType(
+    {
+        ErrorCode.request_malformed: 400,
+        ErrorCode.request_too_large: 413,
+        ErrorCode.request_timeout: 504,
+        ErrorCode.route_unknown: 404,
+        ErrorCode.workspace_unknown: 403,
+        ErrorCode.no_target: 503,
+        ErrorCode.target_failed: 502,
+        ErrorCode.overloaded: 503,
+        ErrorCode.no_configuration: 503,
+        ErrorCode.workspace_limit: 429,
+        ErrorCode.request_quarantined: 503,
+        ErrorCode.key_conflict: 422,
+        ErrorCode.claim_unavailable: 503,
+        ErrorCode.host_leaving: 503,
+        ErrorCode.host_cut_off: 503,
+    }
+)
+
+FALLBACK_STATUS = 500
+
+OUTCOME = b'chicorybridge-outcome'
+VERSION = b'chicorybridge-version'
+RETRY_AFTER = b'retry-after'
+
+
+def status_of(code: ErrorCode) -> int:
+    """Return the HTTP status that goes with `code`."""
+    return STATUSES_BY_CODE.get(code, FALLBACK_STATUS)
+
+
+def problem_body(*, code: ErrorCode, detail: str) -> bytes:
+    """Return the body of a problem document."""
+    document = {
+        'type': f'urn:chicorybridge:{code.name}',
+        'title': code.name.replace('_', ' '),
+        'status': status_of(code),
+        'code': code.value,
+        'detail': detail,
+    }
+    return json.dumps(document).encode()
+
+
+def problem_headers(*, body: bytes, retry_after_ms: float = 0) -> Headers:
+    """Return the headers of a problem document."""
+    headers = [
+        (b'content-type', b'application/problem+json'),
+        (b'content-length', str(len(body)).encode()),
+    ]
+    if retry_after_ms:
+        seconds = math.ceil(retry_after_ms / MILLIS_PER_SECOND)
+        headers.append((RETRY_AFTER, str(seconds).encode()))
+    return headers
--- /dev/null
+++ b/chicorybridge/routes.py
@@ -0,0 +1,67 @@
+"""Finding the route of a request."""
+
+from chicorybridge.declarations import Declaration, Route
+from chicorybridge.identities import RouteId
+
+IDEMPOTENT_METHODS = frozenset(
+    (
+        'GET',
+        'HEAD',
+        'PUT',
+        'DELETE',
+        'OPTIONS',
+        'TRACE',
+    )
+)
+
+IDEMPOTENT_HEADER = b'chicorybridge-idempotent'
+KEY_HEADER = b'idempotency-key'
+
+
+class RouteTable:
+    """Routes by prefix; a lookup costs the depth of the path."""
+
+    def __init__(self, *, declaration: Declaration) -> None:
+        """Index the routes of `declaration`."""
+        self._routes_by_prefix: dict[str, list[Route]] = {}
+        for route in declaration.routes_by_id.values():
+            prefix = route.prefix.rstrip('/')
+            self._routes_by_prefix.setdefault(prefix, []).append(route)
+        for routes in self._routes_by_prefix.values():
+            routes.sort(key=_precedence)
+
+    def find(self, *, method: str, path: str) -> Route | None:
+        """Return the route with the longest prefix, `None` without one.
+
+        Prefixes end at a slash: /quotes takes /quotes/7, not /quotes7.
+        """
+        prefix = path.partition('?')[0].rstrip('/')
+        while True:
+            route = self._match(prefix, method)
+            if route or not prefix:
+                return route
+            prefix = prefix.rpartition('/')[0]
+
+    def _match(self, prefix: str, method: str) -> Route | None:
+        for route in self._routes_by_prefix.get(prefix, ()):
+            if not route.methods or method in route.methods:
+                return route
+        return None
+
+
+def is_idempotent(route: Route, *, method: str, mark: bytes | None) -> bool:
+    """Return whether a request may run more than once.
+
+    `mark` is the value of the Chicorybridge-Idempotent header: `no` makes
+    any request non-idempotent; nothing makes a marked route idempotent.
+    """
+    if mark is not None and mark.strip().lower() == b'no':
+        return False
+    if route.idempotent is not None:
+        return route.idempotent
+    return method in IDEMPOTENT_METHODS
+
+
+def _precedence(route: Route) -> tuple[bool, RouteId]:
+    # Routes that name methods come before those that take any.
+    return (not route.methods, route.route_id)
--- a/chicorybridge/sockets.py
+++ b/chicorybridge/sockets.py
@@ -10,6 +10,9 @@
 
 LISTEN_BACKLOG = 1024
 
+# Unacknowledged bytes end a connection after this time, in milliseconds.
+SILENCE_MS = 1000
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Split IP:PORT."""
@@ -88,3 +91,12 @@
         return
     finally:
         await sock.close()
+
+
+def bound_silence(sock: curio.io.Socket) -> None:
+    """Let the kernel end a connection on which nothing is acknowledged.
+
+    This tells a path that lost track of the connection from a target
+    that is slow: the kernel of a slow target still acknowledges.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
