Add the platform's and the targets' stand-ins and the platform client

The client tells a request that did not reach the platform from a write that was sent and not answered; the stand-ins bring about outages, lost answers, one-way links and every gray failure by knobs over HTTP.

--- /dev/null
+++ b/chicorybridge/options.py
@@ -0,0 +1,46 @@
+"""Options of the command lines: addresses and numbers, checked."""
+
+from typing import Any
+
+from cleo.commands.command import Command
+from cleo.helpers import option as cleo_option
+from cleo.io.inputs.option import Option
+
+from chicorybridge.addresses import Address, parse_address
+from chicorybridge.errors import ChicorybridgeError, ErrorCode
+
+
+class OptionError(ChicorybridgeError):
+    """Report an option that a binary cannot start with."""
+
+
+def option(name: str, description: str, default: Any = None) -> Option:
+    """Return an option that takes a value."""
+    text = None if default is None else str(default)
+    return cleo_option(name, None, description, flag=False, default=text)
+
+
+def address_of(command: Command, name: str) -> Address:
+    """Return the address that an option gives."""
+    try:
+        return parse_address(command.option(name))
+    except ValueError as error:
+        raise refused(name, error) from error
+
+
+def number_of(command: Command, name: str) -> float:
+    """Return the number of 0 or more that an option gives."""
+    try:
+        number = float(command.option(name))
+    except ValueError as error:
+        raise refused(name, error) from error
+    if number < 0:
+        raise refused(name, 'below 0', code=ErrorCode.setting_range)
+    return number
+
+
+def refused(
+    name: str, reason: object, *, code: ErrorCode = ErrorCode.setting_type
+) -> OptionError:
+    """Return the error that names an option and what is wrong with it."""
+    return OptionError(code=code, detail=f'--{name}: {reason}')
--- /dev/null
+++ b/chicorybridge/processes.py
@@ -0,0 +1,54 @@
+"""Start and stop of a process that listens: address, signals, stop."""
+
+import signal
+import socket
+import sys
+from collections.abc import Iterable
+
+import curio
+
+from chicorybridge.addresses import Address
+from chicorybridge.services import BACKLOG
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def open_listener(address: Address) -> curio.io.Socket:
+    """Listen on `address`; raise `OSError` if it is taken."""
+    raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    raw.bind((address.host, address.port))
+    raw.listen(BACKLOG)
+    return curio.io.Socket(raw)
+
+
+def announce(listener: curio.io.Socket) -> Address:
+    """Print the bound address on one line and return it."""
+    host, port = listener.getsockname()
+    address = Address(host=host, port=port)
+    sys.stdout.write(f'listening {address}\n')
+    sys.stdout.flush()
+    return address
+
+
+class StopSignals:
+    """Turn signals into bytes on a socket that a task can wait for."""
+
+    def __init__(self, *, signals: Iterable[int] = STOP_SIGNALS) -> None:
+        """Catch `signals` from now on; call on the main thread."""
+        reader, writer = socket.socketpair()
+        writer.setblocking(False)
+        self._reader = reader
+        # The writer has to outlive this call: signals write to it.
+        self._writer = writer
+        signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+        for number in signals:
+            signal.signal(number, _ignore)
+
+    async def wait(self) -> None:
+        """Return once a signal has come."""
+        await curio.io.Socket(self._reader).recv(1)
+
+
+def _ignore(number: int, frame: object) -> None:
+    """Leave the signal to the wakeup socket."""
--- /dev/null
+++ b/chicorybridge/standins.py
@@ -0,0 +1,156 @@
+"""The binary chicorybridge-standin: the platform and targets, for trials."""
+
+import logging
+import os
+import random
+import sqlite3
+import sys
+from typing import ClassVar
+
+import curio
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.io.inputs.option import Option
+
+from chicorybridge import settings
+from chicorybridge.addresses import Address
+from chicorybridge.clocks import Clock
+from chicorybridge.collectors import freeze_collector
+from chicorybridge.databases import DatabaseTables
+from chicorybridge.emulators import EmulatorKnobs, TargetEmulator
+from chicorybridge.options import (
+    OptionError,
+    address_of,
+    number_of,
+    option,
+    refused,
+)
+from chicorybridge.platforms import PlatformStandin
+from chicorybridge.processes import StopSignals, announce, open_listener
+from chicorybridge.services import Handler, Server
+from chicorybridge.tables import MemoryTables
+
+logger = logging.getLogger(__name__)
+
+VERSION = '0.1.0'
+
+LISTEN = option('listen', 'Address as IP:PORT; port 0 picks one', '127.0.0.1:0')
+SEED = option('seed', 'Seed of the faults that are drawn', 1)
+
+
+async def serve(address: Address, handler: Handler) -> None:
+    """Serve until a stop signal, then finish what is in flight."""
+    signals = StopSignals()
+    listener = open_listener(address)
+    server = Server(listener=listener, handler=handler)
+    announce(listener)
+    freeze_collector()
+    accepting = await curio.spawn(server.run)
+    await signals.wait()
+    await accepting.cancel()
+    await server.stop(within_ms=settings.STANDIN_STOP_MS)
+
+
+class ServeCommand(Command):
+    """Base of the commands that serve: shared options and errors."""
+
+    def handle(self) -> int:
+        """Serve; return 1 after a coded error."""
+        logging.basicConfig(level=logging.INFO, stream=sys.stderr)
+        try:
+            self.serve()
+        except OptionError as error:
+            self.line_error(str(error))
+            return 1
+        return 0
+
+    def serve(self) -> None:
+        """Run until stopped; raise `OptionError` for a bad option."""
+        raise NotImplementedError
+
+    def run_handler(self, handler: Handler) -> None:
+        """Serve `handler` on the address of --listen."""
+        try:
+            curio.run(serve, address_of(self, 'listen'), handler)
+        except OSError as error:
+            raise refused('listen', error) from error
+
+
+class PlatformCommand(ServeCommand):
+    """The command that stands in for the platform."""
+
+    name = 'platform'
+    description = 'Stand in for the table service, object store and host list'
+    options: ClassVar[list[Option]] = [
+        LISTEN,
+        SEED,
+        option('file', 'Keep tables in this SQLite file'),
+    ]
+
+    def serve(self) -> None:
+        """Serve the platform's interface."""
+        rng = random.Random(self.option('seed'))
+        standin = PlatformStandin(tables=self._tables(), clock=Clock(), rng=rng)
+        self.run_handler(standin.handle)
+
+    def _tables(self) -> MemoryTables:
+        path = self.option('file')
+        if not path:
+            return MemoryTables()
+        try:
+            return DatabaseTables(path=path)
+        except sqlite3.Error as error:
+            raise refused('file', error) from error
+
+
+class TargetCommand(ServeCommand):
+    """The command that stands in for a target."""
+
+    name = 'target'
+    description = 'Stand in for a server behind the fleet'
+    options: ClassVar[list[Option]] = [
+        LISTEN,
+        SEED,
+        option('name', 'Name in answers', ''),
+        option('zone', 'Availability zone', ''),
+        option('slots', 'Requests at once', settings.SLOTS),
+        option('connections', 'Connections at once', settings.CONNECTIONS),
+        option(
+            'speed', 'Speed of the hardware, 1 for the newest', settings.SPEED
+        ),
+        option(
+            'service-ms',
+            'Service time on the newest hardware',
+            settings.STANDIN_SERVICE_MS,
+        ),
+    ]
+
+    def serve(self) -> None:
+        """Serve as a target."""
+        emulator = TargetEmulator(
+            name=self.option('name') or f'target-{os.getpid()}',
+            zone=self.option('zone'),
+            knobs=self._knobs(),
+            clock=Clock(),
+            rng=random.Random(self.option('seed')),
+        )
+        self.run_handler(emulator.handle)
+
+    def _knobs(self) -> EmulatorKnobs:
+        try:
+            return EmulatorKnobs(
+                slots=int(number_of(self, 'slots')),
+                connections=int(number_of(self, 'connections')),
+                speed=number_of(self, 'speed'),
+                service_ms=number_of(self, 'service-ms'),
+            )
+        except ValueError as error:
+            raise refused('speed', error) from error
+
+
+def main() -> int:
+    """Run the binary and return its exit status."""
+    application = Application('chicorybridge-standin', VERSION)
+    application.add(PlatformCommand())
+    application.add(TargetCommand())
+    return application.run()
--- /dev/null
+++ b/chicorybridge/tests/conftest.py
@@ -0,0 +1,19 @@
+"""Run tests that are coroutines in an event loop of their own."""
+
+import functools
+import inspect
+
+import curio
+import pytest
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_pyfunc_call(pyfuncitem):
+    """Run a coroutine test with curio; leave any other to pytest."""
+    test = pyfuncitem.obj
+    if not inspect.iscoroutinefunction(test):
+        return None
+    names = inspect.signature(test).parameters
+    fixtures = {name: pyfuncitem.funcargs[name] for name in names}
+    curio.run(functools.partial(test, **fixtures))
+    return True
--- /dev/null
+++ b/chicorybridge/tests/test_platforms.py
@@ -0,0 +1,199 @@
+"""Tests of the platform's stand-in through the project's client."""
+
+import contextlib
+import hashlib
+import json
+import random
+
+from chicorybridge.addresses import Address
+from chicorybridge.clients import PlatformClient
+from chicorybridge.clocks import ManualClock
+from chicorybridge.documents import KNOBS
+from chicorybridge.fetchers import Client
+from chicorybridge.identities import Digest, HostId
+from chicorybridge.platforms import PlatformStandin
+from chicorybridge.services import Request
+from chicorybridge.stores import (
+    Condition,
+    GetObject,
+    HostState,
+    ListedHost,
+    ListHosts,
+    PutObject,
+    ReadRows,
+    RowKey,
+    ScanRows,
+    StoreOutcome,
+    Transact,
+    Write,
+)
+from chicorybridge.tables import MemoryTables
+from chicorybridge.tests.serving import serving
+
+HEAD = RowKey(table='configuration', key='head/1')
+CREATE = Transact(
+    conditions=(Condition(row_key=HEAD, version=0),),
+    writes=(Write(row_key=HEAD, body={'digest': 'd'}),),
+)
+READ = ReadRows(row_keys=(HEAD,))
+BODY = b'declaration' * 1000
+DIGEST = Digest(hashlib.sha256(BODY).hexdigest())
+HOST = ListedHost(
+    host_id=HostId('host-1'), address='127.0.0.1:9', state=HostState.live
+)
+
+
+class Platform:
+    """A stand-in, a client of it and the means to turn its knobs."""
+
+    def __init__(self):
+        """Start without faults."""
+        self.clock = ManualClock()
+        self.tables = MemoryTables()
+        self.standin = PlatformStandin(
+            tables=self.tables, clock=self.clock, rng=random.Random(1)
+        )
+        self.address = Address(host='127.0.0.1', port=0)
+        self.client = self._client()
+
+    @contextlib.asynccontextmanager
+    async def running(self, *, timeout_ms=200):
+        """Serve while the block runs."""
+        async with serving(self.standin.handle) as address:
+            self.address = address
+            self.client = self._client(timeout_ms)
+            yield self.client
+            await self.client.close()
+
+    async def turn(self, **knobs):
+        """Turn knobs over HTTP and return the status."""
+        request = Request(
+            method='POST', path=KNOBS, body=json.dumps(knobs).encode()
+        )
+        answer = await Client().fetch(self.address, request, timeout_ms=500)
+        return answer.status
+
+    async def listed_after(self, wait_ms):
+        """Return the host list once the clock has moved on."""
+        self.clock.advance(by_ms=wait_ms)
+        return (await self.client.execute(ListHosts())).hosts
+
+    def _client(self, timeout_ms=200):
+        return PlatformClient(
+            address=self.address,
+            host_id=HostId('host-1'),
+            timeout_ms=timeout_ms,
+        )
+
+
+async def test_transactions_reads_scans_and_objects():
+    """Every request type goes through HTTP and back."""
+    platform = Platform()
+    async with platform.running() as client:
+        created = await client.execute(CREATE, token='t')
+        again = await client.execute(CREATE)
+        read = await client.execute(READ)
+        scan = ScanRows(table='configuration', prefix='head/')
+        put = PutObject(digest=DIGEST, body=BODY)
+        missing = await client.execute(GetObject(digest=DIGEST))
+        stored = await client.execute(put)
+        found = await client.execute(GetObject(digest=DIGEST))
+        scanned = await client.execute(scan)
+    assert (created.token, created.outcome) == ('t', StoreOutcome.done)
+    assert again.outcome is StoreOutcome.conflict
+    assert again.rows == read.rows == scanned.rows == created.rows
+    assert read.rows[0].version == 1
+    assert (missing.outcome, missing.body) == (StoreOutcome.done, None)
+    assert stored.outcome is StoreOutcome.done
+    assert found.body == BODY
+
+
+async def test_object_under_another_digest_is_refused():
+    """A body that does not have its digest is not kept."""
+    platform = Platform()
+    async with platform.running() as client:
+        wrong = PutObject(digest=DIGEST, body=b'other')
+        reply = await client.execute(wrong)
+    assert reply.outcome is StoreOutcome.unavailable
+    assert not platform.tables.objects_by_digest
+
+
+async def test_outage_is_unavailable_and_writes_nothing():
+    """A clean refusal and a refused connection are both unavailable."""
+    platform = Platform()
+    async with platform.running() as client:
+        await platform.turn(outage=True)
+        refused = await client.execute(CREATE)
+        registered = await client.register(HOST)
+    unreached = await platform.client.execute(CREATE)
+    assert refused.outcome is StoreOutcome.unavailable
+    assert unreached.outcome is StoreOutcome.unavailable
+    assert not registered
+    assert not platform.tables.rows_by_key
+
+
+async def test_write_without_answer_is_unanswered_and_took_effect():
+    """A lost answer is told as unanswered for a write, not for a read."""
+    platform = Platform()
+    async with platform.running() as client:
+        await platform.turn(unanswered_share=1)
+        written = await client.execute(CREATE)
+        read = await client.execute(READ)
+    assert written.outcome is StoreOutcome.unanswered
+    assert read.outcome is StoreOutcome.unavailable
+    assert HEAD in platform.tables.rows_by_key
+
+
+async def test_one_way_loss_of_one_host():
+    """A host is lost on the way there or on the way back; others are not."""
+    platform = Platform()
+    async with platform.running(timeout_ms=60) as client:
+        await platform.turn(lost_requests=['host-1'])
+        to_it = await client.execute(CREATE)
+        written_to_it = HEAD in platform.tables.rows_by_key
+        await platform.turn(lost_requests=[], lost_answers=['host-1'])
+        back = await client.execute(CREATE)
+        await platform.turn(lost_answers=['host-2'])
+        other = await client.execute(READ)
+    assert to_it.outcome is StoreOutcome.unanswered
+    assert not written_to_it
+    assert back.outcome is StoreOutcome.unanswered
+    assert other.rows[0].version == 1
+
+
+async def test_slow_platform_times_out_as_unanswered():
+    """A write that was sent may yet take effect after the timeout."""
+    platform = Platform()
+    async with platform.running(timeout_ms=30) as client:
+        await platform.turn(delay_ms=5000)
+        reply = await client.execute(CREATE)
+    assert reply.outcome is StoreOutcome.unanswered
+
+
+async def test_host_list_lags_and_drops_silent_hosts():
+    """Registration and departure show late; a silent host falls off."""
+    platform = Platform()
+    leaving = ListedHost(
+        host_id=HOST.host_id, address=HOST.address, state=HostState.leaving
+    )
+    seen = []
+    async with platform.running() as client:
+        await platform.turn(host_lag_ms=1000, host_lease_ms=5000)
+        assert await client.register(HOST)
+        seen.append(await platform.listed_after(1000))
+        assert await client.register(leaving)
+        seen.append(await platform.listed_after(500))
+        seen.append(await platform.listed_after(500))
+        seen.append(await platform.listed_after(5000))
+    assert seen == [(HOST,), (HOST,), (leaving,), ()]
+
+
+async def test_unknown_knob_is_refused():
+    """A knob of another name or type answers 400 and changes nothing."""
+    platform = Platform()
+    async with platform.running():
+        assert await platform.turn(outtage=True) == 400
+        assert await platform.turn(delay_ms='5') == 400
+        assert await platform.turn(delay_ms=-1) == 400
+        assert await platform.turn(outage=1) == 400
+        assert await platform.turn(outage=True) == 200
