Know the hosts of the fleet by heartbeats with echoes

A host must find out on its own that the rest of the fleet may go on without it, and nobody may go on without a host that still serves. So a heartbeat echoes the receiver's clock: a host serves while a large enough group, or the store, lately proved contact; others excuse it only when silent for longer, and only in groups too small to serve on.

--- /dev/null
+++ b/chicorybridge/heartbeats.py
@@ -0,0 +1,126 @@
+"""Heartbeats: to whom they are due and what they say."""
+
+import random
+from collections.abc import Iterator
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.identities import HostId, Version
+from chicorybridge.links import NEVER, Link
+from chicorybridge.peers import Peers
+from chicorybridge.profiles import Heartbeat, Introduction, Relayed
+from chicorybridge.systems import Effect, Send
+
+# Peers asked at once for news of unheard hosts, and hosts asked for.
+HELPERS = 8
+UNHEARD_NAMED = 16
+
+
+class Heartbeats:
+    """Prove life to the peers and vouch for hosts that they miss.
+
+    `helpers` are the peers that are asked about unheard hosts.
+    """
+
+    def __init__(self, *, peers: Peers, rng: random.Random) -> None:
+        """Send to `peers`; `rng` spreads the load and picks helpers."""
+        self.helpers: set[HostId] = set()
+        self._peers = peers
+        self._rng = rng
+        self._due_by_id: dict[HostId, Millis] = {}
+        self._helpers_due: Millis = NEVER
+
+    def forget(self, host_id: HostId) -> None:
+        """Drop what was due to a host."""
+        self._due_by_id.pop(host_id, None)
+
+    def send_due(self, *, version: Version, now: Millis) -> Iterator[Effect]:
+        """Send the heartbeats that are due."""
+        if now >= self._helpers_due:
+            self._helpers_due = Millis(now + settings.FAR_HEARTBEAT_MS)
+            self.helpers = set(self.pick(HELPERS, now=now))
+        unheard = self._unheard(now)
+        for link in self._peers.links_by_id.values():
+            if now < self._due_by_id.get(link.host_id, NEVER):
+                continue
+            self._schedule(link, now)
+            if link.told < self._peers.own.revision:
+                yield self.introduce(link)
+            yield self._heartbeat(link, unheard, version, now)
+
+    def introduce(self, link: Link, *, everyone: bool = False) -> Send:
+        """Tell a peer the own profile, and those of all others if asked."""
+        profiles = [self._peers.own]
+        if everyone:
+            profiles += [
+                other.profile
+                for other in self._peers.links_by_id.values()
+                if other.profile and other is not link
+            ]
+        return Send(
+            to=link.host_id, message=Introduction(profiles=tuple(profiles))
+        )
+
+    def vouch(
+        self, message: Heartbeat, *, sender: HostId, now: Millis
+    ) -> Iterator[Effect]:
+        """Tell `sender` of the hosts that it does not hear."""
+        for host_id in message.unheard:
+            link = self._peers.links_by_id.get(host_id)
+            if link is None or link.profile is None:
+                continue
+            if not link.is_direct(now):
+                continue
+            relayed = Relayed(
+                profile=link.profile,
+                reading=link.reading,
+                age_ms=int(now - link.heard_at) + 1,
+            )
+            yield Send(to=sender, message=relayed)
+
+    def pick(self, count: int, *, now: Millis) -> list[HostId]:
+        """Pick peers at random among those reached both ways."""
+        two_way = [
+            link.host_id
+            for link in self._peers.links_by_id.values()
+            if link.is_two_way(now)
+        ]
+        return self._rng.sample(two_way, min(count, len(two_way)))
+
+    def _schedule(self, link: Link, now: Millis) -> None:
+        # The first interval is cut short at random, to spread the load.
+        share = 1 if link.host_id in self._due_by_id else self._rng.random()
+        due = now + share * link.interval_ms
+        self._due_by_id[link.host_id] = Millis(due)
+
+    def _heartbeat(
+        self,
+        link: Link,
+        unheard: tuple[HostId, ...],
+        version: Version,
+        now: Millis,
+    ) -> Send:
+        named = unheard if link.host_id in self.helpers else ()
+        if not link.is_direct(now):
+            named = (link.host_id, *named)
+        beat = Heartbeat(
+            incarnation=self._peers.own.incarnation,
+            reading=int(now),
+            echo=link.reading,
+            echo_of=link.incarnation,
+            revision=self._peers.own.revision,
+            known=link.revision,
+            version=version,
+            unheard=named,
+        )
+        return Send(to=link.host_id, message=beat)
+
+    def _unheard(self, now: Millis) -> tuple[HostId, ...]:
+        unheard = [
+            link.host_id
+            for link in self._peers.links_by_id.values()
+            if not link.is_direct(now)
+        ]
+        if len(unheard) <= UNHEARD_NAMED:
+            return tuple(unheard)
+        return tuple(self._rng.sample(unheard, UNHEARD_NAMED))
--- /dev/null
+++ b/chicorybridge/links.py
@@ -0,0 +1,123 @@
+"""Links to peers: what is heard over each, and how old it can be."""
+
+import dataclasses
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.identities import HostId, Incarnation
+from chicorybridge.profiles import (
+    NO_READING,
+    Heartbeat,
+    HostProfile,
+    Reach,
+    Relayed,
+)
+from chicorybridge.stores import HostState
+
+NEVER = Millis(float('-inf'))
+NO_INCARNATION = Incarnation(0)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Link:
+    """What this host knows of one other host.
+
+    Times are on this host's clock: `heard_at` when a message last came
+    directly, `relayed_at` the latest time for which another host vouches,
+    `proven_at` the latest own reading that the peer echoed, `known_at`
+    when the host became known. `reading` is the peer's own clock.
+    """
+
+    host_id: HostId
+    known_at: Millis
+    interval_ms: int = settings.HEARTBEAT_MS
+    incarnation: Incarnation = NO_INCARNATION
+    profile: HostProfile | None = None
+    reading: int = NO_READING
+    heard_at: Millis = NEVER
+    relayed_at: Millis = NEVER
+    proven_at: Millis = NEVER
+    # When `reading` last grew, by whatever way.
+    advanced_at: Millis = NEVER
+    # Revision of this host's profile that the peer holds.
+    told: int = NO_READING
+    listed: HostState | None = None
+    # When the peer last said that it does not hear this host directly.
+    unheard_at: Millis = NEVER
+    # Whether the host counts as live; changes raise an event.
+    live: bool = False
+
+    @property
+    def lost_after_ms(self) -> int:
+        """Return the silence after which the link counts as lost."""
+        return self.interval_ms * settings.LOST_BEATS
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the peer's profile held here."""
+        return self.profile.revision if self.profile else NO_READING
+
+    @property
+    def silent_since(self) -> Millis:
+        """Return when the last sign of life came in.
+
+        Nothing newer was ever echoed to the host, so its own proof of
+        being heard is no younger.
+        """
+        return max(self.advanced_at, self.known_at)
+
+    def restart(self, incarnation: Incarnation, *, now: Millis) -> None:
+        """Forget what belonged to an earlier incarnation of the peer."""
+        self.incarnation = incarnation
+        self.profile = None
+        self.reading = NO_READING
+        self.told = NO_READING
+        self.proven_at = NEVER
+        self.relayed_at = NEVER
+        self.known_at = now
+
+    def hear(self, beat: Heartbeat, *, own: Incarnation, now: Millis) -> None:
+        """Take in a heartbeat; `own` is this host's incarnation."""
+        self.heard_at = now
+        self._advance(beat.reading, now)
+        if beat.echo_of != own or beat.echo == NO_READING:
+            return
+        self.told = beat.known
+        self.proven_at = max(self.proven_at, Millis(beat.echo))
+
+    def vouch(
+        self, relayed: Relayed, *, proven_at: Millis, now: Millis
+    ) -> None:
+        """Take in a relay by a peer that is proven until `proven_at`."""
+        self._advance(relayed.reading, now)
+        heard_at = Millis(proven_at - relayed.age_ms)
+        self.relayed_at = max(self.relayed_at, heard_at)
+
+    def is_direct(self, now: Millis) -> bool:
+        """Return whether the peer is heard directly."""
+        return now - self.heard_at <= self.lost_after_ms
+
+    def is_proven(self, now: Millis) -> bool:
+        """Return whether the peer lately proved that it hears this host."""
+        return now - self.proven_at <= self.lost_after_ms
+
+    def is_two_way(self, now: Millis) -> bool:
+        """Return whether messages pass directly both ways."""
+        if now - self.unheard_at <= self.lost_after_ms:
+            return False
+        return self.is_direct(now) and self.is_proven(now)
+
+    def reach(self, now: Millis) -> Reach:
+        """Return how the peer is heard."""
+        if self.is_direct(now):
+            return Reach.mutual if self.is_proven(now) else Reach.inbound
+        # A relay is older by up to one interval of the asking heartbeat.
+        bound = self.lost_after_ms + self.interval_ms
+        if now - self.relayed_at <= bound:
+            return Reach.relayed
+        return Reach.lost
+
+    def _advance(self, reading: int, now: Millis) -> None:
+        if reading > self.reading:
+            self.reading = reading
+            self.advanced_at = now
--- /dev/null
+++ b/chicorybridge/members.py
@@ -0,0 +1,170 @@
+"""Membership: which hosts live, how they are heard, and own cut-off."""
+
+import dataclasses
+import random
+from collections.abc import Iterator
+from typing import Any
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.events import EventKind
+from chicorybridge.identities import NO_VERSION, HostId, Version
+from chicorybridge.heartbeats import Heartbeats
+from chicorybridge.links import NEVER
+from chicorybridge.peers import Peers
+from chicorybridge.hearings import HOSTS_TOKEN, Hearings, told
+from chicorybridge.profiles import (
+    Departed,
+    Forward,
+    HostProfile,
+    Introduction,
+    Reach,
+)
+from chicorybridge.stores import ListedHost, ListHosts
+from chicorybridge.systems import Ask, Effect, Effects, Send, System
+
+# Peers that a message passes through to go around a broken link.
+FORWARDERS = 2
+
+
+class Members(System):
+    """Know the hosts of the fleet and whether this one is cut off.
+
+    `version` is set by the system that holds the configuration and told
+    in heartbeats, and may set `ready` to false to keep this host from
+    taking work. `generation` counts the changes of live hosts and of
+    their profiles, for systems that follow them.
+    """
+
+    def __init__(
+        self,
+        *,
+        profile: HostProfile,
+        rng: random.Random,
+        seeds: tuple[ListedHost, ...] = (),
+    ) -> None:
+        """Start with `seeds` as the hosts to greet first."""
+        self.peers = Peers(profile=profile)
+        self._heartbeats = Heartbeats(peers=self.peers, rng=rng)
+        self.version: Version = NO_VERSION
+        self.ready = True
+        self._hearings = Hearings(peers=self.peers, heartbeats=self._heartbeats)
+        self._live_changes = 0
+        self._seeds = seeds
+        self._list_due: Millis = NEVER
+
+    @property
+    def profile(self) -> HostProfile:
+        """Return the profile of this host."""
+        return self.peers.own
+
+    @property
+    def generation(self) -> int:
+        """Return a number that grows with every change of live hosts."""
+        return self.peers.generation + self._live_changes
+
+    @property
+    def hosts_by_id(self) -> dict[HostId, HostProfile]:
+        """Return the live hosts known by profile, this one included."""
+        live = {
+            link.host_id: link.profile
+            for link in self.peers.links_by_id.values()
+            if link.live and link.profile
+        }
+        return {**live, self.profile.host_id: self.profile}
+
+    def reach_of(self, host_id: HostId, *, now: Millis) -> Reach:
+        """Return how a host is heard."""
+        link = self.peers.links_by_id.get(host_id)
+        return link.reach(now) if link else Reach.lost
+
+    def age_of(self, host_id: HostId, *, now: Millis) -> float:
+        """Bound the age in ms of what was last heard; infinite without."""
+        link = self.peers.links_by_id.get(host_id)
+        return now - link.proven_at if link else float('inf')
+
+    def is_cut_off(self, now: Millis) -> bool:
+        """Return whether this host must take no new work."""
+        return not self.profile.taking or self.peers.is_cut_off(now)
+
+    def lease_until(self) -> Millis:
+        """Return until when this host may take new work, as things are."""
+        if self.profile.taking:
+            return self.peers.lease_until()
+        return NEVER
+
+    def change(self, **changes: Any) -> Effects:
+        """Change fields of the own profile and tell all peers at once."""
+        revision = self.profile.revision + 1
+        self.peers.own = dataclasses.replace(
+            self.profile, revision=revision, **changes
+        )
+        self._live_changes += 1
+        return self._tell_all(Introduction(profiles=(self.profile,)))
+
+    def depart(self) -> Effects:
+        """Say goodbye: the last messages of a planned stop."""
+        return self._tell_all(
+            Departed(
+                host_id=self.profile.host_id,
+                incarnation=self.profile.incarnation,
+            )
+        )
+
+    def sends(self, to: HostId, message: Any, *, now: Millis) -> Effects:
+        """Send to one host, also around the link if that is broken."""
+        direct = Send(to=to, message=message)
+        link = self.peers.links_by_id.get(to)
+        if link is None or link.is_two_way(now):
+            return [direct]
+        around = Forward(to=to, message=message)
+        helpers = self._heartbeats.pick(FORWARDERS, now=now)
+        return [direct, *(Send(to=to, message=around) for to in helpers)]
+
+    def tick(self, *, now: Millis) -> Effects:
+        """Poll the platform's list, review the links, send heartbeats."""
+        return [
+            *self._poll(now),
+            *self._review(now),
+            *self._review_self(now),
+            *self._heartbeats.send_due(version=self.version, now=now),
+        ]
+
+    def receive(self, message: Any, *, sender: HostId, now: Millis) -> Effects:
+        """Take in what peers and the platform say of hosts."""
+        return self._hearings.take(message, sender, now)
+
+    def _tell_all(self, message: Any) -> Effects:
+        return [
+            Send(to=host_id, message=message)
+            for host_id in self.peers.links_by_id
+        ]
+
+    def _poll(self, now: Millis) -> Iterator[Effect]:
+        for seed in self._seeds:
+            if seed.host_id != self.profile.host_id:
+                self.peers.link(seed.host_id, now=now)
+        self._seeds = ()
+        if now >= self._list_due:
+            self._list_due = Millis(now + settings.HOST_LIST_MS)
+            yield Ask(token=HOSTS_TOKEN, request=ListHosts())
+
+    def _review(self, now: Millis) -> Iterator[Effect]:
+        for link in self.peers.links_by_id.values():
+            reach = link.reach(now)
+            live = reach is not Reach.lost
+            if live == link.live:
+                continue
+            link.live = live
+            self._live_changes += 1
+            kind = EventKind.peer_heard if live else EventKind.peer_lost
+            yield told(kind, link.host_id, reach.value)
+
+    def _review_self(self, now: Millis) -> Iterator[Effect]:
+        taking = self.ready and not self.peers.is_cut_off(now)
+        if taking == self.profile.taking:
+            return
+        kind = EventKind.host_returned if taking else EventKind.host_withdrawn
+        reason = 'ready' if self.ready else 'not ready'
+        yield told(kind, self.profile.host_id, reason)
+        yield from self.change(taking=taking)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -25,3 +25,18 @@
 
 # Control process.
 TICK_MS = 100
+
+# Membership. A link is lost after `LOST_BEATS` intervals of silence.
+HEARTBEAT_MS = 1000
+FAR_HEARTBEAT_MS = 3000
+LOST_BEATS = 4
+HOST_LIST_MS = 5000
+# A host that nobody proves to hear, and that cannot read the head of the
+# configuration, takes no new work after `CUT_OFF_MS`. Others stop waiting
+# for it after `EXCUSE_MS`, which leaves a margin for clock drift.
+CUT_OFF_MS = 10_000
+EXCUSE_MS = 15_000
+# A group of hosts serves on by itself when it is a larger share of the
+# fleet than `GROUP_SHARE`; a silent group is excused up to `EXCUSE_SHARE`.
+GROUP_SHARE = 0.3
+EXCUSE_SHARE = 0.26
--- /dev/null
+++ b/chicorybridge/tests/test_members.py
@@ -0,0 +1,156 @@
+"""Tests of membership through the faulty channel."""
+
+import pytest
+
+from chicorybridge import settings
+from chicorybridge.identities import HostId
+from chicorybridge.profiles import Reach
+from chicorybridge.tools.fleets import Fleet
+
+FIRST = HostId('host-0000')
+SECOND = HostId('host-0001')
+SETTLE_MS = 8000
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    """Return eight hosts that know each other."""
+    fleet = Fleet(size=8, seed=1)
+    fleet.channel.run(for_ms=SETTLE_MS)
+    return fleet
+
+
+def _sees(fleet: Fleet, host_id: HostId) -> set[HostId]:
+    return set(fleet.hosts_by_id[host_id].members.hosts_by_id)
+
+
+def _reach(fleet: Fleet, host_id: HostId, other: HostId) -> Reach:
+    members = fleet.hosts_by_id[host_id].members
+    return members.reach_of(other, now=fleet.channel.clock.now())
+
+
+def _cut_off(fleet: Fleet) -> set[HostId]:
+    now = fleet.channel.clock.now()
+    return {
+        host_id
+        for host_id, host in fleet.hosts_by_id.items()
+        if host.members.is_cut_off(now)
+    }
+
+
+def test_all_hosts_know_all(fleet):
+    """Within seconds of the start every host sees every other."""
+    everyone = set(fleet.hosts_by_id)
+    assert all(_sees(fleet, host_id) == everyone for host_id in everyone)
+    assert not _cut_off(fleet)
+
+
+def test_dead_host_is_lost_by_all(fleet):
+    """A crashed host is lost after the bound, far hosts a bit later."""
+    fleet.crash(FIRST)
+    fleet.channel.run(
+        for_ms=settings.LOST_BEATS * settings.FAR_HEARTBEAT_MS + 1000
+    )
+    assert all(
+        FIRST not in _sees(fleet, host_id) for host_id in fleet.hosts_by_id
+    )
+
+
+def test_one_bad_link_throws_nobody_out(fleet):
+    """A link dead one way leaves both hosts live for each other."""
+    fleet.cut([FIRST], [SECOND])
+    fleet.channel.run(for_ms=60_000)
+    assert _reach(fleet, SECOND, FIRST) is Reach.relayed
+    assert FIRST in _sees(fleet, SECOND)
+    assert not _cut_off(fleet)
+
+
+def test_a_message_goes_around_a_dead_link(fleet):
+    """What is sent over a link that is dead one way still arrives."""
+    fleet.cut([FIRST], [SECOND])
+    fleet.channel.run(for_ms=30_000)
+    now = fleet.channel.clock.now()
+    members = fleet.hosts_by_id[FIRST].members
+    sent = list(members.sends(SECOND, members.profile, now=now))
+    assert len(sent) > 1
+
+
+@pytest.mark.parametrize('hears', [False, True])
+def test_half_deaf_host_withdraws_itself(fleet, hears):
+    """A host that is deaf, or mute, takes no work without the store."""
+    others = [host for host in fleet.hosts_by_id if host != FIRST]
+    if hears:
+        fleet.cut([FIRST], others)
+    else:
+        fleet.cut(others, [FIRST])
+    fleet.channel.store.outage = True
+    fleet.channel.run(for_ms=settings.CUT_OFF_MS + 1000)
+    assert _cut_off(fleet) == {FIRST}
+    seen = Reach.lost if hears else Reach.inbound
+    assert _reach(fleet, HostId('host-0004'), FIRST) is seen
+
+
+def test_parted_regions_both_go_on(fleet):
+    """Regions that lose each other and the store keep serving."""
+    north, south = fleet.of_region(0), fleet.of_region(1)
+    fleet.cut(north, south)
+    fleet.cut(south, north)
+    fleet.channel.store.outage = True
+    fleet.channel.run(for_ms=60_000)
+    assert not _cut_off(fleet)
+    members = fleet.hosts_by_id[FIRST].members
+    assert not members.peers.excused(fleet.channel.clock.now())
+
+
+def test_excused_host_has_stopped_before(fleet):
+    """Whoever is excused by anyone takes no work any more."""
+    others = [host for host in fleet.hosts_by_id if host != FIRST]
+    fleet.cut([FIRST], others)
+    fleet.channel.store.outage = True
+    for _ in range(300):
+        fleet.channel.run(for_ms=100)
+        now = fleet.channel.clock.now()
+        excused = {
+            host_id
+            for host in others
+            for host_id in fleet.hosts_by_id[host].members.peers.excused(now)
+        }
+        assert excused <= _cut_off(fleet)
+    assert excused == {FIRST}
+
+
+def test_new_incarnation_replaces_the_old(fleet):
+    """A restarted host is known by its new incarnation, for good."""
+    old = fleet.hosts_by_id[FIRST].members.profile
+    fleet.start(FIRST, zone=0)
+    fleet.channel.run(for_ms=SETTLE_MS)
+    fresh = fleet.hosts_by_id[FIRST].members.profile
+    peers = fleet.hosts_by_id[SECOND].members.peers
+    assert peers.links_by_id[FIRST].incarnation == fresh.incarnation
+    assert peers.is_gone(old.incarnation)
+
+
+def test_unlisted_host_that_is_heard_stays(fleet):
+    """The platform's list drops nobody who is heard."""
+    fleet.unlist(FIRST)
+    fleet.channel.run(for_ms=60_000)
+    assert FIRST in _sees(fleet, SECOND)
+
+
+def test_unlisted_silent_host_is_forgotten(fleet):
+    """A host that is silent and dropped from the list is gone."""
+    fleet.crash(FIRST)
+    fleet.unlist(FIRST)
+    fleet.channel.run(for_ms=60_000)
+    peers = fleet.hosts_by_id[SECOND].members.peers
+    assert FIRST not in peers.links_by_id
+
+
+def test_paused_host_is_cut_off_when_it_wakes(fleet):
+    """A host that was paused knows it before it takes any work."""
+    fleet.channel.paused.add(FIRST)
+    fleet.channel.run(for_ms=60_000)
+    fleet.channel.paused.clear()
+    assert _cut_off(fleet) == {FIRST}
+    fleet.channel.run(for_ms=SETTLE_MS)
+    assert not _cut_off(fleet)
