Choose targets, admit requests and decide on retries

A target is drawn by weight among its place (own zone, own region, across) and the cheapest of three draws wins: relative latency times own requests in flight. Admission adapts one share per service, refusing low priority first. Connections and requests at a target are bounded by a hashed subset that needs only the size of the fleet. Retries draw on a budget that fades with the load that fed it, and the outcome of a request follows from all of its attempts.

--- /dev/null
+++ b/chicorybridge/candidates.py
@@ -0,0 +1,62 @@
+"""Targets as one process sees them when it chooses."""
+
+import dataclasses
+import random
+from collections.abc import Iterator
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.declarations import Declaration
+from chicorybridge.identities import TargetId, ZoneId
+
+# Factors on the cost of a target in the own zone, own region and across.
+PLACE_COSTS = (1.0, settings.REGION_COST, settings.ACROSS_COST)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Candidate:
+    """A target as this process sees it; `place` indexes `PLACE_COSTS`."""
+
+    target_id: TargetId
+    place: int
+    warm_up_ms: int
+    in_flight: int = 0
+    cold_since: Millis | None = None
+    paused_until: Millis = Millis(0)
+    unreachable: bool = False
+
+    def warmth(self, now: Millis) -> float:
+        """Return the share of its load that a cold target may take."""
+        if self.cold_since is None:
+            return 1
+        elapsed = now - self.cold_since
+        if elapsed >= self.warm_up_ms:
+            self.cold_since = None
+            return 1
+        return max(settings.WARM_UP_FLOOR, elapsed / self.warm_up_ms)
+
+
+# Candidates in the same place: own zone, own region or across.
+Place = tuple[Candidate, ...]
+
+
+def draw(candidates: Place, rng: random.Random) -> Iterator[Candidate]:
+    """Yield candidates of a place at random, none of them twice."""
+    drawn: set[int] = set()
+    for _ in range(min(settings.CHOICE_DRAWS, 2 * len(candidates))):
+        number = int(rng.random() * len(candidates))
+        if number not in drawn:
+            drawn.add(number)
+            yield candidates[number]
+
+
+def place_of(
+    declaration: Declaration, zone_id: ZoneId, own_zone_id: ZoneId
+) -> int:
+    """Return 0 for the own zone, 1 for the own region, 2 across regions."""
+    if zone_id == own_zone_id:
+        return 0
+    region_id = declaration.region_id_of(zone_id)
+    if region_id == declaration.region_id_of(own_zone_id):
+        return 1
+    return 2
--- /dev/null
+++ b/chicorybridge/limits.py
@@ -0,0 +1,175 @@
+"""Limits of one entry process: at targets, per service, per workspace."""
+
+import dataclasses
+import random
+
+from chicorybridge import settings
+from chicorybridge.admissions import ServiceAdmission, Signals
+from chicorybridge.attempts import Attempt, AttemptOutcome
+from chicorybridge.buckets import TokenBucket
+from chicorybridge.clocks import MILLIS_PER_SECOND, Millis
+from chicorybridge.declarations import Declaration, Priority
+from chicorybridge.errors import ErrorCode
+from chicorybridge.identities import ServiceId, TargetId, WorkspaceId
+from chicorybridge.subsets import FleetSize, TargetShare, share_of
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Admission:
+    """Whether a request is let in; if not, why and when to come back."""
+
+    code: ErrorCode | None = None
+    retry_after_ms: float = 0
+
+    @property
+    def admitted(self) -> bool:
+        """Tell whether the request is let in."""
+        return self.code is None
+
+
+ADMITTED = Admission()
+
+
+class Limiter:
+    """Refuse early what the targets would not bear."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        """Start without a declaration: nothing is known, nothing let in."""
+        self._rng = rng
+        self._shares_by_target: dict[TargetId, TargetShare] = {}
+        self._admissions_by_service: dict[ServiceId, ServiceAdmission] = {}
+        self._rates_by_workspace: dict[WorkspaceId, float] = {}
+        self._buckets_by_workspace: dict[WorkspaceId, TokenBucket] = {}
+
+    def set_declaration(
+        self, declaration: Declaration, *, fleet: FleetSize
+    ) -> None:
+        """Take over the limits, shared over `fleet`; counts go on."""
+        self._shares_by_target = {
+            target_id: share_of(declaration.pool_of(target), fleet)
+            for target_id, target in declaration.targets_by_id.items()
+        }
+        self._admissions_by_service = {
+            service_id: self._admissions_by_service.get(service_id)
+            or ServiceAdmission(rng=self._rng)
+            for service_id in declaration.services_by_id
+        }
+        self._set_workspaces(declaration)
+
+    def set_workspace_share(
+        self, workspace_id: WorkspaceId, share: float, *, now: Millis
+    ) -> None:
+        """Allow this process `share` of the rate of a workspace."""
+        rate = self._rates_by_workspace.get(workspace_id)
+        if rate is not None:
+            bucket = self._bucket(workspace_id, rate, now)
+            bucket.per_second = rate * share
+            bucket.burst = _burst(rate * share)
+
+    def admit(
+        self,
+        service_id: ServiceId,
+        *,
+        priority: Priority,
+        workspace_id: WorkspaceId | None,
+        now: Millis,
+    ) -> Admission:
+        """Decide on a request from its head alone.
+
+        A refusal is `workspace_limit` or `overloaded`.
+        """
+        wait_ms = self._workspace_wait(workspace_id, now)
+        if wait_ms > 0:
+            return Admission(
+                code=ErrorCode.workspace_limit, retry_after_ms=wait_ms
+            )
+        admission = self._admissions_by_service.get(service_id)
+        if admission is None or not admission.admit(priority, now=now):
+            return self.overloaded(service_id)
+        return ADMITTED
+
+    def overloaded(self, service_id: ServiceId) -> Admission:
+        """Return the refusal of a request that no target may take now."""
+        admission = self._admissions_by_service.get(service_id)
+        share = 1.0 if admission is None else admission.share
+        longest = min(
+            settings.RETRY_AFTER_MS / share, settings.RETRY_AFTER_LIMIT_MS
+        )
+        # Spread, so that the refused do not all come back at once.
+        wait_ms = longest * (1 + self._rng.random()) / 2
+        return Admission(code=ErrorCode.overloaded, retry_after_ms=wait_ms)
+
+    def may_take(self, target_id: TargetId, in_flight: int) -> bool:
+        """Tell whether a target may get one more besides `in_flight`."""
+        share = self._shares_by_target.get(target_id)
+        return share is not None and in_flight < share.in_flight
+
+    def connections_of(self, target_id: TargetId) -> int:
+        """Return how many connections this process may hold open."""
+        share = self._shares_by_target.get(target_id)
+        return 0 if share is None else share.connections
+
+    def finished(
+        self, attempt: Attempt, *, slowness: float | None, now: Millis
+    ) -> None:
+        """Learn from an ended attempt and the slowness its chooser found."""
+        admission = self._admissions_by_service.get(attempt.service_id)
+        if admission is None or attempt.outcome is AttemptOutcome.cancelled:
+            return
+        overloaded = _met_overload(attempt, slowness)
+        admission.record(overloaded=overloaded, now=now)
+
+    def merge(
+        self, service_id: ServiceId, signals: Signals, *, now: Millis
+    ) -> None:
+        """Take in what other processes saw of a service."""
+        admission = self._admissions_by_service.get(service_id)
+        if admission is not None:
+            admission.merge(signals, now=now)
+
+    def admitted_share(self, service_id: ServiceId) -> float:
+        """Return the share of arrivals that is let in."""
+        return self._admissions_by_service[service_id].share
+
+    def _set_workspaces(self, declaration: Declaration) -> None:
+        self._rates_by_workspace = {
+            workspace_id: workspace.requests_per_second
+            for workspace_id, workspace in declaration.workspaces_by_id.items()
+        }
+        self._buckets_by_workspace = {
+            workspace_id: bucket
+            for workspace_id, bucket in self._buckets_by_workspace.items()
+            if workspace_id in self._rates_by_workspace
+        }
+
+    def _workspace_wait(
+        self, workspace_id: WorkspaceId | None, now: Millis
+    ) -> float:
+        if workspace_id is None:
+            return 0
+        rate = self._rates_by_workspace.get(workspace_id)
+        if rate is None:
+            return 0
+        bucket = self._bucket(workspace_id, rate, now)
+        return 0 if bucket.take(now=now) else bucket.wait_ms(now=now)
+
+    def _bucket(
+        self, workspace_id: WorkspaceId, rate: float, now: Millis
+    ) -> TokenBucket:
+        bucket = self._buckets_by_workspace.get(workspace_id)
+        if bucket is None:
+            bucket = TokenBucket(per_second=rate, burst=_burst(rate), now=now)
+            self._buckets_by_workspace[workspace_id] = bucket
+        return bucket
+
+
+def _burst(rate: float) -> float:
+    return max(1, rate * settings.WORKSPACE_BURST_MS / MILLIS_PER_SECOND)
+
+
+def _met_overload(attempt: Attempt, slowness: float | None) -> bool:
+    if attempt.outcome is AttemptOutcome.shed:
+        return True
+    if attempt.outcome is AttemptOutcome.timed_out:
+        return True
+    return slowness is not None and slowness > settings.OVERLOAD_LATENCY
--- /dev/null
+++ b/chicorybridge/tests/test_outcomes.py
@@ -0,0 +1,33 @@
+"""Tests of the outcome of a whole request."""
+
+import pytest
+
+from chicorybridge.attempts import AttemptOutcome
+from chicorybridge.outcomes import RequestOutcome, outcome_of
+from chicorybridge.tools.attempted import attempted
+
+SHED = attempted(AttemptOutcome.shed)
+UNREACHABLE = attempted(AttemptOutcome.unreachable, sent_bytes=0)
+CUT = attempted(AttemptOutcome.cut)
+CUT_UNSENT = attempted(AttemptOutcome.cut, sent_bytes=0)
+TIMED_OUT = attempted(AttemptOutcome.timed_out)
+CANCELLED = attempted(AttemptOutcome.cancelled)
+ANSWERED = attempted(AttemptOutcome.answered)
+FAILED = attempted(AttemptOutcome.failed)
+
+
+@pytest.mark.parametrize(
+    ('attempts', 'outcome'),
+    [
+        ((), RequestOutcome.not_run),
+        ((SHED, UNREACHABLE, CUT_UNSENT), RequestOutcome.not_run),
+        ((CUT,), RequestOutcome.unknown),
+        ((TIMED_OUT, SHED), RequestOutcome.unknown),
+        ((CANCELLED,), RequestOutcome.unknown),
+        ((CUT, ANSWERED), RequestOutcome.complete),
+        ((FAILED,), RequestOutcome.complete),
+    ],
+)
+def test_outcome_tells_the_truth_of_all_attempts(attempts, outcome):
+    """Not run needs every attempt not run; complete needs a whole answer."""
+    assert outcome_of(attempts) is outcome
--- /dev/null
+++ b/chicorybridge/tests/test_retries.py
@@ -0,0 +1,95 @@
+"""Tests of the retry decision and its budget."""
+
+import pytest
+
+from chicorybridge.attempts import AttemptOutcome
+from chicorybridge.clocks import Millis
+from chicorybridge.identities import ServiceId, TargetId
+from chicorybridge.outcomes import RequestOutcome
+from chicorybridge.retries import RequestFacts, RetryBudget, RetryPolicy
+from chicorybridge.tools.attempted import attempted
+from chicorybridge.tools.declared import ServiceShape, declare
+
+SERVICE = ServiceId('quotes')
+NOW = Millis(1000)
+CUT = attempted(AttemptOutcome.cut)
+SHED = attempted(AttemptOutcome.shed)
+UNREACHABLE = attempted(AttemptOutcome.unreachable, sent_bytes=0)
+
+
+def _policy() -> RetryPolicy:
+    policy = RetryPolicy()
+    policy.set_declaration(declare(ServiceShape()))
+    return policy
+
+
+def _facts(**changes) -> RequestFacts:
+    values = {'idempotent': True, 'deadline_at': Millis(5000), **changes}
+    return RequestFacts(service_id=SERVICE, **values)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'attempts', 'retry'),
+    [
+        ({}, (CUT,), True),
+        ({}, (attempted(AttemptOutcome.timed_out),), True),
+        ({}, (attempted(AttemptOutcome.answered),), False),
+        ({}, (attempted(AttemptOutcome.failed),), False),
+        ({}, (attempted(AttemptOutcome.cancelled),), False),
+        ({'idempotent': False}, (CUT,), False),
+        ({'idempotent': False}, (CUT, SHED), False),
+        ({'idempotent': False}, (SHED,), True),
+        ({'idempotent': False}, (UNREACHABLE,), True),
+        ({'committed': True}, (CUT,), False),
+        ({'replayable': False}, (SHED,), False),
+        ({'replayable': False}, (UNREACHABLE,), True),
+        ({'deadline_at': NOW}, (SHED,), False),
+        ({}, (SHED, SHED, SHED), False),
+    ],
+)
+def test_only_safe_and_timely_attempts_are_retried(changes, attempts, retry):
+    """A request that may have run goes on only if it is idempotent."""
+    decision = _policy().decide(_facts(**changes), attempts, now=NOW)
+    assert decision.retry is retry
+
+
+def test_decision_names_outcome_and_tried_targets():
+    """The next attempt goes to another target."""
+    decision = _policy().decide(
+        _facts(),
+        (
+            attempted(AttemptOutcome.cut, target='quotes-1'),
+            attempted(AttemptOutcome.shed, target='quotes-2'),
+        ),
+        now=NOW,
+    )
+    assert decision.outcome is RequestOutcome.unknown
+    assert decision.excluded == {TargetId('quotes-1'), TargetId('quotes-2')}
+
+
+def test_budget_bounds_retries_when_every_attempt_fails():
+    """In an outage retries stay a tenth of live load."""
+    budget = RetryBudget(share=0.1)
+    retries = 0
+    for request in range(10_000):
+        now = Millis(request * 10)
+        budget.deposit(now=now)
+        while budget.withdraw(now=now):
+            retries += 1
+    assert retries <= 1001
+
+
+def test_budget_fades_with_the_load_that_fed_it():
+    """Load of the past allows no burst of retries later."""
+    budget = RetryBudget(share=0.1)
+    for _ in range(1000):
+        budget.deposit(now=NOW)
+    later = Millis(NOW + 120_000)
+    assert budget.withdraw(now=later)
+    assert not budget.withdraw(now=later)
+
+
+def test_unknown_service_is_not_retried():
+    """Without a declaration there is no budget."""
+    decision = RetryPolicy().decide(_facts(), (SHED,), now=NOW)
+    assert not decision.retry
--- /dev/null
+++ b/chicorybridge/tools/attempted.py
@@ -0,0 +1,27 @@
+"""Finished attempts for tests and measurements."""
+
+from typing import Any
+
+from chicorybridge.attempts import Attempt, AttemptOutcome
+from chicorybridge.clocks import Millis
+from chicorybridge.identities import RouteId, ServiceId, TargetId
+
+
+def attempted(
+    outcome: AttemptOutcome = AttemptOutcome.answered,
+    *,
+    target: str = 'quotes-0',
+    service: str = 'quotes',
+    **fields: Any,
+) -> Attempt:
+    """Return an attempt of 10 ms that sent 100 bytes unless told."""
+    fields.setdefault('elapsed_ms', 10)
+    fields.setdefault('sent_bytes', 100)
+    fields.setdefault('started_at', Millis(0))
+    fields.setdefault('route_id', RouteId(service))
+    return Attempt(
+        service_id=ServiceId(service),
+        target_id=TargetId(target),
+        outcome=outcome,
+        **fields,
+    )
