Decide the claims of keyed requests from memory, with owners named by key or row

Cause: a repeat of a keyed request through any host must not run twice, and acceptances must go on while the store is away. A key that a host issued names that host and its incarnation; a key of a caller is assigned an owner by a row, group-committed. The owner decides from memory; other hosts relay.

--- /dev/null
+++ b/chicorybridge/claim_assignments.py
@@ -0,0 +1,199 @@
+"""Ask the platform for the owners of keys, many in one transaction.
+
+One transaction is under way at a time; what comes meanwhile goes together
+in the next one.
+"""
+
+import dataclasses
+from collections import OrderedDict
+from collections.abc import Callable
+
+from chicorybridge import settings
+from chicorybridge.claim_messages import ClaimRefusal, KeptAnswer
+from chicorybridge.claim_rows import OwnerRow, row_keys_of
+from chicorybridge.clocks import Millis
+from chicorybridge.identities import RequestKey
+from chicorybridge.stores import (
+    Condition,
+    Row,
+    RowKey,
+    StoreOutcome,
+    StoreReply,
+    Transact,
+    Write,
+)
+from chicorybridge.systems import Ask
+
+ASSIGNMENT_TOKEN = 'claims:assignments'  # noqa: S105
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Assignment:
+    """What came of asking for a key: its row, or why there is none.
+
+    `fresh` is set when the row was written for us just now.
+    """
+
+    key: RequestKey
+    row: OwnerRow | None = None
+    fresh: bool = False
+    refusal: ClaimRefusal | None = None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RowChange:
+    """A row to write: a new one, or the answer added to a row of ours."""
+
+    key: RequestKey
+    row: OwnerRow
+    conditions: tuple[Condition, ...]
+    # A write of it may have taken effect unanswered.
+    uncertain: bool = False
+
+    @property
+    def is_new(self) -> bool:
+        """Tell whether the row must be missing before."""
+        return self.conditions[0].version == 0
+
+    @property
+    def write(self) -> Write:
+        """Return the write of the row in the place of its first use."""
+        return Write(
+            row_key=self.conditions[0].row_key, body=self.row.to_body()
+        )
+
+
+class ClaimAssignments:
+    """Write the rows of keys in groups and tell what they say."""
+
+    def __init__(self, *, today: Callable[[], int]) -> None:
+        """Start empty; `today` numbers the days, for retention only."""
+        self.transactions = 0
+        self._today = today
+        self._waiting: OrderedDict[RequestKey, RowChange] = OrderedDict()
+        self._in_flight: dict[RequestKey, RowChange] = {}
+        # Rows of ours whose answer is still to come.
+        self._open: OrderedDict[RequestKey, RowChange] = OrderedDict()
+        self._retry_at = Millis(0)
+
+    def request(self, key: RequestKey, row: OwnerRow) -> bool:
+        """Ask for a key by offering `row`; return whether there is room."""
+        if key in self._waiting or key in self._in_flight:
+            return True
+        if len(self._waiting) >= settings.CLAIM_ROWS_WAITING:
+            return False
+        row_keys = row_keys_of(key, today=self._today())
+        self._waiting[key] = RowChange(
+            key=key, row=row, conditions=_conditions(row_keys, version=0)
+        )
+        return True
+
+    def keep(self, key: RequestKey, answer: KeptAnswer) -> None:
+        """Add the answer of the first try to the row of a key of ours."""
+        change = self._open.pop(key, None)
+        if change is None or len(self._waiting) >= settings.CLAIM_ROWS_WAITING:
+            return
+        self._waiting[key] = RowChange(
+            key=key,
+            row=dataclasses.replace(change.row, answer=answer),
+            conditions=_conditions((change.write.row_key,), version=1),
+        )
+
+    def flush(self, *, now: Millis) -> list[Ask]:
+        """Start the next transaction unless one is under way."""
+        if self._in_flight or not self._waiting or now < self._retry_at:
+            return []
+        size = min(len(self._waiting), settings.CLAIM_ROWS_IN_TRANSACTION)
+        changes = [self._waiting.popitem(last=False)[1] for _ in range(size)]
+        self._in_flight = {change.key: change for change in changes}
+        self.transactions += 1
+        request = Transact(
+            conditions=tuple(
+                condition
+                for change in changes
+                for condition in change.conditions
+            ),
+            writes=tuple(change.write for change in changes),
+        )
+        return [Ask(token=ASSIGNMENT_TOKEN, request=request)]
+
+    def take(self, reply: StoreReply, *, now: Millis) -> list[Assignment]:
+        """Take in the reply to the transaction under way."""
+        changes = list(self._in_flight.values())
+        self._in_flight = {}
+        match reply.outcome:
+            case StoreOutcome.done:
+                return [
+                    self._own(change) for change in changes if change.is_new
+                ]
+            case StoreOutcome.conflict:
+                return self._settle_conflict(changes, reply.rows)
+            case StoreOutcome.unavailable:
+                self._retry_at = Millis(now + settings.CLAIM_ROWS_RETRY_MS)
+                return self._refuse(changes)
+            case StoreOutcome.unanswered:
+                self._retry_at = Millis(now + settings.CLAIM_RESEND_MS)
+                self._repeat(changes)
+        return []
+
+    def _own(self, change: RowChange) -> Assignment:
+        self._open[change.key] = change
+        if len(self._open) > settings.CLAIMS_KEPT:
+            self._open.popitem(last=False)
+        return Assignment(key=change.key, row=change.row, fresh=True)
+
+    def _settle_conflict(
+        self, changes: list[RowChange], rows: tuple[Row, ...]
+    ) -> list[Assignment]:
+        rows_by_key = {row.row_key: row for row in rows}
+        assignments = []
+        for change in reversed(changes):
+            found = _found(change, rows_by_key)
+            if found is None:
+                self._put_back(change)
+            elif change.is_new and found.version:
+                assignments.append(self._read(change, found))
+        return assignments
+
+    def _read(self, change: RowChange, found: Row) -> Assignment:
+        row = OwnerRow.from_body(found.body)
+        # Our own write took effect before, and its reply was lost.
+        same_owner = row.owner == change.row.owner
+        if same_owner and row.attempt_id == change.row.attempt_id:
+            return self._own(change)
+        return Assignment(key=change.key, row=row)
+
+    def _refuse(self, changes: list[RowChange]) -> list[Assignment]:
+        for change in reversed(changes):
+            # What may be written must be settled; answers are kept.
+            if change.uncertain or not change.is_new:
+                self._put_back(change)
+        return [
+            Assignment(key=refused.key, refusal=ClaimRefusal.store_unavailable)
+            for refused in changes
+            if refused.is_new
+        ]
+
+    def _repeat(self, changes: list[RowChange]) -> None:
+        for change in reversed(changes):
+            change.uncertain = True
+            self._put_back(change)
+
+    def _put_back(self, change: RowChange) -> None:
+        self._waiting[change.key] = change
+        self._waiting.move_to_end(change.key, last=False)
+
+
+def _conditions(
+    row_keys: tuple[RowKey, ...], *, version: int
+) -> tuple[Condition, ...]:
+    return tuple(
+        Condition(row_key=row_key, version=version) for row_key in row_keys
+    )
+
+
+def _found(change: RowChange, rows_by_key: dict[RowKey, Row]) -> Row | None:
+    rows = (
+        rows_by_key.get(condition.row_key) for condition in change.conditions
+    )
+    return next((row for row in rows if row is not None), None)
--- /dev/null
+++ b/chicorybridge/claim_attempts.py
@@ -0,0 +1,205 @@
+"""The tries of the entry processes of one host, and their reports.
+
+A try is pending until its claim is decided, then running until its end
+is reported. A report is repeated until the owner of the key records it.
+"""
+
+import dataclasses
+import itertools
+from collections import OrderedDict
+
+from chicorybridge import settings
+from chicorybridge.claim_messages import (
+    AttemptId,
+    ClaimDecided,
+    ClaimFinished,
+    ClaimRefusal,
+    ClaimRequested,
+    ClaimVerdict,
+    EntryId,
+)
+from chicorybridge.clocks import Millis
+from chicorybridge.errors import require
+from chicorybridge.identities import RequestKey
+from chicorybridge.outcomes import RequestOutcome
+from chicorybridge.request_keys import KeyOwner
+
+# Share of its age that a report waits before it is repeated.
+REPORT_BACKOFF = 0.5
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PendingAttempt:
+    """A try whose claim is not decided; `owner` once it is known."""
+
+    request: ClaimRequested
+    asked_at: Millis
+    owner: KeyOwner | None = None
+    sent_at: Millis = Millis(0)
+    # The owner lets it wait for the end of the first try.
+    held: bool = False
+
+    def is_late(self, now: Millis) -> bool:
+        """Tell whether the entry process has waited long enough."""
+        limit = settings.CLAIM_DECISION_MS
+        if self.held:
+            limit = settings.CLAIM_WAIT_MS
+        return now - self.asked_at >= limit
+
+    @property
+    def late_refusal(self) -> ClaimRefusal:
+        """Return what kept its decision away."""
+        if self.held:
+            return ClaimRefusal.under_way
+        if self.owner is None:
+            return ClaimRefusal.store_unavailable
+        return ClaimRefusal.owner_unreachable
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunningAttempt:
+    """A try that its entry process was told to run."""
+
+    request: ClaimRequested
+    owner: KeyOwner
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Report:
+    """The end of a try, on its way to the owner of the key."""
+
+    finished: ClaimFinished
+    since: Millis
+    sent_at: Millis
+
+    def is_due(self, now: Millis) -> bool:
+        """Tell whether to repeat it; ever more seldom as it ages."""
+        age = self.sent_at - self.since
+        pause = max(settings.CLAIM_RESEND_MS, age * REPORT_BACKOFF)
+        return now - self.sent_at >= pause
+
+
+class ClaimAttempts:
+    """Follow tries from request to report, with bounded tables."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.pending_by_id: dict[AttemptId, PendingAttempt] = {}
+        self.running_by_id: dict[AttemptId, RunningAttempt] = {}
+        self.reports_by_id: OrderedDict[AttemptId, Report] = OrderedDict()
+        # Tries that were given up before they were decided.
+        self._given_up: OrderedDict[AttemptId, RequestKey] = OrderedDict()
+
+    def is_known(self, attempt_id: AttemptId) -> bool:
+        """Tell whether a try has been asked for before."""
+        return (
+            attempt_id in self.pending_by_id
+            or attempt_id in self.running_by_id
+            or attempt_id in self._given_up
+            or attempt_id in self.reports_by_id
+        )
+
+    def start(self, request: ClaimRequested, *, now: Millis) -> PendingAttempt:
+        """Add a try that waits for its decision."""
+        attempt = PendingAttempt(request=request, asked_at=now)
+        self.pending_by_id[request.attempt_id] = attempt
+        return attempt
+
+    def hold(self, attempt_id: AttemptId) -> None:
+        """Let a pending try wait for the end of the first one."""
+        attempt = self.pending_by_id.get(attempt_id)
+        if attempt is not None:
+            attempt.held = True
+
+    def decide(self, decided: ClaimDecided) -> PendingAttempt | None:
+        """Take a pending try out; `None` if it is not pending any more."""
+        attempt = self.pending_by_id.pop(decided.attempt_id, None)
+        if attempt is None or decided.verdict is not ClaimVerdict.run:
+            return attempt
+        require(
+            promise='a try is told to run once',
+            holds=decided.attempt_id not in self.running_by_id,
+        )
+        if decided.owner is not None:
+            self.running_by_id[decided.attempt_id] = RunningAttempt(
+                request=attempt.request, owner=decided.owner
+            )
+        return attempt
+
+    def of_unknown_owner(self, key: RequestKey) -> list[PendingAttempt]:
+        """Return the pending tries of a key that has no owner yet."""
+        return [
+            attempt
+            for attempt in self.pending_by_id.values()
+            if attempt.owner is None and attempt.request.key == key
+        ]
+
+    def give_up(self, attempt_id: AttemptId) -> PendingAttempt | None:
+        """Stop waiting for a decision; a late one to run is declined."""
+        attempt = self.pending_by_id.pop(attempt_id, None)
+        if attempt is None:
+            return None
+        self._given_up[attempt_id] = attempt.request.key
+        if len(self._given_up) > settings.CLAIM_REPORTS:
+            self._given_up.popitem(last=False)
+        return attempt
+
+    def decline(self, decided: ClaimDecided) -> ClaimFinished | None:
+        """Return the report that a try given up was not run.
+
+        `None` for a try that is not among those given up: it may run.
+        """
+        key = self._given_up.pop(decided.attempt_id, None)
+        if key is None or decided.owner is None:
+            return None
+        return ClaimFinished(
+            attempt_id=decided.attempt_id,
+            key=key,
+            owner=decided.owner,
+            outcome=RequestOutcome.not_run,
+        )
+
+    def end(
+        self, attempt_id: AttemptId, outcome: RequestOutcome
+    ) -> ClaimFinished | None:
+        """Take a running try out and return its report."""
+        attempt = self.running_by_id.pop(attempt_id, None)
+        if attempt is None:
+            return None
+        return ClaimFinished(
+            attempt_id=attempt_id,
+            key=attempt.request.key,
+            owner=attempt.owner,
+            outcome=outcome,
+        )
+
+    def report(self, finished: ClaimFinished, *, now: Millis) -> None:
+        """Keep a report until the owner of the key records it."""
+        self.reports_by_id[finished.attempt_id] = Report(
+            finished=finished, since=now, sent_at=now
+        )
+        if len(self.reports_by_id) > settings.CLAIM_REPORTS:
+            self.reports_by_id.popitem(last=False)
+
+    def due_reports(self, *, now: Millis) -> list[ClaimFinished]:
+        """Return the reports to repeat; drop the ones that are too old."""
+        due = []
+        for attempt_id, report in tuple(self.reports_by_id.items()):
+            if now - report.since >= settings.CLAIM_REPORT_MS:
+                self.reports_by_id.pop(attempt_id)
+            elif report.is_due(now):
+                report.sent_at = now
+                due.append(report.finished)
+        return due
+
+    def ids_of(self, entry_id: EntryId) -> tuple[AttemptId, ...]:
+        """Return the tries of an entry process, pending or running."""
+        requests = itertools.chain(
+            (pending.request for pending in self.pending_by_id.values()),
+            (running.request for running in self.running_by_id.values()),
+        )
+        return tuple(
+            request.attempt_id
+            for request in requests
+            if request.entry_id == entry_id
+        )
--- /dev/null
+++ b/chicorybridge/claim_ledgers.py
@@ -0,0 +1,201 @@
+"""Decide the claims that one control process owns, from memory."""
+
+import dataclasses
+from collections import deque
+from types import MappingProxyType
+
+from chicorybridge import settings
+from chicorybridge.claim_messages import (
+    AttemptId,
+    ClaimDecided,
+    ClaimFinished,
+    ClaimHeld,
+    ClaimRefusal,
+    ClaimVerdict,
+    KeptAnswer,
+)
+from chicorybridge.claim_tables import (
+    Asker,
+    Claim,
+    ClaimState,
+    ClaimTable,
+)
+from chicorybridge.clocks import Millis
+from chicorybridge.errors import require
+from chicorybridge.identities import Digest, HostId, RequestKey
+from chicorybridge.kept_answers import KeptAnswers
+from chicorybridge.outcomes import RequestOutcome
+from chicorybridge.request_keys import KeyOwner
+
+AT_MOST_ONCE = 'a keyed request runs at most once'
+
+# States in which the end that the holder reports is news.
+UNFINISHED_STATES = frozenset((ClaimState.running, ClaimState.unknown))
+
+STATES_BY_OUTCOME = MappingProxyType(
+    {
+        RequestOutcome.not_run: ClaimState.released,
+        RequestOutcome.unknown: ClaimState.unknown,
+        RequestOutcome.complete: ClaimState.complete,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """What a host that asked is told: a decision, or to wait."""
+
+    to: HostId
+    message: ClaimDecided | ClaimHeld
+
+
+class ClaimLedger:
+    """Decide the claims of one owner; every key runs at most once."""
+
+    def __init__(self, *, owner: KeyOwner) -> None:
+        """Start without claims."""
+        self.owner = owner
+        self.claims = ClaimTable()
+        self.answers = KeptAnswers()
+        # Grants in order of time, to find the ones that never ended.
+        self._grants: deque[tuple[Millis, Claim, AttemptId]] = deque()
+
+    def advance(self) -> None:
+        """Start the next epoch and forget the oldest one."""
+        for key in self.claims.advance():
+            self.answers.drop(key)
+
+    def claim(self, asker: Asker, *, epoch: int, now: Millis) -> Verdict:
+        """Decide a try of a key of `epoch`.
+
+        Only for keys of which every try came to this ledger.
+        """
+        if not self.claims.is_kept(epoch):
+            return self.refuse(asker, ClaimRefusal.expired)
+        request = asker.request
+        claim = self.claims.find(request.key)
+        if claim is not None:
+            return self.repeat(asker, claim, now=now)
+        if self.claims.is_full:
+            return self.refuse(asker, ClaimRefusal.full)
+        claim = self.claims.add(
+            request.key, fingerprint=request.fingerprint, epoch=epoch
+        )
+        return self._grant(claim, asker, now=now)
+
+    def adopt(self, key: RequestKey, fingerprint: Digest) -> bool:
+        """Start the claim of a key that the platform newly assigned to us.
+
+        Returns whether there was room for it.
+        """
+        if self.claims.is_full:
+            return False
+        require(promise=AT_MOST_ONCE, holds=self.claims.find(key) is None)
+        self.claims.add(key, fingerprint=fingerprint, epoch=self.claims.epoch)
+        return True
+
+    def repeat(self, asker: Asker, claim: Claim, *, now: Millis) -> Verdict:
+        """Decide a try of a key that has a claim."""
+        attempt_id = asker.request.attempt_id
+        if claim.fingerprint != asker.request.fingerprint:
+            return self.refuse(asker, ClaimRefusal.conflict)
+        if attempt_id in claim.withdrawn:
+            return self.refuse(asker, ClaimRefusal.withdrawn)
+        if claim.state is ClaimState.released:
+            return self._grant(claim, asker, now=now)
+        if claim.state is ClaimState.running:
+            return self._hold(asker, claim)
+        if claim.state is ClaimState.complete:
+            return self._replay(asker)
+        return self.refuse(asker, ClaimRefusal.first_unknown)
+
+    def finish(
+        self, finished: ClaimFinished, claim: Claim, *, now: Millis
+    ) -> list[Verdict]:
+        """Record the end that the holder reports; decide who waits."""
+        if not claim.is_held_by(finished.attempt_id):
+            return []
+        if claim.state not in UNFINISHED_STATES:
+            return []
+        claim.state = STATES_BY_OUTCOME[finished.outcome]
+        if claim.state is ClaimState.released:
+            withdrawn = (*claim.withdrawn, finished.attempt_id)
+            claim.withdrawn = withdrawn[-settings.CLAIM_WITHDRAWN :]
+        if claim.state is ClaimState.complete:
+            self.answers.keep(finished.key, finished.answer)
+        return self._decide_waiting(claim, now=now)
+
+    def lapse(self, *, now: Millis) -> list[Verdict]:
+        """Give up on holders that did not report an end in time."""
+        verdicts: list[Verdict] = []
+        due = now - settings.CLAIM_RUN_MS
+        while self._grants and self._grants[0][0] <= due:
+            _, claim, attempt_id = self._grants.popleft()
+            verdicts.extend(self._abandon(claim, attempt_id, now=now))
+        return verdicts
+
+    def refuse(self, asker: Asker, refusal: ClaimRefusal) -> Verdict:
+        """Return a refusal of a try."""
+        return self._decide(asker, ClaimVerdict.refused, refusal=refusal)
+
+    def _grant(self, claim: Claim, asker: Asker, *, now: Millis) -> Verdict:
+        attempt_id = asker.request.attempt_id
+        require(promise=AT_MOST_ONCE, holds=claim.state is ClaimState.released)
+        require(promise=AT_MOST_ONCE, holds=attempt_id not in claim.withdrawn)
+        claim.holder = asker
+        claim.state = ClaimState.running
+        self._grants.append((now, claim, attempt_id))
+        return self._decide(asker, ClaimVerdict.run)
+
+    def _hold(self, asker: Asker, claim: Claim) -> Verdict:
+        attempt_id = asker.request.attempt_id
+        if claim.is_held_by(attempt_id):
+            # The decision was lost: the same try may be told again.
+            return self._decide(asker, ClaimVerdict.run)
+        held = Verdict(
+            to=asker.host_id, message=ClaimHeld(attempt_id=attempt_id)
+        )
+        if claim.is_awaited_by(attempt_id):
+            return held
+        if len(claim.waiting) >= settings.CLAIM_WAITING:
+            return self.refuse(asker, ClaimRefusal.under_way)
+        claim.waiting += (asker,)
+        return held
+
+    def _replay(self, asker: Asker) -> Verdict:
+        answer = self.answers.find(asker.request.key)
+        if answer is None:
+            return self.refuse(asker, ClaimRefusal.answer_dropped)
+        return self._decide(asker, ClaimVerdict.replay, answer=answer)
+
+    def _abandon(
+        self, claim: Claim, attempt_id: AttemptId, *, now: Millis
+    ) -> list[Verdict]:
+        if claim.state is not ClaimState.running:
+            return []
+        if not claim.is_held_by(attempt_id):
+            return []
+        claim.state = ClaimState.unknown
+        return self._decide_waiting(claim, now=now)
+
+    def _decide_waiting(self, claim: Claim, *, now: Millis) -> list[Verdict]:
+        waiting = claim.waiting
+        claim.waiting = ()
+        return [self.repeat(asker, claim, now=now) for asker in waiting]
+
+    def _decide(
+        self,
+        asker: Asker,
+        verdict: ClaimVerdict,
+        *,
+        answer: KeptAnswer | None = None,
+        refusal: ClaimRefusal | None = None,
+    ) -> Verdict:
+        decided = ClaimDecided(
+            attempt_id=asker.request.attempt_id,
+            verdict=verdict,
+            owner=self.owner,
+            answer=answer,
+            refusal=refusal,
+        )
+        return Verdict(to=asker.host_id, message=decided)
--- /dev/null
+++ b/chicorybridge/claim_owners.py
@@ -0,0 +1,80 @@
+"""The owner's side of claims: decide tries and record their ends."""
+
+from chicorybridge import settings
+from chicorybridge.claim_ledgers import ClaimLedger, Verdict
+from chicorybridge.claim_messages import (
+    ClaimFinished,
+    ClaimRefusal,
+    ClaimRelayed,
+    KeptAnswer,
+    KeyPrefixIssued,
+)
+from chicorybridge.claim_tables import Asker
+from chicorybridge.clocks import Millis
+from chicorybridge.identities import HostId, RequestKey
+from chicorybridge.request_keys import (
+    IssuedKey,
+    KeyOwner,
+    make_prefix,
+    read_issued,
+)
+from chicorybridge.systems import Effect, SendEntries
+
+
+class ClaimOwner:
+    """Decide the claims of the keys that one control process owns."""
+
+    def __init__(self, *, owner: KeyOwner) -> None:
+        """Start without claims; the first epoch starts at the first tick."""
+        self.owner = owner
+        self.ledger = ClaimLedger(owner=owner)
+        self._epoch_started: Millis | None = None
+
+    @property
+    def key_prefix(self) -> str:
+        """Return the prefix for keys issued now, for the entry list."""
+        return make_prefix(
+            IssuedKey(owner=self.owner, epoch=self.ledger.claims.epoch)
+        )
+
+    def advance(self, *, now: Millis) -> list[Effect]:
+        """Start the next epoch when it is due and issue its prefix."""
+        if self._epoch_started is None:
+            self._epoch_started = now
+        elif now - self._epoch_started < settings.CLAIM_EPOCH_MS:
+            return []
+        else:
+            self._epoch_started = now
+            self.ledger.advance()
+        return [SendEntries(message=KeyPrefixIssued(prefix=self.key_prefix))]
+
+    def decide(self, asker: Asker, *, now: Millis) -> Verdict:
+        """Decide a try of a key that is ours."""
+        issued = read_issued(asker.request.key)
+        if issued is not None:
+            return self.ledger.claim(asker, epoch=issued.epoch, now=now)
+        claim = self.ledger.claims.find(asker.request.key)
+        if claim is not None:
+            return self.ledger.repeat(asker, claim, now=now)
+        # The row says that the key is ours, but its claim was forgotten.
+        return self.ledger.refuse(asker, ClaimRefusal.expired)
+
+    def decide_relayed(
+        self, relayed: ClaimRelayed, *, sender: HostId, now: Millis
+    ) -> Verdict:
+        """Decide a try that came through another host."""
+        asker = Asker(request=relayed.request, host_id=sender)
+        if relayed.owner != self.owner:
+            return self.ledger.refuse(asker, ClaimRefusal.owner_gone)
+        return self.decide(asker, now=now)
+
+    def record(self, finished: ClaimFinished, *, now: Millis) -> list[Verdict]:
+        """Record the end of a try; decide the ones that waited for it."""
+        claim = self.ledger.claims.find(finished.key)
+        if finished.owner != self.owner or claim is None:
+            return []
+        return self.ledger.finish(finished, claim, now=now)
+
+    def answer_of(self, key: RequestKey) -> KeptAnswer | None:
+        """Return the first answer of a key, `None` when it is not kept."""
+        return self.ledger.answers.find(key)
--- /dev/null
+++ b/chicorybridge/claim_routers.py
@@ -0,0 +1,178 @@
+"""Carry tries to the owner of their key, and decisions back."""
+
+from collections.abc import Callable, Iterable
+
+from chicorybridge.claim_assignments import Assignment, ClaimAssignments
+from chicorybridge.claim_attempts import ClaimAttempts, PendingAttempt
+from chicorybridge.claim_ledgers import Verdict
+from chicorybridge.claim_messages import (
+    ClaimDecided,
+    ClaimFinished,
+    ClaimHeld,
+    ClaimRefusal,
+    ClaimRelayed,
+    ClaimVerdict,
+)
+from chicorybridge.claim_owners import ClaimOwner
+from chicorybridge.claim_rows import OwnerRow
+from chicorybridge.claim_tables import Asker
+from chicorybridge.clocks import Millis
+from chicorybridge.events import Event, EventKind
+from chicorybridge.request_keys import KeyOwner
+from chicorybridge.settings import CLAIM_RESEND_MS
+from chicorybridge.systems import Effect, Emit, Send, SendEntries, System
+
+
+class ClaimRouter(System):
+    """Route tries of this host's entries, and reports of their ends."""
+
+    def __init__(self, *, owner: KeyOwner, today: Callable[[], int]) -> None:
+        """Start without tries as the control process `owner`."""
+        self.owner = owner
+        self.owned = ClaimOwner(owner=owner)
+        self.attempts = ClaimAttempts()
+        self.assignments = ClaimAssignments(today=today)
+
+    def tick(self, *, now: Millis) -> list[Effect]:
+        """Issue prefixes, repeat what was not answered, give up the late."""
+        effects = self.owned.advance(now=now)
+        effects.extend(self.pass_on(self.owned.ledger.lapse(now=now), now=now))
+        for attempt in tuple(self.attempts.pending_by_id.values()):
+            effects.extend(self._chase(attempt, now=now))
+        effects.extend(
+            Send(to=finished.owner.host_id, message=finished)
+            for finished in self.attempts.due_reports(now=now)
+        )
+        effects.extend(self.assignments.flush(now=now))
+        return effects
+
+    def route(
+        self, attempt: PendingAttempt, owner: KeyOwner, *, now: Millis
+    ) -> list[Effect]:
+        """Have a try decided by the owner of its key."""
+        attempt.owner = owner
+        if owner == self.owner:
+            asker = Asker(request=attempt.request, host_id=owner.host_id)
+            return self.pass_on([self.owned.decide(asker, now=now)], now=now)
+        if owner.host_id == self.owner.host_id:
+            return self.refuse(attempt, ClaimRefusal.owner_gone)
+        return self._relay(attempt, owner, now=now)
+
+    def assign(self, assignment: Assignment, *, now: Millis) -> list[Effect]:
+        """Go on with the tries that waited for the row of their key."""
+        row = assignment.row
+        refusal = assignment.refusal
+        if row is not None and assignment.fresh:
+            adopted = self.owned.ledger.adopt(assignment.key, row.fingerprint)
+            refusal = None if adopted else ClaimRefusal.full
+        effects: list[Effect] = []
+        for attempt in self.attempts.of_unknown_owner(assignment.key):
+            if refusal is not None:
+                effects.extend(self.refuse(attempt, refusal))
+            elif row is not None:
+                effects.extend(self._follow(attempt, row, now=now))
+        return effects
+
+    def pass_on(
+        self, verdicts: Iterable[Verdict], *, now: Millis
+    ) -> list[Effect]:
+        """Give verdicts to this host's entries or to the hosts that asked."""
+        effects: list[Effect] = []
+        for verdict in verdicts:
+            if verdict.to == self.owner.host_id:
+                effects.extend(self._pass_home(verdict.message, now=now))
+            else:
+                effects.append(Send(to=verdict.to, message=verdict.message))
+        return effects
+
+    def tell(self, decided: ClaimDecided, *, now: Millis) -> list[Effect]:
+        """Tell the entry process, or give a late decision back."""
+        attempt = self.attempts.decide(decided)
+        if attempt is not None:
+            return [SendEntries(message=decided), _emit(attempt, decided)]
+        if decided.verdict is not ClaimVerdict.run:
+            return []
+        finished = self.attempts.decline(decided)
+        return [] if finished is None else self.report(finished, now=now)
+
+    def refuse(
+        self, attempt: PendingAttempt, refusal: ClaimRefusal
+    ) -> list[Effect]:
+        """Refuse a try without a decision of the owner of its key."""
+        self.attempts.give_up(attempt.request.attempt_id)
+        decided = ClaimDecided(
+            attempt_id=attempt.request.attempt_id,
+            verdict=ClaimVerdict.refused,
+            refusal=refusal,
+        )
+        return [SendEntries(message=decided), _emit(attempt, decided)]
+
+    def report(self, finished: ClaimFinished, *, now: Millis) -> list[Effect]:
+        """Report the end of a try of this host to the owner of its key."""
+        if finished.owner == self.owner:
+            return self.record(finished, now=now)
+        if finished.owner.host_id == self.owner.host_id:
+            # An earlier process of this host owned the key.
+            return []
+        self.attempts.report(finished, now=now)
+        return [Send(to=finished.owner.host_id, message=finished)]
+
+    def record(self, finished: ClaimFinished, *, now: Millis) -> list[Effect]:
+        """Record the end of a try of a key of ours."""
+        verdicts = self.owned.record(finished, now=now)
+        answer = self.owned.answer_of(finished.key)
+        if answer is not None:
+            self.assignments.keep(finished.key, answer)
+        effects = self.pass_on(verdicts, now=now)
+        effects.extend(self.assignments.flush(now=now))
+        return effects
+
+    def _pass_home(
+        self, message: ClaimDecided | ClaimHeld, *, now: Millis
+    ) -> list[Effect]:
+        if isinstance(message, ClaimDecided):
+            return self.tell(message, now=now)
+        self.attempts.hold(message.attempt_id)
+        return []
+
+    def _chase(self, attempt: PendingAttempt, *, now: Millis) -> list[Effect]:
+        if attempt.is_late(now):
+            return self.refuse(attempt, attempt.late_refusal)
+        if attempt.owner is None or attempt.owner == self.owner:
+            return []
+        if now - attempt.sent_at < CLAIM_RESEND_MS:
+            return []
+        return self._relay(attempt, attempt.owner, now=now)
+
+    def _relay(
+        self, attempt: PendingAttempt, owner: KeyOwner, *, now: Millis
+    ) -> list[Effect]:
+        attempt.sent_at = now
+        relayed = ClaimRelayed(request=attempt.request, owner=owner)
+        return [Send(to=owner.host_id, message=relayed)]
+
+    def _follow(
+        self, attempt: PendingAttempt, row: OwnerRow, *, now: Millis
+    ) -> list[Effect]:
+        if row.fingerprint != attempt.request.fingerprint:
+            return self.refuse(attempt, ClaimRefusal.conflict)
+        if row.answer is None:
+            return self.route(attempt, row.owner, now=now)
+        decided = ClaimDecided(
+            attempt_id=attempt.request.attempt_id,
+            verdict=ClaimVerdict.replay,
+            owner=row.owner,
+            answer=row.answer,
+        )
+        return self.tell(decided, now=now)
+
+
+def _emit(attempt: PendingAttempt, decided: ClaimDecided) -> Emit:
+    refusal = decided.refusal
+    facts = {
+        'key': attempt.request.key,
+        'attempt': decided.attempt_id,
+        'verdict': decided.verdict.value,
+        'refusal': None if refusal is None else refusal.value,
+    }
+    return Emit(event=Event(kind=EventKind.claim_decided, facts=facts))
--- /dev/null
+++ b/chicorybridge/claims.py
@@ -0,0 +1,156 @@
+"""Decide which keyed requests are sent: each key runs at most once.
+
+A key of ours names its owner, the control process that issued it; a key
+of a caller is assigned an owner by its row in the platform. The owner
+decides from memory alone. When the owner is gone nobody decides any more,
+and every repeat is told that the outcome is unknown.
+"""
+
+import functools
+from collections.abc import Callable
+from typing import Any
+
+from chicorybridge.claim_assignments import ASSIGNMENT_TOKEN
+from chicorybridge.claim_messages import (
+    ClaimDecided,
+    ClaimFinished,
+    ClaimHeld,
+    ClaimRecorded,
+    ClaimRefusal,
+    ClaimRelayed,
+    ClaimRequested,
+    ClaimWithdrawn,
+    EntryLost,
+)
+from chicorybridge.claim_routers import ClaimRouter
+from chicorybridge.claim_rows import OwnerRow
+from chicorybridge.claim_tables import Asker
+from chicorybridge.clocks import Millis
+from chicorybridge.identities import HostId, Incarnation
+from chicorybridge.outcomes import RequestOutcome
+from chicorybridge.request_keys import KeyOwner, read_issued
+from chicorybridge.stores import StoreReply
+from chicorybridge.systems import Effect, Send
+
+
+class Claims(ClaimRouter):
+    """Take in the messages about claims on one host.
+
+    Messages of the host's own entry processes come with the host's own id
+    as sender. An entry process sends `ClaimRequested`, waits for the
+    `ClaimDecided` of its try, and sends `ClaimFinished`, or
+    `ClaimWithdrawn` for a try that it gives up.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: HostId,
+        incarnation: Incarnation,
+        today: Callable[[], int],
+    ) -> None:
+        """Start without claims; `today` numbers the days, for retention."""
+        owner = KeyOwner(host_id=host_id, incarnation=incarnation)
+        super().__init__(owner=owner, today=today)
+
+    @functools.singledispatchmethod
+    def receive(
+        self, message: Any, *, sender: HostId, now: Millis
+    ) -> list[Effect]:
+        """Ignore what other systems deal with."""
+        return []
+
+    @receive.register
+    def _requested(
+        self, message: ClaimRequested, *, sender: HostId, now: Millis
+    ) -> list[Effect]:
+        if self.attempts.is_known(message.attempt_id):
+            return []
+        attempt = self.attempts.start(message, now=now)
+        issued = read_issued(message.key)
+        if issued is not None:
+            return self.route(attempt, issued.owner, now=now)
+        claim = self.owned.ledger.claims.find(message.key)
+        if claim is not None:
+            asker = Asker(request=message, host_id=sender)
+            verdict = self.owned.ledger.repeat(asker, claim, now=now)
+            return self.pass_on([verdict], now=now)
+        row = OwnerRow(
+            owner=self.owner,
+            attempt_id=message.attempt_id,
+            fingerprint=message.fingerprint,
+        )
+        if self.assignments.request(message.key, row):
+            return list(self.assignments.flush(now=now))
+        return self.refuse(attempt, ClaimRefusal.store_unavailable)
+
+    @receive.register
+    def _withdrawn(
+        self, message: ClaimWithdrawn, *, sender: HostId, now: Millis
+    ) -> list[Effect]:
+        self.attempts.give_up(message.attempt_id)
+        finished = self.attempts.end(message.attempt_id, RequestOutcome.not_run)
+        return [] if finished is None else self.report(finished, now=now)
+
+    @receive.register
+    def _finished(
+        self, message: ClaimFinished, *, sender: HostId, now: Millis
+    ) -> list[Effect]:
+        if sender == self.owner.host_id:
+            self.attempts.end(message.attempt_id, message.outcome)
+            return self.report(message, now=now)
+        recorded = ClaimRecorded(attempt_id=message.attempt_id)
+        effects: list[Effect] = [Send(to=sender, message=recorded)]
+        effects.extend(self.record(message, now=now))
+        return effects
+
+    @receive.register
+    def _lost(
+        self, message: EntryLost, *, sender: HostId, now: Millis
+    ) -> list[Effect]:
+        effects: list[Effect] = []
+        for attempt_id in self.attempts.ids_of(message.entry_id):
+            self.attempts.give_up(attempt_id)
+            finished = self.attempts.end(attempt_id, RequestOutcome.unknown)
+            if finished is not None:
+                effects.extend(self.report(finished, now=now))
+        return effects
+
+    @receive.register
+    def _relayed(
+        self, message: ClaimRelayed, *, sender: HostId, now: Millis
+    ) -> list[Effect]:
+        verdict = self.owned.decide_relayed(message, sender=sender, now=now)
+        return self.pass_on([verdict], now=now)
+
+    @receive.register
+    def _decided(
+        self, message: ClaimDecided, *, sender: HostId, now: Millis
+    ) -> list[Effect]:
+        return self.tell(message, now=now)
+
+    @receive.register
+    def _held(
+        self, message: ClaimHeld, *, sender: HostId, now: Millis
+    ) -> list[Effect]:
+        self.attempts.hold(message.attempt_id)
+        return []
+
+    @receive.register
+    def _recorded(
+        self, message: ClaimRecorded, *, sender: HostId, now: Millis
+    ) -> list[Effect]:
+        self.attempts.reports_by_id.pop(message.attempt_id, None)
+        return []
+
+    @receive.register
+    def _replied(
+        self, message: StoreReply, *, sender: HostId, now: Millis
+    ) -> list[Effect]:
+        if message.token != ASSIGNMENT_TOKEN:
+            return []
+        effects: list[Effect] = []
+        for assignment in self.assignments.take(message, now=now):
+            effects.extend(self.assign(assignment, now=now))
+        effects.extend(self.assignments.flush(now=now))
+        return effects
