Join the data plane and the control process around the systems

Entry: callers, dispatch, claims, attempts, its link with the control process. Control: peers, entries, operators, the platform.

--- /dev/null
+++ b/chicorybridge/callers.py
@@ -0,0 +1,169 @@
+"""Connections of callers: serving, bounding, sweeping and closing them."""
+
+import dataclasses
+import socket
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from chicorybridge import settings, sockets
+from chicorybridge.bodies import CallerError
+from chicorybridge.clocks import Clock, Millis, as_seconds
+from chicorybridge.dispatchers import Dispatcher
+from chicorybridge.errors import ErrorCode, RequestError
+from chicorybridge.exchanges import CallerExchange, ExchangeError, Head
+from chicorybridge.outcomes import RequestOutcome
+
+OwnAnswer = Callable[[CallerExchange, Head], Awaitable[bool]]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class CallerConnection:
+    """An open connection of a caller and the task that serves it."""
+
+    exchange: CallerExchange
+    task: curio.Task | None = None
+    closing: bool = False
+
+
+class CallerTable:
+    """Serve callers, one task a connection."""
+
+    def __init__(
+        self, *, clock: Clock, dispatcher: Dispatcher, own_answer: OwnAnswer
+    ) -> None:
+        """Start without connections.
+
+        `own_answer` answers the paths of the fleet itself and returns
+        whether it did.
+        """
+        self._clock = clock
+        self._dispatcher = dispatcher
+        self._own_answer = own_answer
+        self._serial = 0
+        self._connections_by_number: dict[int, CallerConnection] = {}
+
+    def __len__(self) -> int:
+        """Return how many connections are open."""
+        return len(self._connections_by_number)
+
+    async def accept(self, listener: curio.io.Socket) -> None:
+        """Accept callers until cancelled; reset those above the bound."""
+        while True:
+            sock, _ = await listener.accept()
+            if len(self) >= settings.MAX_CALLERS:
+                await sockets.abort(sock)
+                continue
+            sockets.disable_delay(sock)
+            connection = CallerConnection(
+                exchange=CallerExchange(sock=sock, clock=self._clock)
+            )
+            self._serial += 1
+            self._connections_by_number[self._serial] = connection
+            connection.task = await curio.spawn(
+                self._serve(self._serial, connection), daemon=True
+            )
+
+    async def sweep(self) -> None:
+        """End connections that idle, stall or lost their caller."""
+        now = self._clock.now()
+        for connection in tuple(self._connections_by_number.values()):
+            if self._is_over(connection, now):
+                await self._end(connection)
+
+    async def close_idle(self) -> None:
+        """Close the connections without a request under way."""
+        for connection in tuple(self._connections_by_number.values()):
+            if not connection.exchange.busy:
+                await self._end(connection)
+
+    async def _end(self, connection: CallerConnection) -> None:
+        if connection.task is not None and not connection.closing:
+            connection.closing = True
+            await connection.task.cancel(blocking=False)
+
+    def _is_over(self, connection: CallerConnection, now: Millis) -> bool:
+        exchange = connection.exchange
+        waiting_since = exchange.waiting_since
+        if not exchange.busy:
+            return _is_idle_too_long(exchange, now)
+        if waiting_since is not None:
+            return now - waiting_since > settings.CALLER_STALL_MS
+        # The caller of a request that may run once gets its answer kept.
+        return exchange.abandonable and sockets.is_closed(exchange.sock)
+
+    async def _serve(self, number: int, connection: CallerConnection) -> None:
+        exchange = connection.exchange
+        try:
+            await self._exchange_all(exchange)
+        except (CallerError, ExchangeError):
+            await exchange.abort()
+        except curio.CancelledError:
+            await exchange.abort()
+            raise
+        finally:
+            self._connections_by_number.pop(number)
+            await exchange.close()
+
+    async def _exchange_all(self, exchange: CallerExchange) -> None:
+        head = await self._next_head(exchange)
+        while head is not None:
+            await self._answer(exchange, head)
+            if not exchange.next_cycle():
+                await self._linger(exchange)
+                return
+            head = await self._next_head(exchange)
+
+    async def _next_head(self, exchange: CallerExchange) -> Head | None:
+        try:
+            return await exchange.next_request()
+        except ExchangeError as error:
+            await self._refuse_malformed(exchange, error)
+            return None
+
+    async def _answer(self, exchange: CallerExchange, head: Head) -> None:
+        if await self._own_answer(exchange, head):
+            return
+        try:
+            await self._dispatcher.answer(exchange, head)
+        except CallerError as error:
+            if exchange.answered:
+                raise
+            await self._refuse_malformed(exchange, error)
+
+    async def _refuse_malformed(
+        self, exchange: CallerExchange, error: ExchangeError | CallerError
+    ) -> None:
+        if error.code is ErrorCode.stream_closed:
+            raise error
+        refused = RequestError(code=error.code, detail=error.detail)
+        await self._dispatcher.refuse(exchange, refused, RequestOutcome.not_run)
+        await self._linger(exchange)
+
+    async def _linger(self, exchange: CallerExchange) -> None:
+        """Let the answer arrive before the connection is closed.
+
+        Closing with unread bytes would reset the connection and may take
+        the answer from the caller.
+        """
+        try:
+            await exchange.sock.shutdown(socket.SHUT_WR)
+            async with curio.timeout_after(as_seconds(settings.LINGER_MS)):
+                await _discard(exchange.sock)
+        except (OSError, curio.TaskTimeout):
+            return
+
+
+async def _discard(sock: curio.io.Socket) -> None:
+    chunk = await sock.recv(settings.RECEIVE_BYTES)
+    while chunk:
+        chunk = await sock.recv(settings.RECEIVE_BYTES)
+
+
+def _is_idle_too_long(exchange: CallerExchange, now: Millis) -> bool:
+    if exchange.head_since is not None:
+        return now - exchange.head_since > settings.CALLER_HEAD_MS
+    waiting_since = exchange.waiting_since
+    if waiting_since is None:
+        return False
+    return now - waiting_since > settings.CALLER_IDLE_MS
--- a/chicorybridge/calls.py
+++ b/chicorybridge/calls.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from chicorybridge.attempts import Attempt
 from chicorybridge.bodies import RequestBody
 from chicorybridge.clocks import Millis
 from chicorybridge.configurations import ActiveConfiguration
@@ -28,8 +29,10 @@
     service: Service
     configuration: ActiveConfiguration
     idempotent: bool
+    started_at: Millis
     deadline_at: Millis
     workspace_id: WorkspaceId | None = None
     key: RequestKey | None = None
     # Whether a part of an answer went to the caller.
     committed: bool = False
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
--- /dev/null
+++ b/chicorybridge/claimants.py
@@ -0,0 +1,150 @@
+"""Claims of keyed requests, asked of the control process."""
+
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from chicorybridge.calls import Call
+from chicorybridge.claim_messages import (
+    AttemptId,
+    ClaimDecided,
+    ClaimFinished,
+    ClaimRequested,
+    ClaimWithdrawn,
+    EntryId,
+    KeptAnswer,
+)
+from chicorybridge.clocks import Clock, as_seconds
+from chicorybridge.errors import ErrorCode, RequestError
+from chicorybridge.answers import WholeAnswer
+from chicorybridge.identities import RequestKey
+from chicorybridge.outcomes import RequestOutcome
+from chicorybridge.request_keys import fingerprint
+
+ATTEMPT_BITS = 64
+
+Post = Callable[[Any], Awaitable[bool]]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PendingClaim:
+    """A claim that waits for its decision, `None` once the link is lost."""
+
+    settled: curio.Event
+    decision: ClaimDecided | None = None
+
+
+class Claimant:
+    """Ask for claims and report how the requests ended."""
+
+    def __init__(
+        self,
+        *,
+        entry_id: EntryId,
+        clock: Clock,
+        rng: random.Random,
+        post: Post,
+    ) -> None:
+        """Start without claims.
+
+        `post` hands a message to the link with the control process and
+        returns `False` while there is none.
+        """
+        self._entry_id = entry_id
+        self._clock = clock
+        self._rng = rng
+        self._post = post
+        self._pending_by_id: dict[AttemptId, PendingClaim] = {}
+
+    async def claim(self, call: Call, key: RequestKey) -> ClaimDecided:
+        """Return the decision on a request; raise `RequestError` without.
+
+        Nothing was sent when this raises, and nothing will be.
+        """
+        request = ClaimRequested(
+            attempt_id=self._new_attempt_id(),
+            entry_id=self._entry_id,
+            key=key,
+            fingerprint=fingerprint(_identifying_parts(call)),
+        )
+        if not await self._post(request):
+            raise _unavailable('the control process is not reached')
+        pending = PendingClaim(settled=curio.Event())
+        self._pending_by_id[request.attempt_id] = pending
+        left_ms = call.deadline_at - self._clock.now()
+        try:
+            async with curio.timeout_after(as_seconds(max(0, left_ms))):
+                await pending.settled.wait()
+        except curio.TaskTimeout:
+            raise _unavailable('no decision within the deadline') from None
+        finally:
+            self._pending_by_id.pop(request.attempt_id)
+            if pending.decision is None:
+                await self._post(ClaimWithdrawn(attempt_id=request.attempt_id))
+        if pending.decision is None:
+            raise _unavailable('the control process was lost')
+        return pending.decision
+
+    async def finish(
+        self,
+        decision: ClaimDecided,
+        key: RequestKey,
+        *,
+        outcome: RequestOutcome,
+        answer: WholeAnswer | None,
+    ) -> None:
+        """Report the end of a request that was told to run."""
+        if decision.owner is None:
+            return
+        await self._post(
+            ClaimFinished(
+                attempt_id=decision.attempt_id,
+                key=key,
+                owner=decision.owner,
+                outcome=outcome,
+                answer=_kept(answer),
+            )
+        )
+
+    async def decide(self, decision: ClaimDecided) -> None:
+        """Take in a decision; one that nobody waits for is ignored."""
+        pending = self._pending_by_id.get(decision.attempt_id)
+        if pending is None:
+            return
+        pending.decision = decision
+        await pending.settled.set()
+
+    async def abandon(self) -> None:
+        """End every wait: the link with the control process is lost."""
+        for pending in tuple(self._pending_by_id.values()):
+            await pending.settled.set()
+
+    def _new_attempt_id(self) -> AttemptId:
+        serial = self._rng.getrandbits(ATTEMPT_BITS)
+        return AttemptId(f'{self._entry_id}/{serial:x}')
+
+
+def _identifying_parts(call: Call) -> tuple[bytes, ...]:
+    body = call.body.whole
+    if body is None:
+        digest = call.head.header(b'content-digest') or b''
+        body = b'%d %s' % (call.head.length or 0, digest)
+    workspace = (call.workspace_id or '').encode()
+    return (call.head.method, call.head.path, workspace, body)
+
+
+def _kept(answer: WholeAnswer | None) -> KeptAnswer | None:
+    if answer is None:
+        return None
+    return KeptAnswer(
+        status=answer.status,
+        headers=tuple(answer.headers),
+        body=answer.body,
+    )
+
+
+def _unavailable(detail: str) -> RequestError:
+    return RequestError(code=ErrorCode.claim_unavailable, detail=detail)
--- /dev/null
+++ b/chicorybridge/control_links.py
@@ -0,0 +1,97 @@
+"""The link of an entry process with the control process of its host."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from chicorybridge import settings, sockets
+from chicorybridge.clocks import as_seconds
+from chicorybridge.errors import StreamError
+from chicorybridge.events import EventLog
+from chicorybridge.streams import Identity, MessageStream
+
+logger = logging.getLogger(__name__)
+
+# Errors after which the link is opened anew.
+BROKEN = (OSError, StreamError, curio.TaskTimeout)
+
+
+class ControlLink:
+    """Keep a stream to the control process, opening it anew when lost.
+
+    Messages wait in a bounded queue while the link is up. Nothing is
+    queued while it is down: what was lost is told by `lost`.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        identity: Identity,
+        log: EventLog,
+        received: Callable[[Any], Awaitable[None]],
+        opened: Callable[[], Awaitable[None]],
+        lost: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Prepare; `run` opens the link."""
+        self._address = address
+        self._identity = identity
+        self._log = log
+        self._received = received
+        self._opened = opened
+        self._lost = lost
+        self._queue = curio.Queue()
+        self.is_up = False
+
+    async def post(self, message: Any) -> bool:
+        """Queue a message; return `False` if it will not be sent."""
+        if (
+            not self.is_up
+            or self._queue.qsize() >= settings.LINK_QUEUE_MESSAGES
+        ):
+            return False
+        await self._queue.put(message)
+        return True
+
+    async def run(self) -> None:
+        """Keep the link open until cancelled."""
+        while True:
+            try:
+                await self._run_once()
+            except BROKEN as error:
+                logger.debug('link with control is lost: %s', error)
+            await curio.sleep(as_seconds(settings.LINK_RETRY_MS))
+
+    async def _run_once(self) -> None:
+        sock = await sockets.connect(self._address)
+        stream = MessageStream(
+            sock=sock, identity=self._identity, log=self._log
+        )
+        try:
+            await self._talk(stream)
+        finally:
+            await self._close(stream)
+
+    async def _close(self, stream: MessageStream) -> None:
+        self.is_up = False
+        self._queue = curio.Queue()
+        await stream.close()
+        await self._lost()
+
+    async def _talk(self, stream: MessageStream) -> None:
+        async with curio.timeout_after(as_seconds(settings.CONNECT_MS)):
+            await stream.open(accepted=False)
+        self.is_up = True
+        await self._opened()
+        sender = await curio.spawn(self._send_all(stream))
+        try:
+            while True:
+                await self._received(await stream.receive())
+        finally:
+            await sender.cancel()
+
+    async def _send_all(self, stream: MessageStream) -> None:
+        while True:
+            await stream.send(await self._queue.get())
--- /dev/null
+++ b/chicorybridge/control_systems.py
@@ -0,0 +1,172 @@
+"""The decision systems of a control process, joined."""
+
+import random
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from chicorybridge import settings
+from chicorybridge.claims import Claims
+from chicorybridge.clocks import Clock, Millis
+from chicorybridge.declarations import Declaration
+from chicorybridge.detections import Detection
+from chicorybridge.entry_messages import Duty, EntryListSent, FleetSent
+from chicorybridge.identities import (
+    NO_VERSION,
+    HostId,
+    Incarnation,
+    Version,
+)
+from chicorybridge.members import Members
+from chicorybridge.profiles import HostProfile
+from chicorybridge.rollouts import Rollouts
+from chicorybridge.stores import ListedHost
+from chicorybridge.systems import Effect, SendEntries, System
+from chicorybridge.versions import ServingLease
+
+MILLIS_PER_DAY = 86_400_000
+
+# Whether every entry process of this host has switched to a version.
+AllGoverned = Callable[[Version, Millis], bool]
+
+
+class ControlSystems:
+    """Tick all systems and carry what one knows to the others."""
+
+    def __init__(
+        self,
+        *,
+        profile: HostProfile,
+        clock: Clock,
+        rng: random.Random,
+        seeds: tuple[ListedHost, ...],
+        all_governed: AllGoverned,
+    ) -> None:
+        """Build the systems of the host that `profile` describes."""
+        self._clock = clock
+        self._all_governed = all_governed
+        self.members = Members(profile=profile, rng=rng, seeds=seeds)
+        self.rollouts = Rollouts(members=self.members, settled=self._settled)
+        self.detection = Detection(
+            host_id=profile.host_id,
+            zone_id=profile.zone_id,
+            incarnation=profile.incarnation,
+            rng=rng,
+        )
+        self.claims = Claims(
+            host_id=profile.host_id,
+            incarnation=profile.incarnation,
+            today=lambda: int(clock.epoch() // MILLIS_PER_DAY),
+        )
+        self._systems: tuple[System, ...] = (
+            self.members,
+            self.rollouts,
+            self.detection,
+            self.claims,
+        )
+        self._configured = NO_VERSION
+        self._generation = -1
+        self._incarnations_by_host: dict[HostId, Incarnation] = {}
+        self._gone: set[Incarnation] = set()
+        self._fleet: FleetSent | None = None
+
+    def tick(self, *, now: Millis) -> Iterator[Effect]:
+        """Tick every system and pass on what changed."""
+        for system in self._systems:
+            yield from system.tick(now=now)
+        yield from self._configure(now)
+        if self.members.generation != self._generation:
+            self._generation = self.members.generation
+            yield from self._update_hosts(now)
+        yield from self._lease()
+
+    def receive(
+        self, message: Any, *, sender: HostId, now: Millis
+    ) -> Iterator[Effect]:
+        """Pass a message to every system."""
+        for system in self._systems:
+            yield from system.receive(message, sender=sender, now=now)
+
+    def _settled(self, declaration: Declaration) -> bool:
+        now = self._clock.now()
+        held = self.rollouts.held
+        if held is None or not self.detection.is_settled(now=now):
+            return False
+        if self._configured != held.version:
+            return False
+        return self._all_governed(held.version, now)
+
+    def _configure(self, now: Millis) -> Iterator[Effect]:
+        held = self.rollouts.held
+        if held is None or held.version == self._configured:
+            return
+        self._configured = held.version
+        yield from self.detection.configure(
+            held.declaration, version=held.version, now=now
+        )
+
+    def _update_hosts(self, now: Millis) -> Iterator[Effect]:
+        hosts_by_id = self.members.hosts_by_id
+        incarnations = {
+            host_id: profile.incarnation
+            for host_id, profile in hosts_by_id.items()
+        }
+        for host_id, known in self._incarnations_by_host.items():
+            # An incarnation is surely gone once another took its place.
+            if host_id in incarnations and incarnations[host_id] != known:
+                self._gone.add(known)
+        self._incarnations_by_host.update(incarnations)
+        self.detection.update_hosts(
+            incarnations, gone=frozenset(self._gone), now=now
+        )
+        yield SendEntries(message=self._list_entries(hosts_by_id))
+        yield SendEntries(message=self._describe_fleet(hosts_by_id))
+
+    def _list_entries(
+        self, hosts_by_id: dict[HostId, HostProfile]
+    ) -> EntryListSent:
+        own = self.members.profile
+        usable = [
+            profile
+            for profile in hosts_by_id.values()
+            if profile.taking and not profile.leaving
+        ]
+        usable.sort(
+            key=lambda profile: (
+                profile.zone_id != own.zone_id,
+                profile.region_id != own.region_id,
+                profile.host_id,
+            )
+        )
+        return EntryListSent(
+            addresses=tuple(
+                address for profile in usable for address in profile.entries
+            ),
+            ttl_ms=settings.LIST_TTL_MS,
+        )
+
+    def _describe_fleet(
+        self, hosts_by_id: dict[HostId, HostProfile]
+    ) -> FleetSent:
+        own = self.members.profile
+        near = [
+            profile
+            for profile in hosts_by_id.values()
+            if profile.zone_id == own.zone_id
+        ]
+        return FleetSent(
+            duty=Duty.draining if own.leaving else Duty.serving,
+            processes=max(1, _count_entries(hosts_by_id.values())),
+            zone_processes=max(1, _count_entries(near)),
+        )
+
+    def _lease(self) -> Iterator[Effect]:
+        yield SendEntries(
+            message=ServingLease(
+                version=self.rollouts.confirmed,
+                until_ms=round(self.rollouts.lease_until()),
+            )
+        )
+
+
+def _count_entries(profiles) -> int:
+    return sum(len(profile.entries) for profile in profiles)
--- /dev/null
+++ b/chicorybridge/entries.py
@@ -0,0 +1,43 @@
+"""The binary chicorybridge-entry: the data plane of a host."""
+
+import pathlib
+import random
+
+import curio
+
+from chicorybridge.binaries import (
+    ProcessCommand,
+    run_application,
+    run_listening,
+)
+from chicorybridge.clocks import Clock
+from chicorybridge.entry_processes import Entry
+from chicorybridge.process_settings import read_entry_settings
+from chicorybridge.processes import StopSignals
+
+
+class EntryCommand(ProcessCommand):
+    """Run an entry process."""
+
+    name = 'entry'
+    description = 'Take requests of callers and forward them to targets'
+
+    def run_process(self, path: pathlib.Path) -> None:
+        """Read the settings and run; raise coded errors."""
+        given = read_entry_settings(path, self.overrides)
+        entry = Entry(given=given, clock=Clock(), rng=random.SystemRandom())
+
+        async def serve(  # noqa: WPS430
+            listener: curio.io.Socket, signals: StopSignals
+        ) -> None:
+            running = await curio.spawn(entry.run(listener))
+            await signals.wait()
+            await entry.drain(listener)
+            await running.cancel()
+
+        run_listening(given.listen, serve)
+
+
+def main() -> int:
+    """Run the binary and return its exit status."""
+    return run_application('chicorybridge-entry', EntryCommand())
--- /dev/null
+++ b/chicorybridge/entry_messages.py
@@ -0,0 +1,102 @@
+"""Messages between the entry processes of a host and its control process."""
+
+import dataclasses
+from enum import Enum
+from typing import Any
+
+from chicorybridge.clocks import Millis
+from chicorybridge.codecs import wire
+from chicorybridge.identities import (
+    Digest,
+    HostId,
+    Incarnation,
+    TargetId,
+    Version,
+    ZoneId,
+)
+
+
+@wire
+class Duty(Enum):
+    """What a host does with new requests."""
+
+    # Takes all work.
+    serving = 'serving'
+    # Is off the entry list, takes what still comes and closes connections.
+    draining = 'draining'
+    # Takes no new work: cut off, or not sure of its configuration.
+    withdrawn = 'withdrawn'
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryOpened:
+    """Say where an entry process takes callers; its first message."""
+
+    entry_id: str
+    address: str
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryClosing:
+    """Say that a planned stop of an entry process has begun."""
+
+    entry_id: str
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryReport:
+    """Say, each tick, what governs an entry process and what it does.
+
+    `superseded` counts the requests under way that an older version than
+    `version` governs.
+    """
+
+    entry_id: str
+    version: Version
+    in_flight: int
+    superseded: int
+    connections: int
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EventsReport:
+    """Pass new events of an entry process on for the time line."""
+
+    records: tuple[dict[str, Any], ...]
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MetricsReport:
+    """Pass counts and encoded histograms on, both since the start."""
+
+    counts_by_name: dict[str, int]
+    histograms_by_name: dict[str, bytes]
+
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FleetSent:
+    """Tell entry processes of their duty and of the fleet around them.
+
+    `processes` counts the entry processes of the fleet, `zone_processes`
+    those of the zone of this host.
+    """
+
+    duty: Duty
+    processes: int
+    zone_processes: int
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryListSent:
+    """Give entry processes the answer to callers who ask for addresses."""
+
+    addresses: tuple[str, ...]
+    ttl_ms: int
--- a/chicorybridge/events.py
+++ b/chicorybridge/events.py
@@ -89,6 +89,7 @@
             'incarnation': incarnation,
         }
         self._ring: deque[dict[str, Any]] = deque(maxlen=RING_EVENTS)
+        self._fresh: deque[dict[str, Any]] = deque(maxlen=RING_EVENTS)
         self._logical_time = 0
 
     @property
@@ -112,8 +113,18 @@
             **event.facts,
         }
         self._ring.append(record)
+        self._fresh.append(record)
         logger.info(json.dumps(record, default=str))
 
     def recent(self) -> tuple[dict[str, Any], ...]:
         """Return the events kept, oldest first."""
         return tuple(self._ring)
+
+    def take_new(self, *, limit: int) -> tuple[dict[str, Any], ...]:
+        """Return up to `limit` events not returned before."""
+        count = min(limit, len(self._fresh))
+        return tuple(self._fresh.popleft() for _ in range(count))
+
+    def adopt(self, records: tuple[dict[str, Any], ...]) -> None:
+        """Keep events that another process of this host has written."""
+        self._ring.extend(records)
--- a/chicorybridge/exchanges.py
+++ b/chicorybridge/exchanges.py
@@ -159,6 +159,8 @@
         self.head_since: Millis | None = None
         # Whether a request has been read and not wholly answered.
         self.busy = False
+        # Whether the request under way ends when its caller goes away.
+        self.abandonable = True
         self._raw_head = b''
 
     async def next_request(self) -> Head | None:
--- a/chicorybridge/fetchers.py
+++ b/chicorybridge/fetchers.py
@@ -132,7 +132,7 @@
         """Return the answer; raise `NotSentError` or `AnswerLostError`."""
         connection: ClientConnection | None = None
         try:
-            async with curio.timeout_after(clocks.to_seconds(timeout_ms)):
+            async with curio.timeout_after(clocks.as_seconds(timeout_ms)):
                 connection = await self._connect(address)
                 response = await connection.exchange(request, host=str(address))
         except curio.TaskTimeout as error:
--- a/chicorybridge/forwards.py
+++ b/chicorybridge/forwards.py
@@ -18,7 +18,7 @@
     Head,
     TargetExchange,
 )
-from chicorybridge.heads import (
+from chicorybridge.answers import (
     WholeAnswer,
     answer_headers,
     is_draining,
@@ -48,7 +48,7 @@
         """Prepare an attempt of `call` at `target`."""
         self.answer: WholeAnswer | None = None
         self._call = call
-        self._target = target
+        self.target = target
         self._connections = connections
         self._clock = clock
         self._started_at = clock.now()
@@ -63,8 +63,8 @@
         self._sending_to_caller = False
         self._caller_error: ChicorybridgeError | None = None
 
-    async def run(self) -> Attempt:
-        """Make the attempt; the outcome says how it ended.
+    async def run(self) -> AttemptOutcome:
+        """Make the attempt and return how it ended.
 
         Raise `CallerError` or `RequestError` when the caller is the
         reason that it did not end.
@@ -79,7 +79,7 @@
             outcome = AttemptOutcome.cut
         finally:
             await self._release()
-        return self.result(outcome)
+        return outcome
 
     def result(self, outcome: AttemptOutcome) -> Attempt:
         """Return the attempt as it stands, with `outcome`."""
@@ -87,7 +87,7 @@
         waited = self._caller_ms + self._call.body.wait_ms
         return Attempt(
             service_id=self._call.service.service_id,
-            target_id=self._target.target_id,
+            target_id=self.target.target_id,
             route_id=self._call.route.route_id,
             outcome=outcome,
             started_at=self._started_at,
@@ -136,7 +136,7 @@
             max_idle_ms = settings.CONNECTION_PROVEN_MS
         async with curio.timeout_after(as_seconds(settings.CONNECT_MS)):
             return await self._connections.take(
-                self._target.address, max_idle_ms=max_idle_ms
+                self.target.address, max_idle_ms=max_idle_ms
             )
 
     async def _upload(self, exchange: TargetExchange) -> Head:
--- /dev/null
+++ b/chicorybridge/meters.py
@@ -0,0 +1,66 @@
+"""Counts and latency histograms of one process."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from hdrh.histogram import HdrHistogram
+
+from chicorybridge import settings
+
+# Histograms hold microseconds.
+MICROS_PER_MILLI = 1000
+
+PERCENTILES = (50, 90, 99)
+
+
+class Meters:
+    """Count and time by name; everything is summed since the start."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.counts_by_name: Counter[str] = Counter()
+        self._histograms_by_name: dict[str, HdrHistogram] = {}
+
+    def count(self, name: str) -> None:
+        """Add one to a count."""
+        self.counts_by_name[name] += 1
+
+    def time(self, name: str, elapsed_ms: float) -> None:
+        """Record a duration in a histogram."""
+        histogram = self._histograms_by_name.get(name)
+        if histogram is None:
+            histogram = new_histogram()
+            self._histograms_by_name[name] = histogram
+        histogram.record_value(max(1, int(elapsed_ms * MICROS_PER_MILLI)))
+
+    def encoded(self) -> dict[str, bytes]:
+        """Return the histograms, encoded by name."""
+        return {
+            name: histogram.encode()
+            for name, histogram in self._histograms_by_name.items()
+        }
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram from 1 microsecond to an hour."""
+    return HdrHistogram(
+        1, settings.HISTOGRAM_MAX_MICROS, settings.HISTOGRAM_DIGITS
+    )
+
+
+def merge_histograms(encoded: Iterable[bytes]) -> HdrHistogram:
+    """Add encoded histograms up."""
+    merged = new_histogram()
+    for body in encoded:
+        merged.decode_and_add(body)
+    return merged
+
+
+def summarise(histogram: HdrHistogram) -> dict[str, float]:
+    """Return count, percentiles and maximum in milliseconds."""
+    summary: dict[str, float] = {'count': histogram.get_total_count()}
+    for percentile in PERCENTILES:
+        micros = histogram.get_value_at_percentile(percentile)
+        summary[f'p{percentile}_ms'] = micros / MICROS_PER_MILLI
+    summary['max_ms'] = histogram.get_max_value() / MICROS_PER_MILLI
+    return summary
--- /dev/null
+++ b/chicorybridge/operator_desks.py
@@ -0,0 +1,95 @@
+"""Answers of a control process to what operators ask of it alone."""
+
+import functools
+from typing import Any
+
+from chicorybridge.control_systems import ControlSystems
+from chicorybridge.events import EventLog
+from chicorybridge.identities import HostId
+from chicorybridge.operator_messages import (
+    DrainRequested,
+    DrainStarted,
+    HostMetrics,
+    HostsRequested,
+    KnownHost,
+    KnownHosts,
+    MetricsRequested,
+    Timeline,
+    TimelineRequested,
+)
+from chicorybridge.profiles import HostProfile
+from chicorybridge.sessions import EntryTable
+from chicorybridge.systems import Effects, Send
+
+
+class OperatorDesk:
+    """Answer from what this host knows."""
+
+    def __init__(
+        self, *, log: EventLog, entries: EntryTable, systems: ControlSystems
+    ) -> None:
+        """Read from the parts of the control process."""
+        self._log = log
+        self._entries = entries
+        self._systems = systems
+
+    @functools.singledispatchmethod
+    def take(self, message: Any, *, operator: HostId) -> Effects:
+        """Answer `operator`; other messages are left to the systems."""
+        return ()
+
+    @take.register
+    def _take_timeline(
+        self, message: TimelineRequested, *, operator: HostId
+    ) -> Effects:
+        timeline = Timeline(records=self._log.recent())
+        return [Send(to=operator, message=timeline)]
+
+    @take.register
+    def _take_metrics(
+        self, message: MetricsRequested, *, operator: HostId
+    ) -> Effects:
+        sessions = self._entries.sessions_by_id.values()
+        metrics = HostMetrics(
+            host_id=self._systems.members.profile.host_id,
+            reports=tuple(
+                session.metrics for session in sessions if session.metrics
+            ),
+        )
+        return [Send(to=operator, message=metrics)]
+
+    @take.register
+    def _take_hosts(
+        self, message: HostsRequested, *, operator: HostId
+    ) -> Effects:
+        profiles = self._systems.members.hosts_by_id.values()
+        known = KnownHosts(
+            version=self._systems.rollouts.confirmed,
+            hosts=tuple(_known(profile) for profile in profiles),
+        )
+        return [Send(to=operator, message=known)]
+
+    @take.register
+    def _take_drain(
+        self, message: DrainRequested, *, operator: HostId
+    ) -> Effects:
+        started = DrainStarted(
+            host_id=self._systems.members.profile.host_id,
+            leaving=message.leaving,
+        )
+        return [
+            *self._systems.members.change(leaving=message.leaving),
+            Send(to=operator, message=started),
+        ]
+
+
+def _known(profile: HostProfile) -> KnownHost:
+    return KnownHost(
+        host_id=profile.host_id,
+        incarnation=profile.incarnation,
+        address=profile.address,
+        entries=profile.entries,
+        zone_id=profile.zone_id,
+        taking=profile.taking,
+        leaving=profile.leaving,
+    )
--- /dev/null
+++ b/chicorybridge/peer_links.py
@@ -0,0 +1,112 @@
+"""Streams from this control process to those of other hosts."""
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import curio
+
+from chicorybridge import settings, sockets
+from chicorybridge.clocks import as_seconds
+from chicorybridge.control_links import BROKEN
+from chicorybridge.events import EventLog
+from chicorybridge.identities import HostId
+from chicorybridge.streams import Identity, MessageStream
+
+logger = logging.getLogger(__name__)
+
+AddressOf = Callable[[HostId], str | None]
+
+
+class PeerLinks:
+    """Send messages one way to any host whose address is known.
+
+    What a host sends comes in on the stream that it opened itself, so a
+    path that is dead in one direction shows as silence in that one.
+    Queues are bounded; the systems repair what is lost.
+    """
+
+    def __init__(
+        self, *, identity: Identity, log: EventLog, address_of: AddressOf
+    ) -> None:
+        """Start without streams."""
+        self._identity = identity
+        self._log = log
+        self._address_of = address_of
+        self._queues_by_host: dict[HostId, curio.Queue] = {}
+        self._tasks_by_host: dict[HostId, curio.Task] = {}
+        self.sent_bytes = 0
+        self.sent_messages = 0
+
+    async def send(self, to: HostId, message: Any) -> None:
+        """Queue a message, opening a stream when there is none."""
+        queue = self._queues_by_host.get(to)
+        if queue is None:
+            queue = curio.Queue()
+            self._queues_by_host[to] = queue
+            self._tasks_by_host[to] = await curio.spawn(
+                self._run(to, queue), daemon=True
+            )
+        if queue.qsize() < settings.LINK_QUEUE_MESSAGES:
+            await queue.put(message)
+
+    async def forget(self, host_id: HostId) -> None:
+        """Close the stream to a host that is gone."""
+        self._queues_by_host.pop(host_id, None)
+        task = self._tasks_by_host.pop(host_id, None)
+        if task is not None:
+            await task.cancel()
+
+    async def flush(self) -> None:
+        """Wait a little until the queues are empty, before a stop."""
+        async with curio.ignore_after(as_seconds(settings.CONNECT_MS)):
+            while any(
+                not queue.empty() for queue in self._queues_by_host.values()
+            ):
+                await curio.sleep(as_seconds(settings.TICK_MS))
+
+    async def _run(self, host_id: HostId, queue: curio.Queue) -> None:
+        while True:
+            message = await queue.get()
+            try:
+                await self._send_from(host_id, queue, message)
+            except BROKEN as error:
+                logger.debug('stream to %s is lost: %s', host_id, error)
+            await curio.sleep(as_seconds(settings.LINK_RETRY_MS))
+
+    async def _send_from(
+        self, host_id: HostId, queue: curio.Queue, message: Any
+    ) -> None:
+        address = self._address_of(host_id)
+        if address is None:
+            return
+        async with curio.timeout_after(as_seconds(settings.CONNECT_MS)):
+            sock = await sockets.connect(address)
+        sockets.bound_silence(sock)
+        stream = MessageStream(
+            sock=sock, identity=self._identity, log=self._log
+        )
+        try:
+            await self._pump(stream, host_id, queue, message)
+        finally:
+            await stream.close()
+
+    async def _pump(
+        self,
+        stream: MessageStream,
+        host_id: HostId,
+        queue: curio.Queue,
+        message: Any,
+    ) -> None:
+        async with curio.timeout_after(as_seconds(settings.CONNECT_MS)):
+            greeting = await stream.open(accepted=False)
+        if greeting.host_id != host_id:
+            # Another host has taken over the address.
+            return
+        while True:
+            before = stream.sent_bytes
+            async with curio.timeout_after(as_seconds(settings.SEND_MS)):
+                await stream.send(message)
+            self.sent_messages += 1
+            self.sent_bytes += stream.sent_bytes - before
+            message = await queue.get()
--- /dev/null
+++ b/chicorybridge/policies.py
@@ -0,0 +1,162 @@
+"""The decision systems of one entry process, joined."""
+
+import random
+from collections.abc import Collection, Sequence
+
+from chicorybridge import settings
+from chicorybridge.attempts import Attempt
+from chicorybridge.choosers import Chooser
+from chicorybridge.clocks import Millis
+from chicorybridge.configurations import ActiveConfiguration
+from chicorybridge.declarations import Route, Target
+from chicorybridge.identities import (
+    HostId,
+    ServiceId,
+    TargetId,
+    WorkspaceId,
+    ZoneId,
+)
+from chicorybridge.limits import Admission, Limiter
+from chicorybridge.observations import Observer
+from chicorybridge.retries import RequestFacts, RetryDecision, RetryPolicy
+from chicorybridge.subsets import FleetSize, subset_of
+from chicorybridge.systems import Effects
+from chicorybridge.weights import Weights
+
+
+class Policies:
+    """Admit, choose, learn and retry for the requests of one process."""
+
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        host_id: HostId,
+        zone_id: ZoneId,
+        process_name: str,
+    ) -> None:
+        """Start without a configuration: nothing is let in."""
+        self._zone_id = zone_id
+        self._process_name = process_name
+        self._fleet = FleetSize(processes=1, zone_processes=1)
+        self._configuration: ActiveConfiguration | None = None
+        self._weights = Weights()
+        self._observer = Observer(host_id=host_id)
+        self._limiter = Limiter(rng=rng)
+        self._retries = RetryPolicy()
+        self._chooser = Chooser(
+            rng=rng,
+            weight_of=self._weights.weight_of,
+            may_take=self._limiter.may_take,
+        )
+
+    def configure(
+        self, configuration: ActiveConfiguration, *, now: Millis
+    ) -> None:
+        """Take over a configuration, whole."""
+        declaration = configuration.declaration
+        self._configuration = configuration
+        self._weights.configure(declaration)
+        self._observer.configure(declaration)
+        self._retries.set_declaration(declaration)
+        self._share(now)
+
+    def resize(self, fleet: FleetSize, *, now: Millis) -> None:
+        """Share the targets with a fleet of another size."""
+        if fleet == self._fleet:
+            return
+        self._fleet = fleet
+        self._share(now)
+
+    def limit_targets(
+        self,
+        *,
+        limits_by_id: dict[TargetId, float],
+        leaving: Collection[TargetId],
+    ) -> None:
+        """Take over which targets are ejected, on trial or leaving."""
+        self._weights.limit(limits_by_id)
+        self._chooser.set_ejected(
+            target_id for target_id, limit in limits_by_id.items() if limit == 0
+        )
+        self._chooser.set_leaving(leaving)
+
+    def admit(
+        self, route: Route, workspace_id: WorkspaceId | None, *, now: Millis
+    ) -> Admission:
+        """Decide on a request from its head alone."""
+        admission = self._limiter.admit(
+            route.service_id,
+            priority=route.priority,
+            workspace_id=workspace_id,
+            now=now,
+        )
+        if admission.admitted:
+            self._retries.record_request(route.service_id, now=now)
+        return admission
+
+    def overloaded(self, service_id: ServiceId) -> Admission:
+        """Return the refusal of a request that no target may take."""
+        return self._limiter.overloaded(service_id)
+
+    def pick(
+        self,
+        service_id: ServiceId,
+        *,
+        excluded: Collection[TargetId],
+        now: Millis,
+    ) -> Target | None:
+        """Return the target of the next attempt, `None` without one.
+
+        It is one of the configuration in force now, also for a request
+        that came under an older one.
+        """
+        target_id = self._chooser.pick(service_id, excluded=excluded, now=now)
+        if target_id is None or self._configuration is None:
+            return None
+        return self._configuration.declaration.targets_by_id[target_id]
+
+    def started(self, target_id: TargetId, route: Route, *, now: Millis) -> int:
+        """Count an attempt that begins; return its number."""
+        self._chooser.started(target_id, now)
+        return self._observer.start(
+            target_id=target_id, route_id=route.route_id, now=now
+        )
+
+    def finished(self, number: int, attempt: Attempt, *, now: Millis) -> None:
+        """Learn from an attempt that ended."""
+        residual = self._observer.finish(number, attempt)
+        self._weights.record(attempt, residual)
+        slowness = self._chooser.finished(attempt, now)
+        self._limiter.finished(attempt, slowness=slowness, now=now)
+
+    def decide(
+        self, facts: RequestFacts, attempts: Sequence[Attempt], *, now: Millis
+    ) -> RetryDecision:
+        """Decide whether a request goes on after its last attempt."""
+        return self._retries.decide(facts, attempts, now=now)
+
+    def tick(self, *, now: Millis) -> Effects:
+        """Return what the control process is told this tick."""
+        return self._observer.tick(now=now)
+
+    def _share(self, now: Millis) -> None:
+        configuration = self._configuration
+        if configuration is None:
+            return
+        declaration = configuration.declaration
+        self._limiter.set_declaration(declaration, fleet=self._fleet)
+        subset = subset_of(
+            declaration,
+            process_name=self._process_name,
+            zone_id=self._zone_id,
+            fleet=self._fleet,
+        )
+        self._chooser.set_declaration(
+            declaration, self._zone_id, subset=subset, now=now
+        )
+        share = settings.WORKSPACE_SHARE_FACTOR / self._fleet.processes
+        for workspace_id in declaration.workspaces_by_id:
+            self._limiter.set_workspace_share(
+                workspace_id, min(1, share), now=now
+            )
--- /dev/null
+++ b/chicorybridge/process_settings.py
@@ -0,0 +1,173 @@
+"""Settings of the processes of a host, read from INI files."""
+
+import dataclasses
+import os
+import pathlib
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+from chicorybridge.errors import ErrorCode
+from chicorybridge.fields import AddressField, Field
+from chicorybridge.identities import HostId, RegionId, ZoneId
+from chicorybridge.readers import (
+    Fields,
+    Problem,
+    Section,
+    parse_section,
+    read_sections,
+    refuse,
+)
+from chicorybridge.stores import HostState, ListedHost
+
+ENTRY = 'entry'
+CONTROL = 'control'
+
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SeedsField(AddressField):
+    """Hosts to greet first, each as HOST@IP:PORT of its control process."""
+
+    def parse(self, text: str) -> Any:
+        """Return the hosts or raise `FieldError`."""
+        return tuple(self._parse_one(word) for word in text.split())
+
+    def _parse_one(self, word: str) -> ListedHost:
+        host_id, _, address = word.partition('@')
+        return ListedHost(
+            host_id=HostId(host_id),
+            address=super().parse(address),
+            state=HostState.live,
+        )
+
+
+HOST_FIELDS: Fields = MappingProxyType(
+    {
+        'host': Field(required=True),
+        'zone': Field(required=True),
+        'region': Field(required=True),
+        'fleet_key_variable': Field(required=True),
+    }
+)
+
+FIELDS_BY_KIND: Mapping[str, Fields] = MappingProxyType(
+    {
+        ENTRY: {
+            **HOST_FIELDS,
+            'listen': AddressField(required=True),
+            'control': AddressField(required=True),
+        },
+        CONTROL: {
+            **HOST_FIELDS,
+            'listen': AddressField(required=True),
+            'platform': AddressField(required=True),
+            'operator_token_variable': Field(required=True),
+        'seeds': SeedsField(),
+        },
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntrySettings:
+    """What an entry process needs to start; addresses are IP:PORT."""
+
+    host_id: HostId
+    zone_id: ZoneId
+    region_id: RegionId
+    listen: str
+    control: str
+    fleet_key: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ControlSettings:
+    """What a control process needs to start; addresses are IP:PORT."""
+
+    host_id: HostId
+    zone_id: ZoneId
+    region_id: RegionId
+    listen: str
+    platform: str
+    fleet_key: bytes
+    operator_token: bytes
+    seeds: tuple[ListedHost, ...] = ()
+
+
+def read_entry_settings(
+    path: pathlib.Path, overrides: Mapping[str, str]
+) -> EntrySettings:
+    """Read the section [entry]; raise `SettingsError` on any problem."""
+    values_by_key = _read(path, ENTRY, overrides)
+    return EntrySettings(
+        **_host_values(values_by_key),
+        listen=values_by_key['listen'],
+        control=values_by_key['control'],
+    )
+
+
+def read_control_settings(
+    path: pathlib.Path, overrides: Mapping[str, str]
+) -> ControlSettings:
+    """Read the section [control]; raise `SettingsError` on any problem."""
+    values_by_key = _read(path, CONTROL, overrides)
+    return ControlSettings(
+        **_host_values(values_by_key),
+        listen=values_by_key['listen'],
+        platform=values_by_key['platform'],
+        operator_token=_secret(values_by_key['operator_token_variable']),
+        seeds=values_by_key.get('seeds', ()),
+    )
+
+
+def _host_values(values_by_key: dict[str, Any]) -> dict[str, Any]:
+    return {
+        'host_id': HostId(values_by_key['host']),
+        'zone_id': ZoneId(values_by_key['zone']),
+        'region_id': RegionId(values_by_key['region']),
+        'fleet_key': _secret(values_by_key['fleet_key_variable']),
+    }
+
+
+def _read(
+    path: pathlib.Path, kind: str, overrides: Mapping[str, str]
+) -> dict[str, Any]:
+    sections, problems = read_sections(path)
+    found = [section for section in sections if section.title == kind]
+    if not found:
+        refuse((*problems, _problem(path, kind, '', 'missing section')))
+    section = dataclasses.replace(
+        found[0], texts_by_key={**found[0].texts_by_key, **overrides}
+    )
+    values_by_key, own_problems = parse_section(section, FIELDS_BY_KIND[kind])
+    refuse((*problems, *own_problems, *_unset_variables(section)))
+    return values_by_key
+
+
+def _unset_variables(section: Section) -> list[Problem]:
+    return [
+        section.problem(
+            key=key,
+            code=ErrorCode.setting_missing,
+            detail=f'the environment variable {text} is not set',
+        )
+        for key, text in section.texts_by_key.items()
+        if key.endswith('_variable') and not os.environ.get(text)
+    ]
+
+
+def _problem(
+    path: pathlib.Path, section: str, key: str, detail: str
+) -> Problem:
+    return Problem(
+        file=path.name,
+        section=section,
+        key=key,
+        code=ErrorCode.setting_missing,
+        detail=detail,
+    )
+
+
+def _secret(name: str) -> bytes:
+    return os.environ[name].encode()
--- a/chicorybridge/services.py
+++ b/chicorybridge/services.py
@@ -126,7 +126,7 @@
         if for_ms <= 0:
             return True
         try:
-            async with curio.timeout_after(clocks.to_seconds(for_ms)):
+            async with curio.timeout_after(clocks.as_seconds(for_ms)):
                 await self._until_gone()
         except curio.TaskTimeout:
             return True
@@ -233,7 +233,7 @@
                 waiting.append(task)
         while waiting:
             await waiting.pop().cancel(blocking=False)
-        async with curio.ignore_after(clocks.to_seconds(within_ms)):
+        async with curio.ignore_after(clocks.as_seconds(within_ms)):
             while self._tasks_by_connection:
                 running = next(iter(self._tasks_by_connection.values()))
                 await running.wait()
--- /dev/null
+++ b/chicorybridge/sessions.py
@@ -0,0 +1,116 @@
+"""Streams that entry processes and operators opened to a control process."""
+
+import dataclasses
+from typing import Any
+
+import curio
+
+from chicorybridge.claim_messages import KeyPrefixIssued
+from chicorybridge.clocks import Millis
+from chicorybridge.entry_messages import (
+    EntryClosing,
+    EntryListSent,
+    EntryOpened,
+    EntryReport,
+    FleetSent,
+    MetricsReport,
+)
+from chicorybridge.identities import NO_VERSION, Version
+from chicorybridge.notices import TargetLimits
+from chicorybridge.streams import MessageStream
+from chicorybridge.versions import DeclarationActivated, ServingLease
+
+# Messages of which a new entry process needs the last one.
+LASTING = (
+    DeclarationActivated,
+    ServingLease,
+    TargetLimits,
+    KeyPrefixIssued,
+    FleetSent,
+    EntryListSent,
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Session:
+    """A stream that is open, with what waits to be sent on it."""
+
+    stream: MessageStream
+    queue: curio.Queue = dataclasses.field(default_factory=curio.Queue)
+
+
+@dataclasses.dataclass(kw_only=True)
+class EntrySession(Session):
+    """What an entry process of this host has said."""
+
+    opened: EntryOpened
+    heard_at: Millis
+    closing: bool = False
+    report: EntryReport | None = None
+    metrics: MetricsReport | None = None
+
+    @property
+    def version(self) -> Version:
+        """Return the version that governs the entry process."""
+        return self.report.version if self.report else NO_VERSION
+
+
+class EntryTable:
+    """The entry processes of this host."""
+
+    def __init__(self) -> None:
+        """Start without entry processes."""
+        self.sessions_by_id: dict[str, EntrySession] = {}
+        self._last_by_type: dict[type, Any] = {}
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Return where callers are taken, without those that close."""
+        return tuple(
+            sorted(
+                session.opened.address
+                for session in self.sessions_by_id.values()
+                if not session.closing
+            )
+        )
+
+    async def add(self, session: EntrySession) -> None:
+        """Add an entry process and tell it all that lasts."""
+        self.sessions_by_id[session.opened.entry_id] = session
+        for message in self._last_by_type.values():
+            await session.queue.put(message)
+
+    async def send(self, message: Any) -> None:
+        """Send to every entry process; remember what lasts."""
+        if isinstance(message, LASTING):
+            self._last_by_type[type(message)] = message
+        for session in self.sessions_by_id.values():
+            await session.queue.put(message)
+
+    def take(self, session: EntrySession, message: Any, *, now: Millis) -> bool:
+        """Take in what is for this table; `False` for other messages."""
+        session.heard_at = now
+        match message:
+            case EntryReport():
+                session.report = message
+            case MetricsReport():
+                session.metrics = message
+            case EntryClosing():
+                session.closing = True
+            case _:
+                return False
+        return True
+
+    def all_governed_by(
+        self, version: Version, *, now: Millis, within_ms: float
+    ) -> bool:
+        """Return whether each entry process has switched to `version`.
+
+        One that was silent for longer than `within_ms` holds no lease
+        any more and is left out.
+        """
+        return all(
+            session.version >= version
+            for session in self.sessions_by_id.values()
+            if now - session.heard_at <= within_ms
+        )
