Carry versions to all hosts before they are accepted

A version is written to the platform, takes effect on each host as it arrives, and counts as accepted only when every live host confirmed it. An unanswered write is settled by reading the version's row back.

--- /dev/null
+++ b/chicorybridge/applies.py
@@ -0,0 +1,249 @@
+"""Applies: from an operator's file to a version accepted by every host.
+
+The body is stored, then the version written, then it spreads, and only
+when every live host confirmed it is it accepted. A write that was not
+answered is settled by reading the version back.
+"""
+
+from chicorybridge import settings
+from chicorybridge.applysteps import (
+    AWAY,
+    COUNTED,
+    ENDED,
+    NOT_DURABLE,
+    Apply,
+    progress_of,
+    rejected,
+    request_of,
+    unknown,
+)
+from chicorybridge.clocks import Millis
+from chicorybridge.confirmations import Confirmations
+from chicorybridge.declarations import Declaration
+from chicorybridge.errors import StreamError, require
+from chicorybridge.events import Event, EventKind
+from chicorybridge.heads import (
+    HEAD_KEY,
+    head_from,
+    version_key,
+    version_of,
+)
+from chicorybridge.holdings import (
+    Holdings,
+    declaration_from,
+    digest_of,
+)
+from chicorybridge.identities import (
+    ApplyId,
+    HostId,
+    Version,
+)
+from chicorybridge.links import NEVER
+from chicorybridge.members import Members
+from chicorybridge.spreads import Spreads
+from chicorybridge.stores import (
+    StoreOutcome,
+    StoreReply,
+)
+from chicorybridge.systems import Ask, Effect, Effects, Emit, Send
+from chicorybridge.versions import (
+    ApplyRequested,
+    ApplyStage,
+    ApplyWatched,
+    HeadVersion,
+)
+
+APPLY_TOKEN = 'rollouts:apply'
+
+
+class Applies:
+    """Carry out the applies that operators brought to this host."""
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        holdings: Holdings,
+        spreads: Spreads,
+        confirmations: Confirmations,
+    ) -> None:
+        """Start without applies."""
+        self.applies_by_id: dict[ApplyId, Apply] = {}
+        self._members = members
+        self._holdings = holdings
+        self._spreads = spreads
+        self._confirmations = confirmations
+
+    def request(
+        self, message: ApplyRequested, *, sender: HostId, now: Millis
+    ) -> Effects:
+        """Start an apply, or go on with it for another operator."""
+        apply = self.applies_by_id.get(message.apply_id)
+        if apply is None:
+            try:
+                declaration = declaration_from(message.body)
+            except StreamError as error:
+                return [Send(to=sender, message=rejected(message, error))]
+            apply = self._start(message, declaration, now)
+        apply.request = message
+        apply.operators.add(sender)
+        apply.watched_at = now
+        apply.due = NEVER
+        return [*self._step(apply, now), *self._tell(apply)]
+
+    def watch(
+        self, message: ApplyWatched, *, sender: HostId, now: Millis
+    ) -> Effects:
+        """Tell the progress of an apply and keep it going."""
+        apply = self.applies_by_id.get(message.apply_id)
+        if apply is None:
+            return [Send(to=sender, message=unknown(message))]
+        apply.operators.add(sender)
+        apply.watched_at = now
+        return self._tell(apply)
+
+    def tick(self, *, now: Millis) -> Effects:
+        """Take the next step of every apply under way."""
+        effects: list[Effect] = []
+        for apply in tuple(self.applies_by_id.values()):
+            if self._is_abandoned(apply, now):
+                self.applies_by_id.pop(apply.request.apply_id)
+                continue
+            if apply.stage not in ENDED and now >= apply.due:
+                effects.extend(self._step(apply, now))
+                effects.extend(self._tell(apply))
+        return effects
+
+    def take_reply(self, reply: StoreReply, *, now: Millis) -> Effects:
+        """Take in the platform's reply to the step of an apply."""
+        apply_id = ApplyId(reply.token.removeprefix(APPLY_TOKEN))
+        apply = self.applies_by_id.get(apply_id)
+        if apply is None:
+            return ()
+        apply.asked = False
+        apply.store_away = reply.outcome in AWAY
+        apply.due = Millis(now + settings.STORE_RETRY_MS)
+        effects = self._advance(apply, reply, now)
+        return [*effects, *self._tell(apply)]
+
+    def _start(
+        self, message: ApplyRequested, declaration: Declaration, now: Millis
+    ) -> Apply:
+        head = HeadVersion(
+            version=Version(message.base + 1),
+            digest=digest_of(message.body),
+            apply_id=message.apply_id,
+        )
+        apply = Apply(
+            request=message,
+            head=head,
+            declaration=declaration,
+            watched_at=now,
+        )
+        self.applies_by_id[message.apply_id] = apply
+        self._recognise(apply, self._holdings.newest, now)
+        return apply
+
+    def _step(self, apply: Apply, now: Millis) -> Effects:
+        if apply.stage is ApplyStage.spreading:
+            return self._wait(apply, now)
+        if apply.stage in ENDED or apply.asked:
+            return ()
+        apply.asked = True
+        token = APPLY_TOKEN + apply.request.apply_id
+        return [Ask(token=token, request=request_of(apply))]
+
+    def _advance(self, apply: Apply, reply: StoreReply, now: Millis) -> Effects:
+        match apply.stage, reply.outcome:
+            case ApplyStage.storing, StoreOutcome.done:
+                apply.stage = ApplyStage.writing
+            case ApplyStage.writing, StoreOutcome.done:
+                return self._spread(apply, apply.head, now)
+            case ApplyStage.writing, (
+                StoreOutcome.conflict | StoreOutcome.unanswered
+            ):
+                apply.stage = ApplyStage.settling
+            case ApplyStage.settling, StoreOutcome.done:
+                return self._settle(apply, reply, now)
+            case _:
+                return ()
+        return self._step(apply, now)
+
+    def _settle(self, apply: Apply, reply: StoreReply, now: Millis) -> Effects:
+        heads_by_key = {row.row_key: head_from(row) for row in reply.rows}
+        newest = heads_by_key[HEAD_KEY]
+        found = heads_by_key[version_key(apply.head.version)]
+        if found is None and version_of(newest) == apply.request.base:
+            # The write took no effect so far; a late one would conflict.
+            apply.stage = ApplyStage.writing
+            return self._step(apply, now)
+        if found and found.digest == apply.head.digest:
+            return self._spread(apply, found, now)
+        apply.stage = ApplyStage.conflict
+        apply.winner = found or newest
+        return ()
+
+    def _recognise(
+        self, apply: Apply, newest: HeadVersion | None, now: Millis
+    ) -> None:
+        # What is known to be durable needs no platform.
+        if newest is None or newest.version != apply.head.version:
+            return
+        if newest.digest == apply.head.digest:
+            apply.head = newest
+            apply.stage = ApplyStage.spreading
+            apply.durable_at = now
+            return
+        apply.stage = ApplyStage.conflict
+        apply.winner = newest
+
+    def _spread(self, apply: Apply, head: HeadVersion, now: Millis) -> Effects:
+        apply.head = head
+        apply.stage = ApplyStage.spreading
+        apply.durable_at = now
+        effects = list(self._spreads.learn(head, now=now))
+        if self._holdings.wanted == head:
+            self._spreads.collector = self._members.profile.host_id
+            held = self._holdings.activate(apply.declaration)
+            effects.extend(self._spreads.announce(held, origin=True, now=now))
+        return effects
+
+    def _wait(self, apply: Apply, now: Millis) -> Effects:
+        apply.due = Millis(now + settings.REPORT_MS)
+        self._review(apply, now)
+        if apply.waiting or self._members.is_cut_off(now):
+            lagging = {status.host_id for status in apply.waiting}
+            return self._confirmations.ask(lagging, apply.head.version, now=now)
+        apply.stage = ApplyStage.accepted
+        require(
+            promise='an accepted configuration is in force on this host',
+            holds=self._holdings.confirmed >= apply.head.version,
+        )
+        facts = {'version': apply.head.version, 'digest': apply.head.digest}
+        event = Event(kind=EventKind.configuration_accepted, facts=facts)
+        return [Emit(event=event)]
+
+    def _review(self, apply: Apply, now: Millis) -> None:
+        excused = set(apply.request.excused)
+        # A host that reads the platform needs that long to notice.
+        if now - apply.durable_at >= settings.EXCUSE_MS:
+            excused |= self._members.peers.excused(now)
+        statuses = self._confirmations.statuses(
+            apply.head.version, excused=excused, now=now
+        )
+        apply.waiting = tuple(
+            status for status in statuses if status.reason not in COUNTED
+        )
+
+    def _is_abandoned(self, apply: Apply, now: Millis) -> bool:
+        if now - apply.watched_at <= settings.OPERATOR_MS:
+            return False
+        undecided = apply.stage in NOT_DURABLE and not apply.asked
+        return undecided or apply.stage in ENDED
+
+    def _tell(self, apply: Apply) -> Effects:
+        progress = progress_of(apply)
+        return [
+            Send(to=operator, message=progress)
+            for operator in sorted(apply.operators)
+        ]
--- /dev/null
+++ b/chicorybridge/applysteps.py
@@ -0,0 +1,90 @@
+"""One apply under way: its stage, its requests and what is told of it."""
+
+import dataclasses
+
+from chicorybridge.clocks import Millis
+from chicorybridge.declarations import Declaration
+from chicorybridge.errors import StreamError
+from chicorybridge.heads import read_version, write_version
+from chicorybridge.holdings import NO_DIGEST, digest_of
+from chicorybridge.identities import NO_VERSION, HostId
+from chicorybridge.links import NEVER
+from chicorybridge.stores import PutObject, StoreOutcome, StoreRequest
+from chicorybridge.versions import (
+    ApplyProgress,
+    ApplyRequested,
+    ApplyStage,
+    ApplyWatched,
+    HeadVersion,
+    HostStatus,
+    LagReason,
+)
+
+ENDED = (ApplyStage.accepted, ApplyStage.conflict, ApplyStage.rejected)
+NOT_DURABLE = (ApplyStage.storing, ApplyStage.writing)
+AWAY = (StoreOutcome.unavailable, StoreOutcome.unanswered)
+COUNTED = (LagReason.current, LagReason.excused)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Apply:
+    """One apply under way, and the operators who watch it."""
+
+    request: ApplyRequested
+    head: HeadVersion
+    declaration: Declaration
+    stage: ApplyStage = ApplyStage.storing
+    operators: set[HostId] = dataclasses.field(default_factory=set)
+    watched_at: Millis
+    due: Millis = NEVER
+    # Whether a request to the platform is under way.
+    asked: bool = False
+    durable_at: Millis = NEVER
+    store_away: bool = False
+    winner: HeadVersion | None = None
+    waiting: tuple[HostStatus, ...] = ()
+
+
+def request_of(apply: Apply) -> StoreRequest:
+    """Return the request to the platform that is the next step."""
+    match apply.stage:
+        case ApplyStage.storing:
+            return PutObject(digest=apply.head.digest, body=apply.request.body)
+        case ApplyStage.writing:
+            return write_version(apply.head)
+        case _:
+            return read_version(apply.head.version)
+
+
+def rejected(message: ApplyRequested, error: StreamError) -> ApplyProgress:
+    """Return the progress of a body that is no declaration."""
+    return ApplyProgress(
+        apply_id=message.apply_id,
+        stage=ApplyStage.rejected,
+        version=NO_VERSION,
+        digest=digest_of(message.body),
+        detail=error.detail,
+    )
+
+
+def unknown(message: ApplyWatched) -> ApplyProgress:
+    """Return the progress of an apply that this host does not know."""
+    return ApplyProgress(
+        apply_id=message.apply_id,
+        stage=ApplyStage.unknown,
+        version=NO_VERSION,
+        digest=NO_DIGEST,
+    )
+
+
+def progress_of(apply: Apply) -> ApplyProgress:
+    """Return what operators are told of an apply."""
+    return ApplyProgress(
+        apply_id=apply.request.apply_id,
+        stage=apply.stage,
+        version=apply.head.version,
+        digest=apply.head.digest,
+        waiting=apply.waiting,
+        winner=apply.winner,
+        store_away=apply.store_away,
+    )
--- /dev/null
+++ b/chicorybridge/confirmations.py
@@ -0,0 +1,149 @@
+"""Who confirms which version: reports of all hosts, and what they lack."""
+
+import dataclasses
+
+from chicorybridge.clocks import Millis
+from chicorybridge.events import Event, EventKind
+from chicorybridge.holdings import Holdings
+from chicorybridge.identities import NO_VERSION, HostId, Version
+from chicorybridge.links import Link
+from chicorybridge.members import Members
+from chicorybridge.systems import Effect, Effects, Emit
+from chicorybridge.versions import (
+    HostStatus,
+    LagReason,
+    ReportWanted,
+    VersionReport,
+)
+
+UNASKED = -1
+NEVER_HEARD_MS = -1
+
+
+class Confirmations:
+    """Report the own confirmation and collect those of other hosts."""
+
+    def __init__(self, *, members: Members, holdings: Holdings) -> None:
+        """Start without reports."""
+        self.reports_by_host: dict[HostId, VersionReport] = {}
+        self._members = members
+        self._holdings = holdings
+        # Hosts to tell of the next confirmation.
+        self._collectors: set[HostId] = set()
+
+    def add_collector(self, host_id: HostId) -> None:
+        """Tell `host_id` when the version in force is confirmed."""
+        self._collectors.add(host_id)
+
+    def confirm(self, *, now: Millis) -> Effects:
+        """Confirm the version in force once all work agrees with it."""
+        if not self._holdings.confirm():
+            return ()
+        facts = {'version': self._holdings.confirmed}
+        event = Event(kind=EventKind.configuration_confirmed, facts=facts)
+        told: list[Effect] = [Emit(event=event)]
+        for collector in sorted(self._collectors):
+            told.extend(self._report(collector, UNASKED, now))
+        self._collectors.clear()
+        return told
+
+    def answer(self, message: ReportWanted, *, now: Millis) -> Effects:
+        """Report at once, and again on confirming a version asked for."""
+        if self._holdings.confirmed < message.version:
+            self._collectors.add(message.collector)
+        return self._report(message.collector, message.asked_at, now)
+
+    def take(self, report: VersionReport) -> None:
+        """Keep the newest report of a host."""
+        known = self.reports_by_host.get(report.host_id)
+        if known and known.incarnation == report.incarnation:
+            if known.confirmed > report.confirmed:
+                return
+            asked_at = max(known.asked_at, report.asked_at)
+            report = dataclasses.replace(report, asked_at=asked_at)
+        self.reports_by_host[report.host_id] = report
+
+    def ask(
+        self, hosts: set[HostId], version: Version, *, now: Millis
+    ) -> list[Effect]:
+        """Ask hosts for their reports."""
+        wanted = ReportWanted(
+            collector=self._members.profile.host_id,
+            version=version,
+            asked_at=int(now),
+        )
+        asked: list[Effect] = []
+        for host_id in sorted(hosts):
+            asked.extend(self._members.sends(host_id, wanted, now=now))
+        return asked
+
+    def statuses(
+        self, version: Version, *, excused: set[HostId], now: Millis
+    ) -> tuple[HostStatus, ...]:
+        """Return where every known host stands towards `version`."""
+        own = HostStatus(
+            host_id=self._members.profile.host_id,
+            version=self._holdings.version,
+            confirmed=self._holdings.confirmed,
+            age_ms=0,
+            reason=self._own_reason(version),
+        )
+        others = (
+            self._status(link, version, excused, now)
+            for link in self._members.peers.links_by_id.values()
+        )
+        return (own, *others)
+
+    def _status(
+        self, link: Link, version: Version, excused: set[HostId], now: Millis
+    ) -> HostStatus:
+        report = self.reports_by_host.get(link.host_id)
+        if report and report.incarnation != link.incarnation:
+            report = None
+        heard_at = max(link.advanced_at, link.heard_at)
+        never = heard_at == float('-inf')
+        return HostStatus(
+            host_id=link.host_id,
+            version=report.version if report else NO_VERSION,
+            confirmed=report.confirmed if report else NO_VERSION,
+            age_ms=NEVER_HEARD_MS if never else int(now - heard_at),
+            reason=_reason(link, report, version, excused),
+        )
+
+    def _own_reason(self, version: Version) -> LagReason:
+        if self._holdings.confirmed >= version:
+            return LagReason.current
+        if self._holdings.version >= version:
+            return LagReason.settling
+        return LagReason.fetching
+
+    def _report(self, collector: HostId, asked_at: int, now: Millis) -> Effects:
+        profile = self._members.profile
+        report = VersionReport(
+            host_id=profile.host_id,
+            incarnation=profile.incarnation,
+            version=self._holdings.version,
+            confirmed=self._holdings.confirmed,
+            taking=not self._members.is_cut_off(now),
+            asked_at=asked_at,
+        )
+        return self._members.sends(collector, report, now=now)
+
+
+def _reason(
+    link: Link,
+    report: VersionReport | None,
+    version: Version,
+    excused: set[HostId],
+) -> LagReason:
+    if report and report.confirmed >= version:
+        return LagReason.current
+    if link.host_id in excused:
+        return LagReason.excused
+    if not link.live:
+        return LagReason.silent
+    if report and report.version >= version:
+        return LagReason.settling
+    if link.profile and not link.profile.taking:
+        return LagReason.joining
+    return LagReason.fetching
--- /dev/null
+++ b/chicorybridge/deltas.py
@@ -0,0 +1,83 @@
+"""Differences between declarations, for hosts that hold the one before."""
+
+import dataclasses
+from typing import Any
+
+from chicorybridge.codecs import pack, unpack, wire
+from chicorybridge.declarations import Declaration
+
+TABLES = tuple(
+    field.name
+    for field in dataclasses.fields(Declaration)
+    if field.name.endswith('_by_id')
+)
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TableDelta:
+    """The entities of one table that changed, and the ids removed."""
+
+    changed: dict[str, Any]
+    removed: tuple[str, ...]
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DeclarationDelta:
+    """All that differs between two declarations."""
+
+    name: str
+    tables_by_name: dict[str, TableDelta]
+
+
+def difference(before: Declaration, after: Declaration) -> bytes:
+    """Pack what turns `before` into `after`."""
+    tables_by_name = {
+        table: _difference(getattr(before, table), getattr(after, table))
+        for table in TABLES
+    }
+    return pack(
+        DeclarationDelta(
+            name=after.name,
+            tables_by_name={
+                table: delta
+                for table, delta in tables_by_name.items()
+                if delta.changed or delta.removed
+            },
+        )
+    )
+
+
+def patched(before: Declaration, body: bytes) -> Declaration:
+    """Return `before` with a packed difference applied.
+
+    Tables come out sorted by id; compare the digest before use. Raise
+    `StreamError` on a malformed body.
+    """
+    delta = unpack(body)
+    tables: dict[str, Any] = {
+        table: _patched(getattr(before, table), table_delta)
+        for table, table_delta in delta.tables_by_name.items()
+    }
+    return dataclasses.replace(before, name=delta.name, **tables)
+
+
+def _difference(before: dict[str, Any], after: dict[str, Any]) -> TableDelta:
+    return TableDelta(
+        changed={
+            entity_id: entity
+            for entity_id, entity in after.items()
+            if before.get(entity_id) != entity
+        },
+        removed=tuple(
+            entity_id for entity_id in before if entity_id not in after
+        ),
+    )
+
+
+def _patched(before: dict[str, Any], delta: TableDelta) -> dict[str, Any]:
+    merged = {**before, **delta.changed}
+    for entity_id in delta.removed:
+        merged.pop(entity_id)
+    return dict(sorted(merged.items()))
--- /dev/null
+++ b/chicorybridge/headreads.py
@@ -0,0 +1,71 @@
+"""Which hosts read the head of the configuration, and when."""
+
+import dataclasses
+from collections.abc import Iterator
+
+import xxhash
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.heads import head_from, read_head
+from chicorybridge.links import NEVER
+from chicorybridge.members import Members
+from chicorybridge.stores import StoreOutcome, StoreReply
+from chicorybridge.systems import Ask, Effect
+from chicorybridge.versions import HeadVersion
+
+HEAD_TOKEN = 'rollouts:head:'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HeadRead:
+    """The newest version as of `asked_at`, the time of the request."""
+
+    head: HeadVersion
+    asked_at: Millis
+
+
+class HeadReads:
+    """Read the head from few hosts of a zone, and from lonely ones."""
+
+    def __init__(self, *, members: Members) -> None:
+        """Start with a read due."""
+        self._members = members
+        self._due: Millis = NEVER
+
+    def tick(self, *, now: Millis) -> Iterator[Effect]:
+        """Ask for the head when this host should read it."""
+        if now < self._due:
+            return
+        self._due = Millis(now + settings.HEAD_POLL_MS)
+        if self._is_reader(now):
+            yield Ask(token=f'{HEAD_TOKEN}{now}', request=read_head())
+
+    def read(self, reply: StoreReply) -> HeadRead | None:
+        """Return what a reply says, `None` if there is no version."""
+        if not reply.token.startswith(HEAD_TOKEN):
+            return None
+        if reply.outcome is not StoreOutcome.done:
+            return None
+        head = head_from(reply.rows[0])
+        if head is None:
+            return None
+        asked_at = Millis(float(reply.token.removeprefix(HEAD_TOKEN)))
+        return HeadRead(head=head, asked_at=asked_at)
+
+    def _is_reader(self, now: Millis) -> bool:
+        if not self._members.profile.taking:
+            return True
+        group_age = now - self._members.peers.group_proven_at()
+        if group_age > settings.HEAD_POLL_MS * 2:
+            return True
+        own = self._members.profile
+        ranked = sorted(
+            (
+                host.host_id
+                for host in self._members.hosts_by_id.values()
+                if host.zone_id == own.zone_id
+            ),
+            key=lambda host_id: xxhash.xxh64_intdigest(host_id.encode()),
+        )
+        return own.host_id in ranked[: settings.HEAD_READERS]
--- a/chicorybridge/heartbeats.py
+++ b/chicorybridge/heartbeats.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterator
+from typing import Any
 
 from chicorybridge import settings
 from chicorybridge.clocks import Millis
@@ -34,6 +35,13 @@
         """Drop what was due to a host."""
         self._due_by_id.pop(host_id, None)
 
+    def tell_all(self, message: Any) -> list[Send]:
+        """Send `message` to every host known."""
+        return [
+            Send(to=host_id, message=message)
+            for host_id in self._peers.links_by_id
+        ]
+
     def send_due(self, *, version: Version, now: Millis) -> Iterator[Effect]:
         """Send the heartbeats that are due."""
         if now >= self._helpers_due:
--- /dev/null
+++ b/chicorybridge/joinings.py
@@ -0,0 +1,84 @@
+"""When a host that starts, or was cut off, may take work."""
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.confirmations import Confirmations
+from chicorybridge.holdings import Holdings
+from chicorybridge.identities import Version
+from chicorybridge.links import NEVER
+from chicorybridge.members import Members
+from chicorybridge.systems import Effects
+
+
+class Joinings:
+    """Keep a host from work until its version is known to be newest.
+
+    It waits for `JOIN_MS`, so that all peers learn of it and no version
+    is accepted without it any more. Then either the platform's head,
+    or reports of several hosts must show no newer version.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        holdings: Holdings,
+        confirmations: Confirmations,
+    ) -> None:
+        """Start as a host that has not joined."""
+        self.joined = False
+        self._members = members
+        self._holdings = holdings
+        self._confirmations = confirmations
+        self._since: Millis | None = None
+        self._ask_due: Millis = NEVER
+
+    def tick(self, *, now: Millis) -> Effects:
+        """Start over when cut off, and ask peers while not joined."""
+        if self._members.peers.is_cut_off(now) or self._since is None:
+            self.joined = False
+            self._since = now
+        if not self.joined and self._reports_suffice():
+            self.joined = True
+        self._members.ready = self.joined
+        if self.joined or now < self._ask_due:
+            return ()
+        self._ask_due = Millis(now + settings.REPORT_MS)
+        everyone = set(self._members.peers.links_by_id)
+        return self._confirmations.ask(
+            everyone, self._holdings.version, now=now
+        )
+
+    def see_head(self, version: Version, *, asked_at: Millis) -> None:
+        """Take in the platform's newest version as read at `asked_at`."""
+        if not version or version > self._holdings.confirmed:
+            return
+        peers = self._members.peers
+        peers.store_proven_at = max(peers.store_proven_at, asked_at)
+        if self._since is not None and asked_at >= self._settled_at:
+            self.joined = True
+
+    @property
+    def _settled_at(self) -> float:
+        if self._since is None:
+            return float('inf')
+        return self._since + settings.JOIN_MS
+
+    def _reports_suffice(self) -> bool:
+        if not self._holdings.confirmed:
+            return False
+        links_by_id = self._members.peers.links_by_id
+        fresh = [
+            report
+            for report in self._confirmations.reports_by_host.values()
+            if report.asked_at >= self._settled_at
+            and report.host_id in links_by_id
+            and report.version
+        ]
+        if any(report.version > self._holdings.confirmed for report in fresh):
+            return False
+        # Half of the fleet cannot all have been excused by the rest.
+        if 2 * (len(fresh) + 1) > len(links_by_id):
+            return len(fresh) >= settings.JOIN_REPORTS
+        taking = sum(report.taking for report in fresh)
+        return taking >= settings.JOIN_REPORTS
--- a/chicorybridge/members.py
+++ b/chicorybridge/members.py
@@ -8,11 +8,11 @@
 from chicorybridge import settings
 from chicorybridge.clocks import Millis
 from chicorybridge.events import EventKind
-from chicorybridge.identities import NO_VERSION, HostId, Version
+from chicorybridge.hearings import HOSTS_TOKEN, Hearings, told
 from chicorybridge.heartbeats import Heartbeats
+from chicorybridge.identities import NO_VERSION, HostId, Version
 from chicorybridge.links import NEVER
 from chicorybridge.peers import Peers
-from chicorybridge.hearings import HOSTS_TOKEN, Hearings, told
 from chicorybridge.profiles import (
     Departed,
     Forward,
@@ -100,11 +100,11 @@
             self.profile, revision=revision, **changes
         )
         self._live_changes += 1
-        return self._tell_all(Introduction(profiles=(self.profile,)))
+        return self._heartbeats.tell_all(Introduction(profiles=(self.profile,)))
 
     def depart(self) -> Effects:
         """Say goodbye: the last messages of a planned stop."""
-        return self._tell_all(
+        return self._heartbeats.tell_all(
             Departed(
                 host_id=self.profile.host_id,
                 incarnation=self.profile.incarnation,
@@ -134,12 +134,6 @@
         """Take in what peers and the platform say of hosts."""
         return self._hearings.take(message, sender, now)
 
-    def _tell_all(self, message: Any) -> Effects:
-        return [
-            Send(to=host_id, message=message)
-            for host_id in self.peers.links_by_id
-        ]
-
     def _poll(self, now: Millis) -> Iterator[Effect]:
         for seed in self._seeds:
             if seed.host_id != self.profile.host_id:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -40,3 +40,23 @@
 # fleet than `GROUP_SHARE`; a silent group is excused up to `EXCUSE_SHARE`.
 GROUP_SHARE = 0.3
 EXCUSE_SHARE = 0.26
+
+# Rollouts. Hosts that may miss a version read the head of the
+# configuration every `HEAD_POLL_MS`, as do `HEAD_READERS` of each zone.
+HEAD_POLL_MS = 2000
+HEAD_READERS = 2
+# A body is asked of another peer after `REPAIR_MS` without it.
+REPAIR_MS = 300
+# A host that starts, or was cut off, takes no work for `JOIN_MS`, in which
+# all peers learn of it, and then only on the word of `JOIN_REPORTS` peers.
+JOIN_MS = 3000
+JOIN_REPORTS = 2
+# Repeats of requests to the platform and to lagging hosts.
+STORE_RETRY_MS = 1000
+REPORT_MS = 500
+# How long an apply that is not durable outlives its operator.
+OPERATOR_MS = 10_000
+# How long a status waits for the reports of hosts.
+STATUS_MS = 1000
+# Versions whose rows are kept.
+KEPT_VERSIONS = 1000
--- a/chicorybridge/tests/test_members.py
+++ b/chicorybridge/tests/test_members.py
@@ -34,10 +34,19 @@
     return {
         host_id
         for host_id, host in fleet.hosts_by_id.items()
-        if host.members.is_cut_off(now)
+        if host.members.peers.is_cut_off(now)
     }
 
 
+def _excused(fleet: Fleet, hosts: list[HostId]) -> set[HostId]:
+    now = fleet.channel.clock.now()
+    excused: set[HostId] = set()
+    for host_id in hosts:
+        peers = fleet.hosts_by_id[host_id].members.peers
+        excused |= peers.excused(now)
+    return excused
+
+
 def test_all_hosts_know_all(fleet):
     """Within seconds of the start every host sees every other."""
     everyone = set(fleet.hosts_by_id)
@@ -109,12 +118,7 @@
     fleet.channel.store.outage = True
     for _ in range(300):
         fleet.channel.run(for_ms=100)
-        now = fleet.channel.clock.now()
-        excused = {
-            host_id
-            for host in others
-            for host_id in fleet.hosts_by_id[host].members.peers.excused(now)
-        }
+        excused = _excused(fleet, others)
         assert excused <= _cut_off(fleet)
     assert excused == {FIRST}
 
