--- /dev/null
+++ b/chicorybridge/baselines.py
@@ -0,0 +1,109 @@
+"""What an entry process expects of latency, by route and target zone.
+
+Latency is compared as natural logarithms: a residual of 0.69 means twice
+the expected time. The declared speed of the hardware is part of what is
+expected, so that old hardware is measured against its own kind.
+"""
+
+import dataclasses
+import math
+
+from chicorybridge.identities import RouteId, ZoneId
+
+# Attempts before the expectation of a route counts as known.
+LEARNING_ATTEMPTS = 20
+# Attempts over which an expectation is averaged once it is known.
+MEMORY_ATTEMPTS = 500
+# Bounds of a residual, so that one attempt never decides alone.
+LOWEST_RESIDUAL = -1.0
+HIGHEST_RESIDUAL = 1.5
+# Variance below which attempts are not told apart.
+LEAST_VARIANCE = 0.12
+FIRST_VARIANCE = 0.5
+# A time that cannot be told from none, in milliseconds.
+LEAST_ELAPSED_MS = 0.1
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Baseline:
+    """Running mean and variance of the logarithm of latency."""
+
+    mean: float = 0
+    variance: float = FIRST_VARIANCE
+    attempts: int = 0
+
+    def learn(self, log_ms: float) -> None:
+        """Take in one logarithm of milliseconds."""
+        self.attempts += 1
+        share = max(1 / self.attempts, 1 / MEMORY_ATTEMPTS)
+        residual = log_ms - self.mean
+        if self.attempts > LEARNING_ATTEMPTS:
+            residual = clip(residual)
+        self.mean += share * residual
+        if self.attempts > 1:
+            self.variance += share * (residual * residual - self.variance)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Residual:
+    """How an attempt differs from what was expected.
+
+    `shift` is a difference of logarithms; `weight` the inverse of the
+    variance of a single attempt, 0 while nothing is known yet.
+    """
+
+    shift: float
+    weight: float
+
+
+UNKNOWN = Residual(shift=0, weight=0)
+
+
+class Baselines:
+    """Keep one baseline for each route and target zone."""
+
+    def __init__(self) -> None:
+        """Start without any expectation."""
+        self._baselines_by_key: dict[tuple[RouteId, ZoneId], Baseline] = {}
+
+    def compare(
+        self, *, route_id: RouteId, zone_id: ZoneId, elapsed_ms: float
+    ) -> Residual:
+        """Compare an attempt with the expectation, which learns from it.
+
+        `elapsed_ms` is scaled to the speed of the newest hardware.
+        """
+        log_ms = math.log(max(elapsed_ms, LEAST_ELAPSED_MS))
+        baseline = self._baseline(route_id, zone_id)
+        residual = _residual(baseline, log_ms)
+        baseline.learn(log_ms)
+        return residual
+
+    def overdue_ms(self, *, route_id: RouteId, zone_id: ZoneId) -> float:
+        """Return the age from which a pending attempt counts as slow."""
+        baseline = self._baseline(route_id, zone_id)
+        if baseline.attempts < LEARNING_ATTEMPTS:
+            return math.inf
+        return math.exp(baseline.mean + HIGHEST_RESIDUAL)
+
+    def _baseline(self, route_id: RouteId, zone_id: ZoneId) -> Baseline:
+        key = (route_id, zone_id)
+        baseline = self._baselines_by_key.get(key)
+        if baseline is None:
+            baseline = Baseline()
+            self._baselines_by_key[key] = baseline
+        return baseline
+
+
+def clip(residual: float) -> float:
+    """Bound a residual so that one attempt never decides alone."""
+    return min(max(residual, LOWEST_RESIDUAL), HIGHEST_RESIDUAL)
+
+
+def _residual(baseline: Baseline, log_ms: float) -> Residual:
+    if baseline.attempts < LEARNING_ATTEMPTS:
+        return UNKNOWN
+    return Residual(
+        shift=clip(log_ms - baseline.mean),
+        weight=1 / max(baseline.variance, LEAST_VARIANCE),
+    )
--- /dev/null
+++ b/chicorybridge/ejections.py
@@ -0,0 +1,218 @@
+"""Decide which targets are out, under permits, and when they come back.
+
+The host that ejects a target holds the permit for it until the target is
+back. An ejected target is tried with a little real work after a rest; a
+trial that fails doubles the rest, one that succeeds ends the ejection.
+"""
+
+import dataclasses
+
+from chicorybridge.announcements import Announcements
+from chicorybridge.clocks import Millis
+from chicorybridge.declarations import Declaration
+from chicorybridge.errors import require
+from chicorybridge.events import Event, EventKind
+from chicorybridge.holdings import HoldingTable
+from chicorybridge.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.notices import Ejection, OwnEjection, Rests
+from chicorybridge.systems import Effect, Effects, Emit, System
+
+# How long a want for permits stays urgent after the last verdict.
+URGENT_MS = 500.0
+
+
+class Ejections(System):
+    """Eject under permits, and end ejections; one per control process."""
+
+    def __init__(
+        self, *, announcements: Announcements, holdings: HoldingTable
+    ) -> None:
+        """Start with no target out."""
+        # Targets that do not answer probes: no trial makes sense.
+        self.unanswering: set[TargetId] = set()
+        # Slots to hold in advance, and slots of targets lost otherwise.
+        self.reserve_by_service: dict[ServiceId, int] = {}
+        self.lost_by_service: dict[ServiceId, int] = {}
+        self._announcements = announcements
+        self._holdings = holdings
+        self._own_by_id: dict[TargetId, OwnEjection] = {}
+        self._rests = Rests()
+        self._urgent_until: dict[ServiceId, Millis] = {}
+
+    def configure(
+        self, declaration: Declaration, *, now: Millis
+    ) -> tuple[Effect, ...]:
+        """End ejections that a configuration contradicts.
+
+        The holdings have taken it in before. Targets that are not
+        declared any more come off first, then the least bad of those that
+        exceed what is still held.
+        """
+        removed = sorted(self._own_by_id.keys() - declaration.targets_by_id)
+        effects: list[Effect] = [
+            self._end(target_id, now=now) for target_id in removed
+        ]
+        effects += self._end_excess(now=now)
+        if not effects:
+            return ()
+        return (*effects, *self._announcements.publish(now=now))
+
+    def is_settled(self, *, now: Millis) -> bool:
+        """Tell whether nothing here contradicts the configuration.
+
+        False until no host can honour an ejection that it forbids.
+        """
+        return all(
+            self._holdings.free_slots(service_id, now=now) >= 0
+            for service_id in self._holdings.by_service
+        )
+
+    def eject(
+        self, ejection: Ejection, *, rest_ms: float, now: Millis
+    ) -> Effects:
+        """Eject a target if permits allow it; else try to get some."""
+        target_id = ejection.target_id
+        own = self._own_by_id.get(target_id)
+        if own is not None:
+            return self._extend(own, ejection, now=now)
+        if self._announcements.ejector_of(target_id, now=now) is not None:
+            return ()
+        if not self._is_permitted(ejection, now=now):
+            return ()
+        self._holdings.use(ejection.service_id, ejection.slots, now=now)
+        rest = self._rests.next_rest(target_id, first_ms=rest_ms, now=now)
+        own = OwnEjection(
+            ejection=ejection, rest_ms=rest, trial_at=Millis(now + rest)
+        )
+        self._own_by_id[target_id] = own
+        return self._publish_ejected(own, now=now)
+
+    def readmit(self, target_id: TargetId, *, now: Millis) -> Effects:
+        """End an ejection of this host."""
+        event = self._end(target_id, now=now)
+        return (event, *self._announcements.publish(now=now))
+
+    def tick(self, *, now: Millis) -> Effects:
+        """End ejections that are not covered any more; start trials."""
+        self._calm_wants(now=now)
+        if not self._own_by_id:
+            return ()
+        effects = self._end_excess(now=now)
+        if not effects and not self._start_trials(now=now):
+            return ()
+        return (*effects, *self._announcements.publish(now=now))
+
+    def _is_permitted(self, ejection: Ejection, *, now: Millis) -> bool:
+        service_id = ejection.service_id
+        out = self._announcements.slots_out(service_id, now=now)
+        if out + ejection.slots > self._allowed(service_id):
+            return False
+        free = self._holdings.free_slots(service_id, now=now)
+        if free >= ejection.slots:
+            return True
+        self._urgent_until[service_id] = Millis(now + URGENT_MS)
+        self._holdings.want(service_id, ejection.slots, urgent=True)
+        return False
+
+    def _allowed(self, service_id: ServiceId) -> int:
+        """Return the slots that may be out beside what is lost otherwise."""
+        lost = self.lost_by_service.get(service_id, 0)
+        return self._holdings.budget_of(service_id) - lost
+
+    def _extend(
+        self, own: OwnEjection, ejection: Ejection, *, now: Millis
+    ) -> Effects:
+        """Eject again after a failed trial, or for more zones."""
+        known = own.ejection
+        zones: tuple[ZoneId, ...] = ()
+        if known.zones and ejection.zones:
+            zones = tuple(sorted({*known.zones, *ejection.zones}))
+        if zones == known.zones and not known.on_trial:
+            return ()
+        if known.on_trial:
+            own.rest_ms = self._rests.next_rest(
+                known.target_id, first_ms=own.rest_ms, now=now
+            )
+            own.trial_at = Millis(now + own.rest_ms)
+        own.ejection = dataclasses.replace(ejection, zones=zones)
+        return self._publish_ejected(own, now=now)
+
+    def _end(self, target_id: TargetId, *, now: Millis) -> Emit:
+        ejection = self._own_by_id.pop(target_id).ejection
+        self._announcements.own.pop(target_id)
+        self._holdings.release(ejection.service_id, ejection.slots, now=now)
+        return _event(EventKind.target_readmitted, ejection)
+
+    def _end_excess(self, *, now: Millis) -> list[Effect]:
+        """Let the least bad come back until floor and permits allow it."""
+        ranked = sorted(
+            self._announcements.honoured(now=now).values(),
+            key=lambda ejection: (ejection.badness, ejection.target_id),
+        )
+        out: dict[ServiceId, int] = {}
+        for each in ranked:
+            out[each.service_id] = out.get(each.service_id, 0) + each.slots
+        effects: list[Effect] = []
+        for ejection in ranked:
+            service_id = ejection.service_id
+            is_surplus = out[service_id] > self._allowed(service_id)
+            is_own = ejection.target_id in self._own_by_id
+            if is_own and self._holdings.excess(service_id, now=now) > 0:
+                is_surplus = True
+            if not is_surplus:
+                continue
+            out[service_id] -= ejection.slots
+            if is_own:
+                effects.append(self._end(ejection.target_id, now=now))
+        return effects
+
+    def _calm_wants(self, *, now: Millis) -> None:
+        for service_id, slots in self.reserve_by_service.items():
+            if self._urgent_until.get(service_id, now) <= now:
+                self._holdings.want(service_id, slots)
+
+    def _start_trials(self, *, now: Millis) -> bool:
+        """Put ejections on trial whose rest is over; tell if any."""
+        is_changed = False
+        for target_id, own in self._own_by_id.items():
+            if own.ejection.on_trial or now < own.trial_at:
+                continue
+            if target_id in self.unanswering:
+                continue
+            own.ejection = dataclasses.replace(own.ejection, on_trial=True)
+            self._announcements.own[target_id] = own.ejection
+            is_changed = True
+        return is_changed
+
+    def _publish_ejected(self, own: OwnEjection, *, now: Millis) -> Effects:
+        ejection = own.ejection
+        self._announcements.own[ejection.target_id] = ejection
+        self._require_permits(ejection.service_id)
+        event = _event(EventKind.target_ejected, ejection)
+        return (event, *self._announcements.publish(now=now))
+
+    def _require_permits(self, service_id: ServiceId) -> None:
+        holding = self._holdings.by_service[service_id]
+        out = sum(
+            own.ejection.slots
+            for own in self._own_by_id.values()
+            if own.ejection.service_id == service_id
+        )
+        require(
+            promise='the ejections of a host are those its permits cover',
+            holds=out == holding.used,
+        )
+        require(
+            promise='the ejections of a host leave the floor of the service',
+            holds=out <= holding.budget,
+        )
+
+
+def _event(kind: EventKind, ejection: Ejection) -> Emit:
+    facts = {
+        'target': ejection.target_id,
+        'service': ejection.service_id,
+        'badness': round(ejection.badness, 1),
+        'zones': ejection.zones,
+    }
+    return Emit(event=Event(kind=kind, facts=facts))
--- /dev/null
+++ b/chicorybridge/freshness.py
@@ -0,0 +1,176 @@
+"""Bounds on the age of what peers say, from echoes of this host's clock.
+
+A stamp carries the sender's clock reading and echoes the last reading it
+got from the receiver. A message that echoes reading R was sent after R,
+by a process that was running then; no clocks are compared.
+"""
+
+import dataclasses
+
+from chicorybridge.clocks import Millis
+from chicorybridge.codecs import wire
+from chicorybridge.identities import HostId, Incarnation
+from chicorybridge.systems import Effects, Send, System
+
+# How long an announcement is honoured after the reading that it echoes.
+FRESH_MS = 4000.0
+# A host that heard no echo for so long counts itself as cut off.
+LAPSE_MS = 10_000.0
+
+# Time between two rounds of stamps, and peers asked in a round besides
+# those that are watched.
+BEAT_MS = 1000.0
+PEERS_ASKED = 2
+
+NEVER = Millis(float('-inf'))
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Stamp:
+    """The sender's reading and its echo of the receiver's.
+
+    `echo` and `echo_incarnation` are `None` before anything was heard.
+    """
+
+    incarnation: Incarnation
+    reading: Millis
+    echo_incarnation: Incarnation | None = None
+    echo: Millis | None = None
+
+    def is_newer_than(self, other: 'Stamp') -> bool:
+        """Tell whether the same process wrote `other` before this one."""
+        if self.incarnation != other.incarnation:
+            return False
+        return self.reading > other.reading
+
+
+class Freshness:
+    """Keep what peers' stamps say; one for each control process."""
+
+    def __init__(self, *, incarnation: Incarnation) -> None:
+        """Stamp with `incarnation`."""
+        self._incarnation = incarnation
+        self._stamps_by_host: dict[HostId, Stamp] = {}
+        self._heard_by_host: dict[HostId, Millis] = {}
+        self._contacts_by_host: dict[HostId, int] = {}
+        self._last_heard = NEVER
+        self._lapses = 0
+
+    def lapses(self, *, now: Millis) -> int:
+        """Count how often no peer echoed for `LAPSE_MS`, now included."""
+        is_lapsed = now - self._last_heard > LAPSE_MS
+        return self._lapses + (is_lapsed and self._last_heard != NEVER)
+
+    def contact(self, host_id: HostId) -> int:
+        """Count how often a host was heard again after `FRESH_MS`."""
+        return self._contacts_by_host.get(host_id, 0)
+
+    def stamp(self, *, to: HostId, now: Millis) -> Stamp:
+        """Return a stamp for a message to `to`."""
+        last = self._stamps_by_host.get(to)
+        return Stamp(
+            incarnation=self._incarnation,
+            reading=now,
+            echo_incarnation=None if last is None else last.incarnation,
+            echo=None if last is None else last.reading,
+        )
+
+    def take(self, stamp: Stamp, *, sender: HostId, now: Millis) -> Millis:
+        """Take in a stamp; return the reading after which it was sent."""
+        last = self._stamps_by_host.get(sender)
+        if last is None or not last.is_newer_than(stamp):
+            self._stamps_by_host[sender] = stamp
+        if stamp.echo is None or stamp.echo_incarnation != self._incarnation:
+            return NEVER
+        echo = Millis(min(stamp.echo, now))
+        self._note(sender, echo)
+        return echo
+
+    def heard_at(self, host_id: HostId) -> Millis:
+        """Return the newest reading that `host_id` echoed."""
+        return self._heard_by_host.get(host_id, NEVER)
+
+    def incarnation_of(self, host_id: HostId) -> Incarnation | None:
+        """Return the incarnation last heard from a host."""
+        last = self._stamps_by_host.get(host_id)
+        return None if last is None else last.incarnation
+
+    def is_fresh(self, host_id: HostId, *, now: Millis) -> bool:
+        """Tell whether a host is surely alive a short while ago."""
+        return now - self.heard_at(host_id) < FRESH_MS
+
+    def _note(self, sender: HostId, echo: Millis) -> None:
+        heard = self._heard_by_host.get(sender, NEVER)
+        if echo - heard > FRESH_MS:
+            self._contacts_by_host[sender] = self.contact(sender) + 1
+        self._heard_by_host[sender] = max(echo, heard)
+        if echo - self._last_heard > LAPSE_MS and self._last_heard != NEVER:
+            self._lapses += 1
+        self._last_heard = max(echo, self._last_heard)
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StampRequest:
+    """Ask for a stamp that echoes this one."""
+
+    stamp: Stamp
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StampReply:
+    """Echo the stamp of a request."""
+
+    stamp: Stamp
+
+
+class Beats(System):
+    """Exchange stamps with a few peers in turn, and with watched ones."""
+
+    def __init__(self, *, host_id: HostId, freshness: Freshness) -> None:
+        """Keep `freshness` up to date."""
+        self.watched: set[HostId] = set()
+        self._host_id = host_id
+        self._freshness = freshness
+        self._hosts: tuple[HostId, ...] = ()
+        self._next_peer = 0
+        self._beat_at = Millis(0)
+
+    def update_hosts(self, host_ids: tuple[HostId, ...]) -> None:
+        """Take in the live hosts."""
+        self._hosts = tuple(
+            host_id for host_id in host_ids if host_id != self._host_id
+        )
+
+    def tick(self, *, now: Millis) -> Effects:
+        """Ask for stamps once in a beat."""
+        if now < self._beat_at or not self._hosts:
+            return ()
+        self._beat_at = Millis(now + BEAT_MS)
+        asked = set(self.watched)
+        for _ in range(PEERS_ASKED):
+            self._next_peer = (self._next_peer + 1) % len(self._hosts)
+            asked.add(self._hosts[self._next_peer])
+        return tuple(
+            Send(
+                to=peer,
+                message=StampRequest(
+                    stamp=self._freshness.stamp(to=peer, now=now)
+                ),
+            )
+            for peer in sorted(asked)
+        )
+
+    def receive(
+        self, message: object, *, sender: HostId, now: Millis
+    ) -> Effects:
+        """Answer a request, or take in the answer to one."""
+        if isinstance(message, StampReply):
+            self._freshness.take(message.stamp, sender=sender, now=now)
+        if not isinstance(message, StampRequest):
+            return ()
+        self._freshness.take(message.stamp, sender=sender, now=now)
+        stamp = self._freshness.stamp(to=sender, now=now)
+        return (Send(to=sender, message=StampReply(stamp=stamp)),)
--- /dev/null
+++ b/chicorybridge/ledgers.py
@@ -0,0 +1,94 @@
+"""The row of the table service that says who holds a service's permits."""
+
+import dataclasses
+import math
+
+from chicorybridge.declarations import Declaration
+from chicorybridge.identities import HostId, Incarnation, ServiceId, Version
+from chicorybridge.stores import Condition, Row, RowKey, Transact, Write
+
+TABLE = 'permits'
+# Rounding errors of a floor times a number of slots.
+TOLERANCE = 1e-9
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ledger:
+    """One row: slots held by each incarnation of a host.
+
+    `version` is the newest configuration that wrote the row; a host with
+    an older one does not write.
+    """
+
+    service_id: ServiceId
+    row_version: int
+    version: Version
+    shares_by_holder: dict[str, int]
+
+    def with_share(
+        self,
+        *,
+        holder: str,
+        slots: int,
+        gone: frozenset[Incarnation],
+        version: Version,
+    ) -> Transact:
+        """Return the transaction that books `slots` and strikes the gone."""
+        shares = self.shares_without(holder=holder, gone=gone)
+        if slots:
+            shares[holder] = slots
+        row_key = row_key_of(self.service_id)
+        return Transact(
+            conditions=(Condition(row_key=row_key, version=self.row_version),),
+            writes=(
+                Write(
+                    row_key=row_key, body={'version': version, 'held': shares}
+                ),
+            ),
+        )
+
+    def shares_without(
+        self, *, holder: str, gone: frozenset[Incarnation]
+    ) -> dict[str, int]:
+        """Return what others hold, but for the incarnations gone."""
+        return {
+            other: slots
+            for other, slots in self.shares_by_holder.items()
+            if other != holder and incarnation_of(other) not in gone
+        }
+
+
+def ledger_of(service_id: ServiceId, row: Row) -> Ledger:
+    """Return the ledger in a row as read; empty when it is missing."""
+    return Ledger(
+        service_id=service_id,
+        row_version=row.version,
+        version=Version(row.body.get('version', 0)),
+        shares_by_holder=row.body.get('held', {}),
+    )
+
+
+def row_key_of(service_id: ServiceId) -> RowKey:
+    """Return the key of the ledger of a service."""
+    return RowKey(table=TABLE, key=service_id)
+
+
+def holder_of(host_id: HostId, incarnation: Incarnation) -> str:
+    """Return the name of a holder in the ledger."""
+    return f'{host_id}#{incarnation}'
+
+
+def incarnation_of(holder: str) -> Incarnation:
+    """Return the incarnation that a holder's name ends with."""
+    return Incarnation(int(holder.rpartition('#')[2]))
+
+
+def budgets_of(declaration: Declaration) -> dict[ServiceId, int]:
+    """Return the slots above the floor of each service."""
+    budgets = {}
+    for service_id, service in declaration.services_by_id.items():
+        slots = declaration.slots_of(service_id)
+        budgets[service_id] = slots - math.ceil(
+            service.floor * slots - TOLERANCE
+        )
+    return budgets
--- /dev/null
+++ b/chicorybridge/loans.py
@@ -0,0 +1,214 @@
+"""Loans of permits between hosts, which need no store.
+
+The lender forgets slots before it sends them, so a lost message loses a
+loan and never doubles one. A loan is taken once, while it is fresh, and
+counts only while the lender is surely alive: when the lender is gone,
+its share in the ledger, loans included, can be given out again.
+"""
+
+import dataclasses
+
+from chicorybridge.clocks import Millis
+from chicorybridge.codecs import wire
+from chicorybridge.events import Event, EventKind
+from chicorybridge.freshness import FRESH_MS, Freshness, Stamp
+from chicorybridge.holdings import Borrowed, Holding, HoldingTable
+from chicorybridge.identities import HostId, Incarnation, ServiceId, Version
+from chicorybridge.systems import Effect, Effects, Emit, Send, System
+
+# Wait between two requests to peers for the same permits.
+RETRY_MS = 100.0
+# Loans that were not used for so long go back.
+IDLE_MS = 20_000.0
+# Peers that are asked at once.
+PEERS_ASKED = 4
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PermitRequest:
+    """Ask a peer for free slots of a service."""
+
+    stamp: Stamp
+    service_id: ServiceId
+    slots: int
+    version: Version
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PermitLoan:
+    """Lend slots that the lender has forgotten; `serial` counts loans."""
+
+    stamp: Stamp
+    service_id: ServiceId
+    slots: int
+    version: Version
+    serial: int
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PermitReturn:
+    """Give a loan back; the borrower has forgotten it."""
+
+    service_id: ServiceId
+    version: Version
+    incarnation: Incarnation
+    serial: int
+
+
+class Loans(System):
+    """Borrow from peers what is urgent, and lend what is spare."""
+
+    def __init__(
+        self,
+        *,
+        host_id: HostId,
+        incarnation: Incarnation,
+        freshness: Freshness,
+        holdings: HoldingTable,
+    ) -> None:
+        """Lend and borrow the holdings of one control process."""
+        self._host_id = host_id
+        self._incarnation = incarnation
+        self._freshness = freshness
+        self._holdings = holdings
+        self._hosts: tuple[HostId, ...] = ()
+        self._serials_by_incarnation: dict[Incarnation, int] = {}
+        self._serial = 0
+        self._next_peer = 0
+
+    def update_hosts(self, host_ids: tuple[HostId, ...]) -> None:
+        """Take in the live hosts."""
+        self._hosts = tuple(
+            host_id for host_id in host_ids if host_id != self._host_id
+        )
+
+    def tick(self, *, now: Millis) -> Effects:
+        """Ask peers for what is urgent and return what lies idle."""
+        effects: list[Effect] = []
+        for holding in self._holdings.by_service.values():
+            if holding.urgent and now >= holding.peers_at:
+                effects += self._ask_peers(holding, now=now)
+            if holding.loans:
+                self._release_idle(holding, now=now)
+            if holding.returning:
+                effects += self._return_loans(holding)
+        return effects
+
+    def receive(
+        self, message: object, *, sender: HostId, now: Millis
+    ) -> Effects:
+        """Take in requests, loans and returns of peers."""
+        match message:
+            case PermitRequest():
+                self._freshness.take(message.stamp, sender=sender, now=now)
+                return self._lend(message, sender=sender, now=now)
+            case PermitLoan():
+                return self._borrow(message, sender=sender, now=now)
+            case PermitReturn():
+                self._take_back(message, now=now)
+        return ()
+
+    def _ask_peers(self, holding: Holding, *, now: Millis) -> list[Effect]:
+        free = self._holdings.free_slots(holding.service_id, now=now)
+        missing = holding.wanted - free
+        if missing <= 0:
+            return []
+        holding.peers_at = Millis(now + RETRY_MS)
+        effects: list[Effect] = []
+        for _ in range(min(PEERS_ASKED, len(self._hosts))):
+            self._next_peer = (self._next_peer + 1) % len(self._hosts)
+            peer = self._hosts[self._next_peer]
+            request = PermitRequest(
+                stamp=self._freshness.stamp(to=peer, now=now),
+                service_id=holding.service_id,
+                slots=missing,
+                version=self._holdings.version,
+            )
+            effects.append(Send(to=peer, message=request))
+        return effects
+
+    def _lend(
+        self, request: PermitRequest, *, sender: HostId, now: Millis
+    ) -> Effects:
+        holding = self._holdings.get(request.service_id, now=now)
+        if holding is None or request.version != self._holdings.version:
+            return ()
+        slots = min(request.slots, holding.spare(now))
+        if slots <= 0 or holding.urgent:
+            return ()
+        holding.owned -= slots
+        self._serial += 1
+        holding.lent_by_serial[self._serial] = slots
+        loan = PermitLoan(
+            stamp=self._freshness.stamp(to=sender, now=now),
+            service_id=request.service_id,
+            slots=slots,
+            version=request.version,
+            serial=self._serial,
+        )
+        facts = {'service': loan.service_id, 'slots': slots, 'to': sender}
+        event = Event(kind=EventKind.permit_given, facts=facts)
+        return (Send(to=sender, message=loan), Emit(event=event))
+
+    def _borrow(
+        self, loan: PermitLoan, *, sender: HostId, now: Millis
+    ) -> Effects:
+        """Take a loan once, and only in the order in which it was made."""
+        echo = self._freshness.take(loan.stamp, sender=sender, now=now)
+        incarnation = loan.stamp.incarnation
+        last = self._serials_by_incarnation.get(incarnation, 0)
+        holding = self._holdings.get(loan.service_id, now=now)
+        if holding is None or loan.serial <= last:
+            return ()
+        self._serials_by_incarnation[incarnation] = loan.serial
+        if loan.version != self._holdings.version or now - echo > FRESH_MS:
+            return ()
+        borrowed = Borrowed(
+            slots=loan.slots,
+            incarnation=incarnation,
+            serial=loan.serial,
+            version=loan.version,
+            contact=self._freshness.contact(sender),
+        )
+        if sender in holding.loans:
+            holding.returning.append((sender, borrowed))
+            return ()
+        holding.loans[sender] = borrowed
+        holding.idle_at = Millis(now + IDLE_MS)
+        facts = {'service': loan.service_id, 'slots': loan.slots}
+        event = Event(kind=EventKind.permit_taken, facts=facts)
+        return (Emit(event=event),)
+
+    def _release_idle(self, holding: Holding, *, now: Millis) -> None:
+        if now < holding.idle_at or holding.used:
+            return
+        if not holding.cooling_slots(now):
+            holding.give_up_loans()
+
+    def _return_loans(self, holding: Holding) -> list[Effect]:
+        returns: list[Effect] = [
+            Send(
+                to=lender,
+                message=PermitReturn(
+                    service_id=holding.service_id,
+                    version=loan.version,
+                    incarnation=loan.incarnation,
+                    serial=loan.serial,
+                ),
+            )
+            for lender, loan in holding.returning
+        ]
+        holding.returning.clear()
+        return returns
+
+    def _take_back(self, message: PermitReturn, *, now: Millis) -> None:
+        """Own a loan again, unless it was made under another budget."""
+        holding = self._holdings.get(message.service_id, now=now)
+        if holding is None or message.incarnation != self._incarnation:
+            return
+        slots = holding.lent_by_serial.pop(message.serial, 0)
+        if message.version == self._holdings.version:
+            holding.owned += slots
--- /dev/null
+++ b/chicorybridge/notices.py
@@ -0,0 +1,93 @@
+"""What hosts tell each other and their entries about ejected targets."""
+
+import dataclasses
+
+from chicorybridge.clocks import Millis
+from chicorybridge.codecs import wire
+from chicorybridge.freshness import Stamp
+from chicorybridge.identities import ServiceId, TargetId, ZoneId
+
+# Longest rest between two trials, and how long a rest is remembered.
+LONGEST_REST_MS = 300_000.0
+MEMORY_MS = 600_000.0
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ejection:
+    """A target that is out for the hosts of `zones`, or for all if empty.
+
+    `badness` ranks ejections when some must end; `on_trial` leaves the
+    target a little real work.
+    """
+
+    target_id: TargetId
+    service_id: ServiceId
+    slots: int
+    badness: float
+    on_trial: bool = False
+    zones: tuple[ZoneId, ...] = ()
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EjectionNotice:
+    """Announce all ejections that the sender holds permits for."""
+
+    stamp: Stamp
+    ejections: tuple[Ejection, ...]
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetLimits:
+    """Tell entries which targets are limited, until `valid_until`.
+
+    All processes of a host read the same monotonic clock.
+    """
+
+    limits_by_id: dict[TargetId, float]
+    valid_until: Millis
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class OwnEjection:
+    """An ejection that this host decided."""
+
+    ejection: Ejection
+    rest_ms: float
+    trial_at: Millis
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Heard:
+    """What a peer announced at its `reading`, honoured until `until`."""
+
+    ejections: tuple[Ejection, ...]
+    stamp: Stamp
+    until: Millis
+
+    def has(self, target_id: TargetId) -> bool:
+        """Tell whether the peer ejected a target."""
+        return any(
+            ejection.target_id == target_id for ejection in self.ejections
+        )
+
+
+class Rests:
+    """How long targets rest before a trial; doubled at each relapse."""
+
+    def __init__(self) -> None:
+        """Start without memory."""
+        self._rests_by_id: dict[TargetId, tuple[float, Millis]] = {}
+
+    def next_rest(
+        self, target_id: TargetId, *, first_ms: float, now: Millis
+    ) -> float:
+        """Return the rest of a target that is ejected now."""
+        rest_ms, since = self._rests_by_id.get(target_id, (0, now))
+        rest_ms = max(first_ms, min(2 * rest_ms, LONGEST_REST_MS))
+        if now - since > MEMORY_MS:
+            rest_ms = first_ms
+        self._rests_by_id[target_id] = (rest_ms, now)
+        return rest_ms
--- /dev/null
+++ b/chicorybridge/observations.py
@@ -0,0 +1,184 @@
+"""Attempts gathered per target, sent by an entry process to its control."""
+
+import dataclasses
+
+from chicorybridge.attempts import Attempt, AttemptOutcome
+from chicorybridge.baselines import UNKNOWN, Baselines, Residual
+from chicorybridge.clocks import Millis
+from chicorybridge.codecs import wire
+from chicorybridge.declarations import Declaration
+from chicorybridge.identities import HostId, RouteId, TargetId, ZoneId
+from chicorybridge.systems import Effects, Send, System
+
+# Request bodies from this size are counted apart from small ones.
+LARGE_BODY_BYTES = 65_536
+
+BROKEN = frozenset((AttemptOutcome.cut, AttemptOutcome.unreachable))
+
+
+@wire
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Tally:
+    """Attempts at one target.
+
+    `failed` and `answered` count small requests; `broken` those whose
+    connection failed, at most one a tick, since a crash breaks many at
+    once. `latency_weight` is the sum of the inverse variances and
+    `latency_shift` the sum of residuals multiplied by them.
+    """
+
+    target_id: TargetId
+    answered: int = 0
+    failed: int = 0
+    broken: int = 0
+    large_answered: int = 0
+    large_failed: int = 0
+    shed: int = 0
+    latency_weight: float = 0
+    latency_shift: float = 0
+
+    @property
+    def failures(self) -> int:
+        """Return how many attempts speak against the target."""
+        return self.failed + self.broken + self.large_failed + self.shed
+
+    def add(self, other: 'Tally') -> None:
+        """Add the counts of `other`."""
+        self.answered += other.answered
+        self.failed += other.failed
+        self.broken += other.broken
+        self.large_answered += other.large_answered
+        self.large_failed += other.large_failed
+        self.shed += other.shed
+        self.latency_weight += other.latency_weight
+        self.latency_shift += other.latency_shift
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Observations:
+    """What an entry process saw since its last message."""
+
+    tallies: tuple[Tally, ...]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Pending:
+    """An attempt under way; `is_overdue` once it counted as slow."""
+
+    target_id: TargetId
+    route_id: RouteId
+    started_at: Millis
+    overdue_at: float
+    is_overdue: bool = False
+
+
+class Observer(System):
+    """Gather attempts over a tick; one in each entry process."""
+
+    def __init__(self, *, host_id: HostId) -> None:
+        """Send to the control process of `host_id`."""
+        self._host_id = host_id
+        self._baselines = Baselines()
+        self._tallies_by_id: dict[TargetId, Tally] = {}
+        self._pending_by_number: dict[int, Pending] = {}
+        self._zones_by_id: dict[TargetId, ZoneId] = {}
+        self._speeds_by_id: dict[TargetId, float] = {}
+        self._serial = 0
+
+    def configure(self, declaration: Declaration) -> None:
+        """Take in the targets of a configuration."""
+        targets = declaration.targets_by_id.values()
+        self._zones_by_id = {each.target_id: each.zone_id for each in targets}
+        self._speeds_by_id = {
+            each.target_id: declaration.pool_of(each).speed for each in targets
+        }
+
+    def start(
+        self, *, target_id: TargetId, route_id: RouteId, now: Millis
+    ) -> int:
+        """Note that an attempt begins; return its number for `finish`."""
+        self._serial += 1
+        overdue_ms = self._baselines.overdue_ms(
+            route_id=route_id, zone_id=self._zone_of(target_id)
+        )
+        self._pending_by_number[self._serial] = Pending(
+            target_id=target_id,
+            route_id=route_id,
+            started_at=now,
+            overdue_at=now + overdue_ms / self._speed_of(target_id),
+        )
+        return self._serial
+
+    def finish(self, number: int, attempt: Attempt) -> Residual:
+        """Count the attempt that `start` numbered; return its latency."""
+        pending = self._pending_by_number.pop(number, None)
+        if attempt.outcome is AttemptOutcome.cancelled:
+            return UNKNOWN
+        tally = self._tally(attempt.target_id)
+        _count(tally, attempt)
+        if pending is not None and pending.is_overdue:
+            return UNKNOWN
+        if attempt.outcome is not AttemptOutcome.answered:
+            return UNKNOWN
+        return self._compare(tally, attempt.route_id, attempt.elapsed_ms)
+
+    def tick(self, *, now: Millis) -> Effects:
+        """Send what was gathered."""
+        self._count_overdue(now)
+        if not self._tallies_by_id:
+            return ()
+        message = Observations(tallies=tuple(self._tallies_by_id.values()))
+        self._tallies_by_id = {}
+        return (Send(to=self._host_id, message=message),)
+
+    def _count_overdue(self, now: Millis) -> None:
+        """Count the latency of slow attempts before they end."""
+        for pending in self._pending_by_number.values():
+            if pending.is_overdue or now < pending.overdue_at:
+                continue
+            pending.is_overdue = True
+            self._compare(
+                self._tally(pending.target_id),
+                pending.route_id,
+                now - pending.started_at,
+            )
+
+    def _compare(
+        self, tally: Tally, route_id: RouteId, elapsed_ms: float
+    ) -> Residual:
+        residual = self._baselines.compare(
+            route_id=route_id,
+            zone_id=self._zone_of(tally.target_id),
+            elapsed_ms=elapsed_ms * self._speed_of(tally.target_id),
+        )
+        tally.latency_weight += residual.weight
+        tally.latency_shift += residual.shift * residual.weight
+        return residual
+
+    def _tally(self, target_id: TargetId) -> Tally:
+        tally = self._tallies_by_id.get(target_id)
+        if tally is None:
+            tally = Tally(target_id=target_id)
+            self._tallies_by_id[target_id] = tally
+        return tally
+
+    def _zone_of(self, target_id: TargetId) -> ZoneId:
+        return self._zones_by_id.get(target_id, ZoneId(''))
+
+    def _speed_of(self, target_id: TargetId) -> float:
+        return self._speeds_by_id.get(target_id, 1)
+
+
+def _count(tally: Tally, attempt: Attempt) -> None:
+    is_answered = attempt.outcome is AttemptOutcome.answered
+    if attempt.outcome is AttemptOutcome.shed:
+        tally.shed += 1
+    elif attempt.outcome in BROKEN:
+        tally.broken = 1
+    elif attempt.sent_bytes >= LARGE_BODY_BYTES:
+        tally.large_answered += is_answered
+        tally.large_failed += not is_answered
+    else:
+        tally.answered += is_answered
+        tally.failed += not is_answered
--- /dev/null
+++ b/chicorybridge/permits.py
@@ -0,0 +1,163 @@
+"""Permits of the table service: slots above a service's floor.
+
+The table service keeps a row for each service that says how many slots
+each incarnation of a host holds; their sum stays within the budget. Only
+a transaction that was answered as done adds to what a host holds, so an
+unanswered one costs slots at worst.
+"""
+
+import random
+
+from chicorybridge.clocks import Millis
+from chicorybridge.errors import require
+from chicorybridge.events import Event, EventKind
+from chicorybridge.freshness import FRESH_MS, LAPSE_MS
+from chicorybridge.holdings import Holding, HoldingTable
+from chicorybridge.identities import HostId, Incarnation, ServiceId
+from chicorybridge.ledgers import (
+    Ledger,
+    holder_of,
+    ledger_of,
+    row_key_of,
+)
+from chicorybridge.stores import ReadRows, StoreOutcome, StoreReply, Transact
+from chicorybridge.systems import Ask, Effect, Effects, Emit, System
+
+TOKEN_PREFIX = 'permits:'
+# Wait after an incarnation is surely gone: until it counts itself as cut
+# off, its borrowers notice, and their peers honour nothing more.
+REGAIN_MS = LAPSE_MS + FRESH_MS + FRESH_MS
+# Wait between two requests for the same permits, drawn from this range.
+RETRY_MS = (100.0, 500.0)
+# Wait when all permits are held by others, or the store does not answer.
+FULL_MS = 5000.0
+
+
+class Permits(System):
+    """Claim permits from the store; one per control process."""
+
+    def __init__(
+        self,
+        *,
+        host_id: HostId,
+        incarnation: Incarnation,
+        holdings: HoldingTable,
+        rng: random.Random,
+    ) -> None:
+        """Claim for `incarnation`; `rng` spreads the retries."""
+        self._holder = holder_of(host_id, incarnation)
+        self._holdings = holdings
+        self._rng = rng
+        self._gone_since: dict[Incarnation, Millis] = {}
+
+    def mark_gone(self, gone: frozenset[Incarnation], *, now: Millis) -> None:
+        """Take in the incarnations that are surely gone.
+
+        An incarnation is surely gone when its process has ended, or when
+        no host heard it for longer than `LAPSE_MS`.
+        """
+        self._gone_since = {
+            incarnation: self._gone_since.get(incarnation, now)
+            for incarnation in gone
+        }
+
+    def tick(self, *, now: Millis) -> Effects:
+        """Claim what is wanted."""
+        self._holdings.check_lapse(now=now)
+        effects: list[Effect] = []
+        for holding in self._holdings.by_service.values():
+            if holding.asking or now < holding.store_at:
+                continue
+            if self._is_due(holding, now=now):
+                effects += self._ask(holding, now=now)
+        return effects
+
+    def receive(
+        self, message: object, *, sender: HostId, now: Millis
+    ) -> Effects:
+        """Take in replies of the store."""
+        if not isinstance(message, StoreReply):
+            return ()
+        if not message.token.startswith(TOKEN_PREFIX):
+            return ()
+        return self._take_reply(message, now=now)
+
+    def _is_due(self, holding: Holding, *, now: Millis) -> bool:
+        if self._missing(holding, now=now) > 0:
+            return True
+        if holding.row is None:
+            return False
+        ledger = ledger_of(holding.service_id, holding.row)
+        booked = ledger.shares_by_holder.get(self._holder, 0)
+        return booked != holding.booked
+
+    def _missing(self, holding: Holding, *, now: Millis) -> int:
+        service_id = holding.service_id
+        free = self._holdings.free_slots(service_id, now=now)
+        return max(0, holding.wanted - free)
+
+    def _ask(self, holding: Holding, *, now: Millis) -> list[Effect]:
+        request: ReadRows | Transact | None
+        holding.store_at = Millis(now + self._rng.uniform(*RETRY_MS))
+        if holding.row is None:
+            request = ReadRows(row_keys=(row_key_of(holding.service_id),))
+        else:
+            ledger = ledger_of(holding.service_id, holding.row)
+            request = self._claim(ledger, holding, now=now)
+        if request is None:
+            holding.row = None
+            holding.store_at = Millis(now + FULL_MS)
+            return []
+        holding.asking = True
+        token = TOKEN_PREFIX + holding.service_id
+        return [Ask(token=token, request=request)]
+
+    def _claim(
+        self, ledger: Ledger, holding: Holding, *, now: Millis
+    ) -> Transact | None:
+        if ledger.version > self._holdings.version:
+            return None
+        gone = self._regainable(now)
+        others = ledger.shares_without(holder=self._holder, gone=gone)
+        room = holding.budget - sum(others.values()) - holding.booked
+        holding.claimed = max(0, min(room, self._missing(holding, now=now)))
+        slots = holding.booked + holding.claimed
+        if slots == ledger.shares_by_holder.get(self._holder, 0):
+            if not holding.claimed:
+                return None
+        require(
+            promise='permits claimed stay within the budget of the service',
+            holds=not holding.claimed
+            or sum(others.values()) + slots <= holding.budget,
+        )
+        return ledger.with_share(
+            holder=self._holder,
+            slots=slots,
+            gone=gone,
+            version=self._holdings.version,
+        )
+
+    def _regainable(self, now: Millis) -> frozenset[Incarnation]:
+        return frozenset(
+            incarnation
+            for incarnation, since in self._gone_since.items()
+            if now - since >= REGAIN_MS
+        )
+
+    def _take_reply(self, reply: StoreReply, *, now: Millis) -> Effects:
+        service_id = ServiceId(reply.token.removeprefix(TOKEN_PREFIX))
+        holding = self._holdings.get(service_id, now=now)
+        if holding is None:
+            return ()
+        claimed = holding.claimed
+        holding.claimed = 0
+        holding.asking = False
+        holding.row = reply.rows[0] if reply.rows else None
+        if reply.outcome is StoreOutcome.unavailable:
+            holding.store_at = Millis(now + FULL_MS)
+        if reply.outcome is not StoreOutcome.done or not claimed:
+            return ()
+        holding.owned += claimed
+        facts = {'service': service_id, 'slots': claimed}
+        event = Event(kind=EventKind.permit_taken, facts=facts)
+        return (Emit(event=event),)
--- /dev/null
+++ b/chicorybridge/tests/test_ejections.py
@@ -0,0 +1,161 @@
+"""Tests of ejections under permits, through the channel."""
+
+import pytest
+
+from chicorybridge.attempts import Attempt, AttemptOutcome
+from chicorybridge.clocks import Millis
+from chicorybridge.errors import PromiseError
+from chicorybridge.identities import HostId, TargetId, Version
+from chicorybridge.notices import Ejection
+from chicorybridge.tools.declared import READ_ROUTE, SERVICE_ID, declare
+from chicorybridge.tools.fleets import Fleet
+
+HOSTS = 6
+# Ten targets of six slots with a floor of 0.7 leave three to eject.
+TARGETS = 10
+MOST_OUT = 3
+TEN = tuple(declare(targets=TARGETS).targets_by_id)
+
+
+def _fleet(**declared):
+    declaration = declare(
+        targets=TARGETS, warm_up_ms=0, sensitivity=0.8, **declared
+    )
+    return Fleet(hosts=HOSTS, declaration=declaration, seed=1)
+
+
+def _work(fleet, *, gray, for_ms=10_000):
+    """Let every host send work to every target; those in `gray` fail."""
+    for _ in range(round(for_ms / 100)):
+        for host in fleet.hosts_by_id.values():
+            for target_id in TEN:
+                if host.weights.weight_of(target_id):
+                    _attempt(fleet, host, target_id, fails=target_id in gray)
+        fleet.run()
+
+
+def _attempt(fleet, host, target_id, *, fails):
+    now = fleet.channel.clock.now()
+    number = host.observer.start(
+        target_id=target_id, route_id=READ_ROUTE, now=now
+    )
+    outcome = AttemptOutcome.failed if fails else AttemptOutcome.answered
+    attempt = Attempt(
+        service_id=SERVICE_ID,
+        target_id=target_id,
+        route_id=READ_ROUTE,
+        outcome=outcome,
+        started_at=now,
+        elapsed_ms=50,
+    )
+    host.observer.finish(number, attempt)
+
+
+def _out(fleet):
+    return set().union(*fleet.out_by_host().values())
+
+
+def test_gray_targets_are_out_everywhere_and_come_back():
+    """All entries stop using a gray target, and use it again when well."""
+    fleet = _fleet()
+    _work(fleet, gray=())
+    assert not _out(fleet)
+    _work(fleet, gray=TEN[:1], for_ms=2000)
+    assert all(out == {TEN[0]} for out in fleet.out_by_host().values())
+    _work(fleet, gray=(), for_ms=30_000)
+    assert not _out(fleet)
+
+
+def test_floor_holds_when_too_many_targets_fail():
+    """Never more are out than the floor leaves, at all entries together."""
+    fleet = _fleet()
+    _work(fleet, gray=(), for_ms=3000)
+    for _ in range(50):
+        _work(fleet, gray=TEN[:4], for_ms=200)
+        assert len(_out(fleet)) <= MOST_OUT
+    assert len(_out(fleet)) == MOST_OUT
+
+
+def test_ejection_works_while_the_store_is_away():
+    """Permits held in advance and loans of peers need no store."""
+    fleet = _fleet()
+    _work(fleet, gray=(), for_ms=3000)
+    fleet.channel.store.outage = True
+    _work(fleet, gray=TEN[2:4], for_ms=5000)
+    assert _out(fleet) == set(TEN[2:4])
+
+
+def test_ejection_lapses_when_its_host_pauses():
+    """Announcements of a paused host are not honoured for long."""
+    fleet = _fleet()
+    _work(fleet, gray=(), for_ms=3000)
+    _work(fleet, gray=TEN[:1], for_ms=3000)
+    ejectors = [
+        host_id
+        for host_id, host in fleet.hosts_by_id.items()
+        if TEN[0] in host.detection.announcements.own
+    ]
+    assert len(ejectors) == 1
+    fleet.channel.paused.update(ejectors)
+    fleet.run(for_ms=6000)
+    out_by_host = fleet.out_by_host()
+    for host_id in fleet.hosts_by_id.keys() - set(ejectors):
+        assert not out_by_host[host_id]
+
+
+def test_raised_floor_brings_targets_back_before_it_is_confirmed():
+    """A host is settled only when nobody can honour what it gave up."""
+    fleet = _fleet()
+    _work(fleet, gray=(), for_ms=3000)
+    _work(fleet, gray=TEN[:3], for_ms=4000)
+    assert len(_out(fleet)) == MOST_OUT
+    fleet.declaration = declare(targets=TARGETS, floor=0.9)
+    fleet.version = Version(2)
+    for host_id in fleet.hosts_by_id:
+        fleet.configure_host(host_id)
+    assert not all(
+        host.detection.is_settled(now=fleet.channel.clock.now())
+        for host in fleet.hosts_by_id.values()
+    )
+    fleet.run(for_ms=5000)
+    assert all(
+        host.detection.is_settled(now=fleet.channel.clock.now())
+        for host in fleet.hosts_by_id.values()
+    )
+    assert len(_out(fleet)) <= 1
+
+
+def test_least_bad_comes_back_when_capacity_is_lost():
+    """Capacity that is lost otherwise is part of what the floor counts."""
+    fleet = _fleet()
+    _work(fleet, gray=(), for_ms=3000)
+    _work(fleet, gray=TEN[:3], for_ms=4000)
+    for host in fleet.hosts_by_id.values():
+        host.detection.update_lost({SERVICE_ID: 6})
+    fleet.run(for_ms=1000)
+    assert len(_out(fleet)) == MOST_OUT - 1
+
+
+def test_ejection_without_permit_is_a_broken_promise():
+    """The assertion fires if slots are used that are not held."""
+    fleet = _fleet()
+    holdings = fleet.hosts_by_id[HostId('host-00')].detection.holdings
+    with pytest.raises(PromiseError):
+        holdings.use(SERVICE_ID, 1, now=Millis(0))
+
+
+def test_ejection_is_refused_before_permits_are_held():
+    """A verdict alone changes nothing."""
+    fleet = _fleet()
+    host = fleet.hosts_by_id[HostId('host-00')]
+    ejection = Ejection(
+        target_id=TargetId(TEN[0]),
+        service_id=SERVICE_ID,
+        slots=6,
+        badness=9,
+    )
+    effects = host.detection.ejections.eject(
+        ejection, rest_ms=1000, now=Millis(0)
+    )
+    assert not list(effects)
+    assert not host.detection.announcements.own
--- /dev/null
+++ b/chicorybridge/tests/test_observations.py
@@ -0,0 +1,89 @@
+"""Tests of what entries gather and send."""
+
+from chicorybridge.attempts import Attempt, AttemptOutcome
+from chicorybridge.clocks import Millis
+from chicorybridge.codecs import pack, unpack
+from chicorybridge.identities import HostId, TargetId
+from chicorybridge.observations import LARGE_BODY_BYTES, Observer
+from chicorybridge.tools.declared import READ_ROUTE, SERVICE_ID, declare
+
+HOST = HostId('host-00')
+FIRST = TargetId('target-00')
+SMALL_SHIFT = 0.1
+OLD = TargetId('target-01')
+
+
+def _observer():
+    observer = Observer(host_id=HOST)
+    observer.configure(declare(targets=4))
+    return observer
+
+
+def _run(observer, target_id, outcome, *, elapsed_ms=50.0, sent_bytes=0):
+    number = observer.start(
+        target_id=target_id, route_id=READ_ROUTE, now=Millis(0)
+    )
+    attempt = Attempt(
+        service_id=SERVICE_ID,
+        target_id=target_id,
+        route_id=READ_ROUTE,
+        outcome=outcome,
+        started_at=Millis(0),
+        elapsed_ms=elapsed_ms,
+        sent_bytes=sent_bytes,
+    )
+    return observer.finish(number, attempt)
+
+
+def _tallies(observer, *, now=0):
+    send = observer.tick(now=Millis(now))[0]
+    assert send.to == HOST
+    return {tally.target_id: tally for tally in send.message.tallies}
+
+
+def test_outcomes_are_counted_apart_and_survive_the_wire():
+    """A tick sends one message with all counts, then starts anew."""
+    observer = _observer()
+    for outcome in AttemptOutcome:
+        _run(observer, FIRST, outcome)
+    large = LARGE_BODY_BYTES
+    _run(observer, FIRST, AttemptOutcome.failed, sent_bytes=large)
+    send = observer.tick(now=Millis(100))[0]
+    tally = unpack(pack(send.message)).tallies[0]
+    assert (tally.answered, tally.failed, tally.shed) == (1, 2, 1)
+    assert (tally.broken, tally.large_failed) == (1, 1)
+    assert not observer.tick(now=Millis(200))
+
+
+def test_crash_that_breaks_many_counts_once():
+    """Connections that break within a tick have one cause."""
+    observer = _observer()
+    for _ in range(6):
+        _run(observer, FIRST, AttemptOutcome.cut)
+    assert _tallies(observer)[FIRST].broken == 1
+
+
+def test_old_hardware_at_its_speed_shows_no_shift():
+    """Half the speed is expected of hardware that is declared so."""
+    observer = _observer()
+    for _ in range(50):
+        _run(observer, FIRST, AttemptOutcome.answered, elapsed_ms=50)
+    residual = _run(observer, OLD, AttemptOutcome.answered, elapsed_ms=100)
+    assert residual.weight == 0
+    for _ in range(50):
+        _run(observer, FIRST, AttemptOutcome.answered, elapsed_ms=50)
+        residual = _run(observer, OLD, AttemptOutcome.answered, elapsed_ms=100)
+    assert residual.weight > 0
+    assert abs(residual.shift) < SMALL_SHIFT
+
+
+def test_pending_attempt_counts_as_slow_before_it_ends():
+    """A target that accepts and never answers shows at once, and once."""
+    observer = _observer()
+    for _ in range(50):
+        _run(observer, FIRST, AttemptOutcome.answered, elapsed_ms=50)
+    observer.tick(now=Millis(0))
+    observer.start(target_id=FIRST, route_id=READ_ROUTE, now=Millis(0))
+    assert not observer.tick(now=Millis(100))
+    assert _tallies(observer, now=500)[FIRST].latency_shift > 0
+    assert not observer.tick(now=Millis(600))
--- /dev/null
+++ b/chicorybridge/thresholds.py
@@ -0,0 +1,52 @@
+"""How much evidence a verdict needs, by the sensitivity of a service."""
+
+import dataclasses
+import functools
+
+# Natural logarithm of the odds that a verdict of gray must reach.
+MOST_EVIDENCE = 16.0
+LEAST_EVIDENCE = 5.0
+
+# Shortest time between the first and the last piece of evidence.
+LONGEST_SPAN_MS = 1500.0
+SHORTEST_SPAN_MS = 100.0
+
+# Hosts that must agree, as far as there are as many.
+MOST_HOSTS = 4
+LEAST_HOSTS = 2
+
+# Time from an ejection to its first trial with real work.
+LONGEST_REST_MS = 8000.0
+SHORTEST_REST_MS = 5000.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Thresholds:
+    """What a verdict needs: evidence in nats, a time span and hosts."""
+
+    evidence: float
+    span_ms: float
+    hosts: int
+    rest_ms: float
+
+
+def _between(*, low: float, high: float, share: float) -> float:
+    return low + (high - low) * share
+
+
+@functools.lru_cache(maxsize=1024)
+def thresholds_of(sensitivity: float) -> Thresholds:
+    """Return the thresholds for a sensitivity from 0 to 1."""
+    caution = 1 - sensitivity
+    return Thresholds(
+        evidence=_between(
+            low=LEAST_EVIDENCE, high=MOST_EVIDENCE, share=caution
+        ),
+        span_ms=_between(
+            low=SHORTEST_SPAN_MS, high=LONGEST_SPAN_MS, share=caution
+        ),
+        hosts=round(_between(low=LEAST_HOSTS, high=MOST_HOSTS, share=caution)),
+        rest_ms=_between(
+            low=SHORTEST_REST_MS, high=LONGEST_REST_MS, share=sensitivity
+        ),
+    )
--- /dev/null
+++ b/chicorybridge/tools/fleets.py
@@ -0,0 +1,126 @@
+"""Hosts with the real detection code, joined by the faulty channel."""
+
+import random
+from collections.abc import Mapping
+
+from chicorybridge.declarations import Declaration
+from chicorybridge.detections import Detection
+from chicorybridge.identities import (
+    HostId,
+    Incarnation,
+    TargetId,
+    Version,
+    ZoneId,
+)
+from chicorybridge.notices import TargetLimits
+from chicorybridge.observations import Observer
+from chicorybridge.settings import TICK_MS
+from chicorybridge.tools.channels import FaultyChannel
+from chicorybridge.tools.declared import ZONES, numbered
+from chicorybridge.weights import Weights
+
+
+class Host:
+    """One host: an entry process's view and its control's detection."""
+
+    def __init__(
+        self, *, host_id: HostId, zone_id: ZoneId, incarnation: Incarnation
+    ) -> None:
+        """Start unconfigured."""
+        self.host_id = host_id
+        self.zone_id = zone_id
+        self.incarnation = incarnation
+        self.observer = Observer(host_id=host_id)
+        self.weights = Weights()
+        self.detection = Detection(
+            host_id=host_id,
+            zone_id=zone_id,
+            incarnation=incarnation,
+            rng=random.Random(incarnation),
+        )
+
+
+class Fleet:
+    """Hosts over four zones that know each other."""
+
+    def __init__(
+        self, *, hosts: int, declaration: Declaration, seed: int
+    ) -> None:
+        """Start all hosts with a configuration of version 1."""
+        self.channel = FaultyChannel(seed=seed)
+        self.declaration = declaration
+        self.version = Version(1)
+        self.hosts_by_id: dict[HostId, Host] = {}
+        self.gone: set[Incarnation] = set()
+        self._messages_seen = 0
+        self._incarnations = 0
+        for number in range(hosts):
+            self.start_host(HostId(numbered('host', number)))
+        self.update_hosts()
+
+    @property
+    def now(self) -> float:
+        """Return the time of the channel's clock."""
+        return self.channel.clock.now()
+
+    def start_host(self, host_id: HostId) -> Host:
+        """Start a host, or replace it by a new incarnation."""
+        self._incarnations += 1
+        number = int(host_id.rpartition('-')[2])
+        host = Host(
+            host_id=host_id,
+            zone_id=ZONES[number % len(ZONES)],
+            incarnation=Incarnation(self._incarnations),
+        )
+        self.hosts_by_id[host_id] = host
+        self.channel.add(host_id, host.observer, host.weights, host.detection)
+        self.configure_host(host_id)
+        return host
+
+    def crash_host(self, host_id: HostId) -> None:
+        """Let a host end; its incarnation is surely gone."""
+        self.gone.add(self.hosts_by_id.pop(host_id).incarnation)
+        self.channel.remove(host_id)
+
+    def configure_host(self, host_id: HostId) -> None:
+        """Hand the newest configuration to one host."""
+        host = self.hosts_by_id[host_id]
+        host.observer.configure(self.declaration)
+        host.weights.configure(self.declaration)
+        effects = host.detection.configure(
+            self.declaration,
+            version=self.version,
+            now=self.channel.clock.now(),
+        )
+        self.channel.carry_out(host_id, effects)
+
+    def update_hosts(self) -> None:
+        """Tell every host which hosts are live and which are gone."""
+        incarnations = {
+            host_id: host.incarnation
+            for host_id, host in self.hosts_by_id.items()
+        }
+        for host in self.hosts_by_id.values():
+            host.detection.update_hosts(
+                incarnations,
+                gone=frozenset(self.gone),
+                now=self.channel.clock.now(),
+            )
+
+    def run(self, *, for_ms: float = TICK_MS) -> None:
+        """Advance all hosts and hand the entries what they are sent."""
+        self.channel.run(for_ms=for_ms)
+        for _, host_id, message in self.channel.entry_messages:
+            host = self.hosts_by_id.get(host_id)
+            if host is not None and isinstance(message, TargetLimits):
+                host.weights.receive(
+                    message, sender=host_id, now=self.channel.clock.now()
+                )
+        self.channel.entry_messages.clear()
+
+    def out_by_host(self) -> Mapping[HostId, set[TargetId]]:
+        """Return which targets each entry keeps from normal work."""
+        return {
+            host_id: host.weights.limited
+            for host_id, host in self.hosts_by_id.items()
+        }
