--- a/chicorybridge/control_processes.py
+++ b/chicorybridge/control_processes.py
@@ -164,9 +164,7 @@
             await curio.spawn(self._serve(sock), daemon=True)
 
     async def _serve(self, sock: curio.io.Socket) -> None:
-        stream = MessageStream(
-            sock=sock, identity=self._identity, log=self.log
-        )
+        stream = MessageStream(sock=sock, identity=self._identity, log=self.log)
         try:
             await self._serve_stream(stream)
         except (StreamError, curio.TaskTimeout):
--- a/chicorybridge/controls.py
+++ b/chicorybridge/controls.py
@@ -25,9 +25,7 @@
     def run_process(self, path: pathlib.Path) -> None:
         """Read the settings and run; raise coded errors."""
         given = read_control_settings(path, self.overrides)
-        control = Control(
-            given=given, clock=Clock(), rng=random.SystemRandom()
-        )
+        control = Control(given=given, clock=Clock(), rng=random.SystemRandom())
 
         async def serve(  # noqa: WPS430
             listener: curio.io.Socket, signals: StopSignals
--- a/chicorybridge/entry_messages.py
+++ b/chicorybridge/entry_messages.py
@@ -78,7 +78,6 @@
     histograms_by_name: dict[str, bytes]
 
 
-
 @wire
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class FleetSent:
--- a/chicorybridge/process_settings.py
+++ b/chicorybridge/process_settings.py
@@ -24,7 +24,6 @@
 CONTROL = 'control'
 
 
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SeedsField(AddressField):
     """Hosts to greet first, each as HOST@IP:PORT of its control process."""
@@ -63,7 +62,7 @@
             'listen': AddressField(required=True),
             'platform': AddressField(required=True),
             'operator_token_variable': Field(required=True),
-        'seeds': SeedsField(),
+            'seeds': SeedsField(),
         },
     }
 )
