--- a/chicorybridge/binaries.py
+++ b/chicorybridge/binaries.py
@@ -3,8 +3,7 @@
 import logging
 import pathlib
 import sys
-from collections.abc import Awaitable, Callable
-from typing import ClassVar
+from typing import ClassVar, Protocol
 
 import curio
 from cleo.application import Application
@@ -13,14 +12,24 @@
 
 from chicorybridge import sockets
 from chicorybridge.collectors import freeze_collector
-from chicorybridge.errors import ChicorybridgeError
+from chicorybridge.errors import ChicorybridgeError, PromiseError
+from chicorybridge.events import Event, EventKind, EventLog
 from chicorybridge.options import option
 from chicorybridge.processes import StopSignals
 
 VERSION = '0.1.0'
 
-# Serves on a listener until the awaitable of a stop signal returns.
-Serve = Callable[[curio.io.Socket, StopSignals], Awaitable[None]]
+
+class Process(Protocol):
+    """What a binary runs: a process that serves and can be drained."""
+
+    log: EventLog
+
+    async def run(self, listener: curio.io.Socket) -> None:
+        """Serve until cancelled."""
+
+    async def drain(self, listener: curio.io.Socket) -> None:
+        """Finish all work of a planned stop."""
 
 
 class ProcessCommand(Command):
@@ -38,6 +47,9 @@
         )
         try:
             self.run_process(pathlib.Path(self.option('settings') or ''))
+        except curio.TaskError as error:
+            self.line_error(str(error.__cause__))
+            return 1
         except (ChicorybridgeError, OSError) as error:
             self.line_error(str(error))
             return 1
@@ -65,9 +77,9 @@
         self._single_command = True
 
 
-def run_listening(address: str, serve: Serve) -> None:
+def run_listening(address: str, process: Process) -> None:
     """Listen on `address`, say where on one line, and serve until done."""
-    curio.run(_run_listening, address, serve)
+    curio.run(_run_listening, address, process)
 
 
 def run_application(name: str, command: Command) -> int:
@@ -75,11 +87,55 @@
     return SingleApplication(name=name, command=command).run()
 
 
-async def _run_listening(address: str, serve: Serve) -> None:
+async def serve(
+    process: Process, listener: curio.io.Socket, signals: StopSignals
+) -> None:
+    """Serve until a stop signal, then drain; raise what ends it early."""
+    ended = curio.Event()
+    running = await curio.spawn(_run(process, listener, ended))
+    await curio.spawn(_wait(signals, ended), daemon=True)
+    await ended.wait()
+    if running.terminated:
+        await running.join()
+    process.log.emit(Event(kind=EventKind.process_stopping))
+    await process.drain(listener)
+    process.log.emit(Event(kind=EventKind.process_stopped))
+    await running.cancel()
+
+
+async def _run(
+    process: Process, listener: curio.io.Socket, ended: curio.Event
+) -> None:
+    address = sockets.bound_address(listener)
+    process.log.emit(
+        Event(kind=EventKind.process_started, facts={'address': address})
+    )
+    try:
+        await process.run(listener)
+    except ChicorybridgeError as error:
+        process.log.emit(_failure(error))
+        raise
+    finally:
+        await ended.set()
+
+
+async def _wait(signals: StopSignals, ended: curio.Event) -> None:
+    await signals.wait()
+    await ended.set()
+
+
+def _failure(error: ChicorybridgeError) -> Event:
+    kind = EventKind.process_failed
+    if isinstance(error, PromiseError):
+        kind = EventKind.promise_broken
+    return Event(kind=kind, facts={'error': str(error)})
+
+
+async def _run_listening(address: str, process: Process) -> None:
     signals = StopSignals()
     listener = sockets.listen(address)
     bound = sockets.bound_address(listener)
     sys.stdout.write(f'listening {bound}\n')
     sys.stdout.flush()
     freeze_collector()
-    await serve(listener, signals)
+    await serve(process, listener, signals)
--- a/chicorybridge/configurations.py
+++ b/chicorybridge/configurations.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 
+from chicorybridge.codecs import unpack
 from chicorybridge.declarations import Declaration
 from chicorybridge.identities import NO_VERSION, Digest, Version
 from chicorybridge.routes import RouteTable
+from chicorybridge.versions import DeclarationActivated
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -17,13 +19,12 @@
     routes: RouteTable
 
 
-def activate(
-    *, version: Version, digest: Digest, declaration: Declaration
-) -> ActiveConfiguration:
+def activate(sent: DeclarationActivated) -> ActiveConfiguration:
     """Derive what requests need from a declaration."""
+    declaration = unpack(sent.body)
     return ActiveConfiguration(
-        version=version,
-        digest=digest,
+        version=sent.version,
+        digest=sent.digest,
         declaration=declaration,
         routes=RouteTable(declaration=declaration),
     )
--- a/chicorybridge/control_links.py
+++ b/chicorybridge/control_links.py
@@ -93,5 +93,9 @@
             await sender.cancel()
 
     async def _send_all(self, stream: MessageStream) -> None:
-        while True:
-            await stream.send(await self._queue.get())
+        try:
+            while True:
+                await stream.send(await self._queue.get())
+        except StreamError:
+            # The receiving side of the stream notices and opens it anew.
+            return
--- a/chicorybridge/control_processes.py
+++ b/chicorybridge/control_processes.py
@@ -10,26 +10,26 @@
 
 from chicorybridge import settings, sockets
 from chicorybridge.addresses import parse_address
-from chicorybridge.claim_messages import EntryId, EntryLost
 from chicorybridge.clients import PlatformClient
 from chicorybridge.clocks import Clock, Millis, as_seconds
 from chicorybridge.control_systems import ControlSystems
-from chicorybridge.entry_messages import EntryOpened, EventsReport
-from chicorybridge.errors import StreamError
+from chicorybridge.errors import PromiseError
 from chicorybridge.events import Event, EventKind, EventLog
 from chicorybridge.identities import HostId, Incarnation, Version
 from chicorybridge.operator_desks import OperatorDesk
 from chicorybridge.peer_links import PeerLinks
 from chicorybridge.process_settings import ControlSettings
 from chicorybridge.profiles import HostProfile
-from chicorybridge.sessions import EntrySession, EntryTable, Session
+from chicorybridge.sessions import EntryTable
 from chicorybridge.stores import (
     HostState,
     ListedHost,
     StoreOutcome,
     StoreReply,
 )
-from chicorybridge.streams import Identity, MessageStream, Role
+from chicorybridge.stream_servers import StreamServer
+from chicorybridge.streams import Identity, Role
+from chicorybridge.tasks import run_all
 from chicorybridge.systems import Ask, Effect, Emit, Send, SendEntries
 
 INCARNATION_BITS = 63
@@ -64,7 +64,6 @@
             },
         )
         self.entries = EntryTable()
-        self._operators_by_id: dict[HostId, Session] = {}
         self._addresses_by_host: dict[HostId, str] = {
             seed.host_id: seed.address for seed in given.seeds
         }
@@ -78,9 +77,19 @@
             host_id=given.host_id,
             timeout_ms=settings.PLATFORM_TIMEOUT_MS,
         )
+        self._server = StreamServer(
+            identity=self._identity,
+            clock=clock,
+            log=self.log,
+            entries=self.entries,
+            take=self._take,
+            take_of_operator=self._take_of_operator,
+        )
         self._effects: deque[Effect] = deque()
         self._is_carrying = False
         self._store_is_away = False
+        self._broken: PromiseError | None = None
+        self._is_broken = curio.Event()
 
     async def run(self, listener: curio.io.Socket) -> None:
         """Serve until cancelled."""
@@ -89,25 +98,26 @@
         self._desk = OperatorDesk(
             log=self.log, entries=self.entries, systems=self.systems
         )
-        started = Event(
-            kind=EventKind.process_started, facts={'address': address}
+        await run_all(
+            self._server.accept(listener),
+            self._tick_forever(),
+            self._register_forever(address),
+            self._raise_broken_promise(),
         )
-        self.log.emit(started)
-        async with curio.TaskGroup(wait=any) as tasks:
-            await tasks.spawn(self._accept(listener))
-            await tasks.spawn(self._tick_forever())
-            await tasks.spawn(self._register_forever(address))
 
-    async def drain(self) -> None:
+    async def drain(self, listener: curio.io.Socket) -> None:
         """Withdraw the host, let its entries finish, say goodbye."""
-        self.log.emit(Event(kind=EventKind.process_stopping))
         await self._carry_out(self.systems.members.change(leaving=True))
         deadline = self._clock.now() + settings.DRAIN_MS
         while self.entries.sessions_by_id and self._clock.now() < deadline:
             await curio.sleep(as_seconds(settings.TICK_MS))
         await self._carry_out(self.systems.members.depart())
         await self.links.flush()
-        self.log.emit(Event(kind=EventKind.process_stopped))
+
+    async def _raise_broken_promise(self) -> None:
+        await self._is_broken.wait()
+        if self._broken is not None:
+            raise self._broken
 
     def _build_systems(self, address: str) -> ControlSystems:
         profile = HostProfile(
@@ -157,85 +167,21 @@
             await self._platform.register(listed)
             await curio.sleep(as_seconds(settings.REGISTER_MS))
 
-    async def _accept(self, listener: curio.io.Socket) -> None:
-        while True:
-            sock, _ = await listener.accept()
-            sockets.disable_delay(sock)
-            await curio.spawn(self._serve(sock), daemon=True)
-
-    async def _serve(self, sock: curio.io.Socket) -> None:
-        stream = MessageStream(sock=sock, identity=self._identity, log=self.log)
-        try:
-            await self._serve_stream(stream)
-        except (StreamError, curio.TaskTimeout):
-            # The other end opens a new stream when it wants one.
-            return
-        finally:
-            await stream.close()
-
-    async def _serve_stream(self, stream: MessageStream) -> None:
-        async with curio.timeout_after(as_seconds(settings.CONNECT_MS)):
-            greeting = await stream.open(accepted=True)
-        match greeting.role:
-            case Role.peer:
-                await self._serve_peer(stream, greeting.host_id)
-            case Role.entry:
-                await self._serve_entry(stream)
-            case Role.operator:
-                await self._serve_operator(stream, greeting.host_id)
-
-    async def _serve_peer(self, stream: MessageStream, peer: HostId) -> None:
-        while True:
-            await self._take(await stream.receive(), sender=peer)
-
-    async def _serve_entry(self, stream: MessageStream) -> None:
-        opened = await stream.receive()
-        if not isinstance(opened, EntryOpened):
-            return
-        session = EntrySession(
-            stream=stream, opened=opened, heard_at=self._clock.now()
-        )
-        await self.entries.add(session)
-        sender = await curio.spawn(_send_all(session))
-        try:
-            while True:
-                await self._take_of_entry(session, await stream.receive())
-        finally:
-            self.entries.sessions_by_id.pop(opened.entry_id, None)
-            await sender.cancel()
-            lost = EntryLost(entry_id=EntryId(opened.entry_id))
-            await self._take(lost, sender=self._given.host_id)
-
-    async def _serve_operator(
-        self, stream: MessageStream, operator: HostId
-    ) -> None:
-        session = Session(stream=stream)
-        self._operators_by_id[operator] = session
-        sender = await curio.spawn(_send_all(session))
-        try:
-            while True:
-                await self._take_of_operator(operator, await stream.receive())
-        finally:
-            self._operators_by_id.pop(operator, None)
-            await sender.cancel()
-
-    async def _take_of_entry(self, session: EntrySession, message: Any) -> None:
-        now = self._clock.now()
-        if isinstance(message, EventsReport):
-            self.log.adopt(message.records)
-            return
-        if not self.entries.take(session, message, now=now):
-            await self._take(message, sender=self._given.host_id)
-
     async def _take_of_operator(self, operator: HostId, message: Any) -> None:
         await self._carry_out(self._desk.take(message, operator=operator))
         await self._take(message, sender=operator)
 
     async def _take(self, message: Any, *, sender: HostId) -> None:
-        effects = self.systems.receive(
-            message, sender=sender, now=self._clock.now()
-        )
-        await self._carry_out(effects)
+        try:
+            await self._carry_out(
+                self.systems.receive(
+                    message, sender=sender, now=self._clock.now()
+                )
+            )
+        except PromiseError as error:
+            # Ends the process, not only the task of one stream.
+            self._broken = error
+            await self._is_broken.set()
 
     async def _carry_out(self, effects: Iterable[Effect]) -> None:
         """Carry effects out in the order in which they were decided."""
@@ -257,8 +203,9 @@
                         effect.message, sender=to, now=self._clock.now()
                     )
                 )
-            case Send(to=to) if to in self._operators_by_id:
-                await self._operators_by_id[to].queue.put(effect.message)
+            case Send(to=to) if to in self._server.operators_by_id:
+                operator = self._server.operators_by_id[to]
+                await operator.queue.put(effect.message)
             case Send():
                 await self.links.send(effect.to, effect.message)
             case SendEntries():
@@ -286,8 +233,3 @@
     def _learn_addresses(self) -> None:
         for host_id, profile in self.systems.members.hosts_by_id.items():
             self._addresses_by_host[host_id] = profile.address
-
-
-async def _send_all(session: Session) -> None:
-    while True:
-        await session.stream.send(await session.queue.get())
--- a/chicorybridge/control_systems.py
+++ b/chicorybridge/control_systems.py
@@ -1,5 +1,6 @@
 """The decision systems of a control process, joined."""
 
+import math
 import random
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -91,17 +92,17 @@
         held = self.rollouts.held
         if held is None or not self.detection.is_settled(now=now):
             return False
-        if self._configured != held.version:
+        if self._configured != held.head.version:
             return False
-        return self._all_governed(held.version, now)
+        return self._all_governed(held.head.version, now)
 
     def _configure(self, now: Millis) -> Iterator[Effect]:
         held = self.rollouts.held
-        if held is None or held.version == self._configured:
+        if held is None or held.head.version == self._configured:
             return
-        self._configured = held.version
+        self._configured = held.head.version
         yield from self.detection.configure(
-            held.declaration, version=held.version, now=now
+            held.declaration, version=held.head.version, now=now
         )
 
     def _update_hosts(self, now: Millis) -> Iterator[Effect]:
@@ -160,10 +161,12 @@
         )
 
     def _lease(self) -> Iterator[Effect]:
+        until = self.rollouts.lease_until()
         yield SendEntries(
             message=ServingLease(
                 version=self.rollouts.confirmed,
-                until_ms=round(self.rollouts.lease_until()),
+                # A host that may not serve has a lease that never was.
+                until_ms=round(until) if math.isfinite(until) else 0,
             )
         )
 
--- a/chicorybridge/controls.py
+++ b/chicorybridge/controls.py
@@ -3,8 +3,6 @@
 import pathlib
 import random
 
-import curio
-
 from chicorybridge.binaries import (
     ProcessCommand,
     run_application,
@@ -13,7 +11,6 @@
 from chicorybridge.clocks import Clock
 from chicorybridge.control_processes import Control
 from chicorybridge.process_settings import read_control_settings
-from chicorybridge.processes import StopSignals
 
 
 class ControlCommand(ProcessCommand):
@@ -26,16 +23,7 @@
         """Read the settings and run; raise coded errors."""
         given = read_control_settings(path, self.overrides)
         control = Control(given=given, clock=Clock(), rng=random.SystemRandom())
-
-        async def serve(  # noqa: WPS430
-            listener: curio.io.Socket, signals: StopSignals
-        ) -> None:
-            running = await curio.spawn(control.run(listener))
-            await signals.wait()
-            await control.drain()
-            await running.cancel()
-
-        run_listening(given.listen, serve)
+        run_listening(given.listen, control)
 
 
 def main() -> int:
--- a/chicorybridge/dispatchers.py
+++ b/chicorybridge/dispatchers.py
@@ -37,9 +37,15 @@
 
 @dataclasses.dataclass(kw_only=True)
 class EntryState:
-    """What governs the requests that come now."""
+    """What governs the requests that come now.
 
-    duty: Duty = Duty.withdrawn
+    New work is taken until `lease_until`, on the clock that all processes
+    of a host share; it is checked before each request, so that a process
+    that was paused takes none on the strength of an old lease.
+    """
+
+    duty: Duty = Duty.serving
+    lease_until: Millis = Millis(0)
     configuration: ActiveConfiguration | None = None
 
 
@@ -145,17 +151,17 @@
         await self.refuse(call.exchange, error, known)
 
     async def _admit(self, exchange: CallerExchange, head: Head) -> Call:
-        if self._state.duty is Duty.withdrawn:
-            raise RefusalError(
-                code=ErrorCode.host_cut_off,
-                detail='this host takes no new work',
-            )
         configuration = self._state.configuration
         if configuration is None:
             raise RefusalError(
                 code=ErrorCode.no_configuration,
                 detail='this host has no configuration yet',
             )
+        if self._clock.now() > self._state.lease_until:
+            raise RefusalError(
+                code=ErrorCode.host_cut_off,
+                detail='this host takes no new work',
+            )
         call = self._describe(exchange, head, configuration)
         admission = self._policies.admit(
             call.route, call.workspace_id, now=self._clock.now()
--- a/chicorybridge/entries.py
+++ b/chicorybridge/entries.py
@@ -3,8 +3,6 @@
 import pathlib
 import random
 
-import curio
-
 from chicorybridge.binaries import (
     ProcessCommand,
     run_application,
@@ -13,7 +11,6 @@
 from chicorybridge.clocks import Clock
 from chicorybridge.entry_processes import Entry
 from chicorybridge.process_settings import read_entry_settings
-from chicorybridge.processes import StopSignals
 
 
 class EntryCommand(ProcessCommand):
@@ -26,16 +23,7 @@
         """Read the settings and run; raise coded errors."""
         given = read_entry_settings(path, self.overrides)
         entry = Entry(given=given, clock=Clock(), rng=random.SystemRandom())
-
-        async def serve(  # noqa: WPS430
-            listener: curio.io.Socket, signals: StopSignals
-        ) -> None:
-            running = await curio.spawn(entry.run(listener))
-            await signals.wait()
-            await entry.drain(listener)
-            await running.cancel()
-
-        run_listening(given.listen, serve)
+        run_listening(given.listen, entry)
 
 
 def main() -> int:
--- a/chicorybridge/entry_messages.py
+++ b/chicorybridge/entry_messages.py
@@ -4,16 +4,8 @@
 from enum import Enum
 from typing import Any
 
-from chicorybridge.clocks import Millis
 from chicorybridge.codecs import wire
-from chicorybridge.identities import (
-    Digest,
-    HostId,
-    Incarnation,
-    TargetId,
-    Version,
-    ZoneId,
-)
+from chicorybridge.identities import Version
 
 
 @wire
@@ -24,8 +16,6 @@
     serving = 'serving'
     # Is off the entry list, takes what still comes and closes connections.
     draining = 'draining'
-    # Takes no new work: cut off, or not sure of its configuration.
-    withdrawn = 'withdrawn'
 
 
 @wire
--- a/chicorybridge/entry_processes.py
+++ b/chicorybridge/entry_processes.py
@@ -14,8 +14,7 @@
     KeyPrefixIssued,
 )
 from chicorybridge.claimants import Claimant
-from chicorybridge.clocks import Clock, as_seconds
-from chicorybridge.codecs import unpack
+from chicorybridge.clocks import Clock, Millis, as_seconds
 from chicorybridge.collectors import freeze_collector
 from chicorybridge.configurations import activate, is_newer
 from chicorybridge.connections import TargetConnections
@@ -23,23 +22,24 @@
 from chicorybridge.dispatchers import Dispatcher, EntryState
 from chicorybridge.entry_lists import EntryList
 from chicorybridge.entry_messages import (
-    ConfigurationSent,
     Duty,
     EntryClosing,
     EntryListSent,
     EntryOpened,
     FleetSent,
-    TargetsSent,
 )
 from chicorybridge.entry_reports import EntryReporter
 from chicorybridge.events import Event, EventKind, EventLog
 from chicorybridge.exchanges import CallerExchange, Head
 from chicorybridge.identities import Incarnation
+from chicorybridge.notices import TargetLimits
 from chicorybridge.policies import Policies
 from chicorybridge.process_settings import EntrySettings
 from chicorybridge.streams import Identity, Role
 from chicorybridge.subsets import FleetSize
 from chicorybridge.systems import Emit, Send
+from chicorybridge.tasks import run_all
+from chicorybridge.versions import DeclarationActivated, ServingLease
 
 INCARNATION_BITS = 63
 
@@ -63,7 +63,6 @@
             incarnation=self._incarnation,
         )
         self.state = EntryState()
-        self._heard_at = clock.now()
         self._list = EntryList()
         self._connections = TargetConnections(clock=clock)
         self._policies = Policies(
@@ -103,20 +102,14 @@
     async def run(self, listener: curio.io.Socket) -> None:
         """Serve until cancelled."""
         self.address = sockets.bound_address(listener)
-        self.log.emit(
-            Event(
-                kind=EventKind.process_started,
-                facts={'address': self.address},
-            )
+        await run_all(
+            self.callers.accept(listener),
+            self._link.run(),
+            self._tick_forever(),
         )
-        async with curio.TaskGroup(wait=any) as tasks:
-            await tasks.spawn(self.callers.accept(listener))
-            await tasks.spawn(self._link.run())
-            await tasks.spawn(self._tick_forever())
 
     async def drain(self, listener: curio.io.Socket) -> None:
         """Take what still comes for a while, finish all, then return."""
-        self.log.emit(Event(kind=EventKind.process_stopping))
         self.state.duty = Duty.draining
         await self._link.post(EntryClosing(entry_id=self._entry_id))
         await self._wait_unlisted()
@@ -125,7 +118,6 @@
         await listener.close()
         await self.callers.close_idle()
         await self._finish_calls()
-        self.log.emit(Event(kind=EventKind.process_stopped))
 
     async def _wait_unlisted(self) -> None:
         deadline = self._clock.now() + settings.UNLIST_MS
@@ -159,32 +151,26 @@
         await self._link.post(opened)
 
     async def _receive(self, message: Any) -> None:
-        self._heard_at = self._clock.now()
         match message:
-            case ConfigurationSent():
+            case DeclarationActivated():
                 self._configure(message)
+            case ServingLease():
+                self.state.lease_until = Millis(message.until_ms)
             case FleetSent():
                 self._resize(message)
             case EntryListSent():
                 self._list.sent = message
-            case TargetsSent():
-                self._policies.limit_targets(
-                    limits_by_id=message.limits_by_id,
-                    leaving=message.leaving,
-                )
+            case TargetLimits():
+                self._policies.limit_targets(message, now=self._clock.now())
             case KeyPrefixIssued():
                 self._list.key_prefix = message.prefix
             case ClaimDecided():
                 await self._claimant.decide(message)
 
-    def _configure(self, sent: ConfigurationSent) -> None:
+    def _configure(self, sent: DeclarationActivated) -> None:
         if not is_newer(sent.version, self.state.configuration):
             return
-        configuration = activate(
-            version=sent.version,
-            digest=sent.digest,
-            declaration=unpack(sent.body),
-        )
+        configuration = activate(sent)
         self.state.configuration = configuration
         self._policies.configure(configuration, now=self._clock.now())
         freeze_collector()
@@ -210,9 +196,6 @@
 
     async def _tick(self) -> None:
         now = self._clock.now()
-        silent_ms = now - self._heard_at
-        if silent_ms > settings.CONTROL_SILENCE_MS:
-            self._withdraw(silent_ms)
         await self.callers.sweep()
         await self._connections.retire()
         for effect in self._policies.tick(now=now):
@@ -224,18 +207,6 @@
             self._dispatcher, connections=len(self.callers), now=now
         )
 
-    def _withdraw(self, silent_ms: float) -> None:
-        """Take no new work while nobody says that the fleet is known."""
-        if self.state.duty is not Duty.serving:
-            return
-        self.state.duty = Duty.withdrawn
-        self.log.emit(
-            Event(
-                kind=EventKind.host_withdrawn,
-                facts={'silent_ms': round(silent_ms)},
-            )
-        )
-
     async def _answer_own(self, exchange: CallerExchange, head: Head) -> bool:
         return await self._list.answer(
             exchange, head, self._dispatcher.version_headers()
--- a/chicorybridge/operator_clients.py
+++ b/chicorybridge/operator_clients.py
@@ -39,7 +39,7 @@
         try:
             self._stream = await self._open()
         except UNREACHED as error:
-            raise self._unreached(error) from error
+            raise self._unreached(error or 'timeout') from error
         return self
 
     async def __aexit__(self, *raised: object) -> None:
@@ -52,7 +52,7 @@
         try:
             await self._opened.send(message)
         except UNREACHED as error:
-            raise self._unreached(error) from error
+            raise self._unreached(error or 'timeout') from error
 
     async def receive(self, *, within_ms: float) -> Any:
         """Return the next message, `None` if none comes in time."""
@@ -62,7 +62,7 @@
         except curio.TaskTimeout:
             return None
         except UNREACHED as error:
-            raise self._unreached(error) from error
+            raise self._unreached(error or 'timeout') from error
 
     async def ask(self, message: Any) -> Any:
         """Send a message and return the answer; raise `ControlError`."""
@@ -88,5 +88,5 @@
     def _unreached(self, reason: object) -> ControlError:
         return ControlError(
             code=ErrorCode.control_unreachable,
-            detail=f'{self._address}: {reason or "timeout"}',
+            detail=f'{self._address}: {reason}',
         )
--- a/chicorybridge/policies.py
+++ b/chicorybridge/policies.py
@@ -17,6 +17,7 @@
     ZoneId,
 )
 from chicorybridge.limits import Admission, Limiter
+from chicorybridge.notices import TargetLimits
 from chicorybridge.observations import Observer
 from chicorybridge.retries import RequestFacts, RetryDecision, RetryPolicy
 from chicorybridge.subsets import FleetSize, subset_of
@@ -36,6 +37,7 @@
         process_name: str,
     ) -> None:
         """Start without a configuration: nothing is let in."""
+        self._host_id = host_id
         self._zone_id = zone_id
         self._process_name = process_name
         self._fleet = FleetSize(processes=1, zone_processes=1)
@@ -68,18 +70,14 @@
         self._fleet = fleet
         self._share(now)
 
-    def limit_targets(
-        self,
-        *,
-        limits_by_id: dict[TargetId, float],
-        leaving: Collection[TargetId],
-    ) -> None:
-        """Take over which targets are ejected, on trial or leaving."""
-        self._weights.limit(limits_by_id)
-        self._chooser.set_ejected(
-            target_id for target_id, limit in limits_by_id.items() if limit == 0
-        )
-        self._chooser.set_leaving(leaving)
+    def limit_targets(self, limits: TargetLimits, *, now: Millis) -> None:
+        """Take over which targets are ejected or on trial."""
+        self._weights.receive(limits, sender=self._host_id, now=now)
+        self._chooser.set_ejected(self._weights.ejected)
+
+    def set_leaving(self, target_ids: Collection[TargetId]) -> None:
+        """Take over which targets are leaving."""
+        self._chooser.set_leaving(target_ids)
 
     def admit(
         self, route: Route, workspace_id: WorkspaceId | None, *, now: Millis
@@ -138,6 +136,8 @@
 
     def tick(self, *, now: Millis) -> Effects:
         """Return what the control process is told this tick."""
+        self._weights.tick(now=now)
+        self._chooser.set_ejected(self._weights.ejected)
         return self._observer.tick(now=now)
 
     def _share(self, now: Millis) -> None:
--- a/chicorybridge/process_settings.py
+++ b/chicorybridge/process_settings.py
@@ -30,15 +30,17 @@
 
     def parse(self, text: str) -> Any:
         """Return the hosts or raise `FieldError`."""
-        return tuple(self._parse_one(word) for word in text.split())
-
-    def _parse_one(self, word: str) -> ListedHost:
-        host_id, _, address = word.partition('@')
-        return ListedHost(
-            host_id=HostId(host_id),
-            address=super().parse(address),
-            state=HostState.live,
-        )
+        hosts = []
+        for word in text.split():
+            host_id, _, address = word.partition('@')
+            hosts.append(
+                ListedHost(
+                    host_id=HostId(host_id),
+                    address=super().parse(address),
+                    state=HostState.live,
+                )
+            )
+        return tuple(hosts)
 
 
 HOST_FIELDS: Fields = MappingProxyType(
--- a/chicorybridge/weights.py
+++ b/chicorybridge/weights.py
@@ -114,6 +114,15 @@
             if entry.limit < 1
         }
 
+    @property
+    def ejected(self) -> set[TargetId]:
+        """Return the targets that get no work at all."""
+        return {
+            entry.target_id
+            for entry in self._weights_by_id.values()
+            if entry.limit == 0
+        }
+
     def weight_of(self, target_id: TargetId) -> float:
         """Return the weight from 0 to 1; 1 for an unknown target."""
         entry = self._weights_by_id.get(target_id)
--- /dev/null
+++ b/examples/demo.sh
@@ -0,0 +1,84 @@
+#!/bin/sh
+# Starts the stand-ins and three hosts on loopback, then runs the checks.
+# Usage: demo.sh BIN [KEEP]. BIN holds the binaries; KEEP=1 stays up.
+set -eu
+bin=$1
+keep=${2:-}
+here=$(cd "$(dirname "$0")" && pwd)
+run=$(mktemp -d)
+pids=""
+
+export CHICORYBRIDGE_FLEET_KEY=demo-fleet-key
+export CHICORYBRIDGE_OPERATOR_TOKEN=demo-operator-token
+export CHICORYBRIDGE_CONTROL=127.0.0.1:20101
+
+stop_all() {
+    for pid in $pids; do kill -TERM "$pid" 2>/dev/null || true; done
+    for pid in $pids; do wait "$pid" 2>/dev/null || true; done
+    [ -n "${DEMO_LOGS:-}" ] && cp -r "$run" "$DEMO_LOGS"
+    rm -rf "$run"
+}
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+start() {
+    log=$1
+    shift
+    "$@" >"$run/$log.out" 2>"$run/$log.err" &
+    pids="$pids $!"
+}
+
+start platform "$bin/chicorybridge-standin" platform \
+    --listen 127.0.0.1:20001 ${keep:+--file "${TMPDIR:-/tmp}/chicorybridge-demo.sqlite"}
+
+sed -n 's/^\[target \(.*\)\]$/\1/p; s/^pool = .*-\(.*\)$/\1/p; s/^zone = //p; s/^address = //p' \
+    "$here/bureau/targets.ini" | paste - - - - >"$run/targets"
+while read -r name age zone address; do
+    speed=1.0
+    [ "$age" = old ] && speed=0.5
+    start "target-$name" "$bin/chicorybridge-standin" target \
+        --listen "$address" --name "$name" --zone "$zone" --speed "$speed"
+done <"$run/targets"
+
+number=1
+for zone in groningen leeuwarden eindhoven; do
+    region=noord
+    [ "$zone" = eindhoven ] && region=zuid
+    cat >"$run/host-$number.ini" <<INI
+[control]
+host = host-$number
+zone = $zone
+region = $region
+listen = 127.0.0.1:2010$number
+platform = 127.0.0.1:20001
+fleet_key_variable = CHICORYBRIDGE_FLEET_KEY
+operator_token_variable = CHICORYBRIDGE_OPERATOR_TOKEN
+
+[entry]
+host = host-$number
+zone = $zone
+region = $region
+listen = 127.0.0.1:2020$number
+control = 127.0.0.1:2010$number
+fleet_key_variable = CHICORYBRIDGE_FLEET_KEY
+INI
+    start "control-$number" "$bin/chicorybridge-control" --settings "$run/host-$number.ini"
+    start "entry-$number" "$bin/chicorybridge-entry" --settings "$run/host-$number.ini"
+    number=$((number + 1))
+done
+
+"$bin/python" -m chicorybridge.tools.demos wait --control "$CHICORYBRIDGE_CONTROL" --hosts 3
+"$bin/chicorybridge" check "$here/bureau"
+"$bin/chicorybridge" plan "$here/bureau" | head -n 3
+"$bin/chicorybridge" apply "$here/bureau" --wait-ms 30000
+"$bin/chicorybridge" status
+"$bin/python" -m chicorybridge.tools.demos show --entry 127.0.0.1:20201 \
+    --declaration "$here/bureau"
+"$bin/chicorybridge" timeline | tail -n 5
+"$bin/chicorybridge" metrics
+
+if [ "$keep" = 1 ]; then
+    echo "up; entry at 127.0.0.1:20201, control at $CHICORYBRIDGE_CONTROL; interrupt to stop"
+    while :; do sleep 1; done
+fi
+echo "stopping all gracefully"
