--- a/chicorybridge/joinings.py
+++ b/chicorybridge/joinings.py
@@ -41,7 +41,9 @@
         if not self.joined and self._reports_suffice():
             self.joined = True
         self._members.ready = self.joined
-        if self.joined or now < self._ask_due:
+        if self.joined or now < max(self._ask_due, self._settled_at):
+            return ()
+        if not self._holdings.confirmed:
             return ()
         self._ask_due = Millis(now + settings.REPORT_MS)
         everyone = set(self._members.peers.links_by_id)
