Tell callers which hosts to use, and let hosts and targets leave

The bound in the test of a dead host left out that relays keep a host for one interval more; the test now holds near and far hosts to their own bounds, the near one tighter than before.

--- a/chicorybridge/members.py
+++ b/chicorybridge/members.py
@@ -25,6 +25,8 @@
 
 # Peers that a message passes through to go around a broken link.
 FORWARDERS = 2
+# Share by which polls of the host list are early or late.
+LIST_JITTER = 0.5
 
 
 class Members(System):
@@ -51,6 +53,7 @@
         self._hearings = Hearings(peers=self.peers, heartbeats=self._heartbeats)
         self._live_changes = 0
         self._seeds = seeds
+        self._rng = rng
         self._list_due: Millis = NEVER
 
     @property
@@ -140,7 +143,9 @@
                 self.peers.link(seed.host_id, now=now)
         self._seeds = ()
         if now >= self._list_due:
-            self._list_due = Millis(now + settings.HOST_LIST_MS)
+            # Hosts poll at times of their own, so that one sees news soon.
+            share = self._rng.uniform(1 - LIST_JITTER, 1 + LIST_JITTER)
+            self._list_due = Millis(now + share * settings.HOST_LIST_MS)
             yield Ask(token=HOSTS_TOKEN, request=ListHosts())
 
     def _review(self, now: Millis) -> Iterator[Effect]:
--- /dev/null
+++ b/chicorybridge/rosters.py
@@ -0,0 +1,167 @@
+"""The entry list: which addresses callers should use."""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.codecs import wire
+from chicorybridge.identities import RegionId, Version, ZoneId
+from chicorybridge.members import Members
+from chicorybridge.profiles import HostProfile
+from chicorybridge.systems import Effects, SendEntries, System
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RosterHost:
+    """A host that callers may use; `entries` are IP:PORT each."""
+
+    entries: tuple[str, ...]
+    zone_id: ZoneId
+    region_id: RegionId
+    capacity: float
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Roster:
+    """The hosts that callers may use, and how long to believe it.
+
+    `zone_id` and `region_id` are those of the host that tells it.
+    """
+
+    hosts: tuple[RosterHost, ...]
+    zone_id: ZoneId
+    region_id: RegionId
+    ttl_ms: int
+    version: Version
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryList:
+    """What one caller is told: addresses, the best first."""
+
+    addresses: tuple[str, ...]
+    ttl_ms: int
+    version: Version
+
+
+class Rosters(System):
+    """Tell the entry processes which hosts callers may use."""
+
+    def __init__(self, *, members: Members) -> None:
+        """Start with nothing told."""
+        self._members = members
+        self._told: Roster | None = None
+        self._seen: tuple[int, Version] | None = None
+
+    def tick(self, *, now: Millis) -> Effects:
+        """Tell a new roster when the live hosts have changed."""
+        seen = (self._members.generation, self._members.version)
+        if seen == self._seen:
+            return ()
+        self._seen = seen
+        roster = self.roster()
+        if roster == self._told:
+            return ()
+        self._told = roster
+        return [SendEntries(message=roster)]
+
+    def roster(self) -> Roster:
+        """Return the hosts that are live, not leaving and not cut off."""
+        own = self._members.profile
+        hosts = list(self._members.hosts_by_id.values())
+        usable = _first_not_empty(
+            [host for host in hosts if host.taking and not host.leaving],
+            [host for host in hosts if host.taking],
+            [host for host in hosts if host is not own],
+            [own],
+        )
+        in_use = own.taking and not own.leaving
+        return Roster(
+            hosts=tuple(map(_roster_host, usable)),
+            zone_id=own.zone_id,
+            region_id=own.region_id,
+            ttl_ms=(
+                settings.ENTRY_TTL_MS if in_use else settings.ENTRY_SHORT_TTL_MS
+            ),
+            version=self._members.version,
+        )
+
+
+def entry_list(
+    roster: Roster, *, rng: random.Random, zone_id: ZoneId | None = None
+) -> EntryList:
+    """Draw the list for a caller in `zone_id`, by default the host's own.
+
+    Hosts of the caller's zone come first, then those of its region, then
+    some of each other region. Within each the order is drawn by capacity,
+    so that the callers of a lost zone spread over the others alike.
+    """
+    zone_id = zone_id or roster.zone_id
+    region_id = _region_of(roster, zone_id)
+    near = [host for host in roster.hosts if host.region_id == region_id]
+    own = [host for host in near if host.zone_id == zone_id]
+    beside = [host for host in near if host.zone_id != zone_id]
+    tiers = [
+        _drawn(own, settings.ENTRIES_ZONE, rng),
+        _drawn(beside, settings.ENTRIES_REGION, rng),
+    ]
+    if rng.random() > _own_share(own, near):
+        tiers.reverse()
+    regions = {host.region_id for host in roster.hosts} - {region_id}
+    for region in sorted(regions):
+        far = [host for host in roster.hosts if host.region_id == region]
+        tiers.append(_drawn(far, settings.ENTRIES_FAR, rng))
+    return EntryList(
+        addresses=tuple(
+            rng.choice(host.entries) for tier in tiers for host in tier
+        ),
+        ttl_ms=roster.ttl_ms,
+        version=roster.version,
+    )
+
+
+def _own_share(own: list[RosterHost], near: list[RosterHost]) -> float:
+    # A zone with less than the average capacity passes callers on.
+    zones = {host.zone_id for host in near}
+    average = _capacity(near) / max(1, len(zones))
+    return _capacity(own) / average if average else 0
+
+
+def _capacity(hosts: Iterable[RosterHost]) -> float:
+    return sum(host.capacity for host in hosts)
+
+
+def _drawn(
+    hosts: list[RosterHost], count: int, rng: random.Random
+) -> list[RosterHost]:
+    # Sampling without replacement, by weight: the largest of u ** (1 / w).
+    keyed = sorted(
+        hosts,
+        key=lambda host: rng.random() ** (1 / host.capacity),
+        reverse=True,
+    )
+    return keyed[:count]
+
+
+def _region_of(roster: Roster, zone_id: ZoneId) -> RegionId:
+    for host in roster.hosts:
+        if host.zone_id == zone_id:
+            return host.region_id
+    return roster.region_id
+
+
+def _roster_host(profile: HostProfile) -> RosterHost:
+    return RosterHost(
+        entries=profile.entries,
+        zone_id=profile.zone_id,
+        region_id=profile.region_id,
+        capacity=profile.capacity,
+    )
+
+
+def _first_not_empty(*choices: list[HostProfile]) -> list[HostProfile]:
+    return next(choice for choice in choices if choice)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -60,3 +60,21 @@
 STATUS_MS = 1000
 # Versions whose rows are kept.
 KEPT_VERSIONS = 1000
+
+# Entry list. Callers may use a list for its time to live, a short one
+# when the host that answers takes no new work itself.
+ENTRY_TTL_MS = 10_000
+ENTRY_SHORT_TTL_MS = 2000
+# Entries of the caller's zone, of its region besides, and of each other.
+ENTRIES_ZONE = 6
+ENTRIES_REGION = 4
+ENTRIES_FAR = 3
+
+# Drain of a host. It keeps taking connections while callers may hold a
+# list that names it, for the time to live and the spread of its leaving.
+DRAIN_SPREAD_MS = 3000
+# How long connections of callers may stay open once told to close.
+DRAIN_CLOSE_MS = 30_000
+
+# A target counts as leaving for this long after its last sign.
+LEAVING_MS = 60_000
--- /dev/null
+++ b/chicorybridge/tests/test_departures.py
@@ -0,0 +1,79 @@
+"""Tests of targets that leave."""
+
+import pytest
+
+from chicorybridge import settings
+from chicorybridge.attempts import Attempt, AttemptOutcome
+from chicorybridge.clocks import Millis
+from chicorybridge.departures import Departures
+from chicorybridge.identities import HostId, RouteId, ServiceId, TargetId
+from chicorybridge.stores import HostState
+from chicorybridge.tools.fleets import Fleet
+
+FIRST = HostId('host-0000')
+TARGET = TargetId('target-1')
+LAST_WORK_MS = 2000
+
+
+class Leaving(Fleet):
+    """A fleet in which every host watches for leaving targets."""
+
+    def __init__(self) -> None:
+        """Start eight hosts and let them find each other."""
+        super().__init__(size=8, seed=3)
+        self.departures_by_host: dict[HostId, Departures] = {}
+        for host_id, host in self.hosts_by_id.items():
+            departures = Departures(members=host.members)
+            self.departures_by_host[host_id] = departures
+            self.channel.add(host_id, host.members, departures)
+        self.channel.run(for_ms=8000)
+
+    @property
+    def known_to(self) -> set[HostId]:
+        """Return the hosts that hold the target for leaving."""
+        return {
+            host_id
+            for host_id, departures in self.departures_by_host.items()
+            if departures.is_leaving(TARGET)
+        }
+
+    def signal(self) -> None:
+        """Let the target signal on an answer to the first host."""
+        attempt = Attempt(
+            service_id=ServiceId('quotes'),
+            target_id=TARGET,
+            route_id=RouteId('quotes'),
+            outcome=AttemptOutcome.answered,
+            started_at=Millis(0),
+            elapsed_ms=1,
+            leaving=True,
+        )
+        self.channel.hand_in(FIRST, attempt, sender=FIRST)
+
+
+@pytest.fixture
+def fleet() -> Leaving:
+    """Return eight hosts that know each other."""
+    return Leaving()
+
+
+def test_own_signal_reaches_all_hosts(fleet):
+    """One answer with the signal stops new work everywhere, store away."""
+    fleet.channel.store.outage = True
+    fleet.signal()
+    fleet.channel.run(for_ms=LAST_WORK_MS)
+    assert fleet.known_to == set(fleet.hosts_by_id)
+
+
+def test_listed_leaving_reaches_all_hosts(fleet):
+    """Whoever reads the list first tells the others."""
+    fleet.list_host(HostId(TARGET), state=HostState.leaving)
+    fleet.channel.run(for_ms=LAST_WORK_MS)
+    assert fleet.known_to == set(fleet.hosts_by_id)
+
+
+def test_target_without_signs_is_forgotten(fleet):
+    """A target that came back gets work again after a while."""
+    fleet.signal()
+    fleet.channel.run(for_ms=settings.LEAVING_MS + settings.HOST_LIST_MS + 1000)
+    assert not fleet.known_to
--- /dev/null
+++ b/chicorybridge/tests/test_drains.py
@@ -0,0 +1,80 @@
+"""Tests of the planned stop of a host."""
+
+import pytest
+
+from chicorybridge import settings
+from chicorybridge.drains import DrainRequested, Drains, DrainState
+from chicorybridge.identities import HostId
+from chicorybridge.tools.fleets import Fleet
+
+FIRST = HostId('host-0000')
+SECOND = HostId('host-0001')
+
+
+class Draining(Fleet):
+    """A fleet whose first host can drain; its load is a knob."""
+
+    def __init__(self) -> None:
+        """Start four hosts with work on the first one."""
+        super().__init__(size=4, seed=2)
+        self.connections = 1
+        self.in_flight = 1
+        members = self.hosts_by_id[FIRST].members
+        self.drains = Drains(
+            members=members,
+            connections=lambda: self.connections,
+            in_flight=lambda: self.in_flight,
+        )
+        self.channel.add(FIRST, members, self.drains)
+        self.channel.run(for_ms=8000)
+
+    def drain(self) -> None:
+        """Ask the first host to drain."""
+        self.channel.hand_in(FIRST, DrainRequested(), sender=FIRST)
+
+
+@pytest.fixture
+def fleet() -> Draining:
+    """Return four hosts, the first of them with work."""
+    return Draining()
+
+
+def test_peers_learn_of_the_drain_at_once(fleet):
+    """The host is off all lists within a second, and takes work still."""
+    fleet.drain()
+    fleet.channel.run(for_ms=1000)
+    peers = fleet.hosts_by_id[SECOND].members.hosts_by_id
+    assert peers[FIRST].leaving
+    assert fleet.drains.state is DrainState.withdrawn
+
+
+def test_host_takes_work_while_lists_live(fleet):
+    """Connections are closed only when no list names the host any more."""
+    fleet.drain()
+    fleet.channel.run(for_ms=settings.ENTRY_TTL_MS)
+    assert fleet.drains.state is DrainState.withdrawn
+    fleet.channel.run(for_ms=settings.DRAIN_SPREAD_MS + 200)
+    assert fleet.drains.state is DrainState.closing
+
+
+def test_slow_answer_is_waited_for(fleet):
+    """The host leaves only when nothing is in flight, however long."""
+    fleet.drain()
+    fleet.channel.run(for_ms=10 * 60_000)
+    assert fleet.drains.state is DrainState.finishing
+    fleet.in_flight = 0
+    fleet.channel.run(for_ms=1000)
+    assert fleet.drains.state is DrainState.left
+    peers = fleet.hosts_by_id[SECOND].members.peers
+    assert FIRST not in peers.links_by_id
+
+
+def test_idle_host_leaves_when_lists_are_old(fleet):
+    """Without connections the host leaves as soon as the lists died."""
+    fleet.connections = 0
+    fleet.in_flight = 0
+    fleet.drain()
+    fleet.channel.run(
+        for_ms=settings.ENTRY_TTL_MS + settings.DRAIN_SPREAD_MS + 500
+    )
+    assert fleet.drains.state is DrainState.left
--- a/chicorybridge/tests/test_members.py
+++ b/chicorybridge/tests/test_members.py
@@ -10,6 +10,7 @@
 FIRST = HostId('host-0000')
 SECOND = HostId('host-0001')
 SETTLE_MS = 8000
+TICK_MS = settings.TICK_MS
 
 
 @pytest.fixture
@@ -55,10 +56,17 @@
 
 
 def test_dead_host_is_lost_by_all(fleet):
-    """A crashed host is lost after the bound, far hosts a bit later."""
+    """A crashed host is lost near by first, then far away.
+
+    Relays keep a host for one interval longer than its own silence.
+    """
     fleet.crash(FIRST)
+    beats = settings.LOST_BEATS + 1
+    fleet.channel.run(for_ms=beats * settings.HEARTBEAT_MS + TICK_MS)
+    near = set(fleet.of_region(0))
+    assert all(FIRST not in _sees(fleet, host_id) for host_id in near)
     fleet.channel.run(
-        for_ms=settings.LOST_BEATS * settings.FAR_HEARTBEAT_MS + 1000
+        for_ms=beats * (settings.FAR_HEARTBEAT_MS - settings.HEARTBEAT_MS)
     )
     assert all(
         FIRST not in _sees(fleet, host_id) for host_id in fleet.hosts_by_id
--- /dev/null
+++ b/chicorybridge/tests/test_rosters.py
@@ -0,0 +1,114 @@
+"""Tests of the entry list."""
+
+import random
+import types
+from collections import Counter
+
+import pytest
+
+from chicorybridge import settings
+from chicorybridge.identities import NO_VERSION, HostId, RegionId, ZoneId
+from chicorybridge.rosters import Roster, RosterHost, Rosters, entry_list
+from chicorybridge.tests.test_rollouts import FIRST, SECOND, Rollout
+
+CALLERS = 4000
+NORTH, SOUTH = RegionId('north'), RegionId('south')
+ZONES = types.MappingProxyType(
+    {'north-a': NORTH, 'north-b': NORTH, 'south-a': SOUTH}
+)
+
+
+def _roster(capacity_by_zone: dict[str, tuple[float, ...]]) -> Roster:
+    hosts = [
+        RosterHost(
+            entries=(f'{zone}/{number}',),
+            zone_id=ZoneId(zone),
+            region_id=ZONES[zone],
+            capacity=capacity,
+        )
+        for zone, capacities in capacity_by_zone.items()
+        for number, capacity in enumerate(capacities)
+    ]
+    return Roster(
+        hosts=tuple(hosts),
+        zone_id=ZoneId('north-a'),
+        region_id=NORTH,
+        ttl_ms=1,
+        version=NO_VERSION,
+    )
+
+
+def _choices(roster: Roster, *, lost: str = 'none') -> Counter[str]:
+    rng = random.Random(1)
+    lists = (entry_list(roster, rng=rng).addresses for _ in range(CALLERS))
+    return Counter(
+        next(address for address in listed if not address.startswith(lost))
+        for listed in lists
+    )
+
+
+def test_own_zone_first_then_region_then_far():
+    """Each list names all places, the nearest first."""
+    roster = _roster({zone: (1, 1) for zone in ZONES})
+    listed = entry_list(roster, rng=random.Random(1)).addresses
+    zones = [address.split('/')[0] for address in listed]
+    assert zones == ['north-a'] * 2 + ['north-b'] * 2 + ['south-a'] * 2
+
+
+def test_old_hardware_gets_its_share():
+    """A host of half the capacity is named first half as often."""
+    chosen = _choices(_roster({'north-a': (1, 1, 0.5)}))
+    assert chosen['north-a/2'] / CALLERS == pytest.approx(0.2, abs=0.03)
+
+
+def test_lost_zone_spreads_evenly():
+    """The callers of a lost zone spread evenly over the zone beside."""
+    roster = _roster({zone: (1, 1, 1, 1) for zone in ZONES})
+    chosen = _choices(roster, lost='north-a')
+    shares = [chosen[f'north-b/{number}'] / CALLERS for number in range(4)]
+    assert shares == pytest.approx([0.25] * 4, abs=0.03)
+
+
+def test_small_zone_passes_callers_on():
+    """A zone with a quarter of the average keeps that share of callers."""
+    roster = _roster({'north-a': (1,), 'north-b': (1,) * 7})
+    chosen = _choices(roster)
+    assert chosen['north-a/0'] / CALLERS == pytest.approx(0.25, abs=0.03)
+
+
+def _addresses(fleet: Rollout, host_id: HostId) -> set[str]:
+    rosters = Rosters(members=fleet.hosts_by_id[host_id].members)
+    return {entry for host in rosters.roster().hosts for entry in host.entries}
+
+
+def test_roster_leaves_out_the_leaving_and_the_cut_off():
+    """Peers drop a leaving host at once and a cut-off one by itself."""
+    fleet = Rollout(size=8)
+    leaving = fleet.hosts_by_id[FIRST].members.change(leaving=True)
+    fleet.channel.carry_out(FIRST, leaving)
+    others = [host for host in fleet.hosts_by_id if host != SECOND]
+    fleet.cut(others, [SECOND])
+    fleet.channel.store.outage = True
+    fleet.channel.run(for_ms=settings.CUT_OFF_MS + 1000)
+    listed = _addresses(fleet, HostId('host-0002'))
+    assert listed == {f'{host}:80' for host in others if host != FIRST}
+
+
+def test_old_address_leads_to_the_others():
+    """A leaving host that is asked names all others, for a short while."""
+    fleet = Rollout(size=8)
+    members = fleet.hosts_by_id[FIRST].members
+    fleet.channel.carry_out(FIRST, members.change(leaving=True))
+    fleet.channel.run(for_ms=1000)
+    assert len(_addresses(fleet, FIRST)) == 7
+    roster = Rosters(members=members).roster()
+    assert roster.ttl_ms == settings.ENTRY_SHORT_TTL_MS
+
+
+def test_nothing_is_told_twice():
+    """A tick without a change costs and tells nothing."""
+    fleet = Rollout(size=8)
+    rosters = Rosters(members=fleet.hosts_by_id[FIRST].members)
+    now = fleet.channel.clock.now()
+    assert list(rosters.tick(now=now))
+    assert not list(rosters.tick(now=now))
