--- a/chicorybridge/tests/test_rosters.py
+++ b/chicorybridge/tests/test_rosters.py
@@ -9,9 +9,11 @@
 from chicorybridge import settings
 from chicorybridge.identities import NO_VERSION, HostId, RegionId, ZoneId
 from chicorybridge.rosters import Roster, RosterHost, Rosters, entry_list
-from chicorybridge.tests.test_rollouts import FIRST, SECOND, Rollout
+from chicorybridge.tools.fleets import AppliedFleet
 
 CALLERS = 4000
+FIRST = HostId('host-0000')
+SECOND = HostId('host-0001')
 NORTH, SOUTH = RegionId('north'), RegionId('south')
 ZONES = types.MappingProxyType(
     {'north-a': NORTH, 'north-b': NORTH, 'south-a': SOUTH}
@@ -76,14 +78,14 @@
     assert chosen['north-a/0'] / CALLERS == pytest.approx(0.25, abs=0.03)
 
 
-def _addresses(fleet: Rollout, host_id: HostId) -> set[str]:
+def _addresses(fleet: AppliedFleet, host_id: HostId) -> set[str]:
     rosters = Rosters(members=fleet.hosts_by_id[host_id].members)
     return {entry for host in rosters.roster().hosts for entry in host.entries}
 
 
 def test_roster_leaves_out_the_leaving_and_the_cut_off():
     """Peers drop a leaving host at once and a cut-off one by itself."""
-    fleet = Rollout(size=8)
+    fleet = AppliedFleet(size=8)
     leaving = fleet.hosts_by_id[FIRST].members.change(leaving=True)
     fleet.channel.carry_out(FIRST, leaving)
     others = [host for host in fleet.hosts_by_id if host != SECOND]
@@ -96,7 +98,7 @@
 
 def test_old_address_leads_to_the_others():
     """A leaving host that is asked names all others, for a short while."""
-    fleet = Rollout(size=8)
+    fleet = AppliedFleet(size=8)
     members = fleet.hosts_by_id[FIRST].members
     fleet.channel.carry_out(FIRST, members.change(leaving=True))
     fleet.channel.run(for_ms=1000)
@@ -107,7 +109,7 @@
 
 def test_nothing_is_told_twice():
     """A tick without a change costs and tells nothing."""
-    fleet = Rollout(size=8)
+    fleet = AppliedFleet(size=8)
     rosters = Rosters(members=fleet.hosts_by_id[FIRST].members)
     now = fleet.channel.clock.now()
     assert list(rosters.tick(now=now))
--- a/chicorybridge/tools/fleets.py
+++ b/chicorybridge/tools/fleets.py
@@ -5,17 +5,39 @@
 from collections.abc import Iterable
 from typing import Any
 
+from chicorybridge import settings
 from chicorybridge.clocks import Millis
-from chicorybridge.identities import HostId, Incarnation, RegionId, ZoneId
+from chicorybridge.errors import require
+from chicorybridge.events import EventKind
+from chicorybridge.identities import (
+    ApplyId,
+    HostId,
+    Incarnation,
+    RegionId,
+    Version,
+    ZoneId,
+)
 from chicorybridge.members import Members
 from chicorybridge.profiles import HostProfile
 from chicorybridge.rollouts import Rollouts
 from chicorybridge.stores import HostState, ListedHost
 from chicorybridge.systems import Effects, System
 from chicorybridge.tools.channels import FaultyChannel
+from chicorybridge.tools.declared import declared
+from chicorybridge.versions import (
+    ApplyProgress,
+    ApplyRequested,
+    FleetStatus,
+    StatusRequested,
+)
 
 INCARNATION_BITS = 63
 
+# Time in which hosts find each other and join.
+SETTLE_MS = 8000
+# What the channel adds to the time a status takes.
+ANSWER_MS = 500
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class FleetHost:
@@ -32,6 +54,12 @@
     return RegionId(f'region-{region}')
 
 
+def _listed(host_id: HostId) -> ListedHost:
+    return ListedHost(
+        host_id=host_id, address='127.0.0.1:1', state=HostState.live
+    )
+
+
 class Operator(System):
     """Keep what hosts answer to one operator."""
 
@@ -58,8 +86,10 @@
             name = str(number).zfill(4)
             self.start(HostId(f'host-{name}'), zone=number % zones)
 
-    def start(self, host_id: HostId, *, zone: int) -> FleetHost:
-        """Start a host, or a new incarnation of it."""
+    def start(
+        self, host_id: HostId, *, zone: int, seeds: tuple[HostId, ...] = ()
+    ) -> FleetHost:
+        """Start a host, or a new incarnation of it, that knows `seeds`."""
         profile = HostProfile(
             host_id=host_id,
             incarnation=Incarnation(self.rng.getrandbits(INCARNATION_BITS)),
@@ -68,7 +98,11 @@
             zone_id=ZoneId(f'zone-{zone}'),
             region_id=region_of(zone),
         )
-        members = Members(profile=profile, rng=random.Random(self.rng.random()))
+        members = Members(
+            profile=profile,
+            rng=random.Random(self.rng.random()),
+            seeds=tuple(map(_listed, seeds)),
+        )
         rollouts = Rollouts(members=members, settled=lambda _: host.settles)
         host = FleetHost(members=members, rollouts=rollouts)
         self.hosts_by_id[host_id] = host
@@ -89,13 +123,12 @@
 
     def list_host(self, host_id: HostId, *, state: HostState) -> None:
         """Name a host in the platform's list."""
-        self._listed[host_id] = ListedHost(
-            host_id=host_id, address='127.0.0.1:1', state=state
-        )
+        listed = dataclasses.replace(_listed(host_id), state=state)
+        self._listed_by_id[host_id] = listed
 
     def unlist(self, host_id: HostId) -> None:
         """Drop a host from the platform's list."""
-        self._listed.pop(host_id, None)
+        self._listed_by_id.pop(host_id, None)
 
     def of_region(self, region: int) -> list[HostId]:
         """Return the hosts of a region; two zones make one."""
@@ -116,5 +149,109 @@
         }
 
     @property
-    def _listed(self) -> dict[HostId, ListedHost]:
+    def _listed_by_id(self) -> dict[HostId, ListedHost]:
         return self.channel.store.tables.hosts_by_id
+
+
+class AppliedFleet(Fleet):
+    """A fleet with one operator and its first version accepted."""
+
+    def __init__(self, *, size: int, seed: int = 1) -> None:
+        """Bring the first version in force."""
+        super().__init__(size=size, seed=seed)
+        self.answers = self.operator('operator').answers
+        self.channel.run(for_ms=SETTLE_MS)
+        self.apply('first', base=0)
+        self.channel.run(for_ms=SETTLE_MS)
+
+    @property
+    def first(self) -> HostId:
+        """Return the host that operators use by default."""
+        return min(self.hosts_by_id)
+
+    @property
+    def last(self) -> ApplyProgress:
+        """Return the last progress that the operator was told."""
+        told = [
+            answer
+            for answer in self.answers
+            if isinstance(answer, ApplyProgress)
+        ]
+        return told[-1]
+
+    def apply(
+        self,
+        name: str,
+        *,
+        base: int,
+        at: HostId | None = None,
+        sender: str = 'operator',
+        excused: tuple[HostId, ...] = (),
+        apply_id: str = '',
+        body: bytes = b'',
+    ) -> None:
+        """Hand an apply in at a host."""
+        request = ApplyRequested(
+            apply_id=ApplyId(apply_id or f'apply-{name}'),
+            base=Version(base),
+            body=body or declared(name).body,
+            excused=excused,
+        )
+        self.channel.hand_in(at or self.first, request, sender=HostId(sender))
+
+    def status(self, at: HostId | None = None) -> FleetStatus:
+        """Ask one host for the status of the fleet."""
+        self.channel.hand_in(
+            at or self.first, StatusRequested(), sender=HostId('operator')
+        )
+        self.channel.run(for_ms=settings.STATUS_MS + ANSWER_MS)
+        return [
+            answer for answer in self.answers if isinstance(answer, FleetStatus)
+        ][-1]
+
+    def run(self, *, for_ms: float, step_ms: float = settings.TICK_MS) -> None:
+        """Let time pass; require at each tick that the promise holds.
+
+        Whatever an operator was told to be accepted governs every host
+        that takes work.
+        """
+        end = self.channel.clock.now() + for_ms
+        while self.channel.clock.now() < end:
+            self.channel.run(for_ms=step_ms, tick_ms=step_ms)
+            accepted = self.accepted
+            require(
+                promise='an accepted version governs every host in service',
+                holds=all(
+                    self.versions.get(host_id, 0) >= accepted
+                    for host_id in self.serving
+                ),
+            )
+
+    @property
+    def accepted(self) -> int:
+        """Return the newest version that an operator was told accepted."""
+        told = [
+            event.facts['version']
+            for _, _, event in self.channel.events
+            if event.kind is EventKind.configuration_accepted
+        ]
+        return max(told, default=0)
+
+    @property
+    def versions(self) -> dict[HostId, int]:
+        """Return the version in force on each host."""
+        return {
+            host_id: host.rollouts.held.head.version
+            for host_id, host in self.hosts_by_id.items()
+            if host.rollouts.held
+        }
+
+    @property
+    def serving(self) -> set[HostId]:
+        """Return the hosts that may take work now."""
+        now = self.channel.clock.now()
+        return {
+            host_id
+            for host_id, host in self.hosts_by_id.items()
+            if host.rollouts.may_serve(now=now)
+        }
