--- a/chicorybridge/claim_attempts.py
+++ b/chicorybridge/claim_attempts.py
@@ -144,6 +144,10 @@
             self._given_up.popitem(last=False)
         return attempt
 
+    def is_given_up(self, attempt_id: AttemptId) -> bool:
+        """Tell whether a late decision of this try would be declined."""
+        return attempt_id in self._given_up
+
     def decline(self, decided: ClaimDecided) -> ClaimFinished | None:
         """Return the report that a try given up was not run.
 
