Add the load generator, experiments, results and reports

Arrivals are open loop and latency runs from the time a request was due. Callers check every answer, repeat only what is safe, and the verdict compares what they were told with what the targets ran.

--- a/chicorybridge/emulators.py
+++ b/chicorybridge/emulators.py
@@ -6,14 +6,18 @@
 import math
 import os
 import random
-from collections.abc import Iterable
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import urlsplit
 
 from chicorybridge.clocks import Clock
-from chicorybridge.documents import CONTENT_TYPE, JSON_TYPE, encode_document
+from chicorybridge.echoes import (
+    IDEMPOTENCY_KEY,
+    Upload,
+    make_document,
+    make_echo,
+    read_number,
+)
 from chicorybridge.impairments import EmulatorKnobs, Fault, Impairments, Work
 from chicorybridge.platforms import MALFORMED, SILENCE_MS
 from chicorybridge.services import Request, Response, ServerConnection
@@ -26,8 +30,6 @@
 COUNTS = '/standin/counts'
 
 # Headers of callers, in lower case as they arrive.
-IDEMPOTENCY_KEY = 'idempotency-key'
-REQUEST_ID = 'chicorybridge-request'
 DEADLINE = 'chicorybridge-deadline-ms'
 ZONE = 'chicorybridge-zone'
 
@@ -37,8 +39,6 @@
 # Exit status after a request that crashes the process (EX_SOFTWARE).
 CRASH_STATUS = 70
 
-FILLER = b'.'
-
 STATUS_BY_FAULT = MappingProxyType(
     {
         Fault.failure: HTTPStatus.INTERNAL_SERVER_ERROR,
@@ -47,14 +47,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Upload:
-    """A request body as it was received."""
-
-    digest: str
-    size: int
-
-
 class TargetEmulator:
     """Answer any path like a server with few slots and some faults."""
 
@@ -70,8 +62,7 @@
         """Start idle; `name` and `zone` are told in answers."""
         self.knobs = knobs
         self.tally = Tally(clock=clock)
-        self._name = name
-        self._zone = zone
+        self._origin = {'target': name, 'zone': zone}
         self._clock = clock
         self._impairments = Impairments(started_at=clock.now(), rng=rng)
         self._slots = Slots()
@@ -104,15 +95,15 @@
 
     def _operate(self, path: str, request: Request, body: bytes) -> Response:
         if path == COUNTS:
-            return _document(self.tally.document())
+            return make_document(self.tally.document())
         if request.method == 'POST':
             try:
                 self._turn(self.knobs.turned(json.loads(body)))
             except MALFORMED as error:
-                return _document(
+                return make_document(
                     {'detail': str(error)}, status=HTTPStatus.BAD_REQUEST
                 )
-        return _document(dataclasses.asdict(self.knobs))
+        return make_document(dataclasses.asdict(self.knobs))
 
     def _turn(self, knobs: EmulatorKnobs) -> None:
         if knobs.freeze_connections != self.knobs.freeze_connections:
@@ -137,8 +128,8 @@
         shown = self._history.as_of(self._clock.now() - knobs.health_lag_ms)
         leaving = shown.draining and not knobs.health_misleads
         if not leaving:
-            return _document({'status': 'ok'})
-        return _document(
+            return make_document({'status': 'ok'})
+        return make_document(
             {'status': 'draining'},
             status=HTTPStatus.SERVICE_UNAVAILABLE,
             headers=[DRAINING],
@@ -148,7 +139,7 @@
         knobs = self.knobs
         shown = self._history.as_of(self._clock.now() - knobs.load_lag_ms)
         busy = 0 if knobs.load_misleads else shown.in_flight + shown.queued
-        return _document({'in_flight': busy, 'slots': knobs.slots})
+        return make_document({'in_flight': busy, 'slots': knobs.slots})
 
     async def _work(
         self, connection: ServerConnection, request: Request, path: str
@@ -186,7 +177,7 @@
         fault: Fault,
     ) -> None:
         now = self._clock.now()
-        left_ms = _number(request.headers_by_name.get(DEADLINE), math.inf)
+        left_ms = read_number(request.headers_by_name.get(DEADLINE), math.inf)
         left_ms -= now - connection.received_at
         if left_ms <= 0:
             await self._shed(connection, request)
@@ -217,7 +208,13 @@
     ) -> None:
         if upload.size:
             self.tally.bytes_by_digest[upload.digest] = upload.size
-        response = self._answer(request, upload, fault)
+        response = make_echo(
+            request,
+            upload,
+            status=STATUS_BY_FAULT.get(fault, HTTPStatus.OK),
+            origin=self._origin,
+            headers=self._draining(),
+        )
         encoded = connection.encode(response, to=request.method)
         if fault is Fault.cut:
             connection.closing = True
@@ -227,33 +224,6 @@
         self.tally.end(fault.value)
         await connection.send(encoded)
 
-    def _answer(
-        self, request: Request, upload: Upload, fault: Fault
-    ) -> Response:
-        document = encode_document(
-            {
-                'target': self._name,
-                'zone': self._zone,
-                'request': request.headers_by_name.get(REQUEST_ID, ''),
-                'key': request.headers_by_name.get(IDEMPOTENCY_KEY, ''),
-                'path': request.path,
-                'sha256': upload.digest,
-                'bytes': upload.size,
-            }
-        )
-        query = parse_qs(urlsplit(request.path).query)
-        size = int(_number(query.get('bytes', [None])[0], 0))
-        body = document.ljust(size, FILLER)
-        digest = hashlib.sha256(body).hexdigest()
-        headers = dict(self._draining())
-        headers[CONTENT_TYPE] = 'application/octet-stream'
-        headers['Chicorybridge-Digest'] = digest
-        return Response(
-            status=STATUS_BY_FAULT.get(fault, HTTPStatus.OK),
-            headers_by_name=headers,
-            body=body,
-        )
-
     async def _shed(
         self, connection: ServerConnection, request: Request
     ) -> None:
@@ -291,26 +261,3 @@
 async def _stay_silent(connection: ServerConnection) -> None:
     await connection.caller_stays(for_ms=SILENCE_MS)
     connection.closing = True
-
-
-def _number(text: str | None, default: float) -> float:
-    """Read a number from a caller, who may send anything."""
-    try:
-        return float(text or default)
-    except ValueError:
-        return default
-
-
-def _document(
-    document: Any,
-    *,
-    status: int = HTTPStatus.OK,
-    headers: Iterable[tuple[str, str]] = (),
-) -> Response:
-    headers_by_name = dict(headers)
-    headers_by_name[CONTENT_TYPE] = JSON_TYPE
-    return Response(
-        status=status,
-        headers_by_name=headers_by_name,
-        body=encode_document(document),
-    )
--- /dev/null
+++ b/chicorybridge/experiment_files.py
@@ -0,0 +1,257 @@
+"""Experiments as INI files; `docs/experiments.md` describes the format."""
+
+import dataclasses
+import json
+import pathlib
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any, TypeAlias
+
+from chicorybridge.errors import ErrorCode
+from chicorybridge.experiments import (
+    CallerGroup,
+    Experiment,
+    FaultStep,
+    Place,
+    RequestKind,
+    Via,
+)
+from chicorybridge.fields import (
+    AddressField,
+    ChoiceField,
+    Field,
+    FieldError,
+    FlagField,
+    IntegerField,
+    NumberField,
+    PathField,
+)
+from chicorybridge.readers import (
+    Fields,
+    Problem,
+    Section,
+    parse_section,
+    read_sections,
+    refuse,
+)
+
+MAX_DURATION_MS = 86_400_000
+MAX_RATE = 100_000
+MAX_COUNT = 10_000
+MAX_BODY_BYTES = 1024**3
+MAX_SEED = 1_000_000_000
+
+EXPERIMENT = 'experiment'
+
+# Values of keys by name of section.
+ValuesByName: TypeAlias = dict[str, dict[str, Any]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NamesField(Field):
+    """Names separated by spaces."""
+
+    def parse(self, text: str) -> Any:
+        """Return a tuple of names."""
+        return tuple(text.split())
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KnobsField(Field):
+    """The knobs of a stand-in as a JSON object."""
+
+    def parse(self, text: str) -> Any:
+        """Return the object or raise `FieldError`."""
+        try:
+            knobs = json.loads(text)
+        except ValueError:
+            knobs = None
+        if isinstance(knobs, dict):
+            return knobs
+        raise FieldError(
+            code=ErrorCode.setting_type, detail='expected a JSON object'
+        )
+
+
+def _milliseconds(*, required: bool = False) -> IntegerField:
+    return IntegerField(low=0, high=MAX_DURATION_MS, required=required)
+
+
+def _count(low: int = 1) -> IntegerField:
+    return IntegerField(low=low, high=MAX_COUNT)
+
+
+FIELDS_BY_KIND: Mapping[str, Fields] = MappingProxyType(
+    {
+        EXPERIMENT: {
+            'duration_ms': _milliseconds(required=True),
+            'warm_up_ms': _milliseconds(),
+            'seed': IntegerField(low=0, high=MAX_SEED),
+        },
+        'address': {
+            'at': AddressField(required=True),
+            'target': FlagField(),
+        },
+        'request': {
+            'method': Field(),
+            'path': PathField(),
+            'body_bytes': IntegerField(low=0, high=MAX_BODY_BYTES),
+            'share': NumberField(low=0, high=MAX_RATE),
+            'keyed': FlagField(),
+        },
+        'callers': {
+            'to': NamesField(required=True),
+            'requests': NamesField(required=True),
+            'region': Field(),
+            'via': ChoiceField(choices=Via),
+            'requests_per_second': NumberField(low=0, high=MAX_RATE),
+            'hosts': _count(),
+            'workers': _count(),
+            'start_ms': _milliseconds(),
+            'stop_ms': _milliseconds(),
+            'timeout_ms': _milliseconds(),
+            'repeats': _count(low=0),
+            'repeat_after_ms': _milliseconds(),
+            'process': Field(),
+        },
+        'fault': {
+            'at_ms': _milliseconds(required=True),
+            'to': NamesField(required=True),
+            'knobs': KnobsField(required=True),
+            'platform': FlagField(),
+        },
+    }
+)
+
+CLASSES_BY_KIND: Mapping[str, Callable[..., Any]] = MappingProxyType(
+    {
+        'address': Place,
+        'request': RequestKind,
+        'callers': CallerGroup,
+        'fault': FaultStep,
+    }
+)
+
+# Which sections the names of a key refer to.
+KINDS_BY_KEY = MappingProxyType({'to': 'address', 'requests': 'request'})
+
+
+def read_experiment(
+    path: pathlib.Path,
+    *,
+    addresses_by_name: Mapping[str, str] | None = None,
+    seed: int | None = None,
+) -> Experiment:
+    """Read a file; raise `SettingsError` with all problems.
+
+    `addresses_by_name` and `seed` go before those of the file.
+    """
+    sections, problems = read_sections(path)
+    reader = ExperimentReader(file=path.name)
+    reader.problems.extend(problems)
+    for section in sections:
+        reader.add(section)
+    for name, address in (addresses_by_name or {}).items():
+        reader.place(name, address)
+    experiment = reader.finish()
+    if seed is None:
+        return experiment
+    return dataclasses.replace(experiment, seed=seed)
+
+
+class ExperimentReader:
+    """Collect sections and problems, then build the experiment."""
+
+    def __init__(self, *, file: str) -> None:
+        """Start without sections."""
+        self.problems: list[Problem] = []
+        self.values_by_kind: dict[str, ValuesByName] = {
+            kind: {} for kind in FIELDS_BY_KIND
+        }
+        self._file = file
+        self._sections: list[Section] = []
+
+    def add(self, section: Section) -> None:
+        """Check one section on its own."""
+        fields = FIELDS_BY_KIND.get(section.kind)
+        if fields is None or not section.entity_id:
+            self._refuse(section, '', 'unknown section')
+            return
+        values_by_key, problems = parse_section(section, fields)
+        self.problems.extend(problems)
+        self.values_by_kind[section.kind][section.entity_id] = values_by_key
+        self._sections.append(section)
+
+    def place(self, name: str, address: str) -> None:
+        """Set the address of a name, which the file need not have."""
+        try:
+            at = AddressField().parse(address)
+        except FieldError as error:
+            self.problems.append(
+                Problem(
+                    file=self._file,
+                    section=f'address {name}',
+                    key='at',
+                    code=error.code,
+                    detail=error.detail,
+                )
+            )
+            return
+        self.values_by_kind['address'].setdefault(name, {})['at'] = at
+
+    def finish(self) -> Experiment:
+        """Check references and build; raise `SettingsError` on problems."""
+        for section in self._sections:
+            self._check_references(section)
+        if len(self.values_by_kind[EXPERIMENT]) != 1:
+            self.problems.append(
+                Problem(
+                    file=self._file,
+                    section=EXPERIMENT,
+                    key='',
+                    code=ErrorCode.setting_missing,
+                    detail='expected one [experiment NAME] section',
+                )
+            )
+        refuse(self.problems)
+        name, values_by_key = next(
+            iter(self.values_by_kind[EXPERIMENT].items())
+        )
+        return Experiment(
+            name=name,
+            duration_ms=values_by_key['duration_ms'],
+            warm_up_ms=values_by_key.get('warm_up_ms', 0),
+            seed=values_by_key.get('seed', 1),
+            places_by_name=self._build('address'),
+            requests_by_name=self._build('request'),
+            callers_by_name=self._build('callers'),
+            faults_by_name=self._build('fault'),
+        )
+
+    def _build(self, kind: str) -> dict[str, Any]:
+        return {
+            name: CLASSES_BY_KIND[kind](name=name, **values_by_key)
+            for name, values_by_key in self.values_by_kind[kind].items()
+        }
+
+    def _check_references(self, section: Section) -> None:
+        for key, kind in KINDS_BY_KEY.items():
+            names = section.texts_by_key.get(key, '').split()
+            unknown = set(names) - set(self.values_by_kind[kind])
+            for name in sorted(unknown):
+                self._refuse(
+                    section,
+                    key,
+                    f'no section [{kind} {name}]',
+                    code=ErrorCode.setting_reference,
+                )
+
+    def _refuse(
+        self,
+        section: Section,
+        key: str,
+        detail: str,
+        *,
+        code: ErrorCode = ErrorCode.setting_unknown,
+    ) -> None:
+        self.problems.append(section.problem(key=key, code=code, detail=detail))
--- /dev/null
+++ b/chicorybridge/results.py
@@ -0,0 +1,108 @@
+"""Results of experiments as JSON, and comparisons of two of them."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import platform
+from collections.abc import Iterator
+from typing import Any
+
+from chicorybridge.clocks import Clock
+from chicorybridge.experiments import Experiment
+from chicorybridge.runs import Outcome
+
+# Version of the format; a reader refuses any other.
+FORMAT = 1
+
+PROCESSOR = 'processor_ms_per_request'
+
+COMPARED = ('p50_ms', 'p90_ms', 'p99_ms', 'max_ms')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Difference:
+    """One figure of two results; `before` is `None` if it is new."""
+
+    group: str
+    figure: str
+    before: float | None
+    after: float
+
+
+def make_result(
+    experiment: Experiment, outcome: Outcome, *, clock: Clock
+) -> dict[str, Any]:
+    """Return the result of a run as JSON values."""
+    return {
+        'format': FORMAT,
+        'name': experiment.name,
+        'seed': experiment.seed,
+        'finished_at_ms': round(clock.epoch()),
+        'machine': describe_machine(),
+        'settings': experiment.document(),
+        'groups': outcome.groups_by_name,
+        'processes': outcome.processes_by_name,
+        'targets': {
+            name: _without_keys(counts)
+            for name, counts in outcome.counts_by_target.items()
+        },
+        'faults': outcome.faults,
+        'verdict': dataclasses.asdict(outcome.verdict),
+    }
+
+
+def describe_machine() -> dict[str, Any]:
+    """Return what figures depend on: processors, load, versions."""
+    return {
+        'processors': os.cpu_count(),
+        'load_average': os.getloadavg()[0],
+        'architecture': platform.machine(),
+        'system': platform.system(),
+        'python': platform.python_version(),
+    }
+
+
+def write_result(result: dict[str, Any], path: pathlib.Path) -> None:
+    """Write a result to a file."""
+    path.write_text(json.dumps(result, indent=1, sort_keys=True))
+
+
+def read_result(path: pathlib.Path) -> dict[str, Any]:
+    """Read a result; raise `ValueError` for another format."""
+    result = json.loads(path.read_text())
+    if not isinstance(result, dict) or result.get('format') != FORMAT:
+        raise ValueError(f'{path.name} is not a result of format {FORMAT}')
+    return result
+
+
+def compare(
+    after: dict[str, Any], before: dict[str, Any] | None
+) -> Iterator[Difference]:
+    """Yield latencies and processor times beside the earlier ones."""
+    earlier = before or {'groups': {}, 'processes': {}}
+    for group, recorded in after['groups'].items():
+        latency = earlier['groups'].get(group, {}).get('latency', {})
+        for figure in COMPARED:
+            yield Difference(
+                group=group,
+                figure=figure,
+                before=latency.get(figure),
+                after=recorded['latency'][figure],
+            )
+    for name, usage in after['processes'].items():
+        yield Difference(
+            group=name,
+            figure=PROCESSOR,
+            before=earlier['processes'].get(name, {}).get(PROCESSOR),
+            after=usage[PROCESSOR],
+        )
+
+
+def _without_keys(counts: dict[str, Any]) -> dict[str, Any]:
+    # Keys and digests are many and were judged already.
+    return {
+        **counts,
+        'runs_by_key': len(counts['runs_by_key']),
+        'uploads': len(counts['uploads']),
+    }
--- a/chicorybridge/services.py
+++ b/chicorybridge/services.py
@@ -8,7 +8,7 @@
 import itertools
 import logging
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any
 
 import curio
@@ -49,7 +49,7 @@
 
     method: str
     path: str
-    headers_by_name: dict[str, str] = dataclasses.field(default_factory=dict)
+    headers_by_name: Mapping[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b''
 
 
@@ -58,7 +58,7 @@
     """A whole answer; header names come in lower case on the client side."""
 
     status: int
-    headers_by_name: dict[str, str] = dataclasses.field(default_factory=dict)
+    headers_by_name: Mapping[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b''
 
 
--- /dev/null
+++ b/chicorybridge/tests/test_arrivals.py
@@ -0,0 +1,37 @@
+"""Tests of open-loop arrivals."""
+
+import random
+
+from chicorybridge.arrivals import draw_arrivals
+from chicorybridge.experiments import CallerGroup, RequestKind
+
+KINDS = (
+    RequestKind(name='read', share=9),
+    RequestKind(name='accept', share=1),
+)
+
+
+def _draw(**options):
+    group = CallerGroup(
+        name='noord', to=(), requests=(), requests_per_second=100, **options
+    )
+    return list(
+        draw_arrivals(group, KINDS, duration_ms=100_000, rng=random.Random(1))
+    )
+
+
+def test_rate_mix_and_seed():
+    """10,000 arrivals are expected, a tenth of them acceptances."""
+    arrivals = _draw()
+    accepted = sum(arrival.kind.name == 'accept' for arrival in arrivals)
+    assert 9600 < len(arrivals) < 10_400
+    assert 850 < accepted < 1150
+    assert arrivals == _draw()
+
+
+def test_start_and_stop_bound_the_group():
+    """Nothing is due outside the group's time."""
+    times = [arrival.at_ms for arrival in _draw(start_ms=2000, stop_ms=5000)]
+    assert times == sorted(times)
+    assert 2000 <= times[0]
+    assert times[-1] < 5000
--- /dev/null
+++ b/chicorybridge/tests/test_callers.py
@@ -0,0 +1,109 @@
+"""Tests of what a caller makes of answers."""
+
+import hashlib
+import json
+import random
+from types import MappingProxyType
+
+import pytest
+
+from chicorybridge.callers import CallerHost, CallOutcome, judge
+from chicorybridge.clocks import Clock
+from chicorybridge.experiments import CallerGroup, RequestKind, Via
+from chicorybridge.services import Response
+from chicorybridge.tests.serving import serving
+
+ECHO = json.dumps({'request': 'r-1', 'sha256': 'd'}).encode()
+DIGEST = MappingProxyType(
+    {'chicorybridge-digest': hashlib.sha256(ECHO).hexdigest()}
+)
+NOT_RUN = MappingProxyType({'chicorybridge-outcome': 'not-run'})
+
+
+@pytest.mark.parametrize(
+    ('response', 'outcome'),
+    [
+        (Response(status=200, headers_by_name=DIGEST, body=ECHO), 'whole'),
+        (Response(status=200, headers_by_name=DIGEST, body=ECHO[1:]), None),
+        (Response(status=200, body=ECHO), 'mismatched'),
+        (Response(status=503, headers_by_name=NOT_RUN), 'not_run'),
+        (
+            Response(
+                status=502,
+                headers_by_name={'chicorybridge-outcome': 'unknown'},
+            ),
+            'unknown',
+        ),
+        (Response(status=500), 'failed'),
+        (Response(status=404), 'refused'),
+    ],
+)
+def test_outcome_of_an_answer(response, outcome):
+    """Damage shows, and what the fleet tells is believed."""
+    expected = CallOutcome(outcome or 'mismatched')
+    assert judge(response, name='r-1', digest='d') is expected
+
+
+def test_answer_to_another_request_is_mismatched():
+    """A whole answer of somebody else is not one's own."""
+    response = Response(status=200, headers_by_name=DIGEST, body=ECHO)
+    found = judge(response, name='r-2', digest='d')
+    assert found is CallOutcome.mismatched
+
+
+def _host(address, **options):
+    group = CallerGroup(
+        name='noord', to=(), requests=(), repeat_after_ms=1, **options
+    )
+    return CallerHost(
+        name='noord-0',
+        group=group,
+        addresses=(str(address),),
+        clock=Clock(),
+        rng=random.Random(1),
+    )
+
+
+@pytest.mark.parametrize(
+    ('kind', 'headers', 'attempts'),
+    [
+        (RequestKind(name='book', method='POST'), {}, 1),
+        (RequestKind(name='book', method='POST'), NOT_RUN, 3),
+        (RequestKind(name='accept', method='POST', keyed=True), {}, 3),
+        (RequestKind(name='read'), {}, 3),
+    ],
+)
+async def test_repeats_only_what_is_safe(kind, headers, attempts):
+    """Without a key, a request in doubt is never sent again."""
+
+    async def fail(connection, request):  # noqa: WPS430
+        await connection.respond(Response(status=500, headers_by_name=headers))
+
+    async with serving(fail) as address:
+        host = _host(address, repeats=2)
+        call = await host.call(host.prepare(kind, number=1))
+        await host.close()
+    assert len(call.outcomes) == attempts
+
+
+async def test_entry_list_is_asked_once_and_followed():
+    """The caller goes where the list sends it until the list expires."""
+    asked = []
+
+    async def answer(connection, request):  # noqa: WPS430
+        asked.append(request.path)
+        await connection.respond(Response(status=404))
+
+    async def entries(connection, request):  # noqa: WPS430
+        asked.append(request.path)
+        document = {'entries': [str(listed)], 'ttl_ms': 60_000, 'version': 1}
+        body = json.dumps(document).encode()
+        await connection.respond(Response(status=200, body=body))
+
+    async with serving(answer) as listed, serving(entries) as known:
+        host = _host(known, via=Via.entries)
+        prepared = host.prepare(RequestKind(name='read'), number=1)
+        await host.call(prepared)
+        await host.call(prepared)
+        await host.close()
+    assert asked == ['/chicorybridge/entries', '/', '/']
--- /dev/null
+++ b/chicorybridge/tests/test_recorders.py
@@ -0,0 +1,39 @@
+"""Tests of recorded latencies."""
+
+import pytest
+
+from chicorybridge.callers import Call, CallOutcome
+from chicorybridge.experiments import RequestKind
+from chicorybridge.recorders import GroupRecorder
+
+
+def _call(*outcomes):
+    kind = RequestKind(name='read')
+    return Call(key='', kind=kind, body_sha256='', outcomes=outcomes)
+
+
+def test_latency_runs_from_the_time_due():
+    """A generator that was late does not shorten what a caller waited."""
+    recorder = GroupRecorder(measured_from_ms=0)
+    recorder.record(
+        _call(CallOutcome.whole), due_ms=1000, begun_ms=1400, ended_ms=1500
+    )
+    document = recorder.document()
+    assert document['latency']['max_ms'] == pytest.approx(500, rel=0.01)
+    assert document['lateness']['max_ms'] == pytest.approx(400, rel=0.01)
+
+
+def test_warm_up_and_failures_are_kept_apart():
+    """Only whole answers after the warm-up make up the latency."""
+    recorder = GroupRecorder(measured_from_ms=1000)
+    whole, lost = _call(CallOutcome.whole), _call(CallOutcome.lost)
+    repeated = _call(CallOutcome.lost, CallOutcome.whole)
+    for due_ms, call in ((999, whole), (1000, lost), (2500, repeated)):
+        recorder.record(
+            call, due_ms=due_ms, begun_ms=due_ms, ended_ms=due_ms + 10
+        )
+    document = recorder.document()
+    assert document['outcomes'] == {'lost': 1, 'whole': 1}
+    assert document['latency']['count'] == 1
+    assert document['repeats'] == 1
+    assert sorted(document['seconds']) == ['0', '1', '2']
--- /dev/null
+++ b/chicorybridge/tests/test_verdicts.py
@@ -0,0 +1,48 @@
+"""Tests of promises judged from the callers' and the targets' counts."""
+
+import pytest
+
+from chicorybridge.callers import Call, CallOutcome
+from chicorybridge.experiments import RequestKind
+from chicorybridge.verdicts import judge_calls
+
+KIND = RequestKind(name='accept', method='POST', keyed=True)
+
+
+def _judge(outcomes, runs, *, uploads=('d',)):
+    call = Call(key='k', kind=KIND, body_sha256='d', outcomes=outcomes)
+    counts_by_target = {
+        f'target-{number}': {
+            'runs_by_key': {'k': 1},
+            'uploads': dict.fromkeys(uploads, 1),
+        }
+        for number in range(runs)
+    }
+    counts_by_target['idle'] = {'runs_by_key': {}, 'uploads': {}}
+    return judge_calls([call], counts_by_target)
+
+
+@pytest.mark.parametrize(
+    ('outcomes', 'runs', 'broken'),
+    [
+        ((CallOutcome.whole,), 1, None),
+        ((CallOutcome.whole,), 2, 'doubled_runs'),
+        ((CallOutcome.whole,), 0, 'missing_runs'),
+        ((CallOutcome.not_run, CallOutcome.not_sent), 0, None),
+        ((CallOutcome.not_run, CallOutcome.not_sent), 1, 'false_not_run'),
+        ((CallOutcome.unknown, CallOutcome.not_run), 1, None),
+        ((CallOutcome.mismatched,), 1, 'mismatched'),
+    ],
+)
+def test_promises_against_runs(outcomes, runs, broken):
+    """Each way to break a promise is seen, and nothing else is."""
+    verdict = _judge(outcomes, runs)
+    assert verdict.checked
+    assert verdict.kept is (broken is None)
+    if broken:
+        assert getattr(verdict, broken) == 1
+
+
+def test_lost_upload_is_seen():
+    """A body that no target stored was lost."""
+    assert _judge((CallOutcome.whole,), 1, uploads=()).lost_uploads == 1
--- /dev/null
+++ b/chicorybridge/usages.py
@@ -0,0 +1,45 @@
+"""Processor time and memory of a process, as read from the system."""
+
+import dataclasses
+import os
+import pathlib
+
+from chicorybridge.clocks import MILLIS_PER_SECOND
+
+PROCESSES = pathlib.Path('/proc')
+
+# Places of the fields after the name of the program in /proc/PID/stat.
+USER_TICKS = 11
+SYSTEM_TICKS = 12
+
+BYTES_PER_KIB = 1024
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Usage:
+    """What a process used so far; memory is what is resident."""
+
+    processor_ms: float
+    resident_bytes: int
+    peak_bytes: int
+
+
+def read_usage(pid: int) -> Usage:
+    """Read the usage of a running process; raise `OSError`."""
+    folder = PROCESSES / str(pid)
+    # The name may hold spaces and ends with the last parenthesis.
+    fields = (folder / 'stat').read_text().rpartition(')')[2].split()
+    ticks = int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])
+    status = dict(
+        line.split(':', 1)
+        for line in (folder / 'status').read_text().splitlines()
+    )
+    return Usage(
+        processor_ms=ticks * MILLIS_PER_SECOND / os.sysconf('SC_CLK_TCK'),
+        resident_bytes=_kibibytes(status['VmRSS']),
+        peak_bytes=_kibibytes(status['VmHWM']),
+    )
+
+
+def _kibibytes(text: str) -> int:
+    return int(text.split()[0]) * BYTES_PER_KIB
