--- /dev/null
+++ b/chicorybridge/tools/synthetics.py
@@ -0,0 +1,156 @@
+"""Made-up declarations of any size, up to that of two years from now."""
+
+import dataclasses
+import pathlib
+from collections.abc import Iterator
+
+from chicorybridge.declarations import (
+    Declaration,
+    Pool,
+    Region,
+    Route,
+    Service,
+    Target,
+    Workspace,
+    Zone,
+)
+from chicorybridge.identities import (
+    PoolId,
+    RegionId,
+    RouteId,
+    ServiceId,
+    TargetId,
+    WorkspaceId,
+    ZoneId,
+)
+
+# Loopback numbers for targets that nobody connects to.
+PORTS_PER_NUMBER = 50_000
+FIRST_PORT = 10_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Sizes:
+    """How many of each there are; the defaults are the size to design for."""
+
+    regions: int = 3
+    zones: int = 6
+    services: int = 290
+    targets: int = 16_000
+    routes: int = 14_000
+    workspaces: int = 34_000
+
+    def scaled(self, share: float) -> 'Sizes':
+        """Return a share of everything but regions and zones."""
+        return Sizes(
+            services=max(1, round(self.services * share)),
+            targets=max(1, round(self.targets * share)),
+            routes=max(1, round(self.routes * share)),
+            workspaces=max(1, round(self.workspaces * share)),
+        )
+
+
+def make_declaration(sizes: Sizes, *, name: str = 'synthetic') -> Declaration:
+    """Return a declaration that holds what `sizes` says."""
+    regions = [_region(number) for number in range(sizes.regions)]
+    zones = [_zone(number, sizes) for number in range(sizes.zones)]
+    services = [_service(number) for number in range(sizes.services)]
+    pools = [_pool(number) for number in range(sizes.services)]
+    targets = [_target(number, sizes) for number in range(sizes.targets)]
+    routes = [_route(number, sizes) for number in range(sizes.routes)]
+    workspaces = [_workspace(number) for number in range(sizes.workspaces)]
+    return Declaration(
+        name=name,
+        regions_by_id={region.region_id: region for region in regions},
+        zones_by_id={zone.zone_id: zone for zone in zones},
+        services_by_id={service.service_id: service for service in services},
+        pools_by_id={pool.pool_id: pool for pool in pools},
+        targets_by_id={target.target_id: target for target in targets},
+        routes_by_id={route.route_id: route for route in routes},
+        workspaces_by_id={
+            workspace.workspace_id: workspace for workspace in workspaces
+        },
+    )
+
+
+def write_declaration(sizes: Sizes, path: pathlib.Path) -> None:
+    """Write the same declaration as an INI file."""
+    path.write_text('\n'.join(_lines(make_declaration(sizes))))
+
+
+def _lines(declaration: Declaration) -> Iterator[str]:
+    yield _section('declaration', declaration.name)
+    for region_id in declaration.regions_by_id:
+        yield _section('region', region_id)
+    for zone in declaration.zones_by_id.values():
+        yield _section('zone', zone.zone_id, region=zone.region_id)
+    for service_id in declaration.services_by_id:
+        yield _section('service', service_id)
+    for pool in declaration.pools_by_id.values():
+        yield _section('pool', pool.pool_id, service=pool.service_id)
+    for target in declaration.targets_by_id.values():
+        yield _section(
+            'target',
+            target.target_id,
+            pool=target.pool_id,
+            zone=target.zone_id,
+            address=target.address,
+        )
+    for route in declaration.routes_by_id.values():
+        yield _section(
+            'route',
+            route.route_id,
+            service=route.service_id,
+            prefix=route.prefix,
+        )
+    for workspace_id in declaration.workspaces_by_id:
+        yield _section('workspace', workspace_id)
+
+
+def _section(kind: str, name: str, **texts_by_key: str) -> str:
+    keys = [f'{key} = {text}' for key, text in texts_by_key.items()]
+    return '\n'.join([f'[{kind} {name}]', *keys, ''])
+
+
+def _region(number: int) -> Region:
+    return Region(region_id=RegionId(f'region-{number}'))
+
+
+def _zone(number: int, sizes: Sizes) -> Zone:
+    region_id = RegionId(f'region-{number % sizes.regions}')
+    return Zone(zone_id=ZoneId(f'zone-{number}'), region_id=region_id)
+
+
+def _service(number: int) -> Service:
+    return Service(service_id=ServiceId(f'service-{number}'))
+
+
+def _pool(number: int) -> Pool:
+    return Pool(
+        pool_id=PoolId(f'pool-{number}'),
+        service_id=ServiceId(f'service-{number}'),
+    )
+
+
+def _target(number: int, sizes: Sizes) -> Target:
+    net, port = divmod(number, PORTS_PER_NUMBER)
+    port += FIRST_PORT
+    return Target(
+        target_id=TargetId(f'target-{number}'),
+        pool_id=PoolId(f'pool-{number % sizes.services}'),
+        zone_id=ZoneId(f'zone-{number % sizes.zones}'),
+        address=f'127.9.0.{net}:{port}',
+    )
+
+
+def _route(number: int, sizes: Sizes) -> Route:
+    service_id = ServiceId(f'service-{number % sizes.services}')
+    return Route(
+        route_id=RouteId(f'route-{number}'),
+        service_id=service_id,
+        prefix=f'/{service_id}/route-{number}',
+    )
+
+
+def _workspace(number: int) -> Workspace:
+    return Workspace(workspace_id=WorkspaceId(f'workspace-{number}'))
