--- a/chicorybridge/tools/synthetics.py
+++ b/chicorybridge/tools/synthetics.py
@@ -112,23 +112,27 @@
     return '\n'.join([f'[{kind} {name}]', *keys, ''])
 
 
+def _name(kind: str, number: int) -> str:
+    return f'{kind}-{number}'
+
+
 def _region(number: int) -> Region:
-    return Region(region_id=RegionId(f'region-{number}'))
+    return Region(region_id=RegionId(_name('region', number)))
 
 
 def _zone(number: int, sizes: Sizes) -> Zone:
-    region_id = RegionId(f'region-{number % sizes.regions}')
-    return Zone(zone_id=ZoneId(f'zone-{number}'), region_id=region_id)
+    region_id = RegionId(_name('region', number % sizes.regions))
+    return Zone(zone_id=ZoneId(_name('zone', number)), region_id=region_id)
 
 
 def _service(number: int) -> Service:
-    return Service(service_id=ServiceId(f'service-{number}'))
+    return Service(service_id=ServiceId(_name('service', number)))
 
 
 def _pool(number: int) -> Pool:
     return Pool(
-        pool_id=PoolId(f'pool-{number}'),
-        service_id=ServiceId(f'service-{number}'),
+        pool_id=PoolId(_name('pool', number)),
+        service_id=ServiceId(_name('service', number)),
     )
 
 
@@ -136,21 +140,21 @@
     net, port = divmod(number, PORTS_PER_NUMBER)
     port += FIRST_PORT
     return Target(
-        target_id=TargetId(f'target-{number}'),
-        pool_id=PoolId(f'pool-{number % sizes.services}'),
-        zone_id=ZoneId(f'zone-{number % sizes.zones}'),
+        target_id=TargetId(_name('target', number)),
+        pool_id=PoolId(_name('pool', number % sizes.services)),
+        zone_id=ZoneId(_name('zone', number % sizes.zones)),
         address=f'127.9.0.{net}:{port}',
     )
 
 
 def _route(number: int, sizes: Sizes) -> Route:
-    service_id = ServiceId(f'service-{number % sizes.services}')
+    service_id = ServiceId(_name('service', number % sizes.services))
     return Route(
-        route_id=RouteId(f'route-{number}'),
+        route_id=RouteId(_name('route', number)),
         service_id=service_id,
-        prefix=f'/{service_id}/route-{number}',
+        prefix=f'/{service_id}/{number}',
     )
 
 
 def _workspace(number: int) -> Workspace:
-    return Workspace(workspace_id=WorkspaceId(f'workspace-{number}'))
+    return Workspace(workspace_id=WorkspaceId(_name('workspace', number)))
