--- a/chicorybridge/experiments.py
+++ b/chicorybridge/experiments.py
@@ -101,6 +101,16 @@
         """Return the addresses that `names` stand for."""
         return tuple(self.places_by_name[name].at for name in names)
 
+    def at_rate(self, requests_per_second: float) -> 'Experiment':
+        """Return the same experiment with one rate for all groups."""
+        groups = {
+            name: dataclasses.replace(
+                group, requests_per_second=requests_per_second
+            )
+            for name, group in self.callers_by_name.items()
+        }
+        return dataclasses.replace(self, callers_by_name=groups)
+
     def summary(self) -> str:
         """Return one line for people."""
         seconds = clocks.to_seconds(self.duration_ms)
--- a/chicorybridge/loads.py
+++ b/chicorybridge/loads.py
@@ -18,7 +18,7 @@
 from chicorybridge.errors import ChicorybridgeError
 from chicorybridge.experiment_files import read_experiment
 from chicorybridge.experiments import Experiment
-from chicorybridge.options import option, refused
+from chicorybridge.options import number_of, option, refused
 from chicorybridge.reports import write_report
 from chicorybridge.results import (
     Difference,
@@ -106,6 +106,7 @@
         repeated('process', 'NAME=PID of a process to be measured'),
         option('output', 'Write the result as JSON to this file'),
         option('seed', 'Goes before the seed of the file'),
+        option('rate', 'Requests a second of every group, before the file'),
         AGAINST,
         REPORT,
     ]
@@ -132,11 +133,14 @@
 
     def _experiment(self) -> Experiment:
         path = pathlib.Path(self.argument('experiment'))
-        return read_experiment(
+        experiment = read_experiment(
             path,
             addresses_by_name=self._pairs('address'),
             seed=self._seed(),
         )
+        if self.option('rate') is None:
+            return experiment
+        return experiment.at_rate(number_of(self, 'rate'))
 
     def _seed(self) -> int | None:
         text = self.option('seed')
