--- a/chicorybridge/callers.py
+++ b/chicorybridge/callers.py
@@ -185,7 +185,7 @@
         while len(outcomes) <= self._group.repeats:
             if outcomes:
                 await curio.sleep(
-                    clocks.to_seconds(self._group.repeat_after_ms)
+                    clocks.as_seconds(self._group.repeat_after_ms)
                 )
             outcomes.append(await self._attempt(prepared))
             if not _may_repeat(kind, outcomes[-1]):
--- a/chicorybridge/experiments.py
+++ b/chicorybridge/experiments.py
@@ -113,7 +113,7 @@
 
     def summary(self) -> str:
         """Return one line for people."""
-        seconds = clocks.to_seconds(self.duration_ms)
+        seconds = clocks.as_seconds(self.duration_ms)
         return '{0}: {1:g} s, seed {2}'.format(self.name, seconds, self.seed)
 
     def document(self) -> dict[str, Any]:
--- a/chicorybridge/runs.py
+++ b/chicorybridge/runs.py
@@ -118,7 +118,7 @@
 
     def _seconds_left(self) -> float:
         left_ms = self._experiment.duration_ms - self._elapsed_ms()
-        return clocks.to_seconds(max(0, left_ms))
+        return clocks.as_seconds(max(0, left_ms))
 
     async def _turn_knobs(self) -> None:
         pending = sorted(
@@ -129,7 +129,7 @@
         while pending:
             step = pending.pop()
             wait_ms = max(0, step.at_ms - self._elapsed_ms())
-            await curio.sleep(clocks.to_seconds(wait_ms))
+            await curio.sleep(clocks.as_seconds(wait_ms))
             await self._turn(step)
 
     async def _turn(self, step: FaultStep) -> None:
@@ -162,7 +162,7 @@
 
     async def _usages_after_warm_up(self) -> dict[str, Usage]:
         wait_ms = max(0, self._experiment.warm_up_ms - self._elapsed_ms())
-        await curio.sleep(clocks.to_seconds(wait_ms))
+        await curio.sleep(clocks.as_seconds(wait_ms))
         return self._usages()
 
     def _usages(self) -> dict[str, Usage]:
@@ -253,7 +253,7 @@
         prepared = self.host.prepare(arrival.kind, number=arrival.number)
         wait_ms = arrival.at_ms - self.run_clock()
         if wait_ms > 0:
-            await curio.sleep(clocks.to_seconds(wait_ms))
+            await curio.sleep(clocks.as_seconds(wait_ms))
         begun_ms = self.run_clock()
         call = await self.host.call(prepared)
         self.recorder.record(
