Keep a caller's connection after a request without a body

Cause: nobody read the end of an empty body, so h11 never came to the end of the request and the entry closed the connection after every GET without saying so. The test fails before the change and passes after it.

--- a/chicorybridge/exchanges.py
+++ b/chicorybridge/exchanges.py
@@ -171,7 +171,12 @@
         self.head_since = None
         self.busy = True
         self._check_framing(event)
-        return _request_head(event)
+        head = _request_head(event)
+        if head.length == 0:
+            # Nobody reads an empty body, but its end has to be taken in
+            # before the connection can carry another request.
+            self._conn.next_event()
+        return head
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, asking for it if expected."""
--- /dev/null
+++ b/chicorybridge/tests/test_exchanges.py
@@ -0,0 +1,28 @@
+"""Tests of exchanges over one connection."""
+
+import socket
+
+import curio
+import pytest
+
+from chicorybridge.clocks import Clock
+from chicorybridge.exchanges import CallerExchange
+
+GET = b'GET / HTTP/1.1\r\nhost: fleet\r\n\r\n'
+EMPTY = b'POST / HTTP/1.1\r\nhost: fleet\r\ncontent-length: 0\r\n\r\n'
+UNREAD = b'POST / HTTP/1.1\r\nhost: fleet\r\ncontent-length: 5\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('request_bytes', 'reusable'), [(GET, True), (EMPTY, True), (UNREAD, False)]
+)
+async def test_connection_carries_another_request(request_bytes, reusable):
+    """A request without a body leaves nothing unread on its connection."""
+    caller, accepted = socket.socketpair()
+    exchange = CallerExchange(sock=curio.io.Socket(accepted), clock=Clock())
+    caller.sendall(request_bytes)
+    await exchange.next_request()
+    await exchange.answer(status=200, headers=[], body=b'')
+    assert exchange.next_cycle() is reusable
+    await exchange.close()
+    caller.close()
