--- a/chicorybridge/loads.py
+++ b/chicorybridge/loads.py
@@ -28,6 +28,7 @@
     write_result,
 )
 from chicorybridge.runs import Run
+from chicorybridge.usages import read_usage
 
 logger = logging.getLogger(__name__)
 
@@ -116,9 +117,7 @@
         experiment = self._experiment()
         run = Run(
             experiment=experiment,
-            pids_by_process={
-                name: int(pid) for name, pid in self._pairs('process').items()
-            },
+            pids_by_process=self._processes(),
             clock=Clock(),
         )
         earlier = self.earlier()
@@ -148,6 +147,14 @@
             return int(text) if text else None
         raise refused('seed', 'expected a whole number')
 
+    def _processes(self) -> dict[str, int]:
+        pids_by_name = {}
+        for name, text in self._pairs('process').items():
+            if not text.isdecimal() or read_usage(int(text)) is None:
+                raise refused('process', f'{text} is no running process')
+            pids_by_name[name] = int(text)
+        return pids_by_name
+
     def _pairs(self, name: str) -> dict[str, str]:
         pairs = {}
         for text in self.option(name):
--- a/chicorybridge/runs.py
+++ b/chicorybridge/runs.py
@@ -166,9 +166,13 @@
         return self._usages()
 
     def _usages(self) -> dict[str, Usage]:
-        return {
-            name: read_usage(pid) for name, pid in self._pids_by_process.items()
-        }
+        """Read all processes; one that has ended is left out."""
+        usages_by_name = {}
+        for name, pid in self._pids_by_process.items():
+            usage = read_usage(pid)
+            if usage is not None:
+                usages_by_name[name] = usage
+        return usages_by_name
 
     def _charge(
         self, before: Mapping[str, Usage], after: Mapping[str, Usage]
@@ -180,6 +184,8 @@
             requests_by_process[group.process] += count
         charged = {}
         for name, usage in after.items():
+            if name not in before:
+                continue
             used_ms = usage.processor_ms - before[name].processor_ms
             count = requests_by_process[name]
             charged[name] = {
--- a/chicorybridge/usages.py
+++ b/chicorybridge/usages.py
@@ -24,16 +24,21 @@
     peak_bytes: int
 
 
-def read_usage(pid: int) -> Usage:
-    """Read the usage of a running process; raise `OSError`."""
+def read_usage(pid: int) -> Usage | None:
+    """Read the usage of a process, `None` if it has ended."""
     folder = PROCESSES / str(pid)
+    try:
+        counters = (folder / 'stat').read_text()
+        lines = (folder / 'status').read_text().splitlines()
+    except OSError:
+        return None
     # The name may hold spaces and ends with the last parenthesis.
-    fields = (folder / 'stat').read_text().rpartition(')')[2].split()
+    fields = counters.rpartition(')')[2].split()
     ticks = int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])
-    status = dict(
-        line.split(':', 1)
-        for line in (folder / 'status').read_text().splitlines()
-    )
+    status = dict(line.split(':', 1) for line in lines)
+    if 'VmRSS' not in status:
+        # The process has ended and waits for its parent.
+        return None
     return Usage(
         processor_ms=ticks * MILLIS_PER_SECOND / os.sysconf('SC_CLK_TCK'),
         resident_bytes=_kibibytes(status['VmRSS']),
