--- /dev/null
+++ b/chicorybridge/tests/test_control_costs.py
@@ -0,0 +1,25 @@
+"""Tests of the measurement of control costs."""
+
+import dataclasses
+
+from chicorybridge.tools.control_costs import SMALL, ControlFleet, Load
+from chicorybridge.tools.synthetics import make_declaration
+
+
+def _cost(load):
+    fleet = ControlFleet(hosts=3, declaration=make_declaration(SMALL))
+    return fleet.cost(load=load)
+
+
+def test_evidence_shows_as_messages_and_bytes():
+    """A host that reports on targets sends more than an idle one."""
+    idle, busy = _cost(Load()), _cost(Load(reported=10))
+    assert all(figure >= 0 for figure in dataclasses.astuple(idle))
+    assert busy.messages > idle.messages
+    assert busy.bytes_sent > idle.bytes_sent
+
+
+def test_failing_targets_are_announced_to_all_hosts():
+    """Ejections cost messages to every host."""
+    idle, failing = _cost(Load()), _cost(Load(failing=4))
+    assert failing.bytes_sent > idle.bytes_sent
--- a/chicorybridge/tools/capacities.py
+++ b/chicorybridge/tools/capacities.py
@@ -13,19 +13,26 @@
 
 from cleo.application import Application
 from cleo.commands.command import Command
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from chicorybridge.options import option, refused
+from chicorybridge.options import number_of, option, refused
 from chicorybridge.results import describe_machine
 from chicorybridge.tools.control_costs import measure_controls
-from chicorybridge.tools.declaration_costs import measure_declarations
+from chicorybridge.tools.declaration_costs import (
+    measure_changes,
+    measure_declarations,
+)
 from chicorybridge.tools.slopes import Slope
+from chicorybridge.tools.synthetics import Sizes, write_declaration
 
 Measure = Callable[[], Iterable[Slope]]
 
 MEASURES_BY_PART: Mapping[str, Measure] = MappingProxyType(
     {
         'declarations': measure_declarations,
+        'changes': measure_changes,
         'controls': measure_controls,
     }
 )
@@ -41,7 +48,11 @@
     name = 'measure'
     description = 'Measure slopes at several sizes'
     options: ClassVar[list[Option]] = [
-        option('part', 'Which slopes: declarations, controls, all', ALL_PARTS),
+        option(
+            'part',
+            'Which slopes: declarations, changes, controls, all',
+            ALL_PARTS,
+        ),
         option('output', 'Write the slopes as JSON to this file'),
     ]
 
@@ -66,6 +77,23 @@
         return [MEASURES_BY_PART[part]]
 
 
+class DeclareCommand(Command):
+    """The command that writes a declaration of the full size."""
+
+    name = 'declare'
+    description = 'Write a made-up declaration as an INI file'
+    arguments: ClassVar[list[Argument]] = [argument('file', 'The INI file')]
+    options: ClassVar[list[Option]] = [
+        option('share', 'Share of the full size', 1)
+    ]
+
+    def handle(self) -> int:
+        """Write the file."""
+        sizes = Sizes().scaled(number_of(self, 'share'))
+        write_declaration(sizes, pathlib.Path(self.argument('file')))
+        return 0
+
+
 def describe(slope: Slope) -> str:
     """Return a slope as a row of a Markdown table."""
     points = [': '.join(map(_rounded, point)) for point in slope.points]
@@ -89,6 +117,7 @@
     """Run the program and return its exit status."""
     application = Application('capacities')
     application.add(MeasureCommand())
+    application.add(DeclareCommand())
     return application.run()
 
 
--- a/chicorybridge/tools/control_costs.py
+++ b/chicorybridge/tools/control_costs.py
@@ -10,10 +10,10 @@
 import random
 import time
 from collections.abc import Iterator, Sequence
+from types import MappingProxyType
 from typing import Any
 
 from chicorybridge.clocks import MILLIS_PER_SECOND, NANOS_PER_MILLI, Millis
-from chicorybridge.codecs import pack
 from chicorybridge.control_systems import ControlSystems
 from chicorybridge.declarations import Declaration
 from chicorybridge.heads import write_version
@@ -27,19 +27,17 @@
 from chicorybridge.observations import Observations, Tally
 from chicorybridge.profiles import HostProfile
 from chicorybridge.stores import HostState, ListedHost, PutObject
-from chicorybridge.systems import Ask, Effect, Effects, Send, System
-from chicorybridge.tools.channels import FaultyChannel
+from chicorybridge.systems import Effects, System
+from chicorybridge.tools.counting_channels import CountingChannel
 from chicorybridge.tools.slopes import Slope, fit
 from chicorybridge.tools.synthetics import Sizes, make_declaration
 from chicorybridge.versions import HeadVersion
 
-# A frame's sequence, times and digest, and the headers of TCP and IP.
-OVERHEAD_BYTES = 82
-
 WARM_UP_MS = 6000
 MEASURED_MS = 10_000
 
 HOST_COUNTS = (6, 12, 20, 44)
+SERVICE_COUNTS = (4, 40, 145, 290)
 TARGET_COUNTS = (100, 400, 1600, 4000)
 # Below the number of hosts, so that most reports go to a judge alone.
 EVIDENCE_RATES = (0, 10, 20, 40)
@@ -76,41 +74,14 @@
 
 IDLE = Load()
 
-
-class CountingChannel(FaultyChannel):
-    """Count what hosts send each other and ask of the platform."""
-
-    def __init__(self, *, seed: int) -> None:
-        """Start at zero."""
-        super().__init__(seed=seed)
-        self.messages = 0
-        self.bytes_sent = 0
-        self.platform_requests = 0
-        self.bytes_by_type: dict[str, int] = {}
-
-    def carry_out(self, host_id: HostId, effects: Any) -> None:
-        """Count the effects, then carry them out."""
-        known: tuple[Effect, ...] = tuple(effects)
-        for effect in known:
-            if isinstance(effect, Send) and effect.to != host_id:
-                self._count(effect)
-            if isinstance(effect, Ask):
-                self.platform_requests += 1
-        super().carry_out(host_id, known)
-
-    def reset(self) -> None:
-        """Count anew."""
-        self.messages = 0
-        self.bytes_sent = 0
-        self.platform_requests = 0
-        self.bytes_by_type.clear()
-
-    def _count(self, send: Send) -> None:
-        size = len(pack(send.message)) + OVERHEAD_BYTES
-        name = type(send.message).__name__
-        self.messages += 1
-        self.bytes_sent += size
-        self.bytes_by_type[name] = self.bytes_by_type.get(name, 0) + size
+UNITS_BY_FIELD = MappingProxyType(
+    {
+        'messages': 'messages',
+        'bytes_sent': 'bytes',
+        'platform_requests': 'requests',
+        'processor_ms': 'ms',
+    }
+)
 
 
 class ControlHost(System):
@@ -152,7 +123,7 @@
             self.channel.run(for_ms=OBSERVATION_MS)
             self.channel.entry_messages.clear()
 
-    def cost(self, *, load: Load) -> Cost:
+    def cost(self, *, load: Load = IDLE) -> Cost:
         """Return what a host spends in a second once all is quiet."""
         self.run(for_ms=WARM_UP_MS, load=load)
         self._require_configured()
@@ -236,6 +207,14 @@
     return fleet.cost(load=load)
 
 
+def _measure_services(services: int) -> Cost:
+    sizes = dataclasses.replace(
+        SMALL, services=services, targets=TARGET_COUNTS[1]
+    )
+    declaration = make_declaration(sizes)
+    return ControlFleet(hosts=FEW_HOSTS, declaration=declaration).cost()
+
+
 def measure_controls() -> Iterator[Slope]:
     """Yield the slopes by hosts, targets, evidence and ejections."""
     yield from _fit_all(
@@ -243,6 +222,11 @@
         HOST_COUNTS,
         [_measure(hosts=size, targets=FEW_TARGETS) for size in HOST_COUNTS],
     )
+    yield from _fit_all(
+        'services',
+        SERVICE_COUNTS,
+        [_measure_services(size) for size in SERVICE_COUNTS],
+    )
     yield from _fit_all(
         'targets',
         TARGET_COUNTS,
@@ -270,7 +254,7 @@
     for field in dataclasses.fields(Cost):
         yield fit(
             f'control {field.name} a second by {size_unit}',
-            unit=field.name,
+            unit=UNITS_BY_FIELD[field.name],
             size_unit=size_unit,
             points=[
                 (size, getattr(cost, field.name))
--- /dev/null
+++ b/chicorybridge/tools/counting_channels.py
@@ -0,0 +1,47 @@
+"""A channel that counts what hosts send, to work out what they cost."""
+
+from typing import Any
+
+from chicorybridge.codecs import pack
+from chicorybridge.identities import HostId
+from chicorybridge.systems import Ask, Effect, Send
+from chicorybridge.tools.channels import FaultyChannel
+
+# A frame's sequence, times and digest, and the headers of TCP and IP.
+OVERHEAD_BYTES = 82
+
+
+class CountingChannel(FaultyChannel):
+    """Count what hosts send each other and ask of the platform."""
+
+    def __init__(self, *, seed: int) -> None:
+        """Start at zero."""
+        super().__init__(seed=seed)
+        self.messages = 0
+        self.bytes_sent = 0
+        self.platform_requests = 0
+        self.bytes_by_type: dict[str, int] = {}
+
+    def carry_out(self, host_id: HostId, effects: Any) -> None:
+        """Count the effects, then carry them out."""
+        known: tuple[Effect, ...] = tuple(effects)
+        for effect in known:
+            if isinstance(effect, Send) and effect.to != host_id:
+                self._count(effect)
+            if isinstance(effect, Ask):
+                self.platform_requests += 1
+        super().carry_out(host_id, known)
+
+    def reset(self) -> None:
+        """Count anew."""
+        self.messages = 0
+        self.bytes_sent = 0
+        self.platform_requests = 0
+        self.bytes_by_type.clear()
+
+    def _count(self, send: Send) -> None:
+        size = len(pack(send.message)) + OVERHEAD_BYTES
+        name = type(send.message).__name__
+        self.messages += 1
+        self.bytes_sent += size
+        self.bytes_by_type[name] = self.bytes_by_type.get(name, 0) + size
