Test the data plane before scripted targets, and mend what they show

Cause of two faults: the end of an empty body was never taken from h11, so every connection was closed after one answer; a head over the bound that came in one read was let through.

--- a/chicorybridge/exchanges.py
+++ b/chicorybridge/exchanges.py
@@ -171,7 +171,11 @@
         self.head_since = None
         self.busy = True
         self._check_framing(event)
-        return _request_head(event)
+        head = _request_head(event)
+        if head.length == 0:
+            # The end of an empty body needs no more bytes.
+            await self._next_event()
+        return head
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, asking for it if expected."""
@@ -225,6 +229,10 @@
         end = HEAD_END.search(self._raw_head)
         head = self._raw_head[: end.end()] if end else self._raw_head
         self._raw_head = b''
+        if len(head) > settings.MAX_HEAD_BYTES:
+            raise ExchangeError(
+                code=ErrorCode.request_too_large, detail='the head is too long'
+            )
         if BARE_LINE_FEED.search(head):
             raise _refused('a line feed without a carriage return')
 
--- /dev/null
+++ b/chicorybridge/tests/fronts.py
@@ -0,0 +1,213 @@
+"""An entry process's data plane on loopback, before scripted targets."""
+
+import contextlib
+import dataclasses
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import curio
+
+from chicorybridge import sockets
+from chicorybridge.caller_connections import CallerTable
+from chicorybridge.claim_messages import EntryId
+from chicorybridge.claimants import Claimant
+from chicorybridge.clocks import Clock, Millis
+from chicorybridge.configurations import ActiveConfiguration
+from chicorybridge.connections import TargetConnections
+from chicorybridge.declarations import Declaration, Service
+from chicorybridge.dispatchers import Dispatcher, EntryState
+from chicorybridge.identities import Digest, HostId, Version, ZoneId
+from chicorybridge.policies import Policies
+from chicorybridge.routes import RouteTable
+from chicorybridge.tools.declared import ServiceShape, declare
+
+READ_BYTES = 65536
+ZONE = 'noord-1'
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+Script = Callable[['ScriptedTarget', curio.io.Socket, bytes], Awaitable[None]]
+
+
+class ScriptedTarget:
+    """A target that answers each read of a connection by a script."""
+
+    def __init__(self, *, script: Script) -> None:
+        """Run `script` for whatever arrives."""
+        self.connections = 0
+        self.received: list[bytes] = []
+        self.resets = 0
+        self._script = script
+
+    async def serve(self, sock: curio.io.Socket, _: object) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        try:
+            await self._serve(sock)
+        except OSError:
+            self.resets += 1
+
+    async def _serve(self, sock: curio.io.Socket) -> None:
+        data = await sock.recv(READ_BYTES)
+        while data:
+            self.received.append(data)
+            await self._script(self, sock, data)
+            data = await sock.recv(READ_BYTES)
+
+
+def answering(*answers: bytes) -> Script:
+    """Return a script that gives these answers, the last one for ever."""
+    left = list(answers)
+
+    async def script(target, sock, data):  # noqa: WPS430
+        answer = left.pop(0) if len(left) > 1 else left[0]
+        await sock.sendall(answer)
+
+    return script
+
+
+def cutting(answer: bytes) -> Script:
+    """Return a script that sends `answer` and closes the connection."""
+
+    async def script(target, sock, data):  # noqa: WPS430
+        await sock.sendall(answer)
+        await sock.close()
+
+    return script
+
+
+@dataclasses.dataclass(kw_only=True)
+class Front:
+    """The data plane with its targets; callers connect to `address`."""
+
+    address: str
+    targets: list[ScriptedTarget]
+    callers: CallerTable
+    state: EntryState
+    policies: Policies
+
+    async def connect(self) -> curio.io.Socket:
+        """Open a caller's connection."""
+        return await sockets.connect(self.address)
+
+    async def exchange(self, data: bytes) -> bytes:
+        """Send `data` on a new connection and read until it ends."""
+        sock = await self.connect()
+        await sock.sendall(data)
+        return await read_all(sock)
+
+
+async def read_all(sock: curio.io.Socket) -> bytes:
+    """Read until the connection ends; a reset raises `OSError`."""
+    parts = []
+    async with curio.timeout_after(5):
+        part = await sock.recv(READ_BYTES)
+        while part:
+            parts.append(part)
+            part = await sock.recv(READ_BYTES)
+    await sock.close()
+    return b''.join(parts)
+
+
+async def read_until(sock: curio.io.Socket, end: bytes) -> bytes:
+    """Read until what was read ends with `end`."""
+    data = b''
+    async with curio.timeout_after(5):
+        while not data.endswith(end):
+            part = await sock.recv(READ_BYTES)
+            if not part:
+                break
+            data += part
+    return data
+
+
+def _declaration(addresses: list[str], service: Service) -> Declaration:
+    shape = ServiceShape(targets=len(addresses), zones=(ZONE,))
+    declaration = declare(shape)
+    targets = zip(declaration.targets_by_id.values(), addresses, strict=True)
+    return dataclasses.replace(
+        declaration,
+        services_by_id={service.service_id: service},
+        targets_by_id={
+            target.target_id: dataclasses.replace(target, address=address)
+            for target, address in targets
+        },
+    )
+
+
+def _configuration(declaration: Declaration) -> ActiveConfiguration:
+    return ActiveConfiguration(
+        version=Version(1),
+        digest=Digest('d'),
+        declaration=declaration,
+        routes=RouteTable(declaration=declaration),
+    )
+
+
+async def _refuse_post(message: object) -> bool:
+    return False
+
+
+async def _no_own_answer(exchange: object, head: object) -> bool:
+    return False
+
+
+def _build(state: EntryState, policies: Policies, clock: Clock) -> CallerTable:
+    rng = random.Random(1)
+    claimant = Claimant(
+        entry_id=EntryId('e'), clock=clock, rng=rng, post=_refuse_post
+    )
+    dispatcher = Dispatcher(
+        clock=clock,
+        state=state,
+        policies=policies,
+        connections=TargetConnections(clock=clock),
+        claimant=claimant,
+        ended=lambda call: None,
+    )
+    return CallerTable(
+        clock=clock, dispatcher=dispatcher, own_answer=_no_own_answer
+    )
+
+
+@contextlib.asynccontextmanager
+async def front(
+    *scripts: Script, gone_targets: int = 0, **limits: object
+) -> AsyncIterator[Front]:
+    """Run a data plane before a target for each script.
+
+    `gone_targets` adds targets that nobody listens for; `limits` are
+    fields of the service.
+    """
+    targets = [ScriptedTarget(script=script) for script in scripts]
+    listeners = [sockets.listen('127.0.0.1:0') for _ in targets]
+    gone = [sockets.listen('127.0.0.1:0') for _ in range(gone_targets)]
+    addresses = [sockets.bound_address(one) for one in (*listeners, *gone)]
+    for listener in gone:
+        await listener.close()
+    service = Service(service_id=ServiceShape().name, **limits)
+    clock = Clock()
+    policies = Policies(
+        rng=random.Random(2),
+        host_id=HostId('h'),
+        zone_id=ZoneId(ZONE),
+        process_name='h/1',
+    )
+    configuration = _configuration(_declaration(addresses, service))
+    policies.configure(configuration, now=clock.now())
+    state = EntryState(
+        configuration=configuration, lease_until=Millis(float('inf'))
+    )
+    callers = _build(state, policies, clock)
+    own = sockets.listen('127.0.0.1:0')
+    async with curio.TaskGroup(wait=None) as tasks:
+        for target, listener in zip(targets, listeners, strict=True):
+            await tasks.spawn(curio.network.run_server, listener, target.serve)
+        await tasks.spawn(callers.accept, own)
+        yield Front(
+            address=sockets.bound_address(own),
+            targets=targets,
+            callers=callers,
+            state=state,
+            policies=policies,
+        )
+        await tasks.cancel_remaining()
