Bound requests in flight by a window besides the admitted share

Cause: with targets that queue without end and never shed, the share alone swung: the queue sums up what was let in too much, and latency shows it late. Latency now cuts gently.

--- a/chicorybridge/admissions.py
+++ b/chicorybridge/admissions.py
@@ -1,13 +1,15 @@
 """How much of the load of a service is let in, least important first.
 
-Each process adapts one number per service: the share of arrivals that it
-admits. It falls when attempts meet overload (shed, timed out, far slower
-than usual) and rises again slowly. A share of arrivals needs no count of
-hosts, so that the same rule works whatever the size of the fleet.
+Two bounds work together. A window bounds the requests that a process has
+in flight, so that a burst makes no long queue at the targets. A share of
+arrivals is adapted: it falls when attempts meet overload (shed, timed
+out, far slower than usual) and rises again slowly. A share needs no count
+of hosts, so that the same rule works whatever the size of the fleet.
 """
 
 import dataclasses
 import random
+import types
 
 from chicorybridge import settings
 from chicorybridge.clocks import Millis
@@ -16,18 +18,55 @@
 # Least important first; they give way in this order.
 PRIORITIES = (Priority.low, Priority.normal, Priority.high)
 
+# Part of the window that requests of a priority may fill.
+WINDOW_SHARES = types.MappingProxyType(
+    {
+        Priority.low: settings.WINDOW_SHARE_LOW,
+        Priority.normal: settings.WINDOW_SHARE_NORMAL,
+        Priority.high: 1.0,
+    }
+)
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Signals:
-    """Attempts that ended in an interval, and those that met overload."""
+    """Attempts that ended in an interval.
+
+    `shed` were refused by their target; `slow` timed out or took far
+    longer than was usual before any overload.
+    """
 
     attempts: int = 0
-    overloaded: int = 0
+    shed: int = 0
+    slow: int = 0
+
+    def add(self, other: 'Signals') -> None:
+        """Count in what another interval or process saw."""
+        self.attempts += other.attempts
+        self.shed += other.shed
+        self.slow += other.slow
 
     @property
-    def overload(self) -> float:
-        """Return the share of attempts that met overload."""
-        return self.overloaded / self.attempts if self.attempts else 0
+    def shed_share(self) -> float:
+        """Return the share that was shed; a single one is no sign."""
+        if self.shed < settings.OVERLOAD_LEAST_SHED:
+            return 0
+        return self.shed / self.attempts
+
+    @property
+    def slow_share(self) -> float:
+        """Return the share that was slow."""
+        return self.slow / self.attempts if self.attempts else 0
+
+    @property
+    def strain(self) -> float:
+        """Return how near the targets are to what they bear; 1 is too near.
+
+        A few slow attempts are the tail of a healthy service or one gray
+        target; only a shift of many of them shows queues everywhere.
+        """
+        shed = self.shed_share / settings.OVERLOAD_SHED_SHARE
+        return shed + self.slow_share / settings.OVERLOAD_SLOW_SHARE
 
 
 class ServiceAdmission:
@@ -36,9 +75,12 @@
     def __init__(self, *, rng: random.Random) -> None:
         """Start by admitting all."""
         self.share: float = 1
+        self.window: float = settings.IN_FLIGHT_LEAST
+        self.in_flight = 0
         self._rng = rng
         self._signals = Signals()
         self._decided_at = Millis(0)
+        self._cut_at = Millis(0)
         self._mix_by_priority = dict.fromkeys(PRIORITIES, 1.0)
         self._admitted_by_priority = dict.fromkeys(PRIORITIES, 1.0)
 
@@ -46,18 +88,21 @@
         """Tell whether an arrival is let in."""
         self._mix_by_priority[priority] += 1
         self._decide(now)
+        if self.in_flight >= self.window * WINDOW_SHARES[priority]:
+            return False
         if self.share >= 1:
             return True
         return self._rng.random() < self._admitted_by_priority[priority]
 
-    def record(self, *, overloaded: bool, now: Millis) -> None:
-        """Count an attempt that ended."""
-        self.merge(Signals(attempts=1, overloaded=int(overloaded)), now=now)
+    def record(
+        self, signals: Signals, *, started_at: Millis, now: Millis
+    ) -> None:
+        """Count attempts that ended here or at other processes.
 
-    def merge(self, signals: Signals, *, now: Millis) -> None:
-        """Count attempts that ended here or at other processes."""
-        self._signals.attempts += signals.attempts
-        self._signals.overloaded += signals.overloaded
+        Attempts from before the last cut tell nothing of the load since.
+        """
+        if started_at >= self._cut_at:
+            self._signals.add(signals)
         self._decide(now)
 
     def _decide(self, now: Millis) -> None:
@@ -67,16 +112,25 @@
         few = self._signals.attempts < settings.ADMISSION_LEAST_SIGNALS
         if few and elapsed < settings.ADMISSION_PATIENCE_MS:
             return
-        overload = self._signals.overload
-        if overload > settings.OVERLOAD_SHARE:
-            self.share *= 1 - settings.ADMISSION_CUT * overload
-            self.share = max(self.share, settings.ADMISSION_LEAST_SHARE)
+        strain = self._signals.strain
+        if strain > 1:
+            self._cut(now)
         else:
-            self.share = min(1, self.share + settings.ADMISSION_STEP)
+            rise = self.share * settings.ADMISSION_RISE * (1 - strain)
+            self.share = min(1, self.share + settings.ADMISSION_STEP + rise)
         self._signals = Signals()
         self._decided_at = now
         self._spread()
 
+    def _cut(self, now: Millis) -> None:
+        signals = self._signals
+        slow = max(0, signals.slow_share - settings.OVERLOAD_SLOW_SHARE)
+        # Queues drain only after a while, so latency cuts gently.
+        self.share *= 1 - settings.ADMISSION_SHED_CUT * signals.shed_share
+        self.share *= 1 - settings.ADMISSION_SLOW_CUT * slow
+        self.share = max(self.share, settings.ADMISSION_LEAST_SHARE)
+        self._cut_at = now
+
     def _spread(self) -> None:
         """Take what is refused from the least important arrivals."""
         total = sum(self._mix_by_priority.values())
--- a/chicorybridge/candidates.py
+++ b/chicorybridge/candidates.py
@@ -13,6 +13,10 @@
 PLACE_COSTS = (1.0, settings.REGION_COST, settings.ACROSS_COST)
 
 
+# Beyond so many sheds in turn the pause no longer grows.
+MOST_SHEDS_IN_TURN = 8
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Candidate:
     """A target as this process sees it; `place` indexes `PLACE_COSTS`."""
@@ -23,8 +27,17 @@
     in_flight: int = 0
     cold_since: Millis | None = None
     paused_until: Millis = Millis(0)
+    sheds_in_turn: int = 0
     unreachable: bool = False
 
+    def pause(self, asked_ms: float | None, *, now: Millis) -> None:
+        """Take nothing for a while after a shed, longer after each."""
+        waited = settings.SHED_PAUSE_MS * 2**self.sheds_in_turn
+        pause_ms = max(waited, asked_ms or 0)
+        longest = settings.SHED_PAUSE_LIMIT_MS
+        self.paused_until = Millis(now + min(pause_ms, longest))
+        self.sheds_in_turn = min(self.sheds_in_turn + 1, MOST_SHEDS_IN_TURN)
+
     def warmth(self, now: Millis) -> float:
         """Return the share of its load that a cold target may take."""
         if self.cold_since is None:
--- a/chicorybridge/choosers.py
+++ b/chicorybridge/choosers.py
@@ -256,6 +256,6 @@
             candidate.unreachable = False
             candidate.cold_since = now
         if attempt.outcome is AttemptOutcome.shed:
-            asked = attempt.retry_after_ms or settings.SHED_PAUSE_MS
-            pause = min(asked, settings.SHED_PAUSE_LIMIT_MS)
-            candidate.paused_until = Millis(now + pause)
+            candidate.pause(attempt.retry_after_ms, now=now)
+        else:
+            candidate.sheds_in_turn = 0
--- a/chicorybridge/limits.py
+++ b/chicorybridge/limits.py
@@ -11,7 +11,7 @@
 from chicorybridge.declarations import Declaration, Priority
 from chicorybridge.errors import ErrorCode
 from chicorybridge.identities import ServiceId, TargetId, WorkspaceId
-from chicorybridge.subsets import FleetSize, TargetShare, share_of
+from chicorybridge.subsets import FleetSize, TargetShare, share_of, window_of
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -54,6 +54,9 @@
             or ServiceAdmission(rng=self._rng)
             for service_id in declaration.services_by_id
         }
+        for service_id, admission in self._admissions_by_service.items():
+            slots = declaration.slots_of(service_id)
+            admission.window = window_of(slots, fleet)
         self._set_workspaces(declaration)
 
     def set_workspace_share(
@@ -109,15 +112,24 @@
         share = self._shares_by_target.get(target_id)
         return 0 if share is None else share.connections
 
+    def started(self, service_id: ServiceId) -> None:
+        """Count an attempt that is being sent."""
+        admission = self._admissions_by_service.get(service_id)
+        if admission is not None:
+            admission.in_flight += 1
+
     def finished(
         self, attempt: Attempt, *, slowness: float | None, now: Millis
     ) -> None:
         """Learn from an ended attempt and the slowness its chooser found."""
         admission = self._admissions_by_service.get(attempt.service_id)
-        if admission is None or attempt.outcome is AttemptOutcome.cancelled:
+        if admission is None:
+            return
+        admission.in_flight = max(0, admission.in_flight - 1)
+        if attempt.outcome is AttemptOutcome.cancelled:
             return
-        overloaded = _met_overload(attempt, slowness)
-        admission.record(overloaded=overloaded, now=now)
+        signals = _signals_of(attempt, slowness)
+        admission.record(signals, started_at=attempt.started_at, now=now)
 
     def merge(
         self, service_id: ServiceId, signals: Signals, *, now: Millis
@@ -125,7 +137,7 @@
         """Take in what other processes saw of a service."""
         admission = self._admissions_by_service.get(service_id)
         if admission is not None:
-            admission.merge(signals, now=now)
+            admission.record(signals, started_at=now, now=now)
 
     def admitted_share(self, service_id: ServiceId) -> float:
         """Return the share of arrivals that is let in."""
@@ -167,9 +179,10 @@
     return max(1, rate * settings.WORKSPACE_BURST_MS / MILLIS_PER_SECOND)
 
 
-def _met_overload(attempt: Attempt, slowness: float | None) -> bool:
+def _signals_of(attempt: Attempt, slowness: float | None) -> Signals:
     if attempt.outcome is AttemptOutcome.shed:
-        return True
-    if attempt.outcome is AttemptOutcome.timed_out:
-        return True
-    return slowness is not None and slowness > settings.OVERLOAD_LATENCY
+        return Signals(attempts=1, shed=1)
+    slow = attempt.outcome is AttemptOutcome.timed_out
+    if slowness is not None and slowness > settings.OVERLOAD_LATENCY:
+        slow = True
+    return Signals(attempts=1, slow=int(slow))
--- a/chicorybridge/subsets.py
+++ b/chicorybridge/subsets.py
@@ -51,6 +51,15 @@
     )
 
 
+def window_of(slots: int, fleet: FleetSize) -> float:
+    """Return the requests that one process may have at a whole service.
+
+    Callers are spread unevenly, so each may have a multiple of its part.
+    """
+    burst = settings.IN_FLIGHT_BURST * slots / max(1, fleet.processes)
+    return max(settings.IN_FLIGHT_LEAST, burst)
+
+
 def subset_of(
     declaration: Declaration,
     *,
--- a/chicorybridge/tests/test_limits.py
+++ b/chicorybridge/tests/test_limits.py
@@ -51,7 +51,9 @@
 
     def end(self, outcome, slowness=1.0):
         self.limiter.finished(
-            attempted(outcome), slowness=slowness, now=self.now
+            attempted(outcome, started_at=self.now),
+            slowness=slowness,
+            now=self.now,
         )
 
     def _second(self, arrivals, bears):
@@ -134,6 +136,19 @@
     assert 500 <= refusal.retry_after_ms <= 10_000
 
 
+def test_window_leaves_room_for_the_important():
+    """With reads filling their part acceptances still come in."""
+    entry = Entry()
+    admitted = 0
+    while entry.admit(Priority.low).admitted:
+        entry.limiter.started(SERVICE)
+        admitted += 1
+    assert 1 <= admitted * TODAY.processes <= 4 * 48
+    assert entry.admit(Priority.high).admitted
+    entry.end(AttemptOutcome.answered)
+    assert entry.admit(Priority.low).admitted
+
+
 def test_workspace_is_held_to_its_rate():
     """Beyond the burst only the declared rate passes."""
     entry = Entry(
--- /dev/null
+++ b/chicorybridge/tools/entry_models.py
@@ -0,0 +1,250 @@
+"""A fake entry process: the real decisions around fake targets."""
+
+import dataclasses
+import random
+import types
+from collections.abc import Callable, Collection
+from typing import Protocol
+
+from chicorybridge.attempts import Attempt, AttemptOutcome
+from chicorybridge.choosers import Chooser
+from chicorybridge.clocks import Millis
+from chicorybridge.declarations import Declaration, Priority
+from chicorybridge.identities import RouteId, ServiceId, TargetId, ZoneId
+from chicorybridge.limits import Limiter
+from chicorybridge.outcomes import RequestOutcome, outcome_of
+from chicorybridge.retries import RequestFacts, RetryPolicy
+from chicorybridge.subsets import FleetSize
+from chicorybridge.tools.schedules import Schedule
+from chicorybridge.tools.target_models import Job, Reply, TargetModel
+
+# Way there and back, by place: own zone, own region, across regions.
+ROUND_TRIPS_MS = (0.2, 1.0, 24.0)
+
+OUTCOMES_BY_REPLY = types.MappingProxyType(
+    {
+        Reply.answered: AttemptOutcome.answered,
+        Reply.shed: AttemptOutcome.shed,
+        Reply.refused: AttemptOutcome.unreachable,
+        Reply.cut: AttemptOutcome.cut,
+    }
+)
+
+
+class Picker(Protocol):
+    """What an entry asks of a way to choose targets."""
+
+    def pick(
+        self,
+        service_id: ServiceId,
+        *,
+        excluded: Collection[TargetId] = (),
+        now: Millis,
+    ) -> TargetId | None:
+        """Return the target for a new attempt."""
+
+    def started(self, target_id: TargetId, now: Millis) -> None:
+        """Count an attempt that is being sent."""
+
+    def finished(self, attempt: Attempt, now: Millis) -> float | None:
+        """Learn from an ended attempt."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Call:
+    """A request of a caller, and what came of it."""
+
+    service_id: ServiceId
+    work_ms: float
+    started_at: Millis
+    timeout_ms: float = 5000
+    priority: Priority = Priority.normal
+    idempotent: bool = True
+    crashes: bool = False
+    digest: str = ''
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    outcome: RequestOutcome | None = None
+    ended_at: Millis = Millis(0)
+
+    @property
+    def elapsed_ms(self) -> float:
+        """Return how long the caller waited."""
+        return self.ended_at - self.started_at
+
+
+Ended = Callable[[Call], None]
+
+
+class EntryModel:
+    """Serve calls: admit, pick, send, retry."""
+
+    def __init__(
+        self,
+        *,
+        schedule: Schedule,
+        models_by_target: dict[TargetId, TargetModel],
+        picker: Picker,
+        limiter: Limiter | None = None,
+        retries: RetryPolicy | None = None,
+    ) -> None:
+        """Join the decisions; without `limiter` all calls are let in."""
+        self.picker = picker
+        self.limiter = limiter
+        self.retries = retries
+        self.round_trips_by_target: dict[TargetId, float] = {}
+        self._schedule = schedule
+        self._models_by_target = models_by_target
+
+    def serve(self, call: Call, ended: Ended) -> None:
+        """Serve one call; `ended` is told when it is over."""
+        if not self._is_admitted(call):
+            self._end(call, ended)
+            return
+        if self.retries is not None:
+            self.retries.record_request(call.service_id, now=self._schedule.now)
+        self._attempt(call, ended)
+
+    def attempt_ended(self, call: Call, attempt: Attempt, ended: Ended) -> None:
+        """Learn from an attempt; retry or end the call."""
+        now = self._schedule.now
+        call.attempts.append(attempt)
+        slowness = self.picker.finished(attempt, now)
+        if self.limiter is not None:
+            self.limiter.finished(attempt, slowness=slowness, now=now)
+        if self._goes_on(call):
+            self._attempt(call, ended)
+            return
+        self._end(call, ended)
+
+    def _is_admitted(self, call: Call) -> bool:
+        if self.limiter is None:
+            return True
+        return self.limiter.admit(
+            call.service_id,
+            priority=call.priority,
+            workspace_id=None,
+            now=self._schedule.now,
+        ).admitted
+
+    def _attempt(self, call: Call, ended: Ended) -> None:
+        tried = frozenset(attempt.target_id for attempt in call.attempts)
+        target_id = self.picker.pick(
+            call.service_id, excluded=tried, now=self._schedule.now
+        )
+        if target_id is None:
+            self._end(call, ended)
+            return
+        self.picker.started(target_id, self._schedule.now)
+        if self.limiter is not None:
+            self.limiter.started(call.service_id)
+        _Sending(
+            entry=self, schedule=self._schedule, call=call, ended=ended
+        ).start(target_id, self._models_by_target[target_id])
+
+    def _goes_on(self, call: Call) -> bool:
+        if self.retries is None:
+            return False
+        deadline_at = Millis(call.started_at + call.timeout_ms)
+        facts = RequestFacts(
+            service_id=call.service_id,
+            idempotent=call.idempotent,
+            deadline_at=deadline_at,
+        )
+        decision = self.retries.decide(
+            facts, call.attempts, now=self._schedule.now
+        )
+        return decision.retry
+
+    def _end(self, call: Call, ended: Ended) -> None:
+        call.outcome = outcome_of(call.attempts)
+        call.ended_at = self._schedule.now
+        ended(call)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Sending:
+    """One attempt on its way to a target and back."""
+
+    entry: EntryModel
+    schedule: Schedule
+    call: Call
+    ended: Ended
+    started_at: Millis = Millis(0)
+    target_id: TargetId = TargetId('')
+    over: bool = False
+
+    def start(self, target_id: TargetId, model: TargetModel) -> None:
+        """Send to `model`; give up at the deadline of the call."""
+        self.target_id = target_id
+        self.started_at = self.schedule.now
+        job = Job(
+            work_ms=self.call.work_ms,
+            done=self.reply,
+            crashes=self.call.crashes,
+        )
+        left = self.call.started_at + self.call.timeout_ms - self.schedule.now
+        self.schedule.later(self._one_way(), lambda: model.submit(job))
+        self.schedule.later(left, lambda: self._give_up(job, model))
+
+    def reply(self, reply: Reply) -> None:
+        """Take the reply of the target back to the entry."""
+        outcome = OUTCOMES_BY_REPLY[reply]
+        self.schedule.later(self._one_way(), lambda: self._finish(outcome))
+
+    def _one_way(self) -> float:
+        return self.entry.round_trips_by_target.get(self.target_id, 0) / 2
+
+    def _give_up(self, job: Job, model: TargetModel) -> None:
+        if self.over:
+            return
+        model.cancel(job)
+        self._finish(AttemptOutcome.timed_out)
+
+    def _finish(self, outcome: AttemptOutcome) -> None:
+        if self.over:
+            return
+        self.over = True
+        unreachable = outcome is AttemptOutcome.unreachable
+        attempt = Attempt(
+            service_id=self.call.service_id,
+            target_id=self.target_id,
+            route_id=RouteId(self.call.service_id),
+            outcome=outcome,
+            started_at=self.started_at,
+            elapsed_ms=self.schedule.now - self.started_at,
+            sent_bytes=0 if unreachable else 1,
+        )
+        self.entry.attempt_ended(self.call, attempt, self.ended)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryPlan:
+    """Where a real entry stands and how large the fleet is."""
+
+    zone_id: ZoneId
+    fleet: FleetSize
+    admission: bool = True
+
+
+def real_entry(
+    declaration: Declaration,
+    plan: EntryPlan,
+    *,
+    schedule: Schedule,
+    models_by_target: dict[TargetId, TargetModel],
+    rng: random.Random,
+) -> EntryModel:
+    """Return an entry with the chooser, limits and retries of the project."""
+    limiter = Limiter(rng=rng)
+    limiter.set_declaration(declaration, fleet=plan.fleet)
+    chooser = Chooser(rng=rng, weight_of=lambda _: 1, may_take=limiter.may_take)
+    chooser.set_declaration(declaration, plan.zone_id, now=schedule.now)
+    retries = RetryPolicy()
+    retries.set_declaration(declaration)
+    return EntryModel(
+        schedule=schedule,
+        models_by_target=models_by_target,
+        picker=chooser,
+        limiter=limiter if plan.admission else None,
+        retries=retries,
+    )
--- /dev/null
+++ b/chicorybridge/tools/fleet_models.py
@@ -0,0 +1,182 @@
+"""A fake fleet: entries before targets, with open-loop arrivals."""
+
+import dataclasses
+import enum
+import random
+from collections.abc import Callable, Sequence
+
+from chicorybridge.candidates import place_of
+from chicorybridge.clocks import MILLIS_PER_SECOND
+from chicorybridge.declarations import Declaration, Priority
+from chicorybridge.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.outcomes import RequestOutcome
+from chicorybridge.retries import RetryPolicy
+from chicorybridge.subsets import FleetSize
+from chicorybridge.tools.baselines import LeastInFlight, RoundRobin
+from chicorybridge.tools.entry_models import (
+    ROUND_TRIPS_MS,
+    Call,
+    EntryModel,
+    EntryPlan,
+    Picker,
+    real_entry,
+)
+from chicorybridge.tools.schedules import Schedule
+from chicorybridge.tools.target_models import Behaviour, TargetModel
+
+
+class Policy(enum.Enum):
+    """Ways to choose a target that are compared."""
+
+    chicorybridge = 'chicorybridge'
+    round_robin = 'round robin'
+    least_in_flight = 'least in flight'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Load:
+    """Arrivals at the whole fleet; `mix` holds (priority, share) pairs."""
+
+    per_second: float
+    work_ms: float = 50
+    timeout_ms: float = 5000
+    mix: tuple[tuple[Priority, float], ...] = ((Priority.normal, 1),)
+
+
+class FleetModel:
+    """Entries before targets on one schedule, drawn from one seed."""
+
+    def __init__(
+        self,
+        declaration: Declaration,
+        *,
+        entries: int,
+        policy: Policy,
+        seed: int,
+        behave: Callable[[TargetId, Behaviour], None] | None = None,
+    ) -> None:
+        """Start all entries and targets; `behave` changes a behaviour."""
+        self.schedule = Schedule()
+        self.rng = random.Random(seed)
+        self.declaration = declaration
+        self.calls: list[Call] = []
+        self.models_by_target: dict[TargetId, TargetModel] = {}
+        for target_id in declaration.targets_by_id:
+            behaviour = _behaviour(declaration, target_id)
+            if behave is not None:
+                behave(target_id, behaviour)
+            self.models_by_target[target_id] = TargetModel(
+                schedule=self.schedule,
+                rng=random.Random(f'{seed} {target_id}'),
+                behaviour=behaviour,
+            )
+        zones = sorted(declaration.zones_by_id)
+        self.entries = [
+            self._entry(zones[number % len(zones)], policy, entries)
+            for number in range(entries)
+        ]
+
+    def offer(self, load: Load, *, service: str, for_ms: float) -> None:
+        """Let callers arrive at random entries from now on."""
+        service_id = ServiceId(service)
+        ends_at = self.schedule.now + for_ms
+        priorities = [priority for priority, _ in load.mix]
+        shares = [share for _, share in load.mix]
+
+        def arrive() -> None:  # noqa: WPS430
+            if self.schedule.now >= ends_at:
+                return
+            priority = self.rng.choices(priorities, shares)[0]
+            self.send(self._call(service_id, load, priority))
+            self.schedule.later(self._gap(load), arrive)
+
+        self.schedule.later(self._gap(load), arrive)
+
+    def send(self, call: Call, *, entry: int | None = None) -> None:
+        """Hand a call to an entry, a random one if none is named."""
+        number = self.rng.randrange(len(self.entries))
+        if entry is not None:
+            number = entry
+        self.entries[number].serve(call, self.calls.append)
+
+    def run(self, *, for_ms: float) -> None:
+        """Advance the fleet."""
+        self.schedule.run(until=self.schedule.now + for_ms)
+
+    def _gap(self, load: Load) -> float:
+        return self.rng.expovariate(load.per_second / MILLIS_PER_SECOND)
+
+    def _call(
+        self, service_id: ServiceId, load: Load, priority: Priority
+    ) -> Call:
+        return Call(
+            service_id=service_id,
+            work_ms=load.work_ms,
+            timeout_ms=load.timeout_ms,
+            priority=priority,
+            started_at=self.schedule.now,
+        )
+
+    def _entry(
+        self, zone_id: ZoneId, policy: Policy, entries: int
+    ) -> EntryModel:
+        entry = self._entry_of(policy, zone_id, entries)
+        for target_id, target in self.declaration.targets_by_id.items():
+            place = place_of(self.declaration, target.zone_id, zone_id)
+            entry.round_trips_by_target[target_id] = ROUND_TRIPS_MS[place]
+        return entry
+
+    def _entry_of(
+        self, policy: Policy, zone_id: ZoneId, entries: int
+    ) -> EntryModel:
+        rng = random.Random(self.rng.random())
+        if policy is Policy.chicorybridge:
+            zones = len(self.declaration.zones_by_id)
+            fleet = FleetSize(
+                processes=entries, zone_processes=max(1, entries // zones)
+            )
+            return real_entry(
+                self.declaration,
+                EntryPlan(zone_id=zone_id, fleet=fleet),
+                schedule=self.schedule,
+                models_by_target=self.models_by_target,
+                rng=rng,
+            )
+        retries = RetryPolicy()
+        retries.set_declaration(self.declaration)
+        return EntryModel(
+            schedule=self.schedule,
+            models_by_target=self.models_by_target,
+            picker=self._baseline(policy, rng),
+            retries=retries,
+        )
+
+    def _baseline(self, policy: Policy, rng: random.Random) -> Picker:
+        if policy is Policy.least_in_flight:
+            return LeastInFlight(self.declaration, rng=rng)
+        return RoundRobin(self.declaration, rng=rng)
+
+
+def capacity_of(declaration: Declaration, *, work_ms: float) -> float:
+    """Return the requests a second that all healthy targets bear."""
+    speeds = sum(
+        declaration.pool_of(target).slots * declaration.pool_of(target).speed
+        for target in declaration.targets_by_id.values()
+    )
+    return speeds * MILLIS_PER_SECOND / work_ms
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Return the value that `share` of the values do not exceed."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def completed(calls: Sequence[Call]) -> list[Call]:
+    """Return the calls that got a whole answer."""
+    return [call for call in calls if call.outcome is RequestOutcome.complete]
+
+
+def _behaviour(declaration: Declaration, target_id: TargetId) -> Behaviour:
+    pool = declaration.pool_of(declaration.targets_by_id[target_id])
+    return Behaviour(slots=pool.slots, speed=pool.speed)
