--- /dev/null
+++ b/chicorybridge/entry_processes.py
@@ -0,0 +1,213 @@
+"""The data plane of a host: all parts of an entry process, joined."""
+
+import random
+import secrets
+from typing import Any
+
+import curio
+
+from chicorybridge import settings, sockets
+from chicorybridge.caller_connections import CallerTable
+from chicorybridge.claim_messages import (
+    ClaimDecided,
+    EntryId,
+    KeyPrefixIssued,
+)
+from chicorybridge.claimants import Claimant
+from chicorybridge.clocks import Clock, Millis, as_seconds
+from chicorybridge.collectors import freeze_collector
+from chicorybridge.configurations import activate, is_newer
+from chicorybridge.connections import TargetConnections
+from chicorybridge.control_links import ControlLink
+from chicorybridge.dispatchers import Dispatcher, EntryState
+from chicorybridge.entry_lists import EntryList
+from chicorybridge.entry_messages import (
+    Duty,
+    EntryClosing,
+    EntryListSent,
+    EntryOpened,
+    FleetSent,
+)
+from chicorybridge.entry_reports import EntryReporter
+from chicorybridge.events import Event, EventKind, EventLog
+from chicorybridge.exchanges import CallerExchange, Head
+from chicorybridge.identities import Incarnation
+from chicorybridge.notices import TargetLimits
+from chicorybridge.policies import Policies
+from chicorybridge.process_settings import EntrySettings
+from chicorybridge.streams import Identity, Role
+from chicorybridge.subsets import FleetSize
+from chicorybridge.systems import Emit, Send
+from chicorybridge.tasks import run_all
+from chicorybridge.versions import DeclarationActivated, ServingLease
+
+INCARNATION_BITS = 63
+
+
+class Entry:
+    """All parts of an entry process, joined."""
+
+    def __init__(
+        self, *, given: EntrySettings, clock: Clock, rng: random.Random
+    ) -> None:
+        """Build the parts; `run` starts them."""
+        self.address = given.listen
+        self._given = given
+        self._clock = clock
+        self._incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
+        self._entry_id = EntryId(f'{given.host_id}/{self._incarnation:x}')
+        self.log = EventLog(
+            clock=clock,
+            host_id=given.host_id,
+            process='entry',
+            incarnation=self._incarnation,
+        )
+        self.state = EntryState()
+        self._list = EntryList()
+        self._connections = TargetConnections(clock=clock)
+        self._policies = Policies(
+            rng=rng,
+            host_id=given.host_id,
+            zone_id=given.zone_id,
+            process_name=self._entry_id,
+        )
+        self._link = self._build_link()
+        self._reporter = EntryReporter(
+            entry_id=self._entry_id,
+            clock=clock,
+            log=self.log,
+            state=self.state,
+            post=self._link.post,
+        )
+        self._claimant = Claimant(
+            entry_id=self._entry_id,
+            clock=clock,
+            rng=rng,
+            post=self._link.post,
+        )
+        self._dispatcher = Dispatcher(
+            clock=clock,
+            state=self.state,
+            policies=self._policies,
+            connections=self._connections,
+            claimant=self._claimant,
+            ended=self._reporter.count,
+        )
+        self.callers = CallerTable(
+            clock=clock,
+            dispatcher=self._dispatcher,
+            own_answer=self._answer_own,
+        )
+
+    async def run(self, listener: curio.io.Socket) -> None:
+        """Serve until cancelled."""
+        self.address = sockets.bound_address(listener)
+        await run_all(
+            self.callers.accept(listener),
+            self._link.run(),
+            self._tick_forever(),
+        )
+
+    async def drain(self, listener: curio.io.Socket) -> None:
+        """Take what still comes for a while, finish all, then return."""
+        self.state.duty = Duty.draining
+        await self._link.post(EntryClosing(entry_id=self._entry_id))
+        await self._wait_unlisted()
+        # Callers may go on using what they were told for its time to live.
+        await curio.sleep(as_seconds(self._list.sent.ttl_ms))
+        await listener.close()
+        await self.callers.close_idle()
+        await self._finish_calls()
+
+    async def _wait_unlisted(self) -> None:
+        deadline = self._clock.now() + settings.UNLIST_MS
+        while self._clock.now() < deadline:
+            if not self._list.names(self.address):
+                return
+            await curio.sleep(as_seconds(settings.TICK_MS))
+
+    async def _finish_calls(self) -> None:
+        while self._dispatcher.calls_by_number:
+            await curio.sleep(as_seconds(settings.TICK_MS))
+
+    def _build_link(self) -> ControlLink:
+        identity = Identity(
+            role=Role.entry,
+            host_id=self._given.host_id,
+            incarnation=self._incarnation,
+            keys_by_role={Role.entry: self._given.fleet_key},
+        )
+        return ControlLink(
+            address=self._given.control,
+            identity=identity,
+            log=self.log,
+            received=self._receive,
+            opened=self._introduce,
+            lost=lambda: self._claimant.abandon(),
+        )
+
+    async def _introduce(self) -> None:
+        opened = EntryOpened(entry_id=self._entry_id, address=self.address)
+        await self._link.post(opened)
+
+    async def _receive(self, message: Any) -> None:
+        match message:
+            case DeclarationActivated():
+                self._configure(message)
+            case ServingLease():
+                self.state.lease_until = Millis(message.until_ms)
+            case FleetSent():
+                self._resize(message)
+            case EntryListSent():
+                self._list.sent = message
+            case TargetLimits():
+                self._policies.limit_targets(message, now=self._clock.now())
+            case KeyPrefixIssued():
+                self._list.key_prefix = message.prefix
+            case ClaimDecided():
+                await self._claimant.decide(message)
+
+    def _configure(self, sent: DeclarationActivated) -> None:
+        if not is_newer(sent.version, self.state.configuration):
+            return
+        configuration = activate(sent)
+        self.state.configuration = configuration
+        self._policies.configure(configuration, now=self._clock.now())
+        freeze_collector()
+        self.log.emit(
+            Event(
+                kind=EventKind.configuration_active,
+                facts={'version': sent.version},
+            )
+        )
+
+    def _resize(self, sent: FleetSent) -> None:
+        if self.state.duty is not Duty.draining:
+            self.state.duty = sent.duty
+        size = FleetSize(
+            processes=sent.processes, zone_processes=sent.zone_processes
+        )
+        self._policies.resize(size, now=self._clock.now())
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await curio.sleep(as_seconds(settings.TICK_MS))
+            await self._tick()
+
+    async def _tick(self) -> None:
+        now = self._clock.now()
+        await self.callers.sweep()
+        await self._connections.retire()
+        for effect in self._policies.tick(now=now):
+            if isinstance(effect, Send):
+                await self._link.post(effect.message)
+            elif isinstance(effect, Emit):
+                self.log.emit(effect.event)
+        await self._reporter.report(
+            self._dispatcher, connections=len(self.callers), now=now
+        )
+
+    async def _answer_own(self, exchange: CallerExchange, head: Head) -> bool:
+        return await self._list.answer(
+            exchange, head, self._dispatcher.version_headers()
+        )
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -26,6 +26,47 @@
 # Control process.
 TICK_MS = 100
 
+# HTTP on both sides.
+MAX_HEAD_BYTES = 32 * 1024
+RECEIVE_BYTES = 64 * 1024
+HEAD_TOO_LARGE_STATUS = 431
+
+# Streams between processes.
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+# Entry process: bodies and connections.
+BUFFER_BYTES = 64 * 1024
+CONNECTION_IDLE_MS = 10_000
+CONNECTION_PROVEN_MS = 1000
+CONNECTION_AGE_MS = 300_000
+MAX_CALLERS = 2000
+CALLER_IDLE_MS = 60_000
+CALLER_HEAD_MS = 10_000
+CALLER_STALL_MS = 30_000
+CONNECT_MS = 1000
+# Stand-ins.
+STANDIN_SERVICE_MS = 5.0
+STANDIN_SPREAD = 0.2
+STANDIN_PROBE_MS = 25.0
+STANDIN_COLD_FACTOR = 4.0
+STANDIN_QUEUE = 12
+STANDIN_QUEUE_TURN_MS = 5.0
+STANDIN_SNAPSHOTS = 10_000
+STANDIN_STOP_MS = 10_000.0
+# Membership. A link is lost after `LOST_BEATS` intervals of silence.
+HEARTBEAT_MS = 1000
+FAR_HEARTBEAT_MS = 3000
+LOST_BEATS = 4
+HOST_LIST_MS = 5000
+# A host that nobody proves to hear, and that cannot read the head of the
+# configuration, takes no new work after `CUT_OFF_MS`. Others stop waiting
+# for it after `EXCUSE_MS`, which leaves a margin for clock drift.
+CUT_OFF_MS = 10_000
+EXCUSE_MS = 15_000
+# A group of hosts serves on by itself when it is a larger share of the
+# fleet than `GROUP_SHARE`; a silent group is excused up to `EXCUSE_SHARE`.
+GROUP_SHARE = 0.3
+EXCUSE_SHARE = 0.26
 # Retries.
 RETRY_WINDOW_MS = 10_000
 RETRY_FADE_STEP_MS = 100
@@ -76,3 +117,95 @@
 RETRY_AFTER_MS = 1000
 RETRY_AFTER_LIMIT_MS = 10_000
 WORKSPACE_BURST_MS = 2000
+# Claims of idempotency keys. A key lives for CLAIM_EPOCHS epochs.
+CLAIM_EPOCH_MS = 300_000
+CLAIM_EPOCHS = 12
+# How long a try waits for the decision of the owner of its key.
+CLAIM_DECISION_MS = 2000
+# How long a repeat waits for the end of the first try.
+CLAIM_WAIT_MS = 10_000
+CLAIM_RESEND_MS = 300
+# Longer than any request; then the end of a try counts as unknown.
+CLAIM_RUN_MS = 120_000
+# How long the end of a try is offered to an owner that does not hear.
+CLAIM_REPORT_MS = 600_000
+# Limits of one control process.
+CLAIMS_KEPT = 40_000
+CLAIM_WAITING = 8
+CLAIM_WITHDRAWN = 16
+CLAIM_REPORTS = 4096
+CLAIM_ANSWER_BYTES = 4096
+CLAIM_ANSWERS_BYTES = 8 * 1024 * 1024
+# Rows that assign owners to keys of callers.
+CLAIM_ROWS_IN_TRANSACTION = 64
+CLAIM_ROWS_WAITING = 1024
+CLAIM_ROWS_RETRY_MS = 1000
+LINGER_MS = 2000
+WORKSPACE_SHARE_FACTOR = 2
+
+# Entry process: its link with the control process.
+LINK_QUEUE_MESSAGES = 4096
+LINK_RETRY_MS = 200
+CONTROL_SILENCE_MS = 3000
+EVENTS_PER_REPORT = 256
+METRICS_MS = 1000
+UNLIST_MS = 10_000
+LIST_TTL_MS = 5000
+HISTOGRAM_MAX_MICROS = 3_600_000_000
+HISTOGRAM_DIGITS = 2
+
+# Control process: streams and the platform.
+SEND_MS = 2000
+DRAIN_MS = 120_000
+PLATFORM_TIMEOUT_MS = 2000
+REGISTER_MS = 3000
+
+# Operators' commands.
+OPERATOR_TIMEOUT_MS = 5000
+APPLY_WAIT_MS = 60_000
+WATCH_MS = 1000
+
+# Rollouts. Hosts that may miss a version read the head of the
+# configuration every `HEAD_POLL_MS`, as do `HEAD_READERS` of each zone.
+HEAD_POLL_MS = 2000
+HEAD_READERS = 2
+# A body is asked of another peer after `REPAIR_MS` without it.
+REPAIR_MS = 300
+# A host that starts, or was cut off, takes no work for `JOIN_MS`, in which
+# all peers learn of it, and then only on the word of `JOIN_REPORTS` peers.
+JOIN_MS = 3000
+JOIN_REPORTS = 2
+# Repeats of requests to the platform and to lagging hosts.
+STORE_RETRY_MS = 1000
+REPORT_MS = 500
+# How long an apply that is not durable outlives its operator.
+OPERATOR_MS = 10_000
+# How long a status waits for the reports of hosts.
+STATUS_MS = 1000
+# Versions whose rows are kept.
+KEPT_VERSIONS = 1000
+
+# Entry list. Callers may use a list for its time to live, a short one
+# when the host that answers takes no new work itself.
+ENTRY_TTL_MS = 10_000
+ENTRY_SHORT_TTL_MS = 2000
+# Entries of the caller's zone, of its region besides, and of each other.
+ENTRIES_ZONE = 6
+ENTRIES_REGION = 4
+ENTRIES_FAR = 3
+
+# Drain of a host. It keeps taking connections while callers may hold a
+# list that names it, for the time to live and the spread of its leaving.
+DRAIN_SPREAD_MS = 3000
+# How long connections of callers may stay open once told to close.
+DRAIN_CLOSE_MS = 30_000
+
+# A target counts as leaving for this long after its last sign.
+LEAVING_MS = 60_000
+
+# Load and experiments.
+LOAD_REQUESTS_PER_SECOND = 63.0
+LOAD_WORKERS = 32
+LOAD_TIMEOUT_MS = 10_000
+LOAD_REPEAT_AFTER_MS = 100
+LOAD_ENTRIES_TIMEOUT_MS = 2000
