--- /dev/null
+++ b/chicorybridge/tools/fleets.py
@@ -0,0 +1,257 @@
+"""Fleets of decision systems on the faulty channel, for tests and runs."""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+from typing import Any
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.errors import require
+from chicorybridge.events import EventKind
+from chicorybridge.identities import (
+    ApplyId,
+    HostId,
+    Incarnation,
+    RegionId,
+    Version,
+    ZoneId,
+)
+from chicorybridge.members import Members
+from chicorybridge.profiles import HostProfile
+from chicorybridge.rollouts import Rollouts
+from chicorybridge.stores import HostState, ListedHost
+from chicorybridge.systems import Effects, System
+from chicorybridge.tools.channels import FaultyChannel
+from chicorybridge.tools.sized_declarations import declared
+from chicorybridge.versions import (
+    ApplyProgress,
+    ApplyRequested,
+    FleetStatus,
+    StatusRequested,
+)
+
+INCARNATION_BITS = 63
+
+# Time in which hosts find each other and join.
+SETTLE_MS = 8000
+# What the channel adds to the time a status takes.
+ANSWER_MS = 500
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class FleetHost:
+    """One host of a fleet with its systems; `settles` is a fault knob."""
+
+    members: Members
+    rollouts: Rollouts
+    settles: bool = True
+
+
+def region_of(zone: int) -> RegionId:
+    """Return the region of a zone: two zones a region."""
+    region = zone // 2
+    return RegionId(f'region-{region}')
+
+
+def _listed(host_id: HostId) -> ListedHost:
+    return ListedHost(
+        host_id=host_id, address='127.0.0.1:1', state=HostState.live
+    )
+
+
+class Operator(System):
+    """Keep what hosts answer to one operator."""
+
+    def __init__(self) -> None:
+        """Start without answers."""
+        self.answers: list[Any] = []
+
+    def receive(self, message: Any, *, sender: HostId, now: Millis) -> Effects:
+        """Keep the answer."""
+        self.answers.append(message)
+        return ()
+
+
+class Fleet:
+    """Hosts spread evenly over zones, two zones a region."""
+
+    def __init__(self, *, size: int, seed: int, zones: int = 4) -> None:
+        """Start `size` hosts and list them in the platform."""
+        self.channel = FaultyChannel(seed=seed)
+        self.rng = random.Random(seed)
+        self.hosts_by_id: dict[HostId, FleetHost] = {}
+        self.zones = zones
+        for number in range(size):
+            name = str(number).zfill(4)
+            self.start(HostId(f'host-{name}'), zone=number % zones)
+
+    def start(
+        self, host_id: HostId, *, zone: int, seeds: tuple[HostId, ...] = ()
+    ) -> FleetHost:
+        """Start a host, or a new incarnation of it, that knows `seeds`."""
+        profile = HostProfile(
+            host_id=host_id,
+            incarnation=Incarnation(self.rng.getrandbits(INCARNATION_BITS)),
+            address='127.0.0.1:1',
+            entries=(f'{host_id}:80',),
+            zone_id=ZoneId(f'zone-{zone}'),
+            region_id=region_of(zone),
+        )
+        members = Members(
+            profile=profile,
+            rng=random.Random(self.rng.random()),
+            seeds=tuple(map(_listed, seeds)),
+        )
+        rollouts = Rollouts(members=members, settled=lambda _: host.settles)
+        host = FleetHost(members=members, rollouts=rollouts)
+        self.hosts_by_id[host_id] = host
+        self.channel.add(host_id, members, rollouts)
+        self.list_host(host_id, state=HostState.live)
+        return host
+
+    def operator(self, name: str) -> Operator:
+        """Add an operator, whose id serves as the sender of requests."""
+        operator = Operator()
+        self.channel.add(HostId(name), operator)
+        return operator
+
+    def crash(self, host_id: HostId) -> None:
+        """Let a host die without a word; the platform still lists it."""
+        self.channel.remove(host_id)
+        self.hosts_by_id.pop(host_id)
+
+    def list_host(self, host_id: HostId, *, state: HostState) -> None:
+        """Name a host in the platform's list."""
+        listed = dataclasses.replace(_listed(host_id), state=state)
+        self._listed_by_id[host_id] = listed
+
+    def unlist(self, host_id: HostId) -> None:
+        """Drop a host from the platform's list."""
+        self._listed_by_id.pop(host_id, None)
+
+    def of_region(self, region: int) -> list[HostId]:
+        """Return the hosts of a region; two zones make one."""
+        region_id = region_of(2 * region)
+        return [
+            host_id
+            for host_id, host in self.hosts_by_id.items()
+            if host.members.profile.region_id == region_id
+        ]
+
+    def cut(
+        self, senders: Iterable[HostId], receivers: Iterable[HostId]
+    ) -> None:
+        """Cut all links from `senders` to `receivers`, one way."""
+        receivers = list(receivers)
+        self.channel.cut_links |= {
+            (sender, receiver) for sender in senders for receiver in receivers
+        }
+
+    @property
+    def _listed_by_id(self) -> dict[HostId, ListedHost]:
+        return self.channel.store.tables.hosts_by_id
+
+
+class AppliedFleet(Fleet):
+    """A fleet with one operator and its first version accepted."""
+
+    def __init__(self, *, size: int, seed: int = 1) -> None:
+        """Bring the first version in force."""
+        super().__init__(size=size, seed=seed)
+        self.answers = self.operator('operator').answers
+        self.channel.run(for_ms=SETTLE_MS)
+        self.apply('first', base=0)
+        self.channel.run(for_ms=SETTLE_MS)
+
+    @property
+    def first(self) -> HostId:
+        """Return the host that operators use by default."""
+        return min(self.hosts_by_id)
+
+    @property
+    def last(self) -> ApplyProgress:
+        """Return the last progress that the operator was told."""
+        told = [
+            answer
+            for answer in self.answers
+            if isinstance(answer, ApplyProgress)
+        ]
+        return told[-1]
+
+    def apply(
+        self,
+        name: str,
+        *,
+        base: int,
+        at: HostId | None = None,
+        sender: str = 'operator',
+        excused: tuple[HostId, ...] = (),
+        apply_id: str = '',
+        body: bytes = b'',
+    ) -> None:
+        """Hand an apply in at a host."""
+        request = ApplyRequested(
+            apply_id=ApplyId(apply_id or f'apply-{name}'),
+            base=Version(base),
+            body=body or declared(name).body,
+            excused=excused,
+        )
+        self.channel.hand_in(at or self.first, request, sender=HostId(sender))
+
+    def status(self, at: HostId | None = None) -> FleetStatus:
+        """Ask one host for the status of the fleet."""
+        self.channel.hand_in(
+            at or self.first, StatusRequested(), sender=HostId('operator')
+        )
+        self.channel.run(for_ms=settings.STATUS_MS + ANSWER_MS)
+        return [
+            answer for answer in self.answers if isinstance(answer, FleetStatus)
+        ][-1]
+
+    def run(self, *, for_ms: float, step_ms: float = settings.TICK_MS) -> None:
+        """Let time pass; require at each tick that the promise holds.
+
+        Whatever an operator was told to be accepted governs every host
+        that takes work.
+        """
+        end = self.channel.clock.now() + for_ms
+        while self.channel.clock.now() < end:
+            self.channel.run(for_ms=step_ms, tick_ms=step_ms)
+            accepted = self.accepted
+            require(
+                promise='an accepted version governs every host in service',
+                holds=all(
+                    self.versions.get(host_id, 0) >= accepted
+                    for host_id in self.serving
+                ),
+            )
+
+    @property
+    def accepted(self) -> int:
+        """Return the newest version that an operator was told accepted."""
+        told = [
+            event.facts['version']
+            for _, _, event in self.channel.events
+            if event.kind is EventKind.configuration_accepted
+        ]
+        return max(told, default=0)
+
+    @property
+    def versions(self) -> dict[HostId, int]:
+        """Return the version in force on each host."""
+        return {
+            host_id: host.rollouts.held.head.version
+            for host_id, host in self.hosts_by_id.items()
+            if host.rollouts.held
+        }
+
+    @property
+    def serving(self) -> set[HostId]:
+        """Return the hosts that may take work now."""
+        now = self.channel.clock.now()
+        return {
+            host_id
+            for host_id, host in self.hosts_by_id.items()
+            if host.rollouts.may_serve(now=now)
+        }
