Tell callers of the roster, follow drains and leaving targets

The entry list is drawn per caller, a planned stop goes through its states, and a target's own sign of leaving holds at once in the process that saw it and is passed on to its host.

--- a/chicorybridge/caller_connections.py
+++ b/chicorybridge/caller_connections.py
@@ -41,28 +41,29 @@
         self._dispatcher = dispatcher
         self._own_answer = own_answer
         self._serial = 0
+        self._listener: curio.io.Socket | None = None
+        self._accepting: curio.Task | None = None
         self._connections_by_number: dict[int, CallerConnection] = {}
 
     def __len__(self) -> int:
         """Return how many connections are open."""
         return len(self._connections_by_number)
 
-    async def accept(self, listener: curio.io.Socket) -> None:
-        """Accept callers until cancelled; reset those above the bound."""
-        while True:
-            sock, _ = await listener.accept()
-            if len(self) >= settings.MAX_CALLERS:
-                await sockets.abort(sock)
-                continue
-            sockets.disable_delay(sock)
-            connection = CallerConnection(
-                exchange=CallerExchange(sock=sock, clock=self._clock)
-            )
-            self._serial += 1
-            self._connections_by_number[self._serial] = connection
-            connection.task = await curio.spawn(
-                self._serve(self._serial, connection), daemon=True
-            )
+    async def run(self, listener: curio.io.Socket) -> None:
+        """Accept callers, and serve them until cancelled."""
+        self._listener = listener
+        self._accepting = await curio.spawn(self._accept(listener))
+        await self._accepting.wait()
+        if self._accepting.exception and not self._accepting.cancelled:
+            raise self._accepting.exception
+        await curio.Event().wait()
+
+    async def stop_accepting(self) -> None:
+        """Take no more connections; those that are open go on."""
+        if self._accepting is None or self._listener is None:
+            return
+        await self._accepting.cancel()
+        await self._listener.close()
 
     async def sweep(self) -> None:
         """End connections that idle, stall or lost their caller."""
@@ -77,6 +78,24 @@
             if not connection.exchange.busy:
                 await self._end(connection)
 
+    async def _accept(self, listener: curio.io.Socket) -> None:
+        while True:
+            sock, _ = await listener.accept()
+            if len(self) >= settings.MAX_CALLERS:
+                await sockets.abort(sock)
+                continue
+            sockets.disable_delay(sock)
+            await self._add(sock)
+
+    async def _add(self, sock: curio.io.Socket) -> None:
+        exchange = CallerExchange(sock=sock, clock=self._clock)
+        connection = CallerConnection(exchange=exchange)
+        self._serial += 1
+        self._connections_by_number[self._serial] = connection
+        connection.task = await curio.spawn(
+            self._serve(self._serial, connection), daemon=True
+        )
+
     async def _end(self, connection: CallerConnection) -> None:
         if connection.task is not None and not connection.closing:
             connection.closing = True
--- a/chicorybridge/commands.py
+++ b/chicorybridge/commands.py
@@ -4,13 +4,13 @@
 from collections import Counter
 
 from cleo.application import Application
-from cleo.helpers import option
 
 from chicorybridge.apply_commands import ApplyCommand
 from chicorybridge.binaries import VERSION
 from chicorybridge.codecs import unpack
 from chicorybridge.clocks import MILLIS_PER_SECOND
 from chicorybridge.declarations import Declaration
+from chicorybridge.drains import DrainRequested
 from chicorybridge.entry_messages import MetricsReport
 from chicorybridge.identities import Version
 from chicorybridge.operator_commands import (
@@ -21,7 +21,6 @@
     FleetCommand,
 )
 from chicorybridge.operator_messages import (
-    DrainRequested,
     HostsRequested,
     MetricsRequested,
     TimelineRequested,
@@ -153,21 +152,16 @@
 
 
 class DrainCommand(FleetCommand):
-    """Take the host off the entry list, or put it back."""
+    """Begin the planned stop of a host."""
 
     name = 'drain'
-    description = 'Take the host of --control off the entry list'
-    options = [
-        *FleetCommand.options,
-        option('undo', None, 'Put the host back on the list', flag=True),
-    ]
+    description = 'Begin the planned stop of the host of --control'
 
     async def act(self) -> int:
         """Send the order and show that it was taken."""
-        order = DrainRequested(leaving=not self.option('undo'))
         async with self.connect() as client:
-            started = await client.ask(order)
-        self.show({'host': started.host_id, 'leaving': started.leaving})
+            advanced = await client.ask(DrainRequested())
+        self.show({'host': advanced.host_id, 'was': advanced.state.value})
         return EXIT_DONE
 
 
--- a/chicorybridge/configurations.py
+++ b/chicorybridge/configurations.py
@@ -4,7 +4,7 @@
 
 from chicorybridge.codecs import unpack
 from chicorybridge.declarations import Declaration
-from chicorybridge.identities import NO_VERSION, Digest, Version
+from chicorybridge.identities import Digest, Version
 from chicorybridge.routes import RouteTable
 from chicorybridge.versions import DeclarationActivated
 
@@ -28,9 +28,3 @@
         declaration=declaration,
         routes=RouteTable(declaration=declaration),
     )
-
-
-def is_newer(version: Version, active: ActiveConfiguration | None) -> bool:
-    """Return whether `version` follows the active configuration."""
-    held = NO_VERSION if active is None else active.version
-    return version > held
--- a/chicorybridge/control_processes.py
+++ b/chicorybridge/control_processes.py
@@ -13,9 +13,10 @@
 from chicorybridge.clients import PlatformClient
 from chicorybridge.clocks import Clock, Millis, as_seconds
 from chicorybridge.control_systems import ControlSystems
+from chicorybridge.drains import DrainState
 from chicorybridge.errors import PromiseError
 from chicorybridge.events import Event, EventKind, EventLog
-from chicorybridge.identities import HostId, Incarnation, Version
+from chicorybridge.identities import HostId, Incarnation
 from chicorybridge.operator_desks import OperatorDesk
 from chicorybridge.peer_links import PeerLinks
 from chicorybridge.process_settings import ControlSettings
@@ -107,10 +108,15 @@
 
     async def drain(self, listener: curio.io.Socket) -> None:
         """Withdraw the host, let its entries finish, say goodbye."""
-        await self._carry_out(self.systems.members.change(leaving=True))
+        drains = self.systems.drains
+        await self._carry_out(drains.begin(now=self._clock.now()))
         deadline = self._clock.now() + settings.DRAIN_MS
-        while self.entries.sessions_by_id and self._clock.now() < deadline:
+        while self._clock.now() < deadline:
             await curio.sleep(as_seconds(settings.TICK_MS))
+            if drains.state is DrainState.left:
+                break
+            if not self.entries.sessions_by_id:
+                break
         await self._carry_out(self.systems.members.depart())
         await self.links.flush()
 
@@ -133,12 +139,7 @@
             clock=self._clock,
             rng=self._rng,
             seeds=self._given.seeds,
-            all_governed=self._all_governed,
-        )
-
-    def _all_governed(self, version: Version, now: Millis) -> bool:
-        return self.entries.all_governed_by(
-            version, now=now, within_ms=settings.CUT_OFF_MS
+            entries=self.entries,
         )
 
     async def _tick_forever(self) -> None:
--- a/chicorybridge/control_systems.py
+++ b/chicorybridge/control_systems.py
@@ -2,33 +2,35 @@
 
 import math
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 from chicorybridge import settings
 from chicorybridge.claims import Claims
 from chicorybridge.clocks import Clock, Millis
 from chicorybridge.declarations import Declaration
+from chicorybridge.departures import Departures
 from chicorybridge.detections import Detection
-from chicorybridge.entry_messages import Duty, EntryListSent, FleetSent
+from chicorybridge.drains import Drains
+from chicorybridge.entry_messages import FleetSent
 from chicorybridge.identities import (
     NO_VERSION,
     HostId,
     Incarnation,
-    Version,
+    ServiceId,
+    TargetId,
 )
 from chicorybridge.members import Members
 from chicorybridge.profiles import HostProfile
 from chicorybridge.rollouts import Rollouts
+from chicorybridge.rosters import Rosters
+from chicorybridge.sessions import EntryTable
 from chicorybridge.stores import ListedHost
 from chicorybridge.systems import Effect, SendEntries, System
 from chicorybridge.versions import ServingLease
 
 MILLIS_PER_DAY = 86_400_000
 
-# Whether every entry process of this host has switched to a version.
-AllGoverned = Callable[[Version, Millis], bool]
-
 
 class ControlSystems:
     """Tick all systems and carry what one knows to the others."""
@@ -40,11 +42,11 @@
         clock: Clock,
         rng: random.Random,
         seeds: tuple[ListedHost, ...],
-        all_governed: AllGoverned,
+        entries: EntryTable,
     ) -> None:
         """Build the systems of the host that `profile` describes."""
         self._clock = clock
-        self._all_governed = all_governed
+        self._entries = entries
         self.members = Members(profile=profile, rng=rng, seeds=seeds)
         self.rollouts = Rollouts(members=self.members, settled=self._settled)
         self.detection = Detection(
@@ -58,17 +60,26 @@
             incarnation=profile.incarnation,
             today=lambda: int(clock.epoch() // MILLIS_PER_DAY),
         )
+        self.departures = Departures(members=self.members)
+        self.drains = Drains(
+            members=self.members,
+            connections=lambda: entries.connections,
+            in_flight=lambda: entries.in_flight,
+        )
         self._systems: tuple[System, ...] = (
             self.members,
             self.rollouts,
             self.detection,
             self.claims,
+            self.departures,
+            self.drains,
+            Rosters(members=self.members),
         )
         self._configured = NO_VERSION
         self._generation = -1
         self._incarnations_by_host: dict[HostId, Incarnation] = {}
         self._gone: set[Incarnation] = set()
-        self._fleet: FleetSent | None = None
+        self._leaving: frozenset[TargetId] = frozenset()
 
     def tick(self, *, now: Millis) -> Iterator[Effect]:
         """Tick every system and pass on what changed."""
@@ -78,6 +89,7 @@
         if self.members.generation != self._generation:
             self._generation = self.members.generation
             yield from self._update_hosts(now)
+        self._update_lost()
         yield from self._lease()
 
     def receive(
@@ -94,7 +106,9 @@
             return False
         if self._configured != held.head.version:
             return False
-        return self._all_governed(held.head.version, now)
+        return self._entries.all_governed_by(
+            held.head.version, now=now, within_ms=settings.CUT_OFF_MS
+        )
 
     def _configure(self, now: Millis) -> Iterator[Effect]:
         held = self.rollouts.held
@@ -119,31 +133,24 @@
         self.detection.update_hosts(
             incarnations, gone=frozenset(self._gone), now=now
         )
-        yield SendEntries(message=self._list_entries(hosts_by_id))
         yield SendEntries(message=self._describe_fleet(hosts_by_id))
 
-    def _list_entries(
-        self, hosts_by_id: dict[HostId, HostProfile]
-    ) -> EntryListSent:
-        own = self.members.profile
-        usable = [
-            profile
-            for profile in hosts_by_id.values()
-            if profile.taking and not profile.leaving
-        ]
-        usable.sort(
-            key=lambda profile: (
-                profile.zone_id != own.zone_id,
-                profile.region_id != own.region_id,
-                profile.host_id,
-            )
-        )
-        return EntryListSent(
-            addresses=tuple(
-                address for profile in usable for address in profile.entries
-            ),
-            ttl_ms=settings.LIST_TTL_MS,
-        )
+    def _update_lost(self) -> None:
+        """Tell the floor which slots are lost to targets that leave."""
+        held = self.rollouts.held
+        leaving = frozenset(self.departures.departures_by_id)
+        if held is None or leaving == self._leaving:
+            return
+        self._leaving = leaving
+        slots_by_service: dict[ServiceId, int] = {}
+        for target_id in leaving:
+            target = held.declaration.targets_by_id.get(target_id)
+            if target is None:
+                continue
+            pool = held.declaration.pool_of(target)
+            lost = slots_by_service.get(pool.service_id, 0)
+            slots_by_service[pool.service_id] = lost + pool.slots
+        self.detection.update_lost(slots_by_service)
 
     def _describe_fleet(
         self, hosts_by_id: dict[HostId, HostProfile]
@@ -155,7 +162,6 @@
             if profile.zone_id == own.zone_id
         ]
         return FleetSent(
-            duty=Duty.draining if own.leaving else Duty.serving,
             processes=max(1, _count_entries(hosts_by_id.values())),
             zone_processes=max(1, _count_entries(near)),
         )
--- a/chicorybridge/dispatchers.py
+++ b/chicorybridge/dispatchers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Callable
+from enum import Enum
 
 from chicorybridge.attempts import Attempt, AttemptOutcome
 from chicorybridge.bodies import CallerError, RequestBody
@@ -11,12 +12,16 @@
 from chicorybridge.clocks import Clock, Millis
 from chicorybridge.configurations import ActiveConfiguration
 from chicorybridge.connections import TargetConnections
-from chicorybridge.entry_messages import Duty
 from chicorybridge.errors import ErrorCode, RequestError, require
 from chicorybridge.exchanges import CallerExchange, Head, Headers
 from chicorybridge.forwards import Forward
 from chicorybridge.answers import WholeAnswer
-from chicorybridge.identities import RequestKey, WorkspaceId
+from chicorybridge.identities import (
+    NO_VERSION,
+    RequestKey,
+    Version,
+    WorkspaceId,
+)
 from chicorybridge.outcomes import (
     COMPLETE_OUTCOMES,
     RequestOutcome,
@@ -35,6 +40,14 @@
 from chicorybridge.routes import IDEMPOTENT_HEADER, KEY_HEADER, is_idempotent
 
 
+class Duty(Enum):
+    """What an entry process does with the connections of callers."""
+
+    serving = 'serving'
+    # Closes each connection after its answer.
+    draining = 'draining'
+
+
 @dataclasses.dataclass(kw_only=True)
 class EntryState:
     """What governs the requests that come now.
@@ -46,6 +59,20 @@
 
     duty: Duty = Duty.serving
     lease_until: Millis = Millis(0)
+
+    @property
+    def version(self) -> Version:
+        """Return the version in force, 0 without one."""
+        return self.configuration.version if self.configuration else NO_VERSION
+
+    def switch(self, configuration: ActiveConfiguration) -> None:
+        """Put a newer configuration in force."""
+        require(
+            promise='an accepted configuration never reverts',
+            holds=configuration.version > self.version,
+        )
+        self.configuration = configuration
+
     configuration: ActiveConfiguration | None = None
 
 
@@ -137,9 +164,7 @@
 
     def version_headers(self) -> Headers:
         """Return the header that names the version in force."""
-        configuration = self._state.configuration
-        version = 0 if configuration is None else configuration.version
-        return [(VERSION, str(version).encode())]
+        return [(VERSION, str(self._state.version).encode())]
 
     async def _fail(self, call: Call, error: RequestError) -> None:
         if call.committed:
--- a/chicorybridge/entry_lists.py
+++ b/chicorybridge/entry_lists.py
@@ -1,39 +1,49 @@
 """The answer to callers who ask which addresses to use."""
 
 import json
+import random
+from urllib.parse import parse_qs, urlsplit
 
 from chicorybridge import settings
-from chicorybridge.entry_messages import EntryListSent
 from chicorybridge.exchanges import CallerExchange, Head, Headers
+from chicorybridge.identities import ZoneId
+from chicorybridge.rosters import Roster, entry_list
 
-ENTRIES_PATH = b'/chicorybridge/entries'
+ENTRIES_PATH = '/chicorybridge/entries'
+ZONE_PARAMETER = 'zone'
 OK_STATUS = 200
 
 
-class EntryList:
+class EntryListResponder:
     """Hold what the control process said last and answer with it."""
 
-    def __init__(self) -> None:
-        """Start with an empty list."""
-        self.sent = EntryListSent(addresses=(), ttl_ms=settings.LIST_TTL_MS)
+    def __init__(self, *, rng: random.Random) -> None:
+        """Start without a roster; `rng` spreads the callers."""
+        self.roster: Roster | None = None
         self.key_prefix = ''
+        self._rng = rng
+
+    @property
+    def ttl_ms(self) -> int:
+        """Return how long callers may use what they are told."""
+        if self.roster is None:
+            return settings.ENTRY_SHORT_TTL_MS
+        return self.roster.ttl_ms
 
     def names(self, address: str) -> bool:
         """Return whether callers are told to use `address`."""
-        return address in self.sent.addresses
+        if self.roster is None:
+            return False
+        return any(address in host.entries for host in self.roster.hosts)
 
     async def answer(
         self, exchange: CallerExchange, head: Head, headers: Headers
     ) -> bool:
         """Answer a request for the list; `False` for any other path."""
-        if head.path.partition(b'?')[0] != ENTRIES_PATH:
+        url = urlsplit(head.path.decode('ascii'))
+        if url.path != ENTRIES_PATH:
             return False
-        listed = {
-            'entries': list(self.sent.addresses),
-            'ttl_ms': self.sent.ttl_ms,
-            'key_prefix': self.key_prefix,
-        }
-        body = json.dumps(listed).encode()
+        body = json.dumps(self._document(url.query)).encode()
         own_headers = [
             (b'content-type', b'application/json'),
             (b'content-length', str(len(body)).encode()),
@@ -42,3 +52,16 @@
             status=OK_STATUS, headers=own_headers + headers, body=body
         )
         return True
+
+    def _document(self, query: str) -> dict:
+        addresses: tuple[str, ...] = ()
+        if self.roster is not None:
+            zones = parse_qs(query).get(ZONE_PARAMETER)
+            zone_id = ZoneId(zones[0]) if zones else None
+            listed = entry_list(self.roster, rng=self._rng, zone_id=zone_id)
+            addresses = listed.addresses
+        return {
+            'entries': list(addresses),
+            'ttl_ms': self.ttl_ms,
+            'key_prefix': self.key_prefix,
+        }
--- a/chicorybridge/entry_messages.py
+++ b/chicorybridge/entry_messages.py
@@ -1,23 +1,12 @@
 """Messages between the entry processes of a host and its control process."""
 
 import dataclasses
-from enum import Enum
 from typing import Any
 
 from chicorybridge.codecs import wire
 from chicorybridge.identities import Version
 
 
-@wire
-class Duty(Enum):
-    """What a host does with new requests."""
-
-    # Takes all work.
-    serving = 'serving'
-    # Is off the entry list, takes what still comes and closes connections.
-    draining = 'draining'
-
-
 @wire
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EntryOpened:
@@ -71,21 +60,11 @@
 @wire
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class FleetSent:
-    """Tell entry processes of their duty and of the fleet around them.
+    """Tell entry processes of the fleet around them.
 
     `processes` counts the entry processes of the fleet, `zone_processes`
     those of the zone of this host.
     """
 
-    duty: Duty
     processes: int
     zone_processes: int
-
-
-@wire
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EntryListSent:
-    """Give entry processes the answer to callers who ask for addresses."""
-
-    addresses: tuple[str, ...]
-    ttl_ms: int
--- a/chicorybridge/entry_processes.py
+++ b/chicorybridge/entry_processes.py
@@ -2,44 +2,29 @@
 
 import random
 import secrets
-from typing import Any
 
 import curio
 
 from chicorybridge import settings, sockets
 from chicorybridge.caller_connections import CallerTable
-from chicorybridge.claim_messages import (
-    ClaimDecided,
-    EntryId,
-    KeyPrefixIssued,
-)
+from chicorybridge.claim_messages import EntryId
 from chicorybridge.claimants import Claimant
-from chicorybridge.clocks import Clock, Millis, as_seconds
-from chicorybridge.collectors import freeze_collector
-from chicorybridge.configurations import activate, is_newer
+from chicorybridge.clocks import Clock, as_seconds
 from chicorybridge.connections import TargetConnections
 from chicorybridge.control_links import ControlLink
-from chicorybridge.dispatchers import Dispatcher, EntryState
-from chicorybridge.entry_lists import EntryList
-from chicorybridge.entry_messages import (
-    Duty,
-    EntryClosing,
-    EntryListSent,
-    EntryOpened,
-    FleetSent,
-)
+from chicorybridge.dispatchers import Dispatcher, Duty, EntryState
+from chicorybridge.entry_inboxes import EntryInbox
+from chicorybridge.entry_lists import EntryListResponder
+from chicorybridge.entry_messages import EntryClosing, EntryOpened
 from chicorybridge.entry_reports import EntryReporter
-from chicorybridge.events import Event, EventKind, EventLog
+from chicorybridge.events import EventLog
 from chicorybridge.exchanges import CallerExchange, Head
 from chicorybridge.identities import Incarnation
-from chicorybridge.notices import TargetLimits
 from chicorybridge.policies import Policies
 from chicorybridge.process_settings import EntrySettings
 from chicorybridge.streams import Identity, Role
-from chicorybridge.subsets import FleetSize
 from chicorybridge.systems import Emit, Send
 from chicorybridge.tasks import run_all
-from chicorybridge.versions import DeclarationActivated, ServingLease
 
 INCARNATION_BITS = 63
 
@@ -63,7 +48,7 @@
             incarnation=self._incarnation,
         )
         self.state = EntryState()
-        self._list = EntryList()
+        self._list = EntryListResponder(rng=rng)
         self._connections = TargetConnections(clock=clock)
         self._policies = Policies(
             rng=rng,
@@ -98,12 +83,21 @@
             dispatcher=self._dispatcher,
             own_answer=self._answer_own,
         )
+        self._inbox = EntryInbox(
+            clock=clock,
+            log=self.log,
+            state=self.state,
+            policies=self._policies,
+            responder=self._list,
+            claimant=self._claimant,
+            callers=self.callers,
+        )
 
     async def run(self, listener: curio.io.Socket) -> None:
         """Serve until cancelled."""
         self.address = sockets.bound_address(listener)
         await run_all(
-            self.callers.accept(listener),
+            self.callers.run(listener),
             self._link.run(),
             self._tick_forever(),
         )
@@ -114,8 +108,8 @@
         await self._link.post(EntryClosing(entry_id=self._entry_id))
         await self._wait_unlisted()
         # Callers may go on using what they were told for its time to live.
-        await curio.sleep(as_seconds(self._list.sent.ttl_ms))
-        await listener.close()
+        await curio.sleep(as_seconds(self._list.ttl_ms))
+        await self.callers.stop_accepting()
         await self.callers.close_idle()
         await self._finish_calls()
 
@@ -141,7 +135,7 @@
             address=self._given.control,
             identity=identity,
             log=self.log,
-            received=self._receive,
+            received=lambda message: self._inbox.take(message),
             opened=self._introduce,
             lost=lambda: self._claimant.abandon(),
         )
@@ -150,45 +144,6 @@
         opened = EntryOpened(entry_id=self._entry_id, address=self.address)
         await self._link.post(opened)
 
-    async def _receive(self, message: Any) -> None:
-        match message:
-            case DeclarationActivated():
-                self._configure(message)
-            case ServingLease():
-                self.state.lease_until = Millis(message.until_ms)
-            case FleetSent():
-                self._resize(message)
-            case EntryListSent():
-                self._list.sent = message
-            case TargetLimits():
-                self._policies.limit_targets(message, now=self._clock.now())
-            case KeyPrefixIssued():
-                self._list.key_prefix = message.prefix
-            case ClaimDecided():
-                await self._claimant.decide(message)
-
-    def _configure(self, sent: DeclarationActivated) -> None:
-        if not is_newer(sent.version, self.state.configuration):
-            return
-        configuration = activate(sent)
-        self.state.configuration = configuration
-        self._policies.configure(configuration, now=self._clock.now())
-        freeze_collector()
-        self.log.emit(
-            Event(
-                kind=EventKind.configuration_active,
-                facts={'version': sent.version},
-            )
-        )
-
-    def _resize(self, sent: FleetSent) -> None:
-        if self.state.duty is not Duty.draining:
-            self.state.duty = sent.duty
-        size = FleetSize(
-            processes=sent.processes, zone_processes=sent.zone_processes
-        )
-        self._policies.resize(size, now=self._clock.now())
-
     async def _tick_forever(self) -> None:
         while True:
             await curio.sleep(as_seconds(settings.TICK_MS))
--- a/chicorybridge/entry_reports.py
+++ b/chicorybridge/entry_reports.py
@@ -14,7 +14,6 @@
     MetricsReport,
 )
 from chicorybridge.events import EventLog
-from chicorybridge.identities import NO_VERSION
 from chicorybridge.meters import Meters
 
 
@@ -58,8 +57,7 @@
     ) -> None:
         """Post the state of the process, new events and due metrics."""
         calls = dispatcher.calls_by_number.values()
-        configuration = self._state.configuration
-        version = configuration.version if configuration else NO_VERSION
+        version = self._state.version
         await self._post(
             EntryReport(
                 entry_id=self._entry_id,
--- a/chicorybridge/operator_desks.py
+++ b/chicorybridge/operator_desks.py
@@ -4,11 +4,10 @@
 from typing import Any
 
 from chicorybridge.control_systems import ControlSystems
+from chicorybridge.drains import DrainAdvanced, DrainRequested
 from chicorybridge.events import EventLog
 from chicorybridge.identities import HostId
 from chicorybridge.operator_messages import (
-    DrainRequested,
-    DrainStarted,
     HostMetrics,
     HostsRequested,
     KnownHost,
@@ -73,14 +72,12 @@
     def _take_drain(
         self, message: DrainRequested, *, operator: HostId
     ) -> Effects:
-        started = DrainStarted(
+        # The system begins the stop; this tells the operator so.
+        started = DrainAdvanced(
             host_id=self._systems.members.profile.host_id,
-            leaving=message.leaving,
+            state=self._systems.drains.state,
         )
-        return [
-            *self._systems.members.change(leaving=message.leaving),
-            Send(to=operator, message=started),
-        ]
+        return [Send(to=operator, message=started)]
 
 
 def _known(profile: HostProfile) -> KnownHost:
--- a/chicorybridge/operator_messages.py
+++ b/chicorybridge/operator_messages.py
@@ -64,20 +64,3 @@
 
     version: Version
     hosts: tuple[KnownHost, ...]
-
-
-@wire
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DrainRequested:
-    """Take this host off the entry list, or put it back on."""
-
-    leaving: bool
-
-
-@wire
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DrainStarted:
-    """Say that a host has changed its duty."""
-
-    host_id: HostId
-    leaving: bool
--- a/chicorybridge/policies.py
+++ b/chicorybridge/policies.py
@@ -21,7 +21,7 @@
 from chicorybridge.observations import Observer
 from chicorybridge.retries import RequestFacts, RetryDecision, RetryPolicy
 from chicorybridge.subsets import FleetSize, subset_of
-from chicorybridge.systems import Effects
+from chicorybridge.systems import Effects, Send
 from chicorybridge.weights import Weights
 
 
@@ -42,6 +42,10 @@
         self._process_name = process_name
         self._fleet = FleetSize(processes=1, zone_processes=1)
         self._configuration: ActiveConfiguration | None = None
+        # Targets that are leaving: as the host says, and by their own sign.
+        self._leaving: frozenset[TargetId] = frozenset()
+        self._signed: dict[TargetId, Millis] = {}
+        self._unreported: list[Attempt] = []
         self._weights = Weights()
         self._observer = Observer(host_id=host_id)
         self._limiter = Limiter(rng=rng)
@@ -75,9 +79,10 @@
         self._weights.receive(limits, sender=self._host_id, now=now)
         self._chooser.set_ejected(self._weights.ejected)
 
-    def set_leaving(self, target_ids: Collection[TargetId]) -> None:
-        """Take over which targets are leaving."""
-        self._chooser.set_leaving(target_ids)
+    def mark_leaving(self, target_ids: Collection[TargetId]) -> None:
+        """Take over which targets are leaving, as the host knows."""
+        self._leaving = frozenset(target_ids)
+        self._chooser.set_leaving(self._leaving | self._signed.keys())
 
     def admit(
         self, route: Route, workspace_id: WorkspaceId | None, *, now: Millis
@@ -125,6 +130,8 @@
         """Learn from an attempt that ended."""
         residual = self._observer.finish(number, attempt)
         self._weights.record(attempt, residual)
+        if attempt.leaving:
+            self._note_leaving(attempt, now)
         slowness = self._chooser.finished(attempt, now)
         self._limiter.finished(attempt, slowness=slowness, now=now)
 
@@ -138,7 +145,31 @@
         """Return what the control process is told this tick."""
         self._weights.tick(now=now)
         self._chooser.set_ejected(self._weights.ejected)
-        return self._observer.tick(now=now)
+        self._forget_signs(now)
+        signs = self._unreported
+        self._unreported = []
+        return [
+            *self._observer.tick(now=now),
+            *(Send(to=self._host_id, message=sign) for sign in signs),
+        ]
+
+    def _note_leaving(self, attempt: Attempt, now: Millis) -> None:
+        """Believe the target at once; the host tells the others."""
+        if attempt.target_id not in self._signed:
+            self._unreported.append(attempt)
+        self._signed[attempt.target_id] = now
+        self.mark_leaving(self._leaving)
+
+    def _forget_signs(self, now: Millis) -> None:
+        old = [
+            target_id
+            for target_id, signed_at in self._signed.items()
+            if now - signed_at > settings.LEAVING_SIGN_MS
+        ]
+        for target_id in old:
+            self._signed.pop(target_id)
+        if old:
+            self.mark_leaving(self._leaving)
 
     def _share(self, now: Millis) -> None:
         configuration = self._configuration
--- a/chicorybridge/sessions.py
+++ b/chicorybridge/sessions.py
@@ -7,9 +7,10 @@
 
 from chicorybridge.claim_messages import KeyPrefixIssued
 from chicorybridge.clocks import Millis
+from chicorybridge.departures import TargetsLeaving
+from chicorybridge.drains import DrainAdvanced
 from chicorybridge.entry_messages import (
     EntryClosing,
-    EntryListSent,
     EntryOpened,
     EntryReport,
     FleetSent,
@@ -17,6 +18,7 @@
 )
 from chicorybridge.identities import NO_VERSION, Version
 from chicorybridge.notices import TargetLimits
+from chicorybridge.rosters import Roster
 from chicorybridge.streams import MessageStream
 from chicorybridge.versions import DeclarationActivated, ServingLease
 
@@ -27,7 +29,9 @@
     TargetLimits,
     KeyPrefixIssued,
     FleetSent,
-    EntryListSent,
+    Roster,
+    TargetsLeaving,
+    DrainAdvanced,
 )
 
 
@@ -74,6 +78,16 @@
             )
         )
 
+    @property
+    def connections(self) -> int:
+        """Return the open connections of callers."""
+        return sum(report.connections for report in self._reports)
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests under way."""
+        return sum(report.in_flight for report in self._reports)
+
     async def add(self, session: EntrySession) -> None:
         """Add an entry process and tell it all that lasts."""
         self.sessions_by_id[session.opened.entry_id] = session
@@ -114,3 +128,8 @@
             for session in self.sessions_by_id.values()
             if now - session.heard_at <= within_ms
         )
+
+    @property
+    def _reports(self) -> list[EntryReport]:
+        sessions = self.sessions_by_id.values()
+        return [session.report for session in sessions if session.report]
--- a/chicorybridge/tests/fronts.py
+++ b/chicorybridge/tests/fronts.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
 
 import curio
 
@@ -16,7 +17,7 @@
 from chicorybridge.connections import TargetConnections
 from chicorybridge.declarations import Declaration, Service
 from chicorybridge.dispatchers import Dispatcher, EntryState
-from chicorybridge.identities import Digest, HostId, Version, ZoneId
+from chicorybridge.identities import Digest, HostId, ServiceId, Version, ZoneId
 from chicorybridge.policies import Policies
 from chicorybridge.routes import RouteTable
 from chicorybridge.tools.declared import ServiceShape, declare
@@ -171,7 +172,7 @@
 
 @contextlib.asynccontextmanager
 async def front(
-    *scripts: Script, gone_targets: int = 0, **limits: object
+    *scripts: Script, gone_targets: int = 0, **limits: Any
 ) -> AsyncIterator[Front]:
     """Run a data plane before a target for each script.
 
@@ -184,7 +185,9 @@
     addresses = [sockets.bound_address(one) for one in (*listeners, *gone)]
     for listener in gone:
         await listener.close()
-    service = Service(service_id=ServiceShape().name, **limits)
+    service = dataclasses.replace(
+        Service(service_id=ServiceId(ServiceShape().name)), **limits
+    )
     clock = Clock()
     policies = Policies(
         rng=random.Random(2),
@@ -202,7 +205,7 @@
     async with curio.TaskGroup(wait=None) as tasks:
         for target, listener in zip(targets, listeners, strict=True):
             await tasks.spawn(curio.network.run_server, listener, target.serve)
-        await tasks.spawn(callers.accept, own)
+        await tasks.spawn(callers.run, own)
         yield Front(
             address=sockets.bound_address(own),
             targets=targets,
--- a/chicorybridge/tests/test_dispatchers.py
+++ b/chicorybridge/tests/test_dispatchers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from chicorybridge.clocks import Millis
+from chicorybridge.errors import PromiseError
 from chicorybridge.tests.fronts import (
     OK,
     answering,
@@ -278,3 +279,12 @@
         answers = [await task.join() for task in tasks]
     expected = [hashlib.sha256(body).hexdigest().encode() for body in bodies]
     assert [answer[-64:] for answer in answers] == expected
+
+
+async def test_older_configuration_breaks_a_promise():
+    """A process never goes back to an older version."""
+    async with front(answering(OK)) as plane:
+        active = plane.state.configuration
+        assert active is not None
+        with pytest.raises(PromiseError):
+            plane.state.switch(active)
