--- /dev/null
+++ b/chicorybridge/tools/fleetfaults.py
@@ -0,0 +1,145 @@
+"""Faults of a fleet on the faulty channel, drawn at random."""
+
+import random
+from collections.abc import Callable
+
+from chicorybridge.identities import HostId
+from chicorybridge.stores import HostState
+from chicorybridge.tools.fleets import Fleet
+
+ZONES = 4
+HALF = 0.5
+CALM = 0.9
+MAX_PAUSED = 3
+MAX_LOSS = 0.3
+MAX_DUPLICATES = 0.2
+MAX_UNANSWERED = 0.5
+
+
+class FleetFaults:
+    """Disturb a fleet, and heal it again."""
+
+    def __init__(self, *, fleet: Fleet, rng: random.Random) -> None:
+        """Draw everything from `rng`."""
+        self._fleet = fleet
+        self._rng = rng
+        self._crashed: dict[HostId, int] = {}
+        self.kinds: tuple[Callable[[], None], ...] = (
+            self._cut_region,
+            self._cut_host,
+            self._heal_links,
+            self._pause,
+            self._crash,
+            self._restart,
+            self._outage,
+            self._noise,
+            self._unlist,
+            self._unsettle,
+        )
+
+    def some(self) -> list[HostId]:
+        """Draw up to half of the hosts."""
+        hosts = sorted(self._fleet.hosts_by_id)
+        return self._rng.sample(hosts, self._rng.randint(1, len(hosts) // 2))
+
+    def isolate(self) -> list[HostId]:
+        """Cut a group off from the rest and the store; return the rest."""
+        group = self.some()
+        others = [
+            host_id
+            for host_id in self._fleet.hosts_by_id
+            if host_id not in group
+        ]
+        self._fleet.cut(group, others)
+        if self._rng.random() < HALF:
+            self._fleet.cut(others, group)
+        self._fleet.channel.storeless |= set(group)
+        return others
+
+    def heal(self) -> None:
+        """End all faults and start the hosts that crashed."""
+        channel = self._fleet.channel
+        self._heal_links()
+        channel.paused.clear()
+        channel.store.outage = False
+        channel.store.unanswered_share = 0
+        channel.loss_share = 0
+        channel.duplicate_share = 0
+        for host_id, zone in tuple(self._crashed.items()):
+            self._start(host_id, zone)
+        for host in self._fleet.hosts_by_id.values():
+            host.settles = True
+
+    def _cut_region(self) -> None:
+        north, south = self._fleet.of_region(0), self._fleet.of_region(1)
+        ways = self._rng.choice((1, 2, 3))
+        if ways != 1:
+            self._fleet.cut(north, south)
+        if ways != 2:
+            self._fleet.cut(south, north)
+
+    def _cut_host(self) -> None:
+        host_id = self._any()
+        others = self.some()
+        if self._rng.random() < HALF:
+            self._fleet.cut([host_id], others)
+            return
+        self._fleet.cut(others, [host_id])
+
+    def _heal_links(self) -> None:
+        self._fleet.channel.cut_links.clear()
+        self._fleet.channel.storeless.clear()
+
+    def _pause(self) -> None:
+        # The hosts paused before wake up.
+        paused = self.some()[:MAX_PAUSED]
+        self._fleet.channel.paused = set(self._rng.choice((paused, ())))
+
+    def _crash(self) -> None:
+        if len(self._fleet.hosts_by_id) <= ZONES:
+            return
+        host_id = self._any()
+        zone_id = self._fleet.zone_of(host_id)
+        self._crashed[host_id] = int(zone_id.removeprefix('zone-'))
+        self._fleet.crash(host_id)
+        if self._rng.random() < HALF:
+            self._fleet.unlist(host_id)
+
+    def _restart(self) -> None:
+        for host_id, zone in tuple(self._crashed.items())[:1]:
+            self._start(host_id, zone)
+
+    def _start(self, host_id: HostId, zone: int) -> None:
+        seeds = tuple(self.some())
+        self._fleet.start(host_id, zone=zone, seeds=seeds)
+        self._crashed.pop(host_id)
+
+    def _outage(self) -> None:
+        self._fleet.channel.storeless |= set(
+            self._rng.choice(((), self.some()))
+        )
+        store = self._fleet.channel.store
+        store.outage = not store.outage
+        store.unanswered_share = self._rng.choice(
+            (0, self._rng.uniform(0, MAX_UNANSWERED))
+        )
+
+    def _noise(self) -> None:
+        channel = self._fleet.channel
+        channel.loss_share = self._rng.choice(
+            (0, self._rng.uniform(0, MAX_LOSS))
+        )
+        channel.duplicate_share = self._rng.uniform(0, MAX_DUPLICATES)
+
+    def _unlist(self) -> None:
+        host_id = self._any()
+        self._fleet.unlist(host_id)
+        if self._rng.random() < HALF:
+            self._fleet.list_host(host_id, state=HostState.live)
+
+    def _unsettle(self) -> None:
+        for host in self._fleet.hosts_by_id.values():
+            host.settles = self._rng.random() < CALM
+
+    def _any(self) -> HostId:
+        return self._rng.choice(sorted(self._fleet.hosts_by_id))
--- a/chicorybridge/tools/fleets.py
+++ b/chicorybridge/tools/fleets.py
@@ -130,6 +130,11 @@
         """Drop a host from the platform's list."""
         self._listed_by_id.pop(host_id, None)
 
+    def zone_of(self, host_id: HostId) -> str:
+        """Return the zone of a host."""
+        members = self.hosts_by_id[host_id].members
+        return members.profile.zone_id
+
     def of_region(self, region: int) -> list[HostId]:
         """Return the hosts of a region; two zones make one."""
         region_id = region_of(2 * region)
