--- a/chicorybridge/errors.py
+++ b/chicorybridge/errors.py
@@ -40,6 +40,7 @@
     claim_unavailable = 'CB4012'
     host_leaving = 'CB4013'
     host_cut_off = 'CB4014'
+    workspace_unknown = 'CB4015'
 
     # Operations.
     apply_conflict = 'CB5001'
@@ -50,13 +51,17 @@
     # Promises asserted inside the program.
     promise_broken = 'CB9001'
 
+    def __str__(self) -> str:
+        """Return the number and the name."""
+        return ' '.join((self.value, self.name))
+
 
 class ChicorybridgeError(Exception):
     """Carry a code besides the message."""
 
     def __init__(self, *, code: ErrorCode, detail: str) -> None:
         """Keep `code` for programs and `detail` for people."""
-        super().__init__(f'{code.value} {code.name}: {detail}')
+        super().__init__(f'{code}: {detail}')
         self.code = code
         self.detail = detail
 
--- a/chicorybridge/tools/fleets.py
+++ b/chicorybridge/tools/fleets.py
@@ -23,7 +23,7 @@
 from chicorybridge.stores import HostState, ListedHost
 from chicorybridge.systems import Effects, System
 from chicorybridge.tools.channels import FaultyChannel
-from chicorybridge.tools.declared import declared
+from chicorybridge.tools.sized_declarations import declared
 from chicorybridge.versions import (
     ApplyProgress,
     ApplyRequested,
