--- a/chicorybridge/tools/claim_replays.py
+++ b/chicorybridge/tools/claim_replays.py
@@ -163,11 +163,11 @@
         outcome = OUTCOMES_BY_STEP.get(name)
         if name == 'give_up':
             self._give_up(host, AttemptId(str(number)))
-        elif outcome is not None:
-            self._finish(number, outcome)
-        else:
+        elif outcome is None:
             message = _entry_message(name, str(number), self.key)
             self._hand(host, message)
+        else:
+            self._finish(number, outcome)
 
     def _give_up(self, host: int, attempt_id: AttemptId) -> None:
         claims = self.claims[host]
--- a/chicorybridge/tools/claim_steps.py
+++ b/chicorybridge/tools/claim_steps.py
@@ -13,8 +13,8 @@
     ClaimWorld,
     LedgerClaim,
     TryState,
-    replace_at,
 )
+from chicorybridge.tools.specifications import replace_at
 
 # What a control process forgets when it is replaced.
 FORGOTTEN_STATES = frozenset((TryState.pending, TryState.given_up))
--- a/chicorybridge/tools/claim_worlds.py
+++ b/chicorybridge/tools/claim_worlds.py
@@ -2,12 +2,9 @@
 
 import dataclasses
 from enum import Enum
-from typing import TypeVar
 
 from chicorybridge.claim_tables import ClaimState
-from chicorybridge.tools.specifications import Label
-
-Element = TypeVar('Element')
+from chicorybridge.tools.specifications import Label, replace_at
 
 
 class TryState(Enum):
@@ -103,10 +100,3 @@
         """Return the world after a caller was told something."""
         wrong = self.wrongly_told or wrongly
         return dataclasses.replace(self, wrongly_told=wrong)
-
-
-def replace_at(
-    elements: tuple[Element, ...], place: int, element: Element
-) -> tuple[Element, ...]:
-    """Return the tuple with another element at `place`."""
-    return (*elements[:place], element, *elements[place + 1 :])
--- a/chicorybridge/tools/specifications.py
+++ b/chicorybridge/tools/specifications.py
@@ -15,6 +15,7 @@
 MAX_STATES = 3_000_000
 
 State = TypeVar('State')
+Element = TypeVar('Element')
 
 Promise: TypeAlias = Callable[[Any], bool]
 
@@ -116,3 +117,10 @@
         holds = promise(fields['state'])
         self._broken = self._broken or not holds
         return holds
+
+
+def replace_at(
+    elements: tuple[Element, ...], place: int, element: Element
+) -> tuple[Element, ...]:
+    """Return the tuple with another element at `place`."""
+    return (*elements[:place], element, *elements[place + 1 :])
