--- /dev/null
+++ b/chicorybridge/configurations.py
@@ -0,0 +1,36 @@
+"""The configuration that governs a process."""
+
+import dataclasses
+
+from chicorybridge.codecs import unpack
+from chicorybridge.declarations import Declaration
+from chicorybridge.identities import NO_VERSION, Digest, Version
+from chicorybridge.routes import RouteTable
+from chicorybridge.versions import DeclarationActivated
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ActiveConfiguration:
+    """A version with its declaration and what is derived from it."""
+
+    version: Version
+    digest: Digest
+    declaration: Declaration
+    routes: RouteTable
+
+
+def activate(sent: DeclarationActivated) -> ActiveConfiguration:
+    """Derive what requests need from a declaration."""
+    declaration = unpack(sent.body)
+    return ActiveConfiguration(
+        version=sent.version,
+        digest=sent.digest,
+        declaration=declaration,
+        routes=RouteTable(declaration=declaration),
+    )
+
+
+def is_newer(version: Version, active: ActiveConfiguration | None) -> bool:
+    """Return whether `version` follows the active configuration."""
+    held = NO_VERSION if active is None else active.version
+    return version > held
