--- a/chicorybridge/claim_routers.py
+++ b/chicorybridge/claim_routers.py
@@ -1,5 +1,6 @@
 """Carry tries to the owner of their key, and decisions back."""
 
+import random
 from collections.abc import Callable, Iterable
 
 from chicorybridge.claim_assignments import Assignment, ClaimAssignments
@@ -15,6 +16,7 @@
 )
 from chicorybridge.claim_owners import ClaimOwner
 from chicorybridge.claim_rows import OwnerRow
+from chicorybridge.claim_sweeps import ClaimSweeps
 from chicorybridge.claim_tables import Asker
 from chicorybridge.clocks import Millis
 from chicorybridge.events import Event, EventKind
@@ -32,6 +34,9 @@
         self.owned = ClaimOwner(owner=owner)
         self.attempts = ClaimAttempts()
         self.assignments = ClaimAssignments(today=today)
+        self.sweeps = ClaimSweeps(
+            today=today, rng=random.Random(owner.incarnation)
+        )
 
     def tick(self, *, now: Millis) -> list[Effect]:
         """Issue prefixes, repeat what was not answered, give up the late."""
@@ -44,6 +49,7 @@
             for finished in self.attempts.due_reports(now=now)
         )
         effects.extend(self.assignments.flush(now=now))
+        effects.extend(self.sweeps.tick(now=now))
         return effects
 
     def route(
--- /dev/null
+++ b/chicorybridge/claim_sweeps.py
@@ -0,0 +1,76 @@
+"""Delete the rows of claims that are older than any key is kept.
+
+Every host sweeps now and then a small part of one past day, drawn at
+random, so that no host has to agree with another.
+"""
+
+import random
+from collections.abc import Callable
+
+from chicorybridge import settings
+from chicorybridge.claim_rows import CLAIM_TABLE, day_prefix
+from chicorybridge.clocks import Millis
+from chicorybridge.stores import (
+    Condition,
+    Row,
+    ScanRows,
+    StoreOutcome,
+    StoreReply,
+    Transact,
+    Write,
+)
+from chicorybridge.systems import Ask
+
+SCAN_TOKEN = 'claims:scan'  # noqa: S105
+DELETE_TOKEN = 'claims:delete'  # noqa: S105
+
+# Rows are named by a hash; a sweep reads those with one start of two
+# hexadecimal digits.
+SWEPT_PARTS = 256
+# Days from today whose rows are swept: the clocks of hosts may differ by
+# a day, so yesterday's rows and those of the day before stay.
+SWEPT_DAYS = (3, 9)
+
+
+class ClaimSweeps:
+    """Scan and delete old rows in small steps."""
+
+    def __init__(self, *, today: Callable[[], int], rng: random.Random) -> None:
+        """Start with a pause; `today` numbers the days."""
+        self._today = today
+        self._rng = rng
+        self._due: Millis | None = None
+
+    def tick(self, *, now: Millis) -> list[Ask]:
+        """Read a part of an old day when it is time."""
+        if self._due is None:
+            self._due = self._next(now)
+        if now < self._due:
+            return []
+        self._due = self._next(now)
+        day = self._today() - self._rng.randint(*SWEPT_DAYS)
+        part = format(self._rng.randrange(SWEPT_PARTS), '02x')
+        scan = ScanRows(table=CLAIM_TABLE, prefix=day_prefix(day) + part)
+        return [Ask(token=SCAN_TOKEN, request=scan)]
+
+    def take(self, reply: StoreReply) -> list[Ask]:
+        """Delete what was read, as it was read."""
+        if reply.token != SCAN_TOKEN or reply.outcome is not StoreOutcome.done:
+            return []
+        if not reply.rows:
+            return []
+        rows = reply.rows[: settings.CLAIM_ROWS_IN_TRANSACTION]
+        return [Ask(token=DELETE_TOKEN, request=_deletion(rows))]
+
+    def _next(self, now: Millis) -> Millis:
+        pause = self._rng.uniform(0, 2 * settings.CLAIM_SWEEP_MS)
+        return Millis(now + pause)
+
+
+def _deletion(rows: tuple[Row, ...]) -> Transact:
+    return Transact(
+        conditions=tuple(
+            Condition(row_key=row.row_key, version=row.version) for row in rows
+        ),
+        writes=tuple(Write(row_key=row.row_key, body=None) for row in rows),
+    )
--- a/chicorybridge/claims.py
+++ b/chicorybridge/claims.py
@@ -148,7 +148,7 @@
         self, message: StoreReply, *, sender: HostId, now: Millis
     ) -> list[Effect]:
         if message.token != ASSIGNMENT_TOKEN:
-            return []
+            return list(self.sweeps.take(message))
         effects: list[Effect] = []
         for assignment in self.assignments.take(message, now=now):
             effects.extend(self.assign(assignment, now=now))
--- a/chicorybridge/tests/test_claims.py
+++ b/chicorybridge/tests/test_claims.py
@@ -40,6 +40,7 @@
     def __init__(self):
         """Start the hosts and let them issue their prefixes."""
         self.channel = FaultyChannel(seed=1)
+        self.today = 20_000
         self.claims_by_host = {}
         for number, host_id in enumerate((ALPHA, BETA, GAMMA), start=1):
             self.start(host_id, number)
@@ -50,7 +51,7 @@
         claims = Claims(
             host_id=host_id,
             incarnation=Incarnation(incarnation),
-            today=lambda: 20_000,
+            today=lambda: self.today,
         )
         self.claims_by_host[host_id] = claims
         self.channel.add(host_id, claims)
@@ -279,3 +280,25 @@
         for number in range(50)
     )
     assert claims.assignments.transactions == 2
+
+
+def test_old_rows_are_swept(fleet, monkeypatch):
+    """Rows go once no host looks for their day any more, and not before."""
+    monkeypatch.setattr(settings, 'CLAIM_SWEEP_MS', 10)
+    fleet.channel.run(for_ms=2 * 600_000, tick_ms=10_000)
+    fleet.ask(ALPHA, 'first', FOREIGN)
+    fleet.channel.run(for_ms=200_000)
+    assert len(fleet.channel.store.tables.rows_by_key) == 1
+    fleet.today += 3
+    fleet.channel.run(for_ms=600_000)
+    assert not fleet.channel.store.tables.rows_by_key
+
+
+def test_clocks_on_both_sides_of_midnight(fleet):
+    """A repeat is known to a host whose day is the next or the last one."""
+    fleet.ask(ALPHA, 'first', FOREIGN)
+    for offset in (1, -1):
+        fleet.today += offset
+        again = fleet.ask(BETA, f'again{offset}', FOREIGN, wait_ms=11_000)
+        assert again.refusal is ClaimRefusal.under_way
+        fleet.today -= offset
