Check targets in doubt with real work; simulate a service for trials

A target in doubt is sent the next idempotent request of a few hosts, so that the verdict needs no wait for traffic. Evidence is compared with what all hosts see of the other targets.

--- a/chicorybridge/announcements.py
+++ b/chicorybridge/announcements.py
@@ -19,6 +19,8 @@
 
 # Time between two announcements of the same ejections.
 NOTICE_MS = 1000.0
+# An announcement that is honoured for less than this needs a fresher one.
+LEAST_HONOURED_MS = 2500.0
 
 
 class Announcements(System):
@@ -114,10 +116,11 @@
         self._heard_by_host[sender] = Heard(
             ejections=notice.ejections, stamp=stamp, until=until
         )
-        if until > now:
-            return self._tell_entries(now=now)
+        told = self._tell_entries(now=now)
+        if until - now >= LEAST_HONOURED_MS or not notice.ejections:
+            return told
         request = StampRequest(stamp=self._freshness.stamp(to=sender, now=now))
-        return (Send(to=sender, message=request),)
+        return (Send(to=sender, message=request), *told)
 
     def _tell_entries(self, *, now: Millis) -> list[Effect]:
         """Send the limits when they change, and while there are any."""
--- /dev/null
+++ b/chicorybridge/assignments.py
@@ -0,0 +1,69 @@
+"""Which host judges which target."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from chicorybridge.declarations import Declaration, Pool, Service
+from chicorybridge.identities import HostId, ServiceId, TargetId
+from chicorybridge.thresholds import Thresholds, thresholds_of
+
+
+def judge_of(target_id: TargetId, host_ids: Iterable[HostId]) -> HostId:
+    """Return the host that judges a target, by rendezvous hashing."""
+    return max(
+        host_ids,
+        key=lambda host_id: xxhash.xxh3_64_intdigest(
+            f'{host_id} {target_id}'.encode()
+        ),
+    )
+
+
+class Assignments:
+    """The judges of all targets, and what the declaration says of them."""
+
+    def __init__(self, *, host_id: HostId) -> None:
+        """Start with this host alone and no targets."""
+        self.hosts: tuple[HostId, ...] = (host_id,)
+        self.judges_by_id: dict[TargetId, HostId] = {}
+        self.pools_by_target: dict[TargetId, Pool] = {}
+        self._host_id = host_id
+        self._services_by_id: dict[ServiceId, Service] = {}
+
+    def configure(self, declaration: Declaration) -> None:
+        """Take in the targets of a configuration."""
+        self._services_by_id = declaration.services_by_id
+        self.pools_by_target = {
+            target_id: declaration.pool_of(target)
+            for target_id, target in declaration.targets_by_id.items()
+        }
+        self._assign()
+
+    def update_hosts(self, host_ids: Iterable[HostId]) -> None:
+        """Take in the live hosts; this host is always one of them."""
+        self.hosts = tuple(sorted({self._host_id, *host_ids}))
+        self._assign()
+
+    def is_ours(self, target_id: TargetId) -> bool:
+        """Tell whether this host judges a target."""
+        return self.judges_by_id.get(target_id) == self._host_id
+
+    def thresholds_of(self, target_id: TargetId) -> Thresholds:
+        """Return what a verdict on a target needs."""
+        service_id = self.pools_by_target[target_id].service_id
+        return thresholds_of(self._services_by_id[service_id].sensitivity)
+
+    def reserves(self) -> dict[ServiceId, int]:
+        """Return the slots of one of our targets, for each service."""
+        reserves = dict.fromkeys(self._services_by_id, 0)
+        for target_id, pool in self.pools_by_target.items():
+            if self.is_ours(target_id):
+                slots = max(pool.slots, reserves[pool.service_id])
+                reserves[pool.service_id] = slots
+        return reserves
+
+    def _assign(self) -> None:
+        self.judges_by_id = {
+            target_id: judge_of(target_id, self.hosts)
+            for target_id in self.pools_by_target
+        }
--- a/chicorybridge/detections.py
+++ b/chicorybridge/detections.py
@@ -3,6 +3,8 @@
 import random
 
 from chicorybridge.announcements import Announcements
+from chicorybridge.assignments import Assignments
+from chicorybridge.checks import Checks
 from chicorybridge.clocks import Millis
 from chicorybridge.declarations import Declaration
 from chicorybridge.ejections import Ejections
@@ -18,6 +20,7 @@
 from chicorybridge.judgements import Judgements
 from chicorybridge.loans import Loans
 from chicorybridge.permits import Permits
+from chicorybridge.reports import Reports
 from chicorybridge.systems import Effects, System
 
 
@@ -41,12 +44,20 @@
         self.ejections = Ejections(
             announcements=self.announcements, holdings=self.holdings
         )
+        self._assignments = Assignments(host_id=host_id)
+        self._reports = Reports(
+            zone_id=zone_id,
+            freshness=self.freshness,
+            announcements=self.announcements,
+            assignments=self._assignments,
+        )
         self.judgements = Judgements(
             host_id=host_id,
-            zone_id=zone_id,
             freshness=self.freshness,
             announcements=self.announcements,
+            assignments=self._assignments,
             ejections=self.ejections,
+            rng=rng,
         )
         self._beats = Beats(host_id=host_id, freshness=self.freshness)
         self._loans = Loans(
@@ -65,9 +76,11 @@
             self._beats,
             self._permits,
             self._loans,
+            self._reports,
             self.judgements,
             self.ejections,
             self.announcements,
+            Checks(),
         )
 
     def configure(
@@ -75,7 +88,10 @@
     ) -> Effects:
         """Take in a configuration and end what contradicts it."""
         self.holdings.configure(declaration, version=version)
-        self.judgements.configure(declaration)
+        self._assignments.configure(declaration)
+        self._reports.configure(declaration)
+        self.judgements.configure()
+        self.ejections.reserve_by_service = self._assignments.reserves()
         return self.ejections.configure(declaration, now=now)
 
     def is_settled(self, *, now: Millis) -> bool:
@@ -101,7 +117,8 @@
         self._beats.update_hosts(host_ids)
         self._loans.update_hosts(host_ids)
         self.announcements.update_hosts(host_ids)
-        self.judgements.update_hosts(host_ids)
+        self._assignments.update_hosts(host_ids)
+        self.ejections.reserve_by_service = self._assignments.reserves()
         self._permits.mark_gone(gone, now=now)
 
     def update_lost(self, slots_by_service: dict[ServiceId, int]) -> None:
--- a/chicorybridge/evidence.py
+++ b/chicorybridge/evidence.py
@@ -16,7 +16,7 @@
 from chicorybridge.observations import Tally
 
 # Time over which the other targets of a service are averaged.
-COMMON_MS = 3000.0
+COMMON_MS = 700.0
 # Attempts without a failure that are taken for granted, and the share of
 # failures that is normal.
 PRIOR_ATTEMPTS = 20.0
@@ -34,7 +34,8 @@
     """A tally and what the host would expect of any target.
 
     The shares are those of attempts that fail at other targets; `shift`
-    is how much slower than expected they are, as a logarithm.
+    is how much slower than expected they are, as a logarithm. `others`
+    are the counts behind that, for the judge to add up over hosts.
     """
 
     tally: Tally
@@ -42,6 +43,7 @@
     large_share: float
     shed_share: float
     shift: float
+    others: Tally
 
 
 @wire
@@ -68,17 +70,11 @@
 
     def fade(self, *, now: Millis) -> None:
         """Let what is known fade to `now`."""
+        if now == self.faded_at:
+            return
         factor = math.exp((self.faded_at - now) / COMMON_MS)
         self.faded_at = now
-        for field in COUNTS:
-            setattr(self.tally, field, getattr(self.tally, field) * factor)
-
-
-COUNTS = tuple(
-    field.name
-    for field in dataclasses.fields(Tally)
-    if field.name != 'target_id'
-)
+        self.tally.scale(factor)
 
 
 class CommonView:
@@ -123,36 +119,35 @@
         own.fade(now=now)
         everywhere = _others(self._recent_by_key[service_id, None], own, now)
         same_zone = _others(self._recent_by_key[service_id, zone_id], own, now)
-        views = [_expect(tally, everywhere)]
+        evidence = expect(tally, others=everywhere)
         if same_zone.latency_weight >= ZONE_WEIGHT:
-            views.append(_expect(tally, same_zone))
-        return Evidence(
-            tally=tally,
-            failed_share=max(view.failed_share for view in views),
-            large_share=max(view.large_share for view in views),
-            shed_share=max(view.shed_share for view in views),
-            shift=max(view.shift for view in views),
-        )
+            evidence = worst(evidence, expect(tally, others=same_zone))
+        return evidence
+
+
+def empty_recent() -> Recent:
+    """Return a view of nothing."""
+    return Recent(tally=Tally(target_id=TargetId('')))
 
 
 def _recent(table: dict, key: object) -> Recent:
     recent = table.get(key)
     if recent is None:
-        recent = Recent(tally=Tally(target_id=TargetId('')))
+        recent = empty_recent()
         table[key] = recent
     return recent
 
 
 def _others(recent: Recent, own: Recent, now: Millis) -> Tally:
     recent.fade(now=now)
-    others = Tally(target_id=TargetId(''))
-    for field in COUNTS:
-        known = getattr(recent.tally, field) - getattr(own.tally, field)
-        setattr(others, field, known)
+    others = dataclasses.replace(own.tally)
+    others.scale(-1)
+    others.add(recent.tally)
     return others
 
 
-def _expect(tally: Tally, others: Tally) -> Evidence:
+def expect(tally: Tally, *, others: Tally) -> Evidence:
+    """Return `tally` with what `others` let expect of any target."""
     failed = others.failed + others.broken
     large = others.large_answered + others.large_failed
     attempts = failed + others.answered
@@ -164,6 +159,19 @@
             others.shed, others.shed + attempts + large, NORMAL_SHED
         ),
         shift=others.latency_shift / (others.latency_weight + PRIOR_WEIGHT),
+        others=others,
+    )
+
+
+def worst(one: Evidence, other: Evidence) -> Evidence:
+    """Return `one`, with the worse of what both expect of any target."""
+    return Evidence(
+        tally=one.tally,
+        failed_share=max(one.failed_share, other.failed_share),
+        large_share=max(one.large_share, other.large_share),
+        shed_share=max(one.shed_share, other.shed_share),
+        shift=max(one.shift, other.shift),
+        others=one.others,
     )
 
 
--- a/chicorybridge/holdings.py
+++ b/chicorybridge/holdings.py
@@ -92,6 +92,15 @@
         self.claimed = 0
         self.give_up_loans()
 
+    def give_up_spare_loans(self, now: Millis) -> None:
+        """Send back the loans that no ejection needs."""
+        borrowed = sum(loan.slots for loan in self.loans.values())
+        spare = self.spare(now) + borrowed
+        for lender, loan in tuple(self.loans.items()):
+            if loan.slots <= spare:
+                spare -= loan.slots
+                self.returning.append((lender, self.loans.pop(lender)))
+
     def give_up_loans(self) -> None:
         """Forget all loans; they go back to their lenders."""
         self.returning.extend(self.loans.items())
--- /dev/null
+++ b/chicorybridge/latencies.py
@@ -0,0 +1,87 @@
+"""What latencies say for or against one target."""
+
+import dataclasses
+import math
+
+from chicorybridge.baselines import clip
+from chicorybridge.clocks import MILLIS_PER_SECOND, Millis
+from chicorybridge.evidence import Evidence
+from chicorybridge.identities import ZoneId
+from chicorybridge.observations import Tally
+from chicorybridge.thresholds import Thresholds
+
+# Logarithm of the slowdown that is told from normal.
+GRAY_SHIFT = 0.8
+# Weight of latencies that counts at once.
+WEIGHT_AT_ONCE = 16.0
+# Broken connections that lie closer than this have one cause.
+BROKEN_SPACING_MS = 100.0
+# Weight of latencies over which a target's own history is averaged, and
+# how far it may differ from what its hardware promises.
+HISTORY_WEIGHT = 4000.0
+MOST_HISTORY = 0.5
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class WarmUp:
+    """When a target last restarted, as broken connections show."""
+
+    duration_ms: float
+    ends_at: Millis
+    broken_at: Millis = Millis(-math.inf)
+
+    def count_broken(self, tally: Tally, *, now: Millis) -> int:
+        """Return how many causes the broken connections have."""
+        if not tally.broken:
+            return 0
+        self.ends_at = Millis(now + self.duration_ms)
+        if now - self.broken_at < BROKEN_SPACING_MS:
+            return 0
+        self.broken_at = now
+        return 1
+
+
+class LatencyCase:
+    """Weigh latencies against the target's own history."""
+
+    def __init__(self, *, now: Millis) -> None:
+        """Start with no history."""
+        self._history_by_zone: dict[ZoneId, float] = {}
+        self._allowance = WEIGHT_AT_ONCE
+        self._allowed_at = now
+
+    def weigh(
+        self,
+        evidence: Evidence,
+        *,
+        zone_id: ZoneId,
+        learns: bool,
+        now: Millis,
+        thresholds: Thresholds,
+    ) -> float:
+        """Return the evidence in nats; `learns` adds to the history."""
+        weight = evidence.tally.latency_weight
+        if not weight:
+            return 0
+        common = max(0, evidence.shift)
+        shift = evidence.tally.latency_shift / weight - common
+        history = self._history_by_zone.get(zone_id, 0)
+        if learns:
+            share = min(1, weight / HISTORY_WEIGHT)
+            history += share * (shift - history)
+            history = min(max(history, -MOST_HISTORY), MOST_HISTORY)
+            self._history_by_zone[zone_id] = history
+        # The busier the pool, the more its targets differ by chance.
+        normal = thresholds.normal_shift + common
+        excess = clip(shift - history) - normal
+        counted = self._allow(weight, thresholds.weight_per_second, now=now)
+        return counted * GRAY_SHIFT * excess
+
+    def _allow(self, weight: float, per_second: float, *, now: Millis) -> float:
+        """Return the part of `weight` that counts: samples correlate."""
+        waited = (now - self._allowed_at) / MILLIS_PER_SECOND
+        self._allowed_at = now
+        allowance = min(WEIGHT_AT_ONCE, self._allowance + waited * per_second)
+        counted = min(weight, allowance)
+        self._allowance = allowance - counted
+        return counted
--- a/chicorybridge/loans.py
+++ b/chicorybridge/loans.py
@@ -91,8 +91,8 @@
         for holding in self._holdings.by_service.values():
             if holding.urgent and now >= holding.peers_at:
                 effects += self._ask_peers(holding, now=now)
-            if holding.loans:
-                self._release_idle(holding, now=now)
+            if holding.loans and now >= holding.idle_at:
+                holding.give_up_spare_loans(now)
             if holding.returning:
                 effects += self._return_loans(holding)
         return effects
@@ -137,8 +137,11 @@
         if holding is None or request.version != self._holdings.version:
             return ()
         slots = min(request.slots, holding.spare(now))
-        if slots <= 0 or holding.urgent:
+        if holding.urgent:
             return ()
+        if slots <= 0:
+            holding.give_up_spare_loans(now)
+            return self._return_loans(holding)
         holding.owned -= slots
         self._serial += 1
         holding.lent_by_serial[self._serial] = slots
@@ -173,21 +176,16 @@
             version=loan.version,
             contact=self._freshness.contact(sender),
         )
-        if sender in holding.loans:
+        free = self._holdings.free_slots(loan.service_id, now=now)
+        if sender in holding.loans or free >= holding.wanted:
             holding.returning.append((sender, borrowed))
-            return ()
+            return self._return_loans(holding)
         holding.loans[sender] = borrowed
         holding.idle_at = Millis(now + IDLE_MS)
         facts = {'service': loan.service_id, 'slots': loan.slots}
         event = Event(kind=EventKind.permit_taken, facts=facts)
         return (Emit(event=event),)
 
-    def _release_idle(self, holding: Holding, *, now: Millis) -> None:
-        if now < holding.idle_at or holding.used:
-            return
-        if not holding.cooling_slots(now):
-            holding.give_up_loans()
-
     def _return_loans(self, holding: Holding) -> list[Effect]:
         returns: list[Effect] = [
             Send(
--- a/chicorybridge/observations.py
+++ b/chicorybridge/observations.py
@@ -28,20 +28,31 @@
     """
 
     target_id: TargetId
-    answered: int = 0
-    failed: int = 0
-    broken: int = 0
-    large_answered: int = 0
-    large_failed: int = 0
-    shed: int = 0
+    answered: float = 0
+    failed: float = 0
+    broken: float = 0
+    large_answered: float = 0
+    large_failed: float = 0
+    shed: float = 0
     latency_weight: float = 0
     latency_shift: float = 0
 
     @property
-    def failures(self) -> int:
+    def failures(self) -> float:
         """Return how many attempts speak against the target."""
         return self.failed + self.broken + self.large_failed + self.shed
 
+    def scale(self, factor: float) -> None:
+        """Multiply all counts, as when they fade."""
+        self.answered *= factor
+        self.failed *= factor
+        self.broken *= factor
+        self.large_answered *= factor
+        self.large_failed *= factor
+        self.shed *= factor
+        self.latency_weight *= factor
+        self.latency_shift *= factor
+
     def add(self, other: 'Tally') -> None:
         """Add the counts of `other`."""
         self.answered += other.answered
--- /dev/null
+++ b/chicorybridge/reports.py
@@ -0,0 +1,103 @@
+"""Send what the entries of this host saw to the judges of the targets.
+
+Bad news goes at once, good news now and then.
+"""
+
+from collections.abc import Iterable
+
+from chicorybridge.announcements import Announcements
+from chicorybridge.assignments import Assignments
+from chicorybridge.clocks import Millis
+from chicorybridge.declarations import Declaration
+from chicorybridge.evidence import CommonView, Evidence, EvidenceReport
+from chicorybridge.freshness import Freshness
+from chicorybridge.identities import HostId, TargetId, ZoneId
+from chicorybridge.observations import Observations, Tally
+from chicorybridge.systems import Effect, Effects, Send, System
+
+# Time between two reports of good news.
+REPORT_MS = 500.0
+# Mean residual from which a report goes at once.
+URGENT_SHIFT = 0.5
+
+
+class Reports(System):
+    """Gather observations of entries into evidence for the judges."""
+
+    def __init__(
+        self,
+        *,
+        zone_id: ZoneId,
+        freshness: Freshness,
+        announcements: Announcements,
+        assignments: Assignments,
+    ) -> None:
+        """Report from a host in `zone_id`."""
+        self._zone_id = zone_id
+        self._freshness = freshness
+        self._announcements = announcements
+        self._assignments = assignments
+        self._view = CommonView()
+        self._tallies_by_id: dict[TargetId, Tally] = {}
+        self._report_at = Millis(0)
+
+    def configure(self, declaration: Declaration) -> None:
+        """Take in the targets of a configuration."""
+        self._view.configure(declaration)
+        for target_id in self._tallies_by_id.keys() - declaration.targets_by_id:
+            self._tallies_by_id.pop(target_id)
+
+    def tick(self, *, now: Millis) -> Effects:
+        """Report good news when it is time."""
+        if now < self._report_at:
+            return ()
+        self._report_at = Millis(now + REPORT_MS)
+        return self._report(tuple(self._tallies_by_id), now=now)
+
+    def receive(
+        self, message: object, *, sender: HostId, now: Millis
+    ) -> Effects:
+        """Take in observations; report at once what speaks against some."""
+        if not isinstance(message, Observations):
+            return ()
+        urgent = []
+        for tally in message.tallies:
+            target_id = tally.target_id
+            if not self._view.knows(target_id):
+                continue
+            self._view.add(tally, now=now)
+            gathered = self._tallies_by_id.setdefault(
+                target_id, Tally(target_id=target_id)
+            )
+            gathered.add(tally)
+            if _is_urgent(gathered):
+                urgent.append(target_id)
+        return self._report(urgent, now=now)
+
+    def _report(
+        self, target_ids: Iterable[TargetId], *, now: Millis
+    ) -> list[Effect]:
+        evidence_by_judge: dict[HostId, list[Evidence]] = {}
+        for target_id in target_ids:
+            tally = self._tallies_by_id.pop(target_id)
+            judge = self._announcements.ejector_of(target_id, now=now)
+            judge = judge or self._assignments.judges_by_id[target_id]
+            evidence = self._view.judge(tally, now=now)
+            evidence_by_judge.setdefault(judge, []).append(evidence)
+        return [
+            Send(
+                to=judge,
+                message=EvidenceReport(
+                    stamp=self._freshness.stamp(to=judge, now=now),
+                    zone_id=self._zone_id,
+                    evidence=tuple(evidence),
+                ),
+            )
+            for judge, evidence in evidence_by_judge.items()
+        ]
+
+
+def _is_urgent(tally: Tally) -> bool:
+    if tally.failures:
+        return True
+    return tally.latency_shift > URGENT_SHIFT * tally.latency_weight
--- /dev/null
+++ b/chicorybridge/scores.py
@@ -0,0 +1,88 @@
+"""Evidence added up: cumulative sums of log likelihood ratios (CUSUM)."""
+
+import dataclasses
+import math
+from enum import Enum
+
+from chicorybridge.clocks import Millis
+from chicorybridge.evidence import Evidence
+from chicorybridge.identities import HostId
+
+# What a gray target fails beyond the expected, as a share of the rest.
+GRAY_FAILURES = 0.2
+GRAY_SHED = 0.5
+# Time in which evidence loses most of its worth.
+MEMORY_MS = 20_000.0
+
+
+class Stream(Enum):
+    """Kinds of evidence that are added up apart."""
+
+    failed = 'failed'
+    large = 'large'
+    shed = 'shed'
+    latency = 'latency'
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Score:
+    """A sum in nats, never below 0; since when it is above, and by whom."""
+
+    nats: float = 0
+    since: Millis = Millis(0)
+    at: Millis = Millis(0)
+    hosts: set[HostId] = dataclasses.field(default_factory=set)
+
+    def add(
+        self, nats: float, *, host_id: HostId, now: Millis, most: float
+    ) -> None:
+        """Add evidence of a host; `most` bounds the sum."""
+        faded = self.nats * math.exp((self.at - now) / MEMORY_MS)
+        self.at = now
+        self.nats = min(max(0, faded + nats), most)
+        if self.nats == 0:
+            self.hosts.clear()
+            return
+        if nats > 0:
+            if not self.hosts:
+                self.since = now
+            self.hosts.add(host_id)
+
+    def reset(self) -> None:
+        """Forget all evidence."""
+        self.nats = 0
+        self.hosts.clear()
+
+
+def weigh_outcomes(evidence: Evidence, *, broken: int) -> dict[Stream, float]:
+    """Return what the outcomes of attempts say, in nats.
+
+    `broken` is how many causes the broken connections have.
+    """
+    tally = evidence.tally
+    good = tally.answered + tally.large_answered
+    return {
+        Stream.failed: _ratio(
+            tally.failed + broken,
+            tally.answered,
+            evidence.failed_share,
+            GRAY_FAILURES,
+        ),
+        Stream.large: _ratio(
+            tally.large_failed,
+            tally.large_answered,
+            evidence.large_share,
+            GRAY_FAILURES,
+        ),
+        Stream.shed: _ratio(tally.shed, good, evidence.shed_share, GRAY_SHED),
+    }
+
+
+def _ratio(bad: float, good: float, normal: float, gray: float) -> float:
+    """Return the log likelihood ratio of gray against normal."""
+    if not bad and not good:
+        return 0
+    expected = normal + (1 - normal) * gray
+    ratio_bad = math.log(expected / normal)
+    ratio_good = math.log((1 - expected) / (1 - normal))
+    return bad * ratio_bad + good * ratio_good
--- a/chicorybridge/thresholds.py
+++ b/chicorybridge/thresholds.py
@@ -15,6 +15,14 @@
 MOST_HOSTS = 4
 LEAST_HOSTS = 2
 
+# Slowdown, as a logarithm, that still speaks for a target, and how much
+# weight of latencies counts in a second: samples close together say the
+# same.
+LARGEST_SHIFT = 0.6
+SMALLEST_SHIFT = 0.42
+LEAST_WEIGHT = 15.0
+MOST_WEIGHT = 40.0
+
 # Time from an ejection to its first trial with real work.
 LONGEST_REST_MS = 8000.0
 SHORTEST_REST_MS = 5000.0
@@ -22,12 +30,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Thresholds:
-    """What a verdict needs: evidence in nats, a time span and hosts."""
+    """What a verdict needs: evidence in nats, a time span and hosts.
+
+    `rest_ms` is the time to the first trial; `normal_shift` and
+    `weight_per_second` say how latencies count.
+    """
 
     evidence: float
     span_ms: float
     hosts: int
     rest_ms: float
+    normal_shift: float
+    weight_per_second: float
 
 
 def _between(*, low: float, high: float, share: float) -> float:
@@ -47,6 +61,12 @@
         ),
         hosts=round(_between(low=LEAST_HOSTS, high=MOST_HOSTS, share=caution)),
         rest_ms=_between(
-            low=SHORTEST_REST_MS, high=LONGEST_REST_MS, share=sensitivity
+            low=LONGEST_REST_MS, high=SHORTEST_REST_MS, share=sensitivity
+        ),
+        normal_shift=_between(
+            low=SMALLEST_SHIFT, high=LARGEST_SHIFT, share=caution
+        ),
+        weight_per_second=_between(
+            low=MOST_WEIGHT, high=LEAST_WEIGHT, share=caution
         ),
     )
--- /dev/null
+++ b/chicorybridge/tools/detection_trials.py
@@ -0,0 +1,167 @@
+"""Measure detection times and false ejections.
+
+    python -m chicorybridge.tools.detection_trials --help
+
+prints one JSON object a line: one for each policy, setting and seed, and
+a summary over the seeds.
+"""
+
+import argparse
+import dataclasses
+import json
+import math
+import sys
+from collections.abc import Iterable
+from itertools import chain
+
+from chicorybridge.tools.detection_runs import Measures, Setup, Simulation
+from chicorybridge.tools.episodes import GRAY, run_disturbance, run_gray
+from chicorybridge.tools.policies import PolicyName
+from chicorybridge.tools.service_models import HARD, Condition
+
+WARM_UP_MS = 20_000.0
+QUIET_STEP_MS = 30_000.0
+MILLIS_PER_MINUTE = 60_000.0
+# Target-seconds per target-hour for a share of all time.
+SECONDS_PER_HOUR = 3600
+MOST_EVENTS = 20
+MEDIAN = 0.5
+NINE_TENTHS = 0.9
+# What is measured unless the arguments say otherwise.
+HOSTS = 36
+TARGETS = 25
+LOAD = 0.05
+
+
+def run(
+    setup: Setup, *, rounds: int, minutes: float, disturbed: bool
+) -> Measures:
+    """Run `rounds` of all gray kinds, then `minutes` without any."""
+    simulation = Simulation(setup=setup)
+    simulation.run(for_ms=WARM_UP_MS)
+    simulation.fleet.channel.store.outage = not setup.store_up
+    simulation.is_measured = True
+    for _ in range(rounds):
+        for condition in simulation.rng.sample(GRAY, len(GRAY)):
+            run_gray(simulation, condition)
+    end = simulation.now + minutes * MILLIS_PER_MINUTE
+    while simulation.now < end:
+        if disturbed:
+            run_disturbance(simulation)
+        simulation.run(for_ms=QUIET_STEP_MS)
+    return simulation.measures
+
+
+def summarise(runs: Iterable[Measures]) -> dict:
+    """Return the figures over several runs, times in milliseconds."""
+    runs = tuple(runs)
+    times: dict[Condition, list[float]] = {
+        condition: list(
+            chain.from_iterable(
+                measures.detection_by_condition.get(condition, ())
+                for measures in runs
+            )
+        )
+        for condition in GRAY
+    }
+    hours = sum(measures.target_ms for measures in runs) or 1
+    return {
+        'hard': _quantiles(chain.from_iterable(times[each] for each in HARD)),
+        'slow3': _quantiles(times[Condition.slow3]),
+        'all': _quantiles(chain.from_iterable(times.values())),
+        'by_condition': {
+            condition.value: _quantiles(times[condition]) for condition in GRAY
+        },
+        'target_hours': _round(hours / MILLIS_PER_MINUTE / 60),
+        'false_per_hour': _round(
+            SECONDS_PER_HOUR
+            * sum(measures.false_target_ms for measures in runs)
+            / hours
+        ),
+        'late_per_hour': _round(
+            SECONDS_PER_HOUR
+            * sum(measures.late_target_ms for measures in runs)
+            / hours
+        ),
+        'false_events': sum(len(measures.false_events) for measures in runs),
+        'attempts': sum(measures.attempts for measures in runs),
+        'failures': sum(measures.failures for measures in runs),
+    }
+
+
+def _quantiles(times: Iterable[float]) -> dict:
+    ordered = sorted(times)
+    if not ordered:
+        return {'count': 0}
+    return {
+        'count': len(ordered),
+        'p50': _round(_quantile(ordered, MEDIAN)),
+        'p90': _round(_quantile(ordered, NINE_TENTHS)),
+        'max': _round(ordered[-1]),
+        'missed': sum(math.isinf(each) for each in ordered),
+    }
+
+
+def _quantile(ordered: list[float], share: float) -> float:
+    """Return the smallest time that `share` of all do not exceed."""
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+
+
+def _round(number: float) -> float | str:
+    return 'inf' if math.isinf(number) else round(number, 2)
+
+
+def _parse(arguments: list[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    names = [policy.value for policy in PolicyName]
+    parser.add_argument('--policy', choices=names, default=names[0])
+    parser.add_argument('--hosts', type=int, default=HOSTS)
+    parser.add_argument('--targets', type=int, default=TARGETS)
+    parser.add_argument('--load', type=float, default=LOAD)
+    parser.add_argument('--sensitivity', type=float, nargs='+', default=[0.5])
+    parser.add_argument('--seeds', type=int, nargs='+', default=[1])
+    parser.add_argument('--rounds', type=int, default=1)
+    parser.add_argument('--minutes', type=float, default=0)
+    parser.add_argument('--disturbed', action='store_true')
+    parser.add_argument('--store-down', action='store_true')
+    return parser.parse_args(arguments)
+
+
+def main() -> None:
+    """Run all settings and print what they came to."""
+    chosen = _parse(sys.argv[1:])
+    for sensitivity in chosen.sensitivity:
+        runs = []
+        for seed in chosen.seeds:
+            setup = Setup(
+                policy=PolicyName(chosen.policy),
+                hosts=chosen.hosts,
+                targets=chosen.targets,
+                load=chosen.load,
+                sensitivity=sensitivity,
+                seed=seed,
+                store_up=not chosen.store_down,
+            )
+            measures = run(
+                setup,
+                rounds=chosen.rounds,
+                minutes=chosen.minutes,
+                disturbed=chosen.disturbed,
+            )
+            runs.append(measures)
+            for event in measures.false_events[:MOST_EVENTS]:
+                _print({'seed': seed, 'false': event})
+        _print({**_describe(setup), **summarise(runs)})
+
+
+def _describe(setup: Setup) -> dict:
+    return {**dataclasses.asdict(setup), 'policy': setup.policy.value}
+
+
+def _print(record: dict) -> None:
+    sys.stdout.write(f'{json.dumps(record)}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    main()
--- a/chicorybridge/tools/fleets.py
+++ b/chicorybridge/tools/fleets.py
@@ -12,7 +12,6 @@
     Version,
     ZoneId,
 )
-from chicorybridge.notices import TargetLimits
 from chicorybridge.observations import Observer
 from chicorybridge.settings import TICK_MS
 from chicorybridge.tools.channels import FaultyChannel
@@ -112,7 +111,7 @@
         self.channel.run(for_ms=for_ms)
         for _, host_id, message in self.channel.entry_messages:
             host = self.hosts_by_id.get(host_id)
-            if host is not None and isinstance(message, TargetLimits):
+            if host is not None:
                 host.weights.receive(
                     message, sender=host_id, now=self.channel.clock.now()
                 )
--- /dev/null
+++ b/chicorybridge/tools/service_models.py
@@ -0,0 +1,205 @@
+"""A fake target: slots, a queue, service times and ways to fail grayly."""
+
+import dataclasses
+import heapq
+import random
+import types
+from enum import Enum
+
+from chicorybridge.attempts import AttemptOutcome
+from chicorybridge.identities import ZoneId
+
+# Median service times on the newest hardware, and their spread as the
+# standard deviation of the logarithm.
+READ_MS = 40.0
+UPLOAD_MS = 120.0
+SPREAD = 0.5
+# Share of healthy answers that are failures.
+FAILED_SHARE = 0.001
+# Wait in the queue beyond which a target sheds, and how fast it does.
+MOST_QUEUE_MS = 1000.0
+SHED_MS = 2.0
+# Deadline of every attempt.
+DEADLINE_MS = 5000.0
+# A crashed target refuses connections, then serves slowly for a while.
+DOWN_MS = 2000.0
+COLD_MS = 8000.0
+COLD_FACTOR = 4.0
+# Share of connections that have gone silent.
+SILENT_SHARE = 0.5
+SHORT_PERIOD_MS = 1000.0
+LONG_PERIOD_MS = 6000.0
+ROUTES = 5
+
+
+class Condition(Enum):
+    """How a target behaves; all but `healthy` are gray."""
+
+    healthy = 'healthy'
+    fails = 'fails'
+    slow3 = 'slow3'
+    slow10 = 'slow10'
+    slow100 = 'slow100'
+    fails_one_route = 'fails_one_route'
+    fails_large = 'fails_large'
+    cuts = 'cuts'
+    hangs = 'hangs'
+    flaps_fast = 'flaps_fast'
+    flaps_slowly = 'flaps_slowly'
+    sheds = 'sheds'
+    slow_for_zone = 'slow_for_zone'
+    silent_connections = 'silent_connections'
+
+
+SLOWDOWNS = types.MappingProxyType(
+    {
+        Condition.slow3: 3.0,
+        Condition.slow10: 10.0,
+        Condition.slow100: 100.0,
+    }
+)
+PERIODS = types.MappingProxyType(
+    {
+        Condition.flaps_fast: SHORT_PERIOD_MS,
+        Condition.flaps_slowly: LONG_PERIOD_MS,
+    }
+)
+# Kinds that fail every request while they act up.
+FAILURES = types.MappingProxyType(
+    {
+        Condition.fails: AttemptOutcome.failed,
+        Condition.flaps_fast: AttemptOutcome.failed,
+        Condition.flaps_slowly: AttemptOutcome.failed,
+        Condition.cuts: AttemptOutcome.cut,
+        Condition.sheds: AttemptOutcome.shed,
+    }
+)
+# Kinds that fail every request, or almost, at once.
+HARD = (
+    Condition.fails,
+    Condition.cuts,
+    Condition.hangs,
+    Condition.slow100,
+    Condition.sheds,
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Work:
+    """One attempt as the target sees it; `poison` crashes its process."""
+
+    route: int
+    upload: bool
+    zone_id: ZoneId
+    poison: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Served:
+    """How an attempt ends and how long it takes."""
+
+    outcome: AttemptOutcome
+    elapsed_ms: float
+
+
+class FakeTarget:
+    """Serve attempts in the order in which they come."""
+
+    def __init__(self, *, slots: int, speed: float, rng: random.Random) -> None:
+        """Start idle, healthy and warm."""
+        self.condition = Condition.healthy
+        self.onset: float = 0
+        self.bad_zone: ZoneId | None = None
+        # Factor on all service times, as of a load that all share.
+        self.load_factor = 1.0
+        self.up_at = -COLD_MS
+        self._speed = speed
+        self._rng = rng
+        self._free_at: list[float] = [0 for _ in range(slots)]
+
+    def turn(self, condition: Condition, *, now: float) -> None:
+        """Change the condition of the target."""
+        self.condition = condition
+        self.onset = now
+
+    def crash(self, *, now: float, down_ms: float = DOWN_MS) -> None:
+        """End the process; it restarts cold after `down_ms`."""
+        self.up_at = now + down_ms
+        self._free_at = [self.up_at for _ in self._free_at]
+
+    def is_gray(self, *, now: float) -> bool:
+        """Tell whether the target is gray or down."""
+        return self.condition is not Condition.healthy or now < self.up_at
+
+    def serve(self, work: Work, *, now: float) -> Served:
+        """Return how an attempt that arrives now will end."""
+        if now < self.up_at:
+            return Served(outcome=AttemptOutcome.unreachable, elapsed_ms=1)
+        if work.poison:
+            self.crash(now=now)
+            return Served(outcome=AttemptOutcome.cut, elapsed_ms=1)
+        fault = self._fault(work, now=now)
+        if fault is not None:
+            return fault
+        elapsed_ms = self._queue(self._service_ms(work, now=now), now=now)
+        if elapsed_ms is None:
+            return Served(outcome=AttemptOutcome.shed, elapsed_ms=SHED_MS)
+        if elapsed_ms > DEADLINE_MS:
+            return _timed_out()
+        outcome = AttemptOutcome.answered
+        if self._rng.random() < FAILED_SHARE:
+            outcome = AttemptOutcome.failed
+        return Served(outcome=outcome, elapsed_ms=elapsed_ms)
+
+    def _acts_up(self, *, now: float) -> bool:
+        period_ms = PERIODS.get(self.condition)
+        if period_ms is None:
+            return self.condition is not Condition.healthy
+        return (now - self.onset) % period_ms < period_ms / 2
+
+    def _fault(self, work: Work, *, now: float) -> Served | None:
+        if not self._acts_up(now=now):
+            return None
+        match self.condition:
+            case Condition.hangs:
+                return _timed_out()
+            case Condition.silent_connections:
+                return _timed_out() if self._is_silent() else None
+            case Condition.fails_one_route:
+                return self._failure(work.route == 0)
+            case Condition.fails_large:
+                return self._failure(work.upload)
+        return self._failure(self.condition in FAILURES)
+
+    def _is_silent(self) -> bool:
+        return self._rng.random() < SILENT_SHARE
+
+    def _failure(self, fails: bool) -> Served | None:
+        if not fails:
+            return None
+        elapsed_ms = self._rng.lognormvariate(0, SPREAD) * READ_MS / 2
+        outcome = FAILURES.get(self.condition, AttemptOutcome.failed)
+        return Served(outcome=outcome, elapsed_ms=elapsed_ms)
+
+    def _service_ms(self, work: Work, *, now: float) -> float:
+        median = UPLOAD_MS if work.upload else READ_MS
+        factor = self.load_factor * SLOWDOWNS.get(self.condition, 1)
+        if self.condition is Condition.slow_for_zone:
+            is_slow = work.zone_id == self.bad_zone
+            factor *= SLOWDOWNS[Condition.slow10] if is_slow else 1
+        since_up = now - self.up_at
+        if since_up < COLD_MS:
+            factor *= 1 + (COLD_FACTOR - 1) * (1 - since_up / COLD_MS)
+        drawn = self._rng.lognormvariate(0, SPREAD)
+        return drawn * median * factor / self._speed
+
+    def _queue(self, service_ms: float, *, now: float) -> float | None:
+        begin = max(now, self._free_at[0])
+        if begin - now > MOST_QUEUE_MS:
+            return None
+        heapq.heapreplace(self._free_at, begin + service_ms)
+        return begin + service_ms - now
+
+
+def _timed_out() -> Served:
+    return Served(outcome=AttemptOutcome.timed_out, elapsed_ms=DEADLINE_MS)
--- a/chicorybridge/weights.py
+++ b/chicorybridge/weights.py
@@ -10,6 +10,7 @@
 
 from chicorybridge.attempts import Attempt, AttemptOutcome
 from chicorybridge.baselines import Residual
+from chicorybridge.checks import TargetCheck
 from chicorybridge.clocks import Millis
 from chicorybridge.declarations import Declaration
 from chicorybridge.errors import require
@@ -20,7 +21,7 @@
 # Share of its normal work that a target in doubt still gets.
 TRICKLE = 0.02
 # Weight of an ejected target that is tried with real work again.
-TRIAL_WEIGHT = 0.1
+TRIAL_WEIGHT = 0.2
 # Factors on the weight after a failure, a shed request and a good answer.
 FAILURE_FACTOR = 0.4
 SHED_FACTOR = 0.8
@@ -80,6 +81,7 @@
         self._weights_by_service: dict[ServiceId, list[TargetWeight]] = {}
         self._floors_by_service: dict[ServiceId, float] = {}
         self._shifts_by_service: dict[ServiceId, float] = {}
+        self._checks_by_service: dict[ServiceId, TargetCheck] = {}
         self._valid_until = Millis(0)
         self._is_limited = False
 
@@ -129,11 +131,27 @@
         self, message: object, *, sender: HostId, now: Millis
     ) -> Effects:
         """Take in the limits of the control process of this host."""
-        if isinstance(message, TargetLimits) and message.valid_until > now:
-            self._valid_until = message.valid_until
-            self._limit(message.limits_by_id)
+        match message:
+            case TargetLimits() if message.valid_until > now:
+                self._valid_until = message.valid_until
+                self._limit(message.limits_by_id)
+            case TargetCheck() if message.target_id in self._weights_by_id:
+                service_id = self._weights_by_id[message.target_id].service_id
+                self._checks_by_service[service_id] = message
         return ()
 
+    def take_check(
+        self, service_id: ServiceId, *, now: Millis
+    ) -> TargetId | None:
+        """Return a target in doubt that the next request should go to.
+
+        Only for requests that may be retried; each check is given once.
+        """
+        check = self._checks_by_service.pop(service_id, None)
+        if check is None or now >= check.valid_until:
+            return None
+        return check.target_id if self.weight_of(check.target_id) else None
+
     def record(self, attempt: Attempt, residual: Residual) -> None:
         """Weigh a target by a finished attempt and its latency."""
         entry = self._weights_by_id.get(attempt.target_id)
