--- a/chicorybridge/tools/judging_fleets.py
+++ b/chicorybridge/tools/judging_fleets.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Mapping
 
+from chicorybridge.clocks import Millis
 from chicorybridge.declarations import Declaration
 from chicorybridge.detections import Detection
 from chicorybridge.identities import (
@@ -12,7 +13,6 @@
     Version,
     ZoneId,
 )
-from chicorybridge.notices import TargetLimits
 from chicorybridge.observations import Observer
 from chicorybridge.settings import TICK_MS
 from chicorybridge.tools.channels import FaultyChannel
@@ -59,7 +59,7 @@
         self.update_hosts()
 
     @property
-    def now(self) -> float:
+    def now(self) -> Millis:
         """Return the time of the channel's clock."""
         return self.channel.clock.now()
 
@@ -112,7 +112,7 @@
         self.channel.run(for_ms=for_ms)
         for _, host_id, message in self.channel.entry_messages:
             host = self.hosts_by_id.get(host_id)
-            if host is not None and isinstance(message, TargetLimits):
+            if host is not None:
                 host.weights.receive(
                     message, sender=host_id, now=self.channel.clock.now()
                 )
