--- a/chicorybridge/detections.py
+++ b/chicorybridge/detections.py
@@ -20,6 +20,7 @@
 from chicorybridge.judgements import Judgements
 from chicorybridge.loans import Loans
 from chicorybridge.permits import Permits
+from chicorybridge.probes import Probes
 from chicorybridge.reports import Reports
 from chicorybridge.systems import Effects, System
 
@@ -59,6 +60,12 @@
             ejections=self.ejections,
             rng=rng,
         )
+        self.probes = Probes(
+            announcements=self.announcements,
+            assignments=self._assignments,
+            ejections=self.ejections,
+            rng=rng,
+        )
         self._beats = Beats(host_id=host_id, freshness=self.freshness)
         self._loans = Loans(
             host_id=host_id,
@@ -80,6 +87,7 @@
             self.judgements,
             self.ejections,
             self.announcements,
+            self.probes,
             Checks(),
         )
 
--- a/chicorybridge/holdings.py
+++ b/chicorybridge/holdings.py
@@ -117,6 +117,11 @@
         self._freshness = freshness
         self._lapses = 0
 
+    @property
+    def epoch(self) -> int:
+        """Return how often this host has dropped all permits."""
+        return self._lapses
+
     @property
     def lenders(self) -> set[HostId]:
         """Return the peers whose loans count here."""
--- a/chicorybridge/ledgers.py
+++ b/chicorybridge/ledgers.py
@@ -30,11 +30,11 @@
         *,
         holder: str,
         slots: int,
-        gone: frozenset[Incarnation],
+        struck: frozenset[str],
         version: Version,
     ) -> Transact:
-        """Return the transaction that books `slots` and strikes the gone."""
-        shares = self.shares_without(holder=holder, gone=gone)
+        """Return the transaction that books `slots` and strikes holders."""
+        shares = self.shares_without(holder=holder, struck=struck)
         if slots:
             shares[holder] = slots
         row_key = row_key_of(self.service_id)
@@ -48,13 +48,14 @@
         )
 
     def shares_without(
-        self, *, holder: str, gone: frozenset[Incarnation]
+        self, *, holder: str, struck: frozenset[str]
     ) -> dict[str, int]:
-        """Return what others hold, but for the incarnations gone."""
+        """Return what other incarnations hold, but for those struck."""
+        incarnation = incarnation_of(holder)
         return {
             other: slots
             for other, slots in self.shares_by_holder.items()
-            if other != holder and incarnation_of(other) not in gone
+            if incarnation_of(other) != incarnation and other not in struck
         }
 
 
@@ -73,9 +74,13 @@
     return RowKey(table=TABLE, key=service_id)
 
 
-def holder_of(host_id: HostId, incarnation: Incarnation) -> str:
-    """Return the name of a holder in the ledger."""
-    return f'{host_id}#{incarnation}'
+def holder_of(host_id: HostId, incarnation: Incarnation, epoch: int) -> str:
+    """Return the name of a holder in the ledger.
+
+    A process that dropped its permits goes on with the next `epoch`, so
+    that its old share is told from a new one.
+    """
+    return f'{host_id}#{epoch}#{incarnation}'
 
 
 def incarnation_of(holder: str) -> Incarnation:
--- a/chicorybridge/permits.py
+++ b/chicorybridge/permits.py
@@ -17,6 +17,7 @@
 from chicorybridge.ledgers import (
     Ledger,
     holder_of,
+    incarnation_of,
     ledger_of,
     row_key_of,
 )
@@ -45,16 +46,20 @@
         rng: random.Random,
     ) -> None:
         """Claim for `incarnation`; `rng` spreads the retries."""
-        self._holder = holder_of(host_id, incarnation)
+        self._host_id = host_id
+        self._incarnation = incarnation
         self._holdings = holdings
         self._rng = rng
         self._gone_since: dict[Incarnation, Millis] = {}
+        # When a share of an incarnation that is gone was first read.
+        self._read_since: dict[tuple[ServiceId, str], Millis] = {}
 
     def mark_gone(self, gone: frozenset[Incarnation], *, now: Millis) -> None:
         """Take in the incarnations that are surely gone.
 
         An incarnation is surely gone when its process has ended, or when
-        no host heard it for longer than `LAPSE_MS`.
+        no host heard it for longer than `LAPSE_MS`. It must be taken out
+        of `gone` within `REGAIN_MS` if it is heard again.
         """
         self._gone_since = {
             incarnation: self._gone_since.get(incarnation, now)
@@ -117,32 +122,44 @@
     ) -> Transact | None:
         if ledger.version > self._holdings.version:
             return None
-        gone = self._regainable(now)
-        others = ledger.shares_without(holder=self._holder, gone=gone)
+        holder = self._holder
+        struck = self._strikable(ledger, now=now)
+        others = ledger.shares_without(holder=holder, struck=struck)
         room = holding.budget - sum(others.values()) - holding.booked
         holding.claimed = max(0, min(room, self._missing(holding, now=now)))
         slots = holding.booked + holding.claimed
-        if slots == ledger.shares_by_holder.get(self._holder, 0):
-            if not holding.claimed:
-                return None
+        if slots == ledger.shares_by_holder.get(holder, 0):
+            return None
         require(
             promise='permits claimed stay within the budget of the service',
             holds=not holding.claimed
             or sum(others.values()) + slots <= holding.budget,
         )
         return ledger.with_share(
-            holder=self._holder,
+            holder=holder,
             slots=slots,
-            gone=gone,
+            struck=struck,
             version=self._holdings.version,
         )
 
-    def _regainable(self, now: Millis) -> frozenset[Incarnation]:
-        return frozenset(
-            incarnation
-            for incarnation, since in self._gone_since.items()
-            if now - since >= REGAIN_MS
-        )
+    @property
+    def _holder(self) -> str:
+        epoch = self._holdings.epoch
+        return holder_of(self._host_id, self._incarnation, epoch)
+
+    def _strikable(self, ledger: Ledger, *, now: Millis) -> frozenset[str]:
+        """Return the holders whose share is surely out of use."""
+        strikable = set()
+        for holder in ledger.shares_by_holder:
+            key = (ledger.service_id, holder)
+            gone_since = self._gone_since.get(incarnation_of(holder))
+            if gone_since is None:
+                self._read_since.pop(key, None)
+                continue
+            read_since = self._read_since.setdefault(key, now)
+            if now - max(gone_since, read_since) >= REGAIN_MS:
+                strikable.add(holder)
+        return frozenset(strikable)
 
     def _take_reply(self, reply: StoreReply, *, now: Millis) -> Effects:
         service_id = ServiceId(reply.token.removeprefix(TOKEN_PREFIX))
--- /dev/null
+++ b/chicorybridge/probes.py
@@ -0,0 +1,136 @@
+"""Who probes which target, and when.
+
+Only the host that ejected a target has it probed, by one host at a time,
+drawn anew for each probe so that no single path decides. So a target is
+probed at most once in `PROBE_MS` by the whole fleet, at any fleet size. A
+probe is evidence against a trial, never a verdict: gray targets answer
+probes.
+"""
+
+import dataclasses
+import random
+
+from chicorybridge.announcements import Announcements
+from chicorybridge.assignments import Assignments
+from chicorybridge.clocks import Millis
+from chicorybridge.codecs import wire
+from chicorybridge.ejections import Ejections
+from chicorybridge.identities import HostId, TargetId
+from chicorybridge.systems import Effect, Effects, Send, System
+
+# Time between two probes of a target by the whole fleet: 25 ms of a slot
+# in a second.
+PROBE_MS = 1000.0
+# Probes in a row that fail before a trial is put off.
+FAILED_PROBES = 2
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeRequest:
+    """Ask a host to probe a target once."""
+
+    target_id: TargetId
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeResult:
+    """Tell whether a target answered a probe whole and in time."""
+
+    target_id: TargetId
+    is_answered: bool
+
+
+class Probes(System):
+    """Have ejected targets probed, and note what to probe here."""
+
+    def __init__(
+        self,
+        *,
+        announcements: Announcements,
+        assignments: Assignments,
+        ejections: Ejections,
+        rng: random.Random,
+    ) -> None:
+        """Start with nothing to probe."""
+        self._announcements = announcements
+        self._assignments = assignments
+        self._ejections = ejections
+        self._rng = rng
+        self._probe_at: dict[TargetId, Millis] = {}
+        self._failed_by_id: dict[TargetId, int] = {}
+        # What to probe from here, who asked, and when that was last done.
+        self._due: list[TargetId] = []
+        self._askers_by_id: dict[TargetId, HostId] = {}
+        self._accepted_at: dict[TargetId, Millis] = {}
+
+    def tick(self, *, now: Millis) -> Effects:
+        """Have targets that this host ejected probed when it is time."""
+        effects: list[Effect] = []
+        for target_id in self._announcements.own:
+            if now < self._probe_at.get(target_id, now):
+                continue
+            self._probe_at[target_id] = Millis(now + PROBE_MS)
+            prober = self._rng.choice(self._assignments.hosts)
+            request = ProbeRequest(target_id=target_id)
+            effects.append(Send(to=prober, message=request))
+        for target_id in self._probe_at.keys() - self._announcements.own:
+            self._forget(target_id)
+        return effects
+
+    def receive(
+        self, message: object, *, sender: HostId, now: Millis
+    ) -> Effects:
+        """Take in requests to probe, and results of probes."""
+        match message:
+            case ProbeRequest():
+                self._accept(message.target_id, sender, now=now)
+            case ProbeResult():
+                self._learn(message)
+        return ()
+
+    def take_due(self) -> tuple[TargetId, ...]:
+        """Return the targets to probe from this host now, each once."""
+        due = tuple(self._due)
+        self._due.clear()
+        return due
+
+    def finish(self, target_id: TargetId, *, is_answered: bool) -> Effects:
+        """Report the result of a probe that `take_due` asked for."""
+        asker = self._askers_by_id.pop(target_id, None)
+        if asker is None:
+            return ()
+        result = ProbeResult(target_id=target_id, is_answered=is_answered)
+        return (Send(to=asker, message=result),)
+
+    def _accept(
+        self, target_id: TargetId, asker: HostId, *, now: Millis
+    ) -> None:
+        """Note a probe to make, unless one was made here just before."""
+        last = self._accepted_at.get(target_id)
+        if last is not None and now - last < PROBE_MS / 2:
+            return
+        if target_id not in self._assignments.pools_by_target:
+            return
+        self._accepted_at[target_id] = now
+        self._askers_by_id[target_id] = asker
+        self._due.append(target_id)
+
+    def _learn(self, result: ProbeResult) -> None:
+        target_id = result.target_id
+        if target_id not in self._probe_at:
+            return
+        failed = 0
+        if not result.is_answered:
+            failed = self._failed_by_id.get(target_id, 0) + 1
+        self._failed_by_id[target_id] = failed
+        if failed >= FAILED_PROBES:
+            self._ejections.unanswering.add(target_id)
+        else:
+            self._ejections.unanswering.discard(target_id)
+
+    def _forget(self, target_id: TargetId) -> None:
+        self._probe_at.pop(target_id)
+        self._failed_by_id.pop(target_id, None)
+        self._ejections.unanswering.discard(target_id)
--- /dev/null
+++ b/chicorybridge/tests/test_probes.py
@@ -0,0 +1,79 @@
+"""Tests of who probes what and when."""
+
+import pytest
+
+from chicorybridge.clocks import Millis
+from chicorybridge.identities import TargetId
+from chicorybridge.notices import Ejection
+from chicorybridge.probes import PROBE_MS
+from chicorybridge.tools.declared import SERVICE_ID, declare
+from chicorybridge.tools.fleets import Fleet
+
+FIRST = TargetId('target-00')
+SECONDS = 20
+
+
+def _ejected(*, hosts):
+    """Return a fleet, one of whose hosts ejected a target."""
+    fleet = Fleet(hosts=hosts, declaration=declare(targets=10), seed=3)
+    fleet.run(for_ms=3000)
+    ejectors = [
+        host
+        for host in fleet.hosts_by_id.values()
+        if host.detection.holdings.free_slots(SERVICE_ID, now=Millis(fleet.now))
+        >= 6
+    ]
+    ejection = Ejection(
+        target_id=FIRST, service_id=SERVICE_ID, slots=6, badness=9
+    )
+    effects = ejectors[0].detection.ejections.eject(
+        ejection, rest_ms=5000, now=Millis(fleet.now)
+    )
+    fleet.channel.carry_out(ejectors[0].host_id, effects)
+    return fleet
+
+
+def _probe_all(fleet, *, is_answered):
+    """Make the probes that are due; return how many there were."""
+    probes = 0
+    for host_id, host in fleet.hosts_by_id.items():
+        for target_id in host.detection.probes.take_due():
+            probes += 1
+            effects = host.detection.probes.finish(
+                target_id, is_answered=is_answered
+            )
+            fleet.channel.carry_out(host_id, effects)
+    return probes
+
+
+def _on_trial(fleet):
+    return any(
+        ejection.on_trial
+        for host in fleet.hosts_by_id.values()
+        for ejection in host.detection.announcements.own.values()
+    )
+
+
+@pytest.mark.parametrize('hosts', [3, 12, 44])
+def test_probes_of_a_target_are_bounded_at_any_fleet_size(hosts):
+    """One probe a second of a target for the whole fleet."""
+    fleet = _ejected(hosts=hosts)
+    probes = 0
+    for _ in range(SECONDS * 10):
+        fleet.run()
+        probes += _probe_all(fleet, is_answered=False)
+    most = SECONDS * 1000 / PROBE_MS
+    assert most / 2 <= probes <= most + 1
+
+
+def test_target_that_answers_no_probe_gets_no_trial():
+    """A trial waits until the target answers probes again."""
+    fleet = _ejected(hosts=3)
+    for _ in range(SECONDS * 10):
+        fleet.run()
+        _probe_all(fleet, is_answered=False)
+    assert not _on_trial(fleet)
+    for _ in range(30):
+        fleet.run()
+        _probe_all(fleet, is_answered=True)
+    assert _on_trial(fleet)
--- a/chicorybridge/tools/fleets.py
+++ b/chicorybridge/tools/fleets.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Mapping
 
+from chicorybridge.clocks import Millis
 from chicorybridge.declarations import Declaration
 from chicorybridge.detections import Detection
 from chicorybridge.identities import (
@@ -58,7 +59,7 @@
         self.update_hosts()
 
     @property
-    def now(self) -> float:
+    def now(self) -> Millis:
         """Return the time of the channel's clock."""
         return self.channel.clock.now()
 
