--- a/chicorybridge/claim_assignments.py
+++ b/chicorybridge/claim_assignments.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from chicorybridge import settings
+from chicorybridge.buckets import TokenBucket
 from chicorybridge.claim_messages import ClaimRefusal, KeptAnswer
 from chicorybridge.claim_rows import OwnerRow, row_keys_of
 from chicorybridge.clocks import Millis
@@ -69,6 +70,11 @@
     def __init__(self, *, today: Callable[[], int]) -> None:
         """Start empty; `today` numbers the days, for retention only."""
         self.transactions = 0
+        # Rows that this host may write, its share of what the fleet may.
+        self.bucket = TokenBucket(
+            per_second=settings.CLAIM_ROWS_PER_SECOND / settings.CLAIM_HOSTS,
+            burst=settings.CLAIM_ROWS_BURST,
+        )
         self._today = today
         self._waiting: OrderedDict[RequestKey, RowChange] = OrderedDict()
         self._in_flight: dict[RequestKey, RowChange] = {}
@@ -76,6 +82,11 @@
         self._open: OrderedDict[RequestKey, RowChange] = OrderedDict()
         self._retry_at = Millis(0)
 
+    def share_among(self, hosts: int) -> None:
+        """Take an equal share of the rows that so many hosts may write."""
+        per_second = settings.CLAIM_ROWS_PER_SECOND / max(1, hosts)
+        self.bucket.per_second = per_second
+
     def request(self, key: RequestKey, row: OwnerRow) -> bool:
         """Ask for a key by offering `row`; return whether there is room."""
         if key in self._waiting or key in self._in_flight:
@@ -103,7 +114,13 @@
         """Start the next transaction unless one is under way."""
         if self._in_flight or not self._waiting or now < self._retry_at:
             return []
-        size = min(len(self._waiting), settings.CLAIM_ROWS_IN_TRANSACTION)
+        allowed = int(self.bucket.level(now=now))
+        size = min(
+            len(self._waiting), settings.CLAIM_ROWS_IN_TRANSACTION, allowed
+        )
+        if size < 1:
+            return []
+        self.bucket.spend(size, now=now)
         changes = [self._waiting.popitem(last=False)[1] for _ in range(size)]
         self._in_flight = {change.key: change for change in changes}
         self.transactions += 1
--- a/chicorybridge/claim_ledgers.py
+++ b/chicorybridge/claim_ledgers.py
@@ -122,6 +122,8 @@
             withdrawn = (*claim.withdrawn, finished.attempt_id)
             claim.withdrawn = withdrawn[-settings.CLAIM_WITHDRAWN :]
         if claim.state is ClaimState.complete:
+            # Nothing changes any more, so the holder need not be known.
+            claim.holder = None
             self.answers.keep(finished.key, finished.answer)
         return self._decide_waiting(claim, now=now)
 
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -124,7 +124,7 @@
 # How long the end of a try is offered to an owner that does not hear.
 CLAIM_REPORT_MS = 600_000
 # Limits of one control process.
-CLAIMS_KEPT = 40_000
+CLAIMS_KEPT = 25_000
 CLAIM_WAITING = 8
 CLAIM_WITHDRAWN = 16
 CLAIM_REPORTS = 4096
@@ -134,6 +134,11 @@
 CLAIM_ROWS_IN_TRANSACTION = 64
 CLAIM_ROWS_WAITING = 1024
 CLAIM_ROWS_RETRY_MS = 1000
+# Rows that the fleet may write for claims, shared by this many hosts until
+# their number is known; what one host may write at once.
+CLAIM_ROWS_PER_SECOND = 200
+CLAIM_HOSTS = 44
+CLAIM_ROWS_BURST = 64
 # Mean time between two sweeps of old rows by one host.
 CLAIM_SWEEP_MS = 600_000
 LINGER_MS = 2000
--- a/chicorybridge/tests/test_claims.py
+++ b/chicorybridge/tests/test_claims.py
@@ -302,3 +302,20 @@
         again = fleet.ask(BETA, f'again{offset}', FOREIGN, wait_ms=11_000)
         assert again.refusal is ClaimRefusal.under_way
         fleet.today -= offset
+
+
+def test_rows_written_are_bounded(fleet):
+    """A flood of keys of callers costs no more than a host's share."""
+    hosts = 100
+    claims = fleet.claims_by_host[ALPHA]
+    claims.assignments.share_among(hosts)
+    for number in range(500):
+        fleet.ask(ALPHA, f'try-{number}', RequestKey(f'k{number}'), wait_ms=0)
+    fleet.channel.run(for_ms=10_000)
+    share = settings.CLAIM_ROWS_PER_SECOND / hosts * 10
+    written = len(fleet.channel.store.tables.rows_by_key)
+    assert written <= settings.CLAIM_ROWS_BURST + share
+    refusals = {
+        message.refusal for _, _, message in fleet.channel.entry_messages[3:]
+    }
+    assert refusals == {None, ClaimRefusal.store_unavailable}
--- a/chicorybridge/tools/claim_steps.py
+++ b/chicorybridge/tools/claim_steps.py
@@ -113,8 +113,14 @@
         withdrawn = claim.withdrawn
         if outcome is RequestOutcome.not_run:
             withdrawn |= {number}
+        holder = claim.holder
+        if outcome is RequestOutcome.complete:
+            holder = None
         claim = dataclasses.replace(
-            claim, state=STATES_BY_OUTCOME[outcome], withdrawn=withdrawn
+            claim,
+            state=STATES_BY_OUTCOME[outcome],
+            holder=holder,
+            withdrawn=withdrawn,
         )
         return self._decide_waiting(world, host, claim)
 
