Give lost loans of permits back, and eject while permits are fetched

A lender asks borrowers whether they still hold a loan, since a return may get lost: before, six slots stayed booked for good after the borrower was cut off (test_permit_is_not_used_again_while_a_peer_may_honour_it, failed before). A host that is cut off claims nothing. Permits are fetched when a target comes into doubt, so that a verdict does not wait for them.

--- a/chicorybridge/cases.py
+++ b/chicorybridge/cases.py
@@ -14,9 +14,6 @@
 from chicorybridge.scores import Score, Stream, weigh_outcomes
 from chicorybridge.thresholds import Thresholds
 
-# Latency is judged over at least this time, so that good news, which
-# travels more slowly than bad, has come in.
-LATENCY_SPAN_MS = 400.0
 # Latency needs more evidence: samples of one target are not independent.
 LATENCY_FACTOR = 1.5
 # Evidence from a zone that clears the target there, in nats.
@@ -55,6 +52,11 @@
         """Return the strongest evidence against the target, in nats."""
         return max(score.nats for score in self.scores.values())
 
+    @property
+    def is_down(self) -> bool:
+        """Tell whether the target is refused connections above all."""
+        return max(Stream, key=self._nats_of) is Stream.down
+
     @property
     def zones(self) -> tuple[ZoneId, ...]:
         """Return the zones that see it gray, or none if all may do."""
@@ -154,8 +156,9 @@
         now: Millis,
         thresholds: Thresholds,
     ) -> dict[Stream, float]:
-        broken = self._warm_up.count_broken(evidence.tally, now=now)
-        nats_by_stream = weigh_outcomes(evidence, broken=broken)
+        self._warm_up.observe(evidence.tally, now=now)
+        cuts = self._warm_up.count_cuts(evidence.tally, now=now)
+        nats_by_stream = weigh_outcomes(evidence, cuts=cuts)
         if now >= self._warm_up.ends_at:
             nats_by_stream[Stream.latency] = self._latency.weigh(
                 evidence,
@@ -181,6 +184,6 @@
 
 
 def _span_ms(stream: Stream, thresholds: Thresholds) -> float:
-    if stream is not Stream.latency:
-        return thresholds.span_ms
-    return max(thresholds.span_ms, LATENCY_SPAN_MS)
+    if stream is Stream.latency:
+        return thresholds.latency_span_ms
+    return thresholds.span_ms
--- a/chicorybridge/ejections.py
+++ b/chicorybridge/ejections.py
@@ -87,6 +87,13 @@
         self._own_by_id[target_id] = own
         return self._publish_ejected(own, now=now)
 
+    def prepare(
+        self, service_id: ServiceId, slots: int, *, now: Millis
+    ) -> None:
+        """Get permits from peers or store for an ejection that may come."""
+        self._urgent_until[service_id] = Millis(now + URGENT_MS)
+        self._holdings.want(service_id, slots, urgent=True)
+
     def readmit(self, target_id: TargetId, *, now: Millis) -> Effects:
         """End an ejection of this host."""
         event = self._end(target_id, now=now)
@@ -110,8 +117,7 @@
         free = self._holdings.free_slots(service_id, now=now)
         if free >= ejection.slots:
             return True
-        self._urgent_until[service_id] = Millis(now + URGENT_MS)
-        self._holdings.want(service_id, ejection.slots, urgent=True)
+        self.prepare(service_id, ejection.slots, now=now)
         return False
 
     def _allowed(self, service_id: ServiceId) -> int:
--- a/chicorybridge/evidence.py
+++ b/chicorybridge/evidence.py
@@ -16,7 +16,7 @@
 from chicorybridge.observations import Tally
 
 # Time over which the other targets of a service are averaged.
-COMMON_MS = 700.0
+COMMON_MS = 400.0
 # Attempts without a failure that are taken for granted, and the share of
 # failures that is normal.
 PRIOR_ATTEMPTS = 20.0
@@ -148,7 +148,7 @@
 
 def expect(tally: Tally, *, others: Tally) -> Evidence:
     """Return `tally` with what `others` let expect of any target."""
-    failed = others.failed + others.broken
+    failed = others.failed + others.cut + others.unreachable
     large = others.large_answered + others.large_failed
     attempts = failed + others.answered
     return Evidence(
--- a/chicorybridge/freshness.py
+++ b/chicorybridge/freshness.py
@@ -57,10 +57,15 @@
         self._last_heard = NEVER
         self._lapses = 0
 
+    def is_cut_off(self, *, now: Millis) -> bool:
+        """Tell whether peers were heard, but none for `LAPSE_MS`."""
+        if self._last_heard == NEVER:
+            return False
+        return now - self._last_heard > LAPSE_MS
+
     def lapses(self, *, now: Millis) -> int:
-        """Count how often no peer echoed for `LAPSE_MS`, now included."""
-        is_lapsed = now - self._last_heard > LAPSE_MS
-        return self._lapses + (is_lapsed and self._last_heard != NEVER)
+        """Count how often this host was cut off, now included."""
+        return self._lapses + self.is_cut_off(now=now)
 
     def contact(self, host_id: HostId) -> int:
         """Count how often a host was heard again after `FRESH_MS`."""
--- a/chicorybridge/holdings.py
+++ b/chicorybridge/holdings.py
@@ -32,6 +32,15 @@
     contact: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Lent:
+    """Slots on loan to a peer, under the budget of `version`."""
+
+    slots: int
+    borrower: HostId
+    version: Version
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Holding:
     """Slots of one service that this host holds.
@@ -39,7 +48,8 @@
     `owned` are free or in use here; `lent_by_serial` stays booked to this
     host in the ledger; `used` covers ejections; `cooling` was in use and
     may still be honoured somewhere, as (until, slots). `claimed` is what
-    the transaction under way adds. `wanted` free slots are claimed from
+    the transaction under way adds; `holders` are the hosts that the
+    ledger names. `wanted` free slots are claimed from
     the store and, if `urgent`, borrowed from peers.
     """
 
@@ -54,8 +64,10 @@
     store_at: Millis = Millis(0)
     peers_at: Millis = Millis(0)
     idle_at: Millis = Millis(0)
+    query_at: Millis = Millis(0)
     row: Row | None = None
-    lent_by_serial: dict[int, int] = dataclasses.field(default_factory=dict)
+    holders: tuple[HostId, ...] = ()
+    lent_by_serial: dict[int, Lent] = dataclasses.field(default_factory=dict)
     loans: dict[HostId, Borrowed] = dataclasses.field(default_factory=dict)
     returning: list[tuple[HostId, Borrowed]] = dataclasses.field(
         default_factory=list
@@ -63,9 +75,15 @@
     cooling: list[tuple[Millis, int]] = dataclasses.field(default_factory=list)
 
     @property
-    def booked(self) -> int:
+    def borrowed(self) -> int:
+        """Return the slots on loan from peers."""
+        return sum(loan.slots for loan in self.loans.values())
+
+    def booked(self, now: Millis) -> int:
         """Return the slots that the ledger must show for this host."""
-        return self.owned + sum(self.lent_by_serial.values())
+        busy = self.used + self.cooling_slots(now) - self.borrowed
+        lent = sum(loan.slots for loan in self.lent_by_serial.values())
+        return max(self.owned, busy) + lent
 
     def cooling_slots(self, now: Millis) -> int:
         """Return the slots that may still be honoured somewhere."""
@@ -94,8 +112,7 @@
 
     def give_up_spare_loans(self, now: Millis) -> None:
         """Send back the loans that no ejection needs."""
-        borrowed = sum(loan.slots for loan in self.loans.values())
-        spare = self.spare(now) + borrowed
+        spare = self.spare(now) + self.borrowed
         for lender, loan in tuple(self.loans.items()):
             if loan.slots <= spare:
                 spare -= loan.slots
@@ -173,8 +190,7 @@
         holding = self.get(service_id, now=now)
         if holding is None:
             return 0
-        borrowed = sum(loan.slots for loan in holding.loans.values())
-        return holding.used - holding.owned - borrowed
+        return holding.used - holding.owned - holding.borrowed
 
     def budget_of(self, service_id: ServiceId) -> int:
         """Return the slots above the floor of a service."""
@@ -207,6 +223,10 @@
         holding.used -= slots
         holding.cooling.append((Millis(now + FRESH_MS), slots))
 
+    def is_cut_off(self, *, now: Millis) -> bool:
+        """Tell whether this host must not hold permits now."""
+        return self._freshness.is_cut_off(now=now)
+
     def check_lapse(self, *, now: Millis) -> None:
         """Forget all permits if this host was paused or cut off."""
         lapses = self._freshness.lapses(now=now)
--- a/chicorybridge/judgements.py
+++ b/chicorybridge/judgements.py
@@ -17,6 +17,9 @@
 from chicorybridge.notices import Ejection
 from chicorybridge.systems import Effect, Effects, Send, System
 
+# Rest of a target that was down: probes tell well when it is up again.
+DOWN_REST_MS = 1500.0
+
 
 class Judgements(System):
     """Add up evidence and decide; one per control process."""
@@ -39,6 +42,8 @@
         self._assignments = assignments
         self._ejections = ejections
         self._rng = rng
+        # Gray targets whose ejection waits for permits.
+        self._waiting: set[TargetId] = set()
 
     def configure(self) -> None:
         """Drop the cases of targets that are not declared any more."""
@@ -46,6 +51,16 @@
         for target_id in self.cases_by_id.keys() - declared.keys():
             self.cases_by_id.pop(target_id)
 
+    def tick(self, *, now: Millis) -> Effects:
+        """Try again to eject what waits for permits."""
+        waiting = sorted(self._waiting & self.cases_by_id.keys())
+        self._waiting.clear()
+        return tuple(
+            effect
+            for target_id in waiting
+            for effect in self._decide(target_id, now=now)
+        )
+
     def receive(
         self, message: object, *, sender: HostId, now: Millis
     ) -> Effects:
@@ -110,6 +125,8 @@
         if now - case.checked_at < ROUND_MS:
             return ()
         case.checked_at = now
+        pool = self._assignments.pools_by_target[target_id]
+        self._ejections.prepare(pool.service_id, pool.slots, now=now)
         hosts = sorted(case.reporters.intersection(self._assignments.hosts))
         asked = self._rng.sample(hosts, min(HOSTS_ASKED, len(hosts)))
         message = CheckRequest(target_id=target_id)
@@ -126,11 +143,13 @@
             zones=case.zones,
         )
         thresholds = self._assignments.thresholds_of(target_id)
-        effects = self._ejections.eject(
-            ejection, rest_ms=thresholds.rest_ms, now=now
-        )
+        rest_ms = DOWN_REST_MS if case.is_down else thresholds.rest_ms
+        effects = self._ejections.eject(ejection, rest_ms=rest_ms, now=now)
         if target_id in self._announcements.own:
             case.reset()
+            self._waiting.discard(target_id)
+        else:
+            self._waiting.add(target_id)
         return effects
 
     def _case(self, target_id: TargetId, *, now: Millis) -> Case:
--- a/chicorybridge/latencies.py
+++ b/chicorybridge/latencies.py
@@ -14,8 +14,8 @@
 GRAY_SHIFT = 0.8
 # Weight of latencies that counts at once.
 WEIGHT_AT_ONCE = 16.0
-# Broken connections that lie closer than this have one cause.
-BROKEN_SPACING_MS = 100.0
+# Cut connections that lie closer than this have one cause.
+CUT_SPACING_MS = 100.0
 # Weight of latencies over which a target's own history is averaged, and
 # how far it may differ from what its hardware promises.
 HISTORY_WEIGHT = 4000.0
@@ -24,20 +24,22 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class WarmUp:
-    """When a target last restarted, as broken connections show."""
+    """When a target last restarted, as its connections show."""
 
     duration_ms: float
     ends_at: Millis
-    broken_at: Millis = Millis(-math.inf)
+    cut_at: Millis = Millis(-math.inf)
 
-    def count_broken(self, tally: Tally, *, now: Millis) -> int:
-        """Return how many causes the broken connections have."""
-        if not tally.broken:
-            return 0
-        self.ends_at = Millis(now + self.duration_ms)
-        if now - self.broken_at < BROKEN_SPACING_MS:
+    def observe(self, tally: Tally, *, now: Millis) -> None:
+        """Start again on any sign of a restart."""
+        if tally.cut or tally.unreachable or tally.leaving:
+            self.ends_at = Millis(now + self.duration_ms)
+
+    def count_cuts(self, tally: Tally, *, now: Millis) -> int:
+        """Return how many causes the connections that were cut have."""
+        if not tally.cut or now - self.cut_at < CUT_SPACING_MS:
             return 0
-        self.broken_at = now
+        self.cut_at = now
         return 1
 
 
--- a/chicorybridge/ledgers.py
+++ b/chicorybridge/ledgers.py
@@ -25,6 +25,13 @@
     version: Version
     shares_by_holder: dict[str, int]
 
+    @property
+    def hosts(self) -> tuple[HostId, ...]:
+        """Return the hosts that hold a share."""
+        return tuple(
+            HostId(holder.split('#')[0]) for holder in self.shares_by_holder
+        )
+
     def with_share(
         self,
         *,
--- a/chicorybridge/loans.py
+++ b/chicorybridge/loans.py
@@ -12,7 +12,7 @@
 from chicorybridge.codecs import wire
 from chicorybridge.events import Event, EventKind
 from chicorybridge.freshness import FRESH_MS, Freshness, Stamp
-from chicorybridge.holdings import Borrowed, Holding, HoldingTable
+from chicorybridge.holdings import Borrowed, Holding, HoldingTable, Lent
 from chicorybridge.identities import HostId, Incarnation, ServiceId, Version
 from chicorybridge.systems import Effect, Effects, Emit, Send, System
 
@@ -20,6 +20,8 @@
 RETRY_MS = 100.0
 # Loans that were not used for so long go back.
 IDLE_MS = 20_000.0
+# Time between two questions whether a borrower still holds a loan.
+QUERY_MS = 3000.0
 # Peers that are asked at once.
 PEERS_ASKED = 4
 
@@ -53,7 +55,16 @@
     """Give a loan back; the borrower has forgotten it."""
 
     service_id: ServiceId
-    version: Version
+    incarnation: Incarnation
+    serial: int
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LoanQuery:
+    """Ask a borrower to give a loan back if it does not hold it."""
+
+    service_id: ServiceId
     incarnation: Incarnation
     serial: int
 
@@ -87,15 +98,11 @@
 
     def tick(self, *, now: Millis) -> Effects:
         """Ask peers for what is urgent and return what lies idle."""
-        effects: list[Effect] = []
-        for holding in self._holdings.by_service.values():
-            if holding.urgent and now >= holding.peers_at:
-                effects += self._ask_peers(holding, now=now)
-            if holding.loans and now >= holding.idle_at:
-                holding.give_up_spare_loans(now)
-            if holding.returning:
-                effects += self._return_loans(holding)
-        return effects
+        return tuple(
+            effect
+            for holding in self._holdings.by_service.values()
+            for effect in self._tend(holding, now=now)
+        )
 
     def receive(
         self, message: object, *, sender: HostId, now: Millis
@@ -107,28 +114,50 @@
                 return self._lend(message, sender=sender, now=now)
             case PermitLoan():
                 return self._borrow(message, sender=sender, now=now)
+            case LoanQuery():
+                return self._answer(message, sender=sender, now=now)
             case PermitReturn():
                 self._take_back(message, now=now)
         return ()
 
+    def _tend(self, holding: Holding, *, now: Millis) -> list[Effect]:
+        effects: list[Effect] = []
+        if holding.urgent and now >= holding.peers_at:
+            effects += self._ask_peers(holding, now=now)
+        if holding.loans and now >= holding.idle_at:
+            holding.give_up_spare_loans(now)
+        if holding.returning:
+            effects += self._return_loans(holding, now=now)
+        if holding.lent_by_serial and now >= holding.query_at:
+            effects += self._query(holding, now=now)
+        return effects
+
     def _ask_peers(self, holding: Holding, *, now: Millis) -> list[Effect]:
         free = self._holdings.free_slots(holding.service_id, now=now)
         missing = holding.wanted - free
         if missing <= 0:
             return []
         holding.peers_at = Millis(now + RETRY_MS)
-        effects: list[Effect] = []
+        return [
+            Send(
+                to=peer,
+                message=PermitRequest(
+                    stamp=self._freshness.stamp(to=peer, now=now),
+                    service_id=holding.service_id,
+                    slots=missing,
+                    version=self._holdings.version,
+                ),
+            )
+            for peer in self._likely_lenders(holding)
+        ]
+
+    def _likely_lenders(self, holding: Holding) -> tuple[HostId, ...]:
+        """Return the holders in the ledger and some other peers in turn."""
+        likely = {each for each in holding.holders if each in self._hosts}
         for _ in range(min(PEERS_ASKED, len(self._hosts))):
             self._next_peer = (self._next_peer + 1) % len(self._hosts)
-            peer = self._hosts[self._next_peer]
-            request = PermitRequest(
-                stamp=self._freshness.stamp(to=peer, now=now),
-                service_id=holding.service_id,
-                slots=missing,
-                version=self._holdings.version,
-            )
-            effects.append(Send(to=peer, message=request))
-        return effects
+            likely.add(self._hosts[self._next_peer])
+        return tuple(sorted(likely))
 
     def _lend(
         self, request: PermitRequest, *, sender: HostId, now: Millis
@@ -141,10 +170,12 @@
             return ()
         if slots <= 0:
             holding.give_up_spare_loans(now)
-            return self._return_loans(holding)
+            return self._return_loans(holding, now=now)
         holding.owned -= slots
         self._serial += 1
-        holding.lent_by_serial[self._serial] = slots
+        holding.lent_by_serial[self._serial] = Lent(
+            slots=slots, borrower=sender, version=request.version
+        )
         loan = PermitLoan(
             stamp=self._freshness.stamp(to=sender, now=now),
             service_id=request.service_id,
@@ -179,20 +210,22 @@
         free = self._holdings.free_slots(loan.service_id, now=now)
         if sender in holding.loans or free >= holding.wanted:
             holding.returning.append((sender, borrowed))
-            return self._return_loans(holding)
+            return self._return_loans(holding, now=now)
         holding.loans[sender] = borrowed
         holding.idle_at = Millis(now + IDLE_MS)
         facts = {'service': loan.service_id, 'slots': loan.slots}
         event = Event(kind=EventKind.permit_taken, facts=facts)
         return (Emit(event=event),)
 
-    def _return_loans(self, holding: Holding) -> list[Effect]:
+    def _return_loans(self, holding: Holding, *, now: Millis) -> list[Effect]:
+        """Give loans back once no peer can honour what they covered."""
+        if self._holdings.free_slots(holding.service_id, now=now) < 0:
+            return []
         returns: list[Effect] = [
             Send(
                 to=lender,
                 message=PermitReturn(
                     service_id=holding.service_id,
-                    version=loan.version,
                     incarnation=loan.incarnation,
                     serial=loan.serial,
                 ),
@@ -207,6 +240,44 @@
         holding = self._holdings.get(message.service_id, now=now)
         if holding is None or message.incarnation != self._incarnation:
             return
-        slots = holding.lent_by_serial.pop(message.serial, 0)
-        if message.version == self._holdings.version:
-            holding.owned += slots
+        lent = holding.lent_by_serial.pop(message.serial, None)
+        if lent is not None and lent.version == self._holdings.version:
+            holding.owned += lent.slots
+
+    def _query(self, holding: Holding, *, now: Millis) -> list[Effect]:
+        """Find loans that got lost, or whose return did."""
+        holding.query_at = Millis(now + QUERY_MS)
+        return [
+            Send(
+                to=lent.borrower,
+                message=LoanQuery(
+                    service_id=holding.service_id,
+                    incarnation=self._incarnation,
+                    serial=serial,
+                ),
+            )
+            for serial, lent in holding.lent_by_serial.items()
+        ]
+
+    def _answer(
+        self, query: LoanQuery, *, sender: HostId, now: Millis
+    ) -> Effects:
+        """Give a loan back that is not held here, and never take it."""
+        holding = self._holdings.get(query.service_id, now=now)
+        if holding is None:
+            return ()
+        loan = holding.loans.get(sender)
+        if loan is not None and loan.serial == query.serial:
+            return ()
+        if self._holdings.free_slots(query.service_id, now=now) < 0:
+            return ()
+        last = self._serials_by_incarnation.get(query.incarnation, 0)
+        self._serials_by_incarnation[query.incarnation] = max(
+            last, query.serial
+        )
+        message = PermitReturn(
+            service_id=query.service_id,
+            incarnation=query.incarnation,
+            serial=query.serial,
+        )
+        return (Send(to=sender, message=message),)
--- a/chicorybridge/observations.py
+++ b/chicorybridge/observations.py
@@ -13,24 +13,25 @@
 # Request bodies from this size are counted apart from small ones.
 LARGE_BODY_BYTES = 65_536
 
-BROKEN = frozenset((AttemptOutcome.cut, AttemptOutcome.unreachable))
-
 
 @wire
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Tally:
     """Attempts at one target.
 
-    `failed` and `answered` count small requests; `broken` those whose
-    connection failed, at most one a tick, since a crash breaks many at
-    once. `latency_weight` is the sum of the inverse variances and
-    `latency_shift` the sum of residuals multiplied by them.
+    `failed` and `answered` count small requests; `unreachable` those that
+    got no connection, `cut` those whose connection ended, at most one a
+    tick, since a crash cuts many at once. `leaving` counts answers that
+    announce a planned restart. `latency_weight` is the sum of the inverse
+    variances and `latency_shift` the sum of residuals multiplied by them.
     """
 
     target_id: TargetId
     answered: float = 0
     failed: float = 0
-    broken: float = 0
+    cut: float = 0
+    unreachable: float = 0
+    leaving: float = 0
     large_answered: float = 0
     large_failed: float = 0
     shed: float = 0
@@ -40,13 +41,15 @@
     @property
     def failures(self) -> float:
         """Return how many attempts speak against the target."""
-        return self.failed + self.broken + self.large_failed + self.shed
+        broken = self.cut + self.unreachable
+        return self.failed + broken + self.large_failed + self.shed
 
     def scale(self, factor: float) -> None:
         """Multiply all counts, as when they fade."""
         self.answered *= factor
         self.failed *= factor
-        self.broken *= factor
+        self.cut *= factor
+        self.unreachable *= factor
         self.large_answered *= factor
         self.large_failed *= factor
         self.shed *= factor
@@ -57,7 +60,9 @@
         """Add the counts of `other`."""
         self.answered += other.answered
         self.failed += other.failed
-        self.broken += other.broken
+        self.cut += other.cut
+        self.unreachable += other.unreachable
+        self.leaving += other.leaving
         self.large_answered += other.large_answered
         self.large_failed += other.large_failed
         self.shed += other.shed
@@ -183,11 +188,19 @@
 
 def _count(tally: Tally, attempt: Attempt) -> None:
     is_answered = attempt.outcome is AttemptOutcome.answered
+    tally.leaving += attempt.leaving
     if attempt.outcome is AttemptOutcome.shed:
         tally.shed += 1
-    elif attempt.outcome in BROKEN:
-        tally.broken = 1
-    elif attempt.sent_bytes >= LARGE_BODY_BYTES:
+    elif attempt.outcome is AttemptOutcome.cut:
+        tally.cut = 1
+    elif attempt.outcome is AttemptOutcome.unreachable:
+        tally.unreachable += 1
+    else:
+        _count_by_size(tally, attempt, is_answered)
+
+
+def _count_by_size(tally: Tally, attempt: Attempt, is_answered: bool) -> None:
+    if attempt.sent_bytes >= LARGE_BODY_BYTES:
         tally.large_answered += is_answered
         tally.large_failed += not is_answered
     else:
--- a/chicorybridge/permits.py
+++ b/chicorybridge/permits.py
@@ -69,6 +69,8 @@
     def tick(self, *, now: Millis) -> Effects:
         """Claim what is wanted."""
         self._holdings.check_lapse(now=now)
+        if self._holdings.is_cut_off(now=now):
+            return ()
         effects: list[Effect] = []
         for holding in self._holdings.by_service.values():
             if holding.asking or now < holding.store_at:
@@ -94,7 +96,7 @@
             return False
         ledger = ledger_of(holding.service_id, holding.row)
         booked = ledger.shares_by_holder.get(self._holder, 0)
-        return booked != holding.booked
+        return booked != holding.booked(now)
 
     def _missing(self, holding: Holding, *, now: Millis) -> int:
         service_id = holding.service_id
@@ -125,9 +127,10 @@
         holder = self._holder
         struck = self._strikable(ledger, now=now)
         others = ledger.shares_without(holder=holder, struck=struck)
-        room = holding.budget - sum(others.values()) - holding.booked
+        booked = holding.booked(now)
+        room = holding.budget - sum(others.values()) - booked
         holding.claimed = max(0, min(room, self._missing(holding, now=now)))
-        slots = holding.booked + holding.claimed
+        slots = booked + holding.claimed
         if slots == ledger.shares_by_holder.get(holder, 0):
             return None
         require(
@@ -170,10 +173,14 @@
         holding.claimed = 0
         holding.asking = False
         holding.row = reply.rows[0] if reply.rows else None
+        if holding.row is not None:
+            holding.holders = ledger_of(service_id, holding.row).hosts
         if reply.outcome is StoreOutcome.unavailable:
             holding.store_at = Millis(now + FULL_MS)
         if reply.outcome is not StoreOutcome.done or not claimed:
             return ()
+        if self._holdings.is_cut_off(now=now):
+            return ()
         holding.owned += claimed
         facts = {'service': service_id, 'slots': claimed}
         event = Event(kind=EventKind.permit_taken, facts=facts)
--- a/chicorybridge/scores.py
+++ b/chicorybridge/scores.py
@@ -10,6 +10,7 @@
 
 # What a gray target fails beyond the expected, as a share of the rest.
 GRAY_FAILURES = 0.2
+DOWN_FAILURES = 0.95
 GRAY_SHED = 0.5
 # Time in which evidence loses most of its worth.
 MEMORY_MS = 20_000.0
@@ -19,6 +20,8 @@
     """Kinds of evidence that are added up apart."""
 
     failed = 'failed'
+    # No connection: the target is down, and well again once it answers.
+    down = 'down'
     large = 'large'
     shed = 'shed'
     latency = 'latency'
@@ -54,20 +57,19 @@
         self.hosts.clear()
 
 
-def weigh_outcomes(evidence: Evidence, *, broken: int) -> dict[Stream, float]:
+def weigh_outcomes(evidence: Evidence, *, cuts: int) -> dict[Stream, float]:
     """Return what the outcomes of attempts say, in nats.
 
-    `broken` is how many causes the broken connections have.
+    `cuts` is how many causes the connections that were cut have.
     """
     tally = evidence.tally
     good = tally.answered + tally.large_answered
+    normal = evidence.failed_share
     return {
         Stream.failed: _ratio(
-            tally.failed + broken,
-            tally.answered,
-            evidence.failed_share,
-            GRAY_FAILURES,
+            tally.failed + cuts, tally.answered, normal, GRAY_FAILURES
         ),
+        Stream.down: _ratio(tally.unreachable, good, normal, DOWN_FAILURES),
         Stream.large: _ratio(
             tally.large_failed,
             tally.large_answered,
--- a/chicorybridge/tests/test_ejections.py
+++ b/chicorybridge/tests/test_ejections.py
@@ -159,3 +159,27 @@
     )
     assert not list(effects)
     assert not host.detection.announcements.own
+
+
+def test_permit_is_not_used_again_while_a_peer_may_honour_it():
+    """A host that did not hear of a return still keeps the target out."""
+    fleet = _fleet(floor=0.9)
+    _work(fleet, gray=(), for_ms=3000)
+    _work(fleet, gray=TEN[:1], for_ms=1000)
+    ejector = next(
+        host
+        for host in fleet.hosts_by_id.values()
+        if TEN[0] in host.detection.announcements.own
+    )
+    others = fleet.hosts_by_id.keys() - {ejector.host_id}
+    fleet.channel.cut_links = {(ejector.host_id, each) for each in others}
+    fleet.channel.carry_out(
+        ejector.host_id,
+        ejector.detection.ejections.readmit(TEN[0], now=fleet.now),
+    )
+    for _ in range(100):
+        _work(fleet, gray=TEN[1:2], for_ms=100)
+        assert len(_out(fleet)) <= 1
+    fleet.channel.cut_links = set()
+    _work(fleet, gray=TEN[1:2], for_ms=15_000)
+    assert _out(fleet) == {TEN[1]}
--- a/chicorybridge/thresholds.py
+++ b/chicorybridge/thresholds.py
@@ -11,6 +11,11 @@
 LONGEST_SPAN_MS = 1500.0
 SHORTEST_SPAN_MS = 100.0
 
+# The same for latency: queues come and go, and good news travels more
+# slowly than bad.
+LONGEST_LATENCY_SPAN_MS = 2500.0
+SHORTEST_LATENCY_SPAN_MS = 400.0
+
 # Hosts that must agree, as far as there are as many.
 MOST_HOSTS = 4
 LEAST_HOSTS = 2
@@ -18,9 +23,9 @@
 # Slowdown, as a logarithm, that still speaks for a target, and how much
 # weight of latencies counts in a second: samples close together say the
 # same.
-LARGEST_SHIFT = 0.6
+LARGEST_SHIFT = 0.55
 SMALLEST_SHIFT = 0.42
-LEAST_WEIGHT = 15.0
+LEAST_WEIGHT = 20.0
 MOST_WEIGHT = 40.0
 
 # Time from an ejection to its first trial with real work.
@@ -38,6 +43,7 @@
 
     evidence: float
     span_ms: float
+    latency_span_ms: float
     hosts: int
     rest_ms: float
     normal_shift: float
@@ -59,6 +65,11 @@
         span_ms=_between(
             low=SHORTEST_SPAN_MS, high=LONGEST_SPAN_MS, share=caution
         ),
+        latency_span_ms=_between(
+            low=SHORTEST_LATENCY_SPAN_MS,
+            high=LONGEST_LATENCY_SPAN_MS,
+            share=caution,
+        ),
         hosts=round(_between(low=LEAST_HOSTS, high=MOST_HOSTS, share=caution)),
         rest_ms=_between(
             low=LONGEST_REST_MS, high=SHORTEST_REST_MS, share=sensitivity
--- a/chicorybridge/tools/detection_runs.py
+++ b/chicorybridge/tools/detection_runs.py
@@ -248,6 +248,7 @@
             started_at=Millis(flight.ends_at - served.elapsed_ms),
             elapsed_ms=served.elapsed_ms,
             sent_bytes=UPLOAD_BYTES if flight.work.upload else 0,
+            leaving=served.leaving,
         )
         self.measures.attempts += 1
         if served.outcome is not AttemptOutcome.answered:
--- a/chicorybridge/tools/episodes.py
+++ b/chicorybridge/tools/episodes.py
@@ -17,6 +17,8 @@
 # How long a disturbance lasts, and the pause after it.
 DISTURBED_MS = 10_000.0
 PAUSE_MS = 20_000.0
+# How long a target announces that it leaves.
+DRAIN_MS = 2000.0
 # A restart that takes a target away only for a moment.
 RESTART_MS = 300.0
 # Callers that repeat a request that crashes targets.
@@ -58,8 +60,10 @@
 
 
 def cold_start(simulation: Simulation) -> None:
-    """Restart a target, which is then slow for a while."""
+    """Drain and restart a target, which is then slow for a while."""
     target = simulation.targets_by_id[_healthy_target(simulation)]
+    target.leaves_at = simulation.now
+    simulation.run(for_ms=DRAIN_MS)
     target.crash(now=simulation.now, down_ms=RESTART_MS)
     simulation.run(for_ms=DISTURBED_MS)
 
--- a/chicorybridge/tools/service_models.py
+++ b/chicorybridge/tools/service_models.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import heapq
+import math
 import random
 import types
 from enum import Enum
@@ -100,6 +101,7 @@
 
     outcome: AttemptOutcome
     elapsed_ms: float
+    leaving: bool = False
 
 
 class FakeTarget:
@@ -113,6 +115,7 @@
         # Factor on all service times, as of a load that all share.
         self.load_factor = 1.0
         self.up_at = -COLD_MS
+        self.leaves_at = math.inf
         self._speed = speed
         self._rng = rng
         self._free_at: list[float] = [0 for _ in range(slots)]
@@ -125,6 +128,7 @@
     def crash(self, *, now: float, down_ms: float = DOWN_MS) -> None:
         """End the process; it restarts cold after `down_ms`."""
         self.up_at = now + down_ms
+        self.leaves_at = math.inf
         self._free_at = [self.up_at for _ in self._free_at]
 
     def is_gray(self, *, now: float) -> bool:
@@ -149,7 +153,11 @@
         outcome = AttemptOutcome.answered
         if self._rng.random() < FAILED_SHARE:
             outcome = AttemptOutcome.failed
-        return Served(outcome=outcome, elapsed_ms=elapsed_ms)
+        return Served(
+            outcome=outcome,
+            elapsed_ms=elapsed_ms,
+            leaving=now >= self.leaves_at,
+        )
 
     def _acts_up(self, *, now: float) -> bool:
         period_ms = PERIODS.get(self.condition)
