Refuse requests that crash targets on every host

Whatever a target ran when its connections were cut before an answer is suspect; an answer clears it. A request is refused after two victims that nothing else explains, or three. Suspects are retried at targets drawn by a hash of the request, after a wait in which the word spreads.

Targets that a larger subset adds no longer warm up.

--- a/chicorybridge/candidates.py
+++ b/chicorybridge/candidates.py
@@ -5,12 +5,14 @@
 from collections.abc import Iterator
 
 from chicorybridge import settings
+from chicorybridge.attempts import Attempt, AttemptOutcome
 from chicorybridge.clocks import Millis
 from chicorybridge.declarations import Declaration
 from chicorybridge.identities import TargetId, ZoneId
 
 # Factors on the cost of a target in the own zone, own region and across.
 PLACE_COSTS = (1.0, settings.REGION_COST, settings.ACROSS_COST)
+ACROSS = len(PLACE_COSTS) - 1
 
 
 # Beyond so many sheds in turn the pause no longer grows.
@@ -30,6 +32,20 @@
     sheds_in_turn: int = 0
     unreachable: bool = False
 
+    def learn(self, attempt: Attempt, *, now: Millis) -> None:
+        """Take in how an attempt at this target ended."""
+        if attempt.outcome is AttemptOutcome.unreachable:
+            self.unreachable = True
+            return
+        if self.unreachable:
+            # A target that answers again after a restart has cold caches.
+            self.unreachable = False
+            self.cold_since = now
+        if attempt.outcome is AttemptOutcome.shed:
+            self.pause(attempt.retry_after_ms, now=now)
+        else:
+            self.sheds_in_turn = 0
+
     def pause(self, asked_ms: float | None, *, now: Millis) -> None:
         """Take nothing for a while after a shed, longer after each."""
         waited = settings.SHED_PAUSE_MS * 2**self.sheds_in_turn
--- a/chicorybridge/choosers.py
+++ b/chicorybridge/choosers.py
@@ -10,9 +10,12 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
+import xxhash
+
 from chicorybridge import settings
-from chicorybridge.attempts import Attempt, AttemptOutcome
+from chicorybridge.attempts import Attempt
 from chicorybridge.candidates import (
+    ACROSS,
     PLACE_COSTS,
     Candidate,
     Place,
@@ -21,7 +24,7 @@
 )
 from chicorybridge.clocks import Millis
 from chicorybridge.declarations import Declaration, Target
-from chicorybridge.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.identities import Digest, ServiceId, TargetId, ZoneId
 from chicorybridge.latencies import LatencyTable
 
 WeightOf = Callable[[TargetId], float]
@@ -60,6 +63,7 @@
         self._latencies = LatencyTable()
         self._candidates_by_id: dict[TargetId, Candidate] = {}
         self._places_by_service: dict[ServiceId, tuple[Place, ...]] = {}
+        self._declared_ids: frozenset[TargetId] = frozenset()
         self._closed_ids: frozenset[TargetId] = frozenset()
         self._leaving_ids: frozenset[TargetId] = frozenset()
         self._ejected_ids: frozenset[TargetId] = frozenset()
@@ -77,7 +81,8 @@
         `subset` names the targets that this process uses, `None` for all.
         Targets that a later declaration adds warm up.
         """
-        first = not self._candidates_by_id
+        declared = self._declared_ids
+        self._declared_ids = frozenset(declaration.targets_by_id)
         candidates: dict[TargetId, Candidate] = {}
         for target in declaration.targets_by_id.values():
             if subset is not None and target.target_id not in subset:
@@ -85,7 +90,7 @@
             place = place_of(declaration, target.zone_id, zone_id)
             candidate = self._candidate(declaration, target, place)
             candidates[target.target_id] = candidate
-            if not first and target.target_id not in self._candidates_by_id:
+            if declared and target.target_id not in declared:
                 candidate.cold_since = now
         self._candidates_by_id = candidates
         self._latencies.set_speeds(
@@ -127,6 +132,37 @@
             return self._any_of(service_id, excluded)
         return best.target_id
 
+    def pick_apart(
+        self,
+        service_id: ServiceId,
+        digest: Digest,
+        *,
+        excluded: Collection[TargetId] = (),
+    ) -> TargetId | None:
+        """Return the target for a request that may crash it.
+
+        Suspects go to targets by a hash of the request instead of the
+        cost, so that two of them seldom meet at the same target again.
+        """
+        found: list[TargetId] = []
+        for place, candidates in enumerate(
+            self._places_by_service.get(service_id, ())
+        ):
+            if place == ACROSS and found:
+                break
+            found.extend(
+                candidate.target_id
+                for candidate in candidates
+                if self._is_open(candidate, excluded)
+            )
+        return max(
+            found,
+            key=lambda target_id: xxhash.xxh3_64_intdigest(
+                f'{digest} {target_id}'.encode()
+            ),
+            default=None,
+        )
+
     def started(self, target_id: TargetId, now: Millis) -> None:
         """Count an attempt that is being sent."""
         candidate = self._candidates_by_id.get(target_id)
@@ -143,7 +179,7 @@
         if candidate is None:
             return None
         candidate.in_flight = max(0, candidate.in_flight - 1)
-        self._note_outcome(candidate, attempt, now)
+        candidate.learn(attempt, now=now)
         return self._latencies.add(attempt, now=now)
 
     def in_flight(self, target_id: TargetId) -> int:
@@ -244,18 +280,3 @@
         latency = self._latencies.of(candidate.target_id, now=now)
         place_cost = PLACE_COSTS[candidate.place]
         return latency * (candidate.in_flight + 1) * place_cost
-
-    def _note_outcome(
-        self, candidate: Candidate, attempt: Attempt, now: Millis
-    ) -> None:
-        if attempt.outcome is AttemptOutcome.unreachable:
-            candidate.unreachable = True
-            return
-        if candidate.unreachable:
-            # A target that answers again after a restart has cold caches.
-            candidate.unreachable = False
-            candidate.cold_since = now
-        if attempt.outcome is AttemptOutcome.shed:
-            candidate.pause(attempt.retry_after_ms, now=now)
-        else:
-            candidate.sheds_in_turn = 0
--- a/chicorybridge/policies.py
+++ b/chicorybridge/policies.py
@@ -117,6 +117,7 @@
     def started(self, target_id: TargetId, route: Route, *, now: Millis) -> int:
         """Count an attempt that begins; return its number."""
         self._chooser.started(target_id, now)
+        self._limiter.started(route.service_id)
         return self._observer.start(
             target_id=target_id, route_id=route.route_id, now=now
         )
--- /dev/null
+++ b/chicorybridge/tests/test_quarantines.py
@@ -0,0 +1,125 @@
+"""Tests of the quarantine of requests over many hosts."""
+
+import random
+
+import pytest
+
+from chicorybridge.attempts import AttemptOutcome
+from chicorybridge.clocks import Millis
+from chicorybridge.events import EventKind
+from chicorybridge.identities import Digest, HostId
+from chicorybridge.quarantines import Quarantine, Quarantines, may_have_crashed
+from chicorybridge.suspects import CrashSuspected, SuspectCleared
+from chicorybridge.systems import Send, SendEntries
+from chicorybridge.tools.attempted import attempted
+from chicorybridge.tools.crash_models import CrashModel, CrashPlan
+from chicorybridge.tools.declared import ServiceShape, declare
+
+NOW = Millis(0)
+DIGEST = Digest('a')
+OWN = HostId('host-0')
+HOSTS = tuple(HostId(f'host-{number}') for number in range(40))
+# The goal: victims of one request that crashes whatever runs it.
+MOST_VICTIMS = 3
+
+
+def _cut(target):
+    return attempted(AttemptOutcome.cut, target=target)
+
+
+@pytest.mark.parametrize(
+    ('attempt', 'suspect'),
+    [
+        (_cut('quotes-0'), True),
+        (attempted(AttemptOutcome.cut, sent_bytes=0), False),
+        (attempted(AttemptOutcome.cut, first_byte_ms=1), False),
+        (attempted(AttemptOutcome.timed_out), False),
+        (attempted(AttemptOutcome.failed), False),
+    ],
+)
+def test_only_a_cut_before_the_answer_is_a_sign(attempt, suspect):
+    """Slow, failing and cutting targets make no request suspect."""
+    assert may_have_crashed(attempt) is suspect
+
+
+def test_entry_refuses_after_two_clear_victims():
+    """The entry that saw both does not wait for the control process."""
+    quarantine = Quarantine()
+    assert quarantine.is_empty
+    for target in ('quotes-0', 'quotes-1'):
+        assert not quarantine.refuses(DIGEST, now=NOW)
+        report = quarantine.attempt_ended(DIGEST, _cut(target), now=NOW)
+        assert isinstance(report, CrashSuspected)
+    assert quarantine.refuses(DIGEST, now=NOW)
+
+
+def test_entry_clears_a_request_that_is_answered():
+    """An answer proves that the request was there by chance."""
+    quarantine = Quarantine()
+    quarantine.attempt_ended(DIGEST, _cut('quotes-0'), now=NOW)
+    report = quarantine.attempt_ended(DIGEST, attempted(), now=NOW)
+    assert report == SuspectCleared(digest=DIGEST)
+    assert not quarantine.is_suspect(DIGEST)
+    assert quarantine.attempt_ended(DIGEST, attempted(), now=NOW) is None
+
+
+def test_new_report_is_told_to_all_and_an_old_one_to_none():
+    """From an own entry it goes to every peer, from a peer to a few."""
+    system = Quarantines(host_id=OWN, peers=lambda: HOSTS, rng=random.Random(1))
+    quarantine = Quarantine()
+    report = quarantine.attempt_ended(DIGEST, _cut('quotes-0'), now=NOW)
+    effects = list(system.receive(report, sender=OWN, now=NOW))
+    assert SendEntries(message=report) in effects
+    sends = {found.to for found in effects if isinstance(found, Send)}
+    assert sends == set(HOSTS) - {OWN}
+    assert not list(system.receive(report, sender=HOSTS[3], now=NOW))
+    other = quarantine.attempt_ended(DIGEST, _cut('quotes-1'), now=NOW)
+    relayed = list(system.receive(other, sender=HOSTS[3], now=NOW))
+    told = [found.to for found in relayed if isinstance(found, Send)]
+    assert 0 < len(told) < len(HOSTS) / 2
+    assert OWN not in told and HOSTS[3] not in told
+
+
+SHORT = CrashPlan(for_ms=1500, warm_up_ms=300, per_second=800, repeats=15)
+
+
+def _run(plan, seed):
+    model = CrashModel(
+        declare(ServiceShape(targets=30, old_every=3)), plan, seed=seed
+    )
+    model.run()
+    return model
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_crashing_request_has_few_victims(seed, idempotent):
+    """Its caller repeats it through 40 hosts; no other is refused."""
+    plan = CrashPlan(
+        for_ms=SHORT.for_ms,
+        warm_up_ms=SHORT.warm_up_ms,
+        per_second=SHORT.per_second,
+        repeats=SHORT.repeats,
+        idempotent=idempotent,
+        cut_links=0.2,
+    )
+    model = _run(plan, seed)
+    assert 2 <= model.crashes <= MOST_VICTIMS
+    assert model.refused_wrongly == 0
+    kinds = {event.kind for _, _, event in model.channel.events}
+    assert EventKind.request_quarantined in kinds
+
+
+def test_targets_that_merely_die_quarantine_nothing():
+    """Six targets die one after the other under load."""
+    plan = CrashPlan(
+        for_ms=SHORT.for_ms,
+        warm_up_ms=SHORT.warm_up_ms,
+        per_second=SHORT.per_second,
+        crashing=0,
+        dying_targets=6,
+    )
+    model = _run(plan, 3)
+    assert model.crashes == 6
+    assert model.refused_wrongly == 0
+    assert not any(call.quarantined for call in model.fleet.calls)
--- a/chicorybridge/tools/entry_models.py
+++ b/chicorybridge/tools/entry_models.py
@@ -6,13 +6,21 @@
 from collections.abc import Callable, Collection
 from typing import Protocol
 
+from chicorybridge import settings
 from chicorybridge.attempts import Attempt, AttemptOutcome
 from chicorybridge.choosers import Chooser
 from chicorybridge.clocks import Millis
 from chicorybridge.declarations import Declaration, Priority
-from chicorybridge.identities import RouteId, ServiceId, TargetId, ZoneId
+from chicorybridge.identities import (
+    Digest,
+    RouteId,
+    ServiceId,
+    TargetId,
+    ZoneId,
+)
 from chicorybridge.limits import Limiter
 from chicorybridge.outcomes import RequestOutcome, outcome_of
+from chicorybridge.quarantines import Quarantine, Report, may_have_crashed
 from chicorybridge.retries import RequestFacts, RetryPolicy
 from chicorybridge.subsets import FleetSize
 from chicorybridge.tools.schedules import Schedule
@@ -61,7 +69,8 @@
     priority: Priority = Priority.normal
     idempotent: bool = True
     crashes: bool = False
-    digest: str = ''
+    digest: Digest = Digest('')
+    quarantined: bool = False
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     outcome: RequestOutcome | None = None
     ended_at: Millis = Millis(0)
@@ -88,6 +97,9 @@
         retries: RetryPolicy | None = None,
     ) -> None:
         """Join the decisions; without `limiter` all calls are let in."""
+        self.quarantine = Quarantine()
+        # Takes what is told to the control process, if there is one.
+        self.post: Callable[[Report], None] | None = None
         self.picker = picker
         self.limiter = limiter
         self.retries = retries
@@ -111,11 +123,34 @@
         slowness = self.picker.finished(attempt, now)
         if self.limiter is not None:
             self.limiter.finished(attempt, slowness=slowness, now=now)
+        report = self.quarantine.attempt_ended(call.digest, attempt, now=now)
+        if report is not None and self.post is not None:
+            self.post(report)
+        if may_have_crashed(attempt):
+            # The word is to reach the other hosts before the next try.
+            self._schedule.later(
+                settings.SUSPECT_WAIT_MS, lambda: self._proceed(call, ended)
+            )
+            return
+        self._proceed(call, ended)
+
+    def _proceed(self, call: Call, ended: Ended) -> None:
         if self._goes_on(call):
             self._attempt(call, ended)
             return
         self._end(call, ended)
 
+    def _pick(self, call: Call, tried: frozenset[TargetId]) -> TargetId | None:
+        picker = self.picker
+        if isinstance(picker, Chooser):
+            if self.quarantine.is_suspect(call.digest):
+                return picker.pick_apart(
+                    call.service_id, call.digest, excluded=tried
+                )
+        return picker.pick(
+            call.service_id, excluded=tried, now=self._schedule.now
+        )
+
     def _is_admitted(self, call: Call) -> bool:
         if self.limiter is None:
             return True
@@ -127,14 +162,17 @@
         ).admitted
 
     def _attempt(self, call: Call, ended: Ended) -> None:
+        now = self._schedule.now
+        if self.quarantine.refuses(call.digest, now=now):
+            call.quarantined = True
+            self._end(call, ended)
+            return
         tried = frozenset(attempt.target_id for attempt in call.attempts)
-        target_id = self.picker.pick(
-            call.service_id, excluded=tried, now=self._schedule.now
-        )
+        target_id = self._pick(call, tried)
         if target_id is None:
             self._end(call, ended)
             return
-        self.picker.started(target_id, self._schedule.now)
+        self.picker.started(target_id, now)
         if self.limiter is not None:
             self.limiter.started(call.service_id)
         _Sending(
