Specify configurations: durable, in force, accepted, with six broken variants

Command: pytest chicorybridge/tests/test_configuration_specifications.py. All six variants are caught.

--- /dev/null
+++ b/chicorybridge/tests/test_configuration_specifications.py
@@ -0,0 +1,49 @@
+"""Model checking of configurations."""
+
+import pytest
+
+from chicorybridge.tools.configuration_specifications import (
+    ConfigurationSpecification,
+)
+from chicorybridge.tools.configuration_worlds import BrokenConfiguration
+from chicorybridge.tools.specifications import check
+
+# Two operators at once whose writes may stay unanswered.
+RACE = ConfigurationSpecification(hosts=1, bases=(0, 0), starts=0)
+# Two versions among two hosts that lapse, join and, one by one, start anew.
+SPREAD = ConfigurationSpecification(bases=(0, 1), answered=True, starts=0)
+
+
+@pytest.mark.parametrize('specification', [RACE, SPREAD])
+def test_promises_hold_in_every_state(specification):
+    """No loss, pause, lapse or race breaks one."""
+    report = check(specification.build())
+    assert report.holds
+    assert report.states > 1000
+
+
+@pytest.mark.long
+@pytest.mark.parametrize(
+    'specification',
+    [
+        ConfigurationSpecification(bases=(0, 1), answered=True),
+        ConfigurationSpecification(
+            hosts=3, bases=(0, 1), answered=True, starts=0
+        ),
+        ConfigurationSpecification(hosts=1),
+        ConfigurationSpecification(bases=(0, 0)),
+    ],
+)
+def test_promises_hold_in_larger_worlds(specification):
+    """The same with restarts, three hosts or three applies."""
+    assert check(specification.build()).holds
+
+
+@pytest.mark.parametrize('broken', list(BrokenConfiguration))
+def test_broken_variant_is_caught(broken):
+    """Each safeguard is needed to keep a promise."""
+    answered = broken is not BrokenConfiguration.guess_conflict
+    variant = ConfigurationSpecification(
+        bases=(0, 1), answered=answered, broken=broken
+    )
+    assert check(variant.build()).holds is False
