Refuse requests that crash targets, in every entry process

The request is known by a digest of method, path, workspace and body, or by what its sender declares of a streamed body. It is only worked out while there is a suspect. Test: one such request sent five times before six targets reaches two or three of them; another request is answered.

--- a/chicorybridge/calls.py
+++ b/chicorybridge/calls.py
@@ -8,10 +8,12 @@
 from chicorybridge.configurations import ActiveConfiguration
 from chicorybridge.declarations import Route, Service
 from chicorybridge.exchanges import CallerExchange, Head
-from chicorybridge.identities import RequestKey, WorkspaceId
+from chicorybridge.identities import Digest, RequestKey, WorkspaceId
+from chicorybridge.request_keys import fingerprint
 
 DEADLINE_HEADER = b'chicorybridge-deadline-ms'
 WORKSPACE_HEADER = b'chicorybridge-workspace'
+DIGEST_HEADER = b'content-digest'
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -36,3 +38,13 @@
     # Whether a part of an answer went to the caller.
     committed: bool = False
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
+
+    @property
+    def digest(self) -> Digest:
+        """Return a digest that a repeat of the request has, too."""
+        body = self.body.whole
+        if body is None:
+            digest = self.head.header(DIGEST_HEADER) or b''
+            body = b'%d %s' % (self.head.length or 0, digest)
+        workspace = (self.workspace_id or '').encode()
+        return fingerprint((self.head.method, self.head.path, workspace, body))
--- a/chicorybridge/claimants.py
+++ b/chicorybridge/claimants.py
@@ -22,7 +22,6 @@
 from chicorybridge.answers import WholeAnswer
 from chicorybridge.identities import RequestKey
 from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.request_keys import fingerprint
 
 ATTEMPT_BITS = 64
 
@@ -68,7 +67,7 @@
             attempt_id=self._new_attempt_id(),
             entry_id=self._entry_id,
             key=key,
-            fingerprint=fingerprint(_identifying_parts(call)),
+            fingerprint=call.digest,
         )
         if not await self._post(request):
             raise _unavailable('the control process is not reached')
@@ -127,15 +126,6 @@
         return AttemptId(f'{self._entry_id}/{serial:x}')
 
 
-def _identifying_parts(call: Call) -> tuple[bytes, ...]:
-    body = call.body.whole
-    if body is None:
-        digest = call.head.header(b'content-digest') or b''
-        body = b'%d %s' % (call.head.length or 0, digest)
-    workspace = (call.workspace_id or '').encode()
-    return (call.head.method, call.head.path, workspace, body)
-
-
 def _kept(answer: WholeAnswer | None) -> KeptAnswer | None:
     if answer is None:
         return None
--- a/chicorybridge/control_systems.py
+++ b/chicorybridge/control_systems.py
@@ -22,6 +22,7 @@
 )
 from chicorybridge.members import Members
 from chicorybridge.profiles import HostProfile
+from chicorybridge.quarantines import Quarantines
 from chicorybridge.rollouts import Rollouts
 from chicorybridge.rosters import Rosters
 from chicorybridge.sessions import EntryTable
@@ -74,6 +75,11 @@
             self.departures,
             self.drains,
             Rosters(members=self.members),
+            Quarantines(
+                host_id=profile.host_id,
+                peers=lambda: self.members.hosts_by_id.keys(),
+                rng=rng,
+            ),
         )
         self._configured = NO_VERSION
         self._generation = -1
--- a/chicorybridge/dispatchers.py
+++ b/chicorybridge/dispatchers.py
@@ -8,7 +8,7 @@
 from chicorybridge.bodies import CallerError, RequestBody
 from chicorybridge.calls import DEADLINE_HEADER, WORKSPACE_HEADER, Call
 from chicorybridge.claim_messages import ClaimDecided, ClaimVerdict
-from chicorybridge.claimants import Claimant
+from chicorybridge.claimants import Claimant, Post
 from chicorybridge.clocks import Clock, Millis
 from chicorybridge.configurations import ActiveConfiguration
 from chicorybridge.connections import TargetConnections
@@ -104,15 +104,21 @@
         policies: Policies,
         connections: TargetConnections,
         claimant: Claimant,
+        post: Post,
         ended: Callable[[Call], None],
     ) -> None:
-        """Join the parts; `ended` hears of every call that has ended."""
+        """Join the parts.
+
+        `post` hands a message to the control process; `ended` hears of
+        every call that has ended.
+        """
         self.calls_by_number: dict[int, Call] = {}
         self._clock = clock
         self._state = state
         self._policies = policies
         self._connections = connections
         self._claimant = claimant
+        self._post = post
         self._ended = ended
         self._serial = 0
 
@@ -291,6 +297,12 @@
             excluded = decision.excluded
 
     def _next_forward(self, call: Call, excluded: frozenset) -> Forward:
+        if self._policies.is_quarantined(call, now=self._clock.now()):
+            raise RefusalError(
+                code=ErrorCode.request_quarantined,
+                detail='targets died when they ran this request',
+                outcome=outcome_of(call.attempts),
+            )
         service_id = call.service.service_id
         target = self._policies.pick(
             service_id, excluded=excluded, now=self._clock.now()
@@ -325,12 +337,16 @@
             outcome = await forward.run()
         finally:
             attempt = forward.result(outcome)
-            self._learn(call, number, attempt)
+            await self._learn(call, number, attempt)
         return attempt
 
-    def _learn(self, call: Call, number: int, attempt: Attempt) -> None:
+    async def _learn(self, call: Call, number: int, attempt: Attempt) -> None:
+        now = self._clock.now()
         call.attempts.append(attempt)
-        self._policies.finished(number, attempt, now=self._clock.now())
+        self._policies.finished(number, attempt, now=now)
+        report = self._policies.suspect(call, attempt, now=now)
+        if report is not None:
+            await self._post(report)
 
 
 def _facts_of(call: Call) -> RequestFacts:
--- a/chicorybridge/entry_inboxes.py
+++ b/chicorybridge/entry_inboxes.py
@@ -19,6 +19,7 @@
 from chicorybridge.policies import Policies
 from chicorybridge.rosters import Roster
 from chicorybridge.subsets import FleetSize
+from chicorybridge.suspects import CrashSuspected, SuspectCleared
 from chicorybridge.versions import DeclarationActivated, ServingLease
 
 # States of a planned stop in which no new connections are taken, and in
@@ -100,6 +101,13 @@
     async def _take_decision(self, message: ClaimDecided) -> None:
         await self._claimant.decide(message)
 
+    @take.register(CrashSuspected)
+    @take.register(SuspectCleared)
+    async def _take_suspect(
+        self, message: CrashSuspected | SuspectCleared
+    ) -> None:
+        self._policies.quarantine.receive(message, now=self._clock.now())
+
     @take.register
     async def _take_drain(self, message: DrainAdvanced) -> None:
         if message.state in CLOSING_STATES:
--- a/chicorybridge/entry_processes.py
+++ b/chicorybridge/entry_processes.py
@@ -76,6 +76,7 @@
             policies=self._policies,
             connections=self._connections,
             claimant=self._claimant,
+            post=self._link.post,
             ended=self._reporter.count,
         )
         self.callers = CallerTable(
--- a/chicorybridge/policies.py
+++ b/chicorybridge/policies.py
@@ -5,6 +5,7 @@
 
 from chicorybridge import settings
 from chicorybridge.attempts import Attempt
+from chicorybridge.calls import Call
 from chicorybridge.choosers import Chooser
 from chicorybridge.clocks import Millis
 from chicorybridge.configurations import ActiveConfiguration
@@ -16,9 +17,15 @@
     WorkspaceId,
     ZoneId,
 )
+from chicorybridge.leavings import LeavingTargets
 from chicorybridge.limits import Admission, Limiter
 from chicorybridge.notices import TargetLimits
 from chicorybridge.observations import Observer
+from chicorybridge.quarantines import (
+    Quarantine,
+    Report,
+    may_have_crashed,
+)
 from chicorybridge.retries import RequestFacts, RetryDecision, RetryPolicy
 from chicorybridge.subsets import FleetSize, subset_of
 from chicorybridge.systems import Effects, Send
@@ -42,10 +49,8 @@
         self._process_name = process_name
         self._fleet = FleetSize(processes=1, zone_processes=1)
         self._configuration: ActiveConfiguration | None = None
-        # Targets that are leaving: as the host says, and by their own sign.
-        self._leaving: frozenset[TargetId] = frozenset()
-        self._signed: dict[TargetId, Millis] = {}
-        self._unreported: list[Attempt] = []
+        self._leaving = LeavingTargets()
+        self.quarantine = Quarantine()
         self._weights = Weights()
         self._observer = Observer(host_id=host_id)
         self._limiter = Limiter(rng=rng)
@@ -81,8 +86,8 @@
 
     def mark_leaving(self, target_ids: Collection[TargetId]) -> None:
         """Take over which targets are leaving, as the host knows."""
-        self._leaving = frozenset(target_ids)
-        self._chooser.set_leaving(self._leaving | self._signed.keys())
+        self._leaving.told = frozenset(target_ids)
+        self._chooser.set_leaving(self._leaving.target_ids)
 
     def admit(
         self, route: Route, workspace_id: WorkspaceId | None, *, now: Millis
@@ -132,7 +137,8 @@
         residual = self._observer.finish(number, attempt)
         self._weights.record(attempt, residual)
         if attempt.leaving:
-            self._note_leaving(attempt, now)
+            self._leaving.note(attempt, now=now)
+            self._chooser.set_leaving(self._leaving.target_ids)
         slowness = self._chooser.finished(attempt, now)
         self._limiter.finished(attempt, slowness=slowness, now=now)
 
@@ -142,35 +148,34 @@
         """Decide whether a request goes on after its last attempt."""
         return self._retries.decide(facts, attempts, now=now)
 
+    def is_quarantined(self, call: Call, *, now: Millis) -> bool:
+        """Return whether targets died when they ran this request."""
+        if self.quarantine.is_empty:
+            return False
+        return self.quarantine.refuses(call.digest, now=now)
+
+    def suspect(
+        self, call: Call, attempt: Attempt, *, now: Millis
+    ) -> Report | None:
+        """Return what other hosts are told of a request, if anything."""
+        if self.quarantine.is_empty and not may_have_crashed(attempt):
+            return None
+        return self.quarantine.attempt_ended(call.digest, attempt, now=now)
+
     def tick(self, *, now: Millis) -> Effects:
         """Return what the control process is told this tick."""
         self._weights.tick(now=now)
         self._chooser.set_ejected(self._weights.ejected)
-        self._forget_signs(now)
-        signs = self._unreported
-        self._unreported = []
+        if self._leaving.forget(now=now):
+            self._chooser.set_leaving(self._leaving.target_ids)
+        self.quarantine.tick(now=now)
         return [
             *self._observer.tick(now=now),
-            *(Send(to=self._host_id, message=sign) for sign in signs),
-        ]
-
-    def _note_leaving(self, attempt: Attempt, now: Millis) -> None:
-        """Believe the target at once; the host tells the others."""
-        if attempt.target_id not in self._signed:
-            self._unreported.append(attempt)
-        self._signed[attempt.target_id] = now
-        self.mark_leaving(self._leaving)
-
-    def _forget_signs(self, now: Millis) -> None:
-        old = [
-            target_id
-            for target_id, signed_at in self._signed.items()
-            if now - signed_at > settings.LEAVING_SIGN_MS
+            *(
+                Send(to=self._host_id, message=sign)
+                for sign in self._leaving.take_new()
+            ),
         ]
-        for target_id in old:
-            self._signed.pop(target_id)
-        if old:
-            self.mark_leaving(self._leaving)
 
     def _share(self, now: Millis) -> None:
         configuration = self._configuration
--- a/chicorybridge/tests/fronts.py
+++ b/chicorybridge/tests/fronts.py
@@ -163,6 +163,7 @@
         policies=policies,
         connections=TargetConnections(clock=clock),
         claimant=claimant,
+        post=_refuse_post,
         ended=lambda call: None,
     )
     return CallerTable(
--- a/chicorybridge/tests/test_dispatchers.py
+++ b/chicorybridge/tests/test_dispatchers.py
@@ -288,3 +288,24 @@
         assert active is not None
         with pytest.raises(PromiseError):
             plane.state.switch(active)
+
+
+async def test_request_that_crashes_targets_is_refused():
+    """After a few victims nothing more is sent, and the rest go on."""
+    async with front(*[_crash_on_marked] * 6) as plane:
+        for _ in range(5):
+            answer = await plane.exchange(
+                POST + b'Chicorybridge-Idempotent: no\r\n' + LAST + b'kill'
+            )
+        assert (_status(answer), _outcome(answer)) == (503, b'not-run')
+        victims = sum(len(one.received) for one in plane.targets)
+        assert 2 <= victims <= 3
+        answer = await plane.exchange(POST + LAST + b'fine')
+        assert _status(answer) == 200
+
+
+async def _crash_on_marked(target, sock, data):
+    if data.endswith(b'kill'):
+        await sock.close()
+        return
+    await sock.sendall(OK)
