--- a/chicorybridge/cases.py
+++ b/chicorybridge/cases.py
@@ -95,12 +95,14 @@
             self.scores[stream].add(nats, host_id=host_id, now=now, most=most)
         self._count_good(evidence.tally)
 
-    def is_gray(self, *, thresholds: Thresholds, hosts: int) -> bool:
+    def is_gray(
+        self, *, thresholds: Thresholds, hosts: int, now: Millis
+    ) -> bool:
         """Tell whether the evidence suffices; `hosts` is how many live."""
         wanted = min(hosts, thresholds.hosts)
         return any(
             score.nats >= thresholds.evidence * _factor(stream)
-            and score.at - score.since >= _span_ms(stream, thresholds)
+            and now - score.since >= _span_ms(stream, thresholds)
             and len(score.hosts) >= wanted
             for stream, score in self.scores.items()
         )
--- a/chicorybridge/scores.py
+++ b/chicorybridge/scores.py
@@ -11,6 +11,10 @@
 # What a gray target fails beyond the expected, as a share of the rest.
 GRAY_FAILURES = 0.2
 DOWN_FAILURES = 0.95
+# Evidence that ends all doubt, in nats.
+CLEARING_NATS = -1000.0
+# Shift of the other targets from which shedding is a matter of load.
+BUSY_SHIFT = 0.4
 GRAY_SHED = 0.5
 # Time in which evidence loses most of its worth.
 MEMORY_MS = 20_000.0
@@ -69,17 +73,33 @@
         Stream.failed: _ratio(
             tally.failed + cuts, tally.answered, normal, GRAY_FAILURES
         ),
-        Stream.down: _ratio(tally.unreachable, good, normal, DOWN_FAILURES),
+        Stream.down: _weigh_down(evidence, good),
         Stream.large: _ratio(
             tally.large_failed,
             tally.large_answered,
             evidence.large_share,
             GRAY_FAILURES,
         ),
-        Stream.shed: _ratio(tally.shed, good, evidence.shed_share, GRAY_SHED),
+        Stream.shed: _weigh_shed(evidence, good),
     }
 
 
+def _weigh_down(evidence: Evidence, good: float) -> float:
+    """Weigh refused connections; a target that answers is up."""
+    refused = evidence.tally.unreachable
+    if good and not refused:
+        return CLEARING_NATS
+    return _ratio(refused, good, evidence.failed_share, DOWN_FAILURES)
+
+
+def _weigh_shed(evidence: Evidence, good: float) -> float:
+    """Weigh shedding, which a busy pool does for good reason."""
+    if evidence.shift >= BUSY_SHIFT:
+        return 0
+    shed = evidence.tally.shed
+    return _ratio(shed, good, evidence.shed_share, GRAY_SHED)
+
+
 def _ratio(bad: float, good: float, normal: float, gray: float) -> float:
     """Return the log likelihood ratio of gray against normal."""
     if not bad and not good:
--- /dev/null
+++ b/chicorybridge/tests/test_cases.py
@@ -0,0 +1,139 @@
+"""Tests of the evidence for and against one target."""
+
+import pytest
+
+from chicorybridge.cases import Case
+from chicorybridge.clocks import Millis
+from chicorybridge.evidence import Evidence
+from chicorybridge.identities import HostId, TargetId, ZoneId
+from chicorybridge.observations import Tally
+from chicorybridge.thresholds import thresholds_of
+
+TARGET = TargetId('target-00')
+NEAR = ZoneId('groningen')
+FAR = ZoneId('leeuwarden')
+FAST = thresholds_of(0.9)
+CAUTIOUS = thresholds_of(0.1)
+# Weight of one latency sample at the usual spread of service times.
+WEIGHT = 4
+SLOW = 1.1
+HOSTS = tuple(HostId(f'host-{number}') for number in range(6))
+
+
+def _evidence(*, shift=0, others_shift=0, failed_share=0.005, **counts):
+    tally = Tally(target_id=TARGET, **counts)
+    tally.latency_weight = WEIGHT
+    tally.latency_shift = WEIGHT * shift
+    return Evidence(
+        tally=tally,
+        failed_share=failed_share,
+        large_share=0.005,
+        shed_share=0.03,
+        shift=others_shift,
+        others=Tally(target_id=TARGET),
+    )
+
+
+def _report(case, evidence, *, times, zone_id=NEAR, thresholds=FAST, start=0):
+    """Let the hosts report the same in turn, every 100 ms."""
+    for number in range(times):
+        case.add(
+            evidence,
+            host_id=HOSTS[number % len(HOSTS)],
+            zone_id=zone_id,
+            now=Millis(start + 100 * number),
+            thresholds=thresholds,
+        )
+
+
+@pytest.fixture
+def case():
+    """Return the case of a target that is warm."""
+    return Case(warm_up_ms=0, now=Millis(0))
+
+
+def _is_gray(case, thresholds=FAST):
+    return case.is_gray(thresholds=thresholds, hosts=36, now=Millis(60_000))
+
+
+def test_failures_suffice_sooner_at_higher_sensitivity(case):
+    """Kente's setting takes a few failures, the Bureau's more."""
+    _report(case, _evidence(failed=1), times=4)
+    assert _is_gray(case)
+    assert not _is_gray(case, CAUTIOUS)
+    _report(case, _evidence(failed=1), times=30, thresholds=CAUTIOUS)
+    assert _is_gray(case, CAUTIOUS)
+
+
+def test_slow_target_is_gray_and_a_slow_service_is_not(case):
+    """Latency counts beyond what hosts see of the other targets."""
+    shared = _evidence(shift=SLOW, others_shift=SLOW, answered=1)
+    _report(case, shared, times=50)
+    assert not _is_gray(case)
+    _report(case, _evidence(shift=SLOW, answered=1), times=50, start=5000)
+    assert _is_gray(case)
+
+
+def test_errors_of_the_whole_service_do_not_count(case):
+    """A target that fails as often as the others is not gray."""
+    evidence = _evidence(failed=1, answered=1, failed_share=0.5)
+    _report(case, evidence, times=50)
+    assert not _is_gray(case)
+
+
+def test_one_host_alone_cannot_eject(case):
+    """A network fault near one host is not the target's."""
+    for number in range(50):
+        case.add(
+            _evidence(failed=1),
+            host_id=HOSTS[0],
+            zone_id=NEAR,
+            now=Millis(100 * number),
+            thresholds=FAST,
+        )
+    assert not _is_gray(case)
+
+
+def test_crash_under_many_requests_counts_once(case):
+    """Connections cut at the same moment have one cause."""
+    for host_id in HOSTS:
+        case.add(
+            _evidence(cut=1),
+            host_id=host_id,
+            zone_id=NEAR,
+            now=Millis(0),
+            thresholds=FAST,
+        )
+    assert not _is_gray(case)
+
+
+def test_cold_start_is_not_slow():
+    """Latency counts only once a restarted target is warm."""
+    case = Case(warm_up_ms=10_000, now=Millis(0))
+    _report(case, _evidence(shift=SLOW, answered=1), times=90)
+    assert not _is_gray(case)
+    _report(case, _evidence(leaving=1, answered=1), times=1, start=20_000)
+    slow = _evidence(shift=SLOW, answered=1)
+    _report(case, slow, times=90, start=20_100)
+    assert not _is_gray(case)
+
+
+def test_zone_that_fares_well_keeps_the_target(case):
+    """A one-way partition takes the target from one zone only."""
+    for number in range(20):
+        start = 200 * number
+        good = _evidence(answered=1)
+        _report(case, good, times=1, zone_id=FAR, start=start)
+        bad = _evidence(shift=SLOW, answered=1)
+        _report(case, bad, times=2, zone_id=NEAR, start=start)
+    assert case.zones == (NEAR,)
+
+
+def test_trial_needs_good_work_from_a_target(case):
+    """One failure starts the count again."""
+    _report(case, _evidence(answered=1), times=11)
+    assert not case.passes_trial(thresholds=FAST)
+    _report(case, _evidence(answered=1), times=1, start=2000)
+    assert case.passes_trial(thresholds=FAST)
+    _report(case, _evidence(failed=1), times=1, start=3000)
+    assert not case.passes_trial(thresholds=FAST)
--- /dev/null
+++ b/chicorybridge/tests/test_permits.py
@@ -0,0 +1,141 @@
+"""Tests of permits: claims, loans and lapses."""
+
+from chicorybridge.holdings import HoldingTable
+from chicorybridge.identities import HostId, Version
+from chicorybridge.ledgers import budgets_of, ledger_of, row_key_of
+from chicorybridge.stores import ReadRows
+from chicorybridge.tools.declared import SERVICE_ID, declare
+from chicorybridge.tools.fleets import Fleet
+
+# Ten targets of six slots with a floor of 0.9 leave one to eject.
+BUDGET = 6
+FIRST = HostId('host-00')
+SECOND = HostId('host-01')
+
+
+def _fleet(*, hosts=3):
+    declaration = declare(targets=10, floor=0.9)
+    return Fleet(hosts=hosts, declaration=declaration, seed=5)
+
+
+def _holding(fleet, host_id):
+    holdings = fleet.hosts_by_id[host_id].detection.holdings
+    return holdings.by_service[SERVICE_ID]
+
+
+def _held(fleet):
+    """Return the slots that hosts may use now, loans included."""
+    return sum(
+        max(0, host.detection.holdings.free_slots(SERVICE_ID, now=fleet.now))
+        for host_id, host in fleet.hosts_by_id.items()
+        if host_id not in fleet.channel.paused
+    )
+
+
+def _holder(fleet):
+    return next(
+        host_id
+        for host_id in fleet.hosts_by_id
+        if _holding(fleet, host_id).owned
+    )
+
+
+def _booked(fleet):
+    tables = fleet.channel.store.tables
+    reply = tables.execute(ReadRows(row_keys=(row_key_of(SERVICE_ID),)))
+    return ledger_of(SERVICE_ID, reply.rows[0]).shares_by_holder
+
+
+def test_budget_counts_slots_above_the_floor():
+    """A floor that does not come out even is rounded up."""
+    assert budgets_of(declare(targets=10, floor=0.7))[SERVICE_ID] == 18
+    assert budgets_of(declare(targets=7, floor=0.7))[SERVICE_ID] == 12
+    assert budgets_of(declare(targets=8, floor=1))[SERVICE_ID] == 0
+
+
+def test_claims_stay_within_the_budget():
+    """All hosts want permits; together they get the budget."""
+    fleet = _fleet()
+    fleet.run(for_ms=10_000)
+    assert _held(fleet) == BUDGET
+    assert sum(_booked(fleet).values()) == BUDGET
+
+
+def test_unanswered_claims_cost_slots_at_worst():
+    """What may have taken effect unanswered is never counted as held."""
+    fleet = _fleet()
+    fleet.channel.store.unanswered_share = 0.5
+    for _ in range(300):
+        fleet.run()
+        assert _held(fleet) <= sum(_booked(fleet).values()) <= BUDGET
+
+
+def test_loan_moves_permits_without_the_store():
+    """A host in need borrows from a peer while the store is away."""
+    fleet = _fleet()
+    fleet.run(for_ms=5000)
+    fleet.channel.store.outage = True
+    holder = _holder(fleet)
+    borrower = next(each for each in fleet.hosts_by_id if each != holder)
+    detection = fleet.hosts_by_id[borrower].detection
+    detection.ejections.prepare(SERVICE_ID, BUDGET, now=fleet.now)
+    fleet.run(for_ms=500)
+    assert detection.holdings.free_slots(SERVICE_ID, now=fleet.now) == BUDGET
+    assert _held(fleet) == BUDGET
+
+
+def test_loan_counts_only_while_the_lender_lives():
+    """The lender's share can be given out again, so the loan must end."""
+    fleet = _fleet()
+    fleet.run(for_ms=5000)
+    holder = _holder(fleet)
+    borrower = next(each for each in fleet.hosts_by_id if each != holder)
+    detection = fleet.hosts_by_id[borrower].detection
+    detection.ejections.prepare(SERVICE_ID, BUDGET, now=fleet.now)
+    fleet.run(for_ms=500)
+    fleet.crash_host(holder)
+    fleet.update_hosts()
+    fleet.run(for_ms=6000)
+    assert detection.holdings.free_slots(SERVICE_ID, now=fleet.now) <= 0
+
+
+def _pause_until_regained(fleet):
+    """Pause the holder until a peer has its share; wake it."""
+    holder = _holder(fleet)
+    host = fleet.hosts_by_id[holder]
+    fleet.channel.paused.add(holder)
+    fleet.gone.add(host.incarnation)
+    fleet.update_hosts()
+    fleet.run(for_ms=40_000)
+    assert _held(fleet) == BUDGET
+    fleet.channel.paused.clear()
+    fleet.gone.clear()
+    fleet.update_hosts()
+    fleet.run(for_ms=200)
+
+
+def test_share_of_a_paused_host_is_never_held_twice():
+    """A host that wakes has lost what others may have claimed."""
+    fleet = _fleet()
+    fleet.run(for_ms=5000)
+    _pause_until_regained(fleet)
+    assert _held(fleet) == BUDGET
+
+
+def test_check_of_a_share_held_twice_can_fail(monkeypatch):
+    """A host that kept its permits through a pause breaks the budget."""
+    fleet = _fleet()
+    fleet.run(for_ms=5000)
+    monkeypatch.setattr(HoldingTable, 'check_lapse', lambda _, now: None)
+    _pause_until_regained(fleet)
+    assert _held(fleet) == 2 * BUDGET
+
+
+def test_host_that_skipped_a_version_drops_its_permits():
+    """It cannot know what the others held in between."""
+    fleet = _fleet()
+    fleet.run(for_ms=5000)
+    holder = _holder(fleet)
+    fleet.version = Version(3)
+    fleet.configure_host(holder)
+    assert _holding(fleet, holder).owned == 0
--- a/chicorybridge/thresholds.py
+++ b/chicorybridge/thresholds.py
@@ -14,7 +14,7 @@
 # The same for latency: queues come and go, and good news travels more
 # slowly than bad.
 LONGEST_LATENCY_SPAN_MS = 2500.0
-SHORTEST_LATENCY_SPAN_MS = 400.0
+SHORTEST_LATENCY_SPAN_MS = 200.0
 
 # Hosts that must agree, as far as there are as many.
 MOST_HOSTS = 4
