Bound the peers of a host in large fleets (partial)

Above fifty hosts a zone is a ring with chords and few bridges; profiles and the loss of hosts pass on by flooding. The cold start of such a fleet still floods too much; small fleets are as before.

--- a/chicorybridge/hearings.py
+++ b/chicorybridge/hearings.py
@@ -1,5 +1,6 @@
 """What a host does with each message on membership that it hears."""
 
+import dataclasses
 import functools
 from typing import Any
 
@@ -7,19 +8,26 @@
 from chicorybridge.events import Event, EventKind
 from chicorybridge.heartbeats import Heartbeats
 from chicorybridge.identities import HostId
+from chicorybridge.links import NEVER, Link
 from chicorybridge.peers import Peers
 from chicorybridge.profiles import (
+    NO_READING,
     Departed,
     Forward,
     Heartbeat,
+    HostProfile,
     Introduction,
     Relayed,
+    Verdict,
 )
 from chicorybridge.stores import StoreOutcome, StoreReply
 from chicorybridge.systems import Effect, Effects, Emit, Send
 
 HOSTS_TOKEN = 'members:hosts'
 
+# Reason of a change that other hosts told.
+VERDICT = 'verdict'
+
 
 def told(kind: EventKind, host_id: HostId, reason: str) -> Emit:
     """Return the event that something happened to a host."""
@@ -34,6 +42,36 @@
         """Work on the tables of the membership system."""
         self._peers = peers
         self._heartbeats = heartbeats
+        # Profiles learnt since the last tick, to be passed on.
+        self._news_by_id: dict[HostId, HostProfile] = {}
+
+    def pass_news(self) -> list[Send]:
+        """Pass the profiles on that others may not have heard of."""
+        if not self._news_by_id:
+            return []
+        profiles = tuple(self._news_by_id.values())
+        self._news_by_id = {}
+        return self._pass_on(Introduction(profiles=profiles))
+
+    def judge(
+        self, link: Link, *, live: bool, reason: str, now: Millis
+    ) -> Effects:
+        """Count a host as live or lost, and tell those who cannot hear it.
+
+        Only the loss of a host that was heard is told, and its return.
+        """
+        worth_telling = link.reading != NO_READING
+        if live:
+            worth_telling = link.condemned_at != NEVER
+        link.condemned_at = NEVER if live else now
+        effects: list[Effect] = []
+        if link.live != live and (reason != VERDICT or not link.monitored):
+            self._peers.set_live(link, live=live)
+            kind = EventKind.peer_heard if live else EventKind.peer_lost
+            effects.append(told(kind, link.host_id, reason))
+        if worth_telling:
+            effects.extend(self._pass_on(_verdict(link, live=live)))
+        return effects
 
     @functools.singledispatchmethod
     def take(self, message: Any, sender: HostId, now: Millis) -> Effects:
@@ -49,9 +87,10 @@
         link = self._peers.link(sender, now=now)
         greeting: list[Effect] = []
         if link.incarnation != message.incarnation:
-            greeting.append(self._heartbeats.introduce(link, everyone=True))
+            greeting.extend(self._greet(link))
             if not self._peers.adopt(link, message, now=now):
                 return greeting
+        self._peers.attach(link)
         link.hear(message, own=self._peers.own.incarnation, now=now)
         if self._peers.own.host_id in message.unheard:
             link.unheard_at = now
@@ -63,7 +102,8 @@
         self, message: Introduction, sender: HostId, now: Millis
     ) -> Effects:
         for profile in message.profiles:
-            self._peers.learn(profile, now=now)
+            if self._peers.learn(profile, now=now):
+                self._news_by_id[profile.host_id] = profile
         return ()
 
     @take.register
@@ -88,8 +128,28 @@
         link = self._peers.links_by_id.get(message.host_id)
         if link is None or link.incarnation != message.incarnation:
             return ()
+        passed_on = self._pass_on(message)
         self._forget(link.host_id)
-        return [told(EventKind.peer_lost, link.host_id, 'departed')]
+        return [told(EventKind.peer_lost, link.host_id, 'departed'), *passed_on]
+
+    @take.register
+    def _take_verdict(
+        self, message: Verdict, sender: HostId, now: Millis
+    ) -> Effects:
+        if message.host_id == self._peers.own.host_id:
+            return self._object(message, now)
+        link = self._peers.links_by_id.get(message.host_id)
+        if link is None or link.incarnation != message.incarnation:
+            return ()
+        if link.monitored and link.is_direct(now):
+            return self._refute(link, message)
+        newer = message.reading > link.reading
+        repeated = message.reading == link.reading and not message.live
+        condemned = link.condemned_at != NEVER
+        if message.live != condemned or not (newer or repeated):
+            return ()
+        link.advance(message.reading, now)
+        return self.judge(link, live=message.live, reason=VERDICT, now=now)
 
     @take.register
     def _take_forward(
@@ -113,6 +173,49 @@
             self._forget(host_id)
         return ()
 
+    def _greet(self, link: Link) -> list[Send]:
+        greeting = [self._heartbeats.introduce(link, everyone=True)]
+        if self._peers.is_mesh:
+            return greeting
+        # A profile is taken for that of a live host unless told otherwise.
+        verdicts = (
+            _verdict(other, live=False)
+            for other in self._peers.links_by_id.values()
+            if other.reading != NO_READING and not other.live
+        )
+        told_to = link.host_id
+        return greeting + [
+            Send(to=told_to, message=verdict) for verdict in verdicts
+        ]
+
+    def _pass_on(self, message: Any) -> list[Send]:
+        # In a full mesh everybody was told at first hand.
+        if self._peers.is_mesh:
+            return []
+        return self._heartbeats.tell_all(message)
+
+    def _object(self, message: Verdict, now: Millis) -> Effects:
+        own = self._peers.own
+        if message.live or message.incarnation != own.incarnation:
+            return ()
+        alive = dataclasses.replace(message, reading=int(now), live=True)
+        return self._pass_on(alive)
+
+    def _refute(self, link: Link, message: Verdict) -> Effects:
+        if message.live or link.reading <= message.reading:
+            return ()
+        alive = dataclasses.replace(message, reading=link.reading, live=True)
+        return self._pass_on(alive)
+
     def _forget(self, host_id: HostId) -> None:
         self._peers.forget(host_id)
         self._heartbeats.forget(host_id)
+
+
+def _verdict(link: Link, *, live: bool) -> Verdict:
+    return Verdict(
+        host_id=link.host_id,
+        incarnation=link.incarnation,
+        reading=link.reading,
+        live=live,
+    )
--- a/chicorybridge/heartbeats.py
+++ b/chicorybridge/heartbeats.py
@@ -36,10 +36,10 @@
         self._due_by_id.pop(host_id, None)
 
     def tell_all(self, message: Any) -> list[Send]:
-        """Send `message` to every host known."""
+        """Send `message` to every peer."""
         return [
-            Send(to=host_id, message=message)
-            for host_id in self._peers.links_by_id
+            Send(to=link.host_id, message=message)
+            for link in self._peers.linked
         ]
 
     def send_due(self, *, version: Version, now: Millis) -> Iterator[Effect]:
@@ -48,7 +48,7 @@
             self._helpers_due = Millis(now + settings.FAR_HEARTBEAT_MS)
             self.helpers = set(self.pick(HELPERS, now=now))
         unheard = self._unheard(now)
-        for link in self._peers.links_by_id.values():
+        for link in self._peers.linked:
             if now < self._due_by_id.get(link.host_id, NEVER):
                 continue
             self._schedule(link, now)
@@ -89,9 +89,7 @@
     def pick(self, count: int, *, now: Millis) -> list[HostId]:
         """Pick peers at random among those reached both ways."""
         two_way = [
-            link.host_id
-            for link in self._peers.links_by_id.values()
-            if link.is_two_way(now)
+            link.host_id for link in self._peers.linked if link.is_two_way(now)
         ]
         return self._rng.sample(two_way, min(count, len(two_way)))
 
@@ -126,7 +124,7 @@
     def _unheard(self, now: Millis) -> tuple[HostId, ...]:
         unheard = [
             link.host_id
-            for link in self._peers.links_by_id.values()
+            for link in self._peers.linked
             if not link.is_direct(now)
         ]
         if len(unheard) <= UNHEARD_NAMED:
--- a/chicorybridge/joinings.py
+++ b/chicorybridge/joinings.py
@@ -46,10 +46,8 @@
         if not self._holdings.confirmed:
             return ()
         self._ask_due = Millis(now + settings.REPORT_MS)
-        everyone = set(self._members.peers.links_by_id)
-        return self._confirmations.ask(
-            everyone, self._holdings.version, now=now
-        )
+        peers = {link.host_id for link in self._members.peers.linked}
+        return self._confirmations.ask(peers, self._holdings.version, now=now)
 
     def see_head(self, version: Version, *, asked_at: Millis) -> None:
         """Take in the platform's newest version as read at `asked_at`."""
@@ -69,18 +67,18 @@
     def _reports_suffice(self) -> bool:
         if not self._holdings.confirmed:
             return False
-        links_by_id = self._members.peers.links_by_id
+        linked = {link.host_id for link in self._members.peers.counted}
         fresh = [
             report
             for report in self._confirmations.reports_by_host.values()
             if report.asked_at >= self._settled_at
-            and report.host_id in links_by_id
+            and report.host_id in linked
             and report.version
         ]
         if any(report.version > self._holdings.confirmed for report in fresh):
             return False
         # Half of the fleet cannot all have been excused by the rest.
-        if 2 * (len(fresh) + 1) > len(links_by_id):
+        if 2 * (len(fresh) + 1) > len(linked):
             return len(fresh) >= settings.JOIN_REPORTS
         taking = sum(report.taking for report in fresh)
         return taking >= settings.JOIN_REPORTS
--- a/chicorybridge/links.py
+++ b/chicorybridge/links.py
@@ -46,6 +46,12 @@
     unheard_at: Millis = NEVER
     # Whether the host counts as live; changes raise an event.
     live: bool = False
+    # Whether this host chose the peer, and whether they hear each other;
+    # of all other hosts it knows by the verdicts of their peers.
+    chosen: bool = True
+    monitored: bool = True
+    # When a verdict came that the host is lost.
+    condemned_at: Millis = NEVER
 
     @property
     def lost_after_ms(self) -> int:
@@ -57,6 +63,13 @@
         """Return the revision of the peer's profile held here."""
         return self.profile.revision if self.profile else NO_READING
 
+    @property
+    def is_presumed_live(self) -> bool:
+        """Return whether a host known by others counts as live."""
+        if self.monitored or self.profile is None:
+            return False
+        return self.condemned_at == NEVER and self.heard_at == NEVER
+
     @property
     def silent_since(self) -> Millis:
         """Return when the last sign of life came in.
@@ -64,7 +77,14 @@
         Nothing newer was ever echoed to the host, so its own proof of
         being heard is no younger.
         """
-        return max(self.advanced_at, self.known_at)
+        latest = max(self.advanced_at, self.known_at)
+        return latest if self.monitored else max(latest, self.condemned_at)
+
+    def is_silent(self, now: Millis) -> bool:
+        """Return whether no sign of life came for too long."""
+        if not self.monitored:
+            return not self.live
+        return now - self.silent_since > self.lost_after_ms
 
     def restart(self, incarnation: Incarnation, *, now: Millis) -> None:
         """Forget what belonged to an earlier incarnation of the peer."""
@@ -74,12 +94,13 @@
         self.told = NO_READING
         self.proven_at = NEVER
         self.relayed_at = NEVER
+        self.condemned_at = NEVER
         self.known_at = now
 
     def hear(self, beat: Heartbeat, *, own: Incarnation, now: Millis) -> None:
         """Take in a heartbeat; `own` is this host's incarnation."""
         self.heard_at = now
-        self._advance(beat.reading, now)
+        self.advance(beat.reading, now)
         if beat.echo_of != own or beat.echo == NO_READING:
             return
         self.told = beat.known
@@ -89,7 +110,7 @@
         self, relayed: Relayed, *, proven_at: Millis, now: Millis
     ) -> None:
         """Take in a relay by a peer that is proven until `proven_at`."""
-        self._advance(relayed.reading, now)
+        self.advance(relayed.reading, now)
         heard_at = Millis(proven_at - relayed.age_ms)
         self.relayed_at = max(self.relayed_at, heard_at)
 
@@ -117,7 +138,8 @@
             return Reach.relayed
         return Reach.lost
 
-    def _advance(self, reading: int, now: Millis) -> None:
+    def advance(self, reading: int, now: Millis) -> None:
+        """Note the latest clock reading of the peer."""
         if reading > self.reading:
             self.reading = reading
             self.advanced_at = now
--- a/chicorybridge/members.py
+++ b/chicorybridge/members.py
@@ -51,7 +51,6 @@
         self.version: Version = NO_VERSION
         self.ready = True
         self._hearings = Hearings(peers=self.peers, heartbeats=self._heartbeats)
-        self._live_changes = 0
         self._seeds = seeds
         self._rng = rng
         self._list_due: Millis = NEVER
@@ -64,7 +63,7 @@
     @property
     def generation(self) -> int:
         """Return a number that grows with every change of live hosts."""
-        return self.peers.generation + self._live_changes
+        return self.peers.generation + self.peers.changes
 
     @property
     def hosts_by_id(self) -> dict[HostId, HostProfile]:
@@ -102,7 +101,7 @@
         self.peers.own = dataclasses.replace(
             self.profile, revision=revision, **changes
         )
-        self._live_changes += 1
+        self.peers.changes += 1
         return self._heartbeats.tell_all(Introduction(profiles=(self.profile,)))
 
     def depart(self) -> Effects:
@@ -118,7 +117,7 @@
         """Send to one host, also around the link if that is broken."""
         direct = Send(to=to, message=message)
         link = self.peers.links_by_id.get(to)
-        if link is None or link.is_two_way(now):
+        if link is None or not link.monitored or link.is_two_way(now):
             return [direct]
         around = Forward(to=to, message=message)
         helpers = self._heartbeats.pick(FORWARDERS, now=now)
@@ -126,8 +125,10 @@
 
     def tick(self, *, now: Millis) -> Effects:
         """Poll the platform's list, review the links, send heartbeats."""
+        self.peers.choose(now=now)
         return [
             *self._poll(now),
+            *self._hearings.pass_news(),
             *self._review(now),
             *self._review_self(now),
             *self._heartbeats.send_due(version=self.version, now=now),
@@ -145,19 +146,24 @@
         if now >= self._list_due:
             # Hosts poll at times of their own, so that one sees news soon.
             share = self._rng.uniform(1 - LIST_JITTER, 1 + LIST_JITTER)
+            # All hosts together read the list as often in large fleets.
+            known = len(self.peers.links_by_id)
+            share *= max(1, known / settings.MESH_HOSTS)
             self._list_due = Millis(now + share * settings.HOST_LIST_MS)
             yield Ask(token=HOSTS_TOKEN, request=ListHosts())
 
     def _review(self, now: Millis) -> Iterator[Effect]:
-        for link in self.peers.links_by_id.values():
+        for link in tuple(self.peers.linked):
             reach = link.reach(now)
             live = reach is not Reach.lost
             if live == link.live:
                 continue
-            link.live = live
-            self._live_changes += 1
-            kind = EventKind.peer_heard if live else EventKind.peer_lost
-            yield told(kind, link.host_id, reach.value)
+            if not live and not link.chosen:
+                self.peers.detach(link)
+                continue
+            yield from self._hearings.judge(
+                link, live=live, reason=reach.value, now=now
+            )
 
     def _review_self(self, now: Millis) -> Iterator[Effect]:
         taking = self.ready and not self.peers.is_cut_off(now)
--- /dev/null
+++ b/chicorybridge/peertables.py
@@ -0,0 +1,165 @@
+"""The table of links to all known hosts."""
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.fanouts import chosen_peers, is_mesh
+from chicorybridge.identities import HostId, Incarnation
+from chicorybridge.links import NEVER, NO_INCARNATION, Link
+from chicorybridge.profiles import Heartbeat, HostProfile
+
+# Incarnations remembered as gone, so that late messages revive none.
+GONE_KEPT = 4096
+
+
+class PeerTable:
+    """Keep one link for each known host but the own.
+
+    `generation` counts the changes of profiles and of the hosts known.
+    """
+
+    def __init__(self, *, profile: HostProfile) -> None:
+        """Start without peers; `profile` is the own one."""
+        self.own = profile
+        self.links_by_id: dict[HostId, Link] = {}
+        self.generation = 0
+        # Latest own time at which the store is proven to have given this
+        # host the head of the configuration.
+        self.store_proven_at: Millis = NEVER
+        self.linked: list[Link] = []
+        # Changes of which hosts are live, and of the own profile.
+        self.changes = 0
+        # Number of links that count as live.
+        self.live_count = 0
+        self._gone: dict[Incarnation, None] = {}
+        self._chosen_at = -1
+
+    @property
+    def is_mesh(self) -> bool:
+        """Return whether all hosts exchange heartbeats with all."""
+        return is_mesh(len(self.links_by_id) + 1)
+
+    def choose(self, *, now: Millis) -> None:
+        """Choose the peers anew if the hosts known have changed."""
+        if self._chosen_at == self.generation:
+            return
+        self._chosen_at = self.generation
+        links = self.links_by_id.values()
+        chosen = self._chosen()
+        for link in links:
+            link.chosen = link.host_id in chosen
+            link.monitored = link.chosen or link.is_direct(now)
+            if link.is_presumed_live and not link.live:
+                self.set_live(link, live=True)
+        self.linked = [one for one in links if one.monitored]
+
+    def attach(self, link: Link) -> None:
+        """Answer a peer that chose this host."""
+        if not link.monitored:
+            link.monitored = True
+            self.linked.append(link)
+
+    def detach(self, link: Link) -> None:
+        """Let go of a peer that no longer chooses this host."""
+        link.monitored = False
+        self.linked.remove(link)
+
+    def set_live(self, link: Link, *, live: bool) -> None:
+        """Count a host as live or as lost."""
+        self.live_count += live - link.live
+        link.live = live
+        self.changes += 1
+
+    def is_gone(self, incarnation: Incarnation) -> bool:
+        """Return whether an incarnation is known to have ended."""
+        return incarnation in self._gone
+
+    def bury(self, incarnation: Incarnation) -> None:
+        """Remember that an incarnation has ended."""
+        if incarnation == NO_INCARNATION:
+            return
+        self._gone[incarnation] = None
+        if len(self._gone) > GONE_KEPT:
+            self._gone.pop(next(iter(self._gone)))
+
+    def link(self, host_id: HostId, *, now: Millis) -> Link:
+        """Return the link to a host, a new one for an unknown host."""
+        known = self.links_by_id.get(host_id)
+        if known is None:
+            known = Link(host_id=host_id, known_at=now)
+            self.links_by_id[host_id] = known
+            # The next choice decides; until then the host is a stranger.
+            known.monitored = False
+            self.generation += 1
+        return known
+
+    def adopt(self, link: Link, beat: Heartbeat, *, now: Millis) -> bool:
+        """Take a heartbeat of an unknown incarnation; say if it counts.
+
+        While the link is alive, the new incarnation must first echo a
+        newer reading than the old one did, which a late message cannot.
+        """
+        proves = (
+            beat.echo_of == self.own.incarnation
+            and beat.echo > link.proven_at
+            and beat.echo > link.known_at
+        )
+        if proves:
+            self.bury(link.incarnation)
+        elif link.incarnation != NO_INCARNATION and link.is_direct(now):
+            return False
+        self._restart(link, beat.incarnation, now)
+        return True
+
+    def forget(self, host_id: HostId) -> None:
+        """Drop a host that is gone for good."""
+        link = self.links_by_id.pop(host_id, None)
+        if link is None:
+            return
+        if link in self.linked:
+            self.linked.remove(link)
+        self.live_count -= link.live
+        self.bury(link.incarnation)
+        self.generation += 1
+
+    def learn(self, profile: HostProfile, *, now: Millis) -> bool:
+        """Take in a profile; return whether it was news.
+
+        Another incarnation gives way to one that is heard directly.
+        """
+        if profile.host_id == self.own.host_id:
+            return False
+        if self.is_gone(profile.incarnation):
+            return False
+        link = self.link(profile.host_id, now=now)
+        if link.incarnation != profile.incarnation:
+            if link.is_direct(now):
+                return False
+            self._restart(link, profile.incarnation, now)
+        if link.revision >= profile.revision:
+            return False
+        self._describe(link, profile)
+        return True
+
+    def _chosen(self) -> set[HostId]:
+        if self.is_mesh:
+            return set(self.links_by_id)
+        links = self.links_by_id.values()
+        return chosen_peers(
+            self.own,
+            [link.profile for link in links if link.profile],
+            [link.host_id for link in links if not link.profile],
+        )
+
+    def _restart(
+        self, link: Link, incarnation: Incarnation, now: Millis
+    ) -> None:
+        link.restart(incarnation, now=now)
+        self.generation += 1
+
+    def _describe(self, link: Link, profile: HostProfile) -> None:
+        link.profile = profile
+        near = profile.region_id == self.own.region_id
+        link.interval_ms = (
+            settings.HEARTBEAT_MS if near else settings.FAR_HEARTBEAT_MS
+        )
+        self.generation += 1
--- a/chicorybridge/profiles.py
+++ b/chicorybridge/profiles.py
@@ -95,6 +95,21 @@
     age_ms: int
 
 
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """Tell hosts that do not hear a host whether its peers do.
+
+    `reading` is the clock of that host when last heard: of two verdicts
+    the one with the later reading counts.
+    """
+
+    host_id: HostId
+    incarnation: Incarnation
+    reading: int
+    live: bool
+
+
 @wire
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Departed:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -58,6 +58,10 @@
 FAR_HEARTBEAT_MS = 3000
 LOST_BEATS = 4
 HOST_LIST_MS = 5000
+# Up to this size all hosts exchange heartbeats; in larger fleets each does
+# with few of its zone, and so many bridges of a zone with other zones.
+MESH_HOSTS = 50
+BRIDGES = 4
 # A host that nobody proves to hear, and that cannot read the head of the
 # configuration, takes no new work after `CUT_OFF_MS`. Others stop waiting
 # for it after `EXCUSE_MS`, which leaves a margin for clock drift.
--- a/chicorybridge/spreads.py
+++ b/chicorybridge/spreads.py
@@ -164,12 +164,15 @@
         yield from self._members.sends(source, message, now=now)
 
     def _offers(self, origin: bool, now: Millis) -> Iterator[Effect]:
-        for host_id in self._members.peers.links_by_id:
-            known = self._versions_by_host.get(host_id, 0)
+        # In a large fleet the only far peers are those of bridges.
+        peers = self._members.peers
+        far = origin or not peers.is_mesh
+        for link in peers.linked:
+            known = self._versions_by_host.get(link.host_id, 0)
             if known >= self._holdings.version:
                 continue
-            if origin or self._is_near(host_id):
-                yield from self._offer(host_id, now)
+            if far or self._is_near(link.host_id):
+                yield from self._offer(link.host_id, now)
 
     def _offer(self, to: HostId, now: Millis) -> Effects:
         held = self._holdings.held
