Settle verdicts on lost hosts by the latest reading

A storm of verdicts at the start of a fleet of 60 (173,000 messages in 0.5 s) came from presumed-live hosts that were judged before a first heartbeat could arrive, and from refutations sent to everyone. Now a peer gets a grace after being chosen, and refutations go to the sender only.

--- a/chicorybridge/hearings.py
+++ b/chicorybridge/hearings.py
@@ -11,7 +11,6 @@
 from chicorybridge.links import NEVER, Link
 from chicorybridge.peers import Peers
 from chicorybridge.profiles import (
-    NO_READING,
     Departed,
     Forward,
     Heartbeat,
@@ -60,9 +59,8 @@
 
         Only the loss of a host that was heard is told, and its return.
         """
-        worth_telling = link.reading != NO_READING
-        if live:
-            worth_telling = link.condemned_at != NEVER
+        known = link.condemned_at if live else link.heard_at
+        worth_telling = reason == VERDICT or known != NEVER
         link.condemned_at = NEVER if live else now
         effects: list[Effect] = []
         if link.live != live and (reason != VERDICT or not link.monitored):
@@ -137,16 +135,16 @@
         self, message: Verdict, sender: HostId, now: Millis
     ) -> Effects:
         if message.host_id == self._peers.own.host_id:
-            return self._object(message, now)
+            return self._object(message, sender, now)
         link = self._peers.links_by_id.get(message.host_id)
         if link is None or link.incarnation != message.incarnation:
             return ()
         if link.monitored and link.is_direct(now):
-            return self._refute(link, message)
+            return self._refute(link, message, sender)
         newer = message.reading > link.reading
-        repeated = message.reading == link.reading and not message.live
-        condemned = link.condemned_at != NEVER
-        if message.live != condemned or not (newer or repeated):
+        # At the same reading the loss is the later word.
+        loss = link.condemned_at == NEVER and not message.live
+        if not newer and not (loss and message.reading == link.reading):
             return ()
         link.advance(message.reading, now)
         return self.judge(link, live=message.live, reason=VERDICT, now=now)
@@ -181,7 +179,7 @@
         verdicts = (
             _verdict(other, live=False)
             for other in self._peers.links_by_id.values()
-            if other.reading != NO_READING and not other.live
+            if other.condemned_at != NEVER
         )
         told_to = link.host_id
         return greeting + [
@@ -194,18 +192,18 @@
             return []
         return self._heartbeats.tell_all(message)
 
-    def _object(self, message: Verdict, now: Millis) -> Effects:
+    def _object(self, message: Verdict, sender: HostId, now: Millis) -> Effects:
         own = self._peers.own
         if message.live or message.incarnation != own.incarnation:
             return ()
         alive = dataclasses.replace(message, reading=int(now), live=True)
-        return self._pass_on(alive)
+        return [Send(to=sender, message=alive)]
 
-    def _refute(self, link: Link, message: Verdict) -> Effects:
+    def _refute(self, link: Link, message: Verdict, sender: HostId) -> Effects:
         if message.live or link.reading <= message.reading:
             return ()
         alive = dataclasses.replace(message, reading=link.reading, live=True)
-        return self._pass_on(alive)
+        return [Send(to=sender, message=alive)]
 
     def _forget(self, host_id: HostId) -> None:
         self._peers.forget(host_id)
--- a/chicorybridge/links.py
+++ b/chicorybridge/links.py
@@ -50,6 +50,7 @@
     # of all other hosts it knows by the verdicts of their peers.
     chosen: bool = True
     monitored: bool = True
+    chosen_at: Millis = NEVER
     # When a verdict came that the host is lost.
     condemned_at: Millis = NEVER
 
@@ -122,6 +123,12 @@
         """Return whether the peer lately proved that it hears this host."""
         return now - self.proven_at <= self.lost_after_ms
 
+    def is_unproven(self, now: Millis) -> bool:
+        """Return whether a peer was chosen too lately to count as lost."""
+        if self.is_direct(now):
+            return False
+        return now - self.chosen_at <= self.lost_after_ms
+
     def is_two_way(self, now: Millis) -> bool:
         """Return whether messages pass directly both ways."""
         if now - self.unheard_at <= self.lost_after_ms:
--- a/chicorybridge/members.py
+++ b/chicorybridge/members.py
@@ -11,7 +11,7 @@
 from chicorybridge.hearings import HOSTS_TOKEN, Hearings, told
 from chicorybridge.heartbeats import Heartbeats
 from chicorybridge.identities import NO_VERSION, HostId, Version
-from chicorybridge.links import NEVER
+from chicorybridge.links import NEVER, Link
 from chicorybridge.peers import Peers
 from chicorybridge.profiles import (
     Departed,
@@ -75,11 +75,6 @@
         }
         return {**live, self.profile.host_id: self.profile}
 
-    def reach_of(self, host_id: HostId, *, now: Millis) -> Reach:
-        """Return how a host is heard."""
-        link = self.peers.links_by_id.get(host_id)
-        return link.reach(now) if link else Reach.lost
-
     def age_of(self, host_id: HostId, *, now: Millis) -> float:
         """Bound the age in ms of what was last heard; infinite without."""
         link = self.peers.links_by_id.get(host_id)
@@ -154,16 +149,18 @@
 
     def _review(self, now: Millis) -> Iterator[Effect]:
         for link in tuple(self.peers.linked):
-            reach = link.reach(now)
-            live = reach is not Reach.lost
-            if live == link.live:
-                continue
-            if not live and not link.chosen:
+            if link.reach(now) is not Reach.lost:
+                yield from self._judge(link, now, live=True)
+            elif not link.is_unproven(now):
+                # Peers refute it if the host merely chose others.
+                yield from self._judge(link, now, live=False)
                 self.peers.detach(link)
-                continue
-            yield from self._hearings.judge(
-                link, live=live, reason=reach.value, now=now
-            )
+
+    def _judge(self, link: Link, now: Millis, *, live: bool) -> Effects:
+        if live == link.live:
+            return ()
+        reason = link.reach(now).value
+        return self._hearings.judge(link, live=live, reason=reason, now=now)
 
     def _review_self(self, now: Millis) -> Iterator[Effect]:
         taking = self.ready and not self.peers.is_cut_off(now)
--- a/chicorybridge/peertables.py
+++ b/chicorybridge/peertables.py
@@ -46,6 +46,8 @@
         links = self.links_by_id.values()
         chosen = self._chosen()
         for link in links:
+            if link.host_id in chosen and not link.chosen:
+                link.chosen_at = now
             link.chosen = link.host_id in chosen
             link.monitored = link.chosen or link.is_direct(now)
             if link.is_presumed_live and not link.live:
@@ -59,7 +61,9 @@
             self.linked.append(link)
 
     def detach(self, link: Link) -> None:
-        """Let go of a peer that no longer chooses this host."""
+        """Let go of a lost peer that this host did not choose."""
+        if link.chosen:
+            return
         link.monitored = False
         self.linked.remove(link)
 
@@ -89,6 +93,7 @@
             self.links_by_id[host_id] = known
             # The next choice decides; until then the host is a stranger.
             known.monitored = False
+            known.chosen = False
             self.generation += 1
         return known
 
--- /dev/null
+++ b/chicorybridge/tests/test_fanouts.py
@@ -0,0 +1,64 @@
+"""Tests of the choice of peers, and of fleets that are no full mesh."""
+
+import pytest
+
+from chicorybridge import settings
+from chicorybridge.fanouts import chosen_peers
+from chicorybridge.identities import HostId, Incarnation, RegionId, ZoneId
+from chicorybridge.profiles import HostProfile
+from chicorybridge.tools.fleets import Fleet
+
+SIZE = 54
+PEERS_AT_FULL_SIZE = 40
+HOSTS_AT_FULL_SIZE = 1300
+ZONES_AT_FULL_SIZE = 6
+CRASHED = HostId('host-0005')
+
+
+def _profiles(size: int, zones: int) -> list[HostProfile]:
+    return [
+        HostProfile(
+            host_id=HostId(f'host-{number}'),
+            incarnation=Incarnation(number),
+            address='127.0.0.1:1',
+            entries=(),
+            zone_id=ZoneId(str(number % zones)),
+            region_id=RegionId('region'),
+        )
+        for number in range(size)
+    ]
+
+
+def test_choice_is_mutual_and_bounded():
+    """At full size hosts choose each other, and few of them."""
+    profiles = _profiles(HOSTS_AT_FULL_SIZE, ZONES_AT_FULL_SIZE)
+    chosen_by_id = {
+        own.host_id: chosen_peers(
+            own, [other for other in profiles if other is not own], ()
+        )
+        for own in profiles[::50]
+    }
+    assert max(map(len, chosen_by_id.values())) <= PEERS_AT_FULL_SIZE
+    for host_id, chosen in chosen_by_id.items():
+        for other in chosen & chosen_by_id.keys():
+            assert host_id in chosen_by_id[other]
+
+
+@pytest.fixture(scope='module')
+def fleet() -> Fleet:
+    """Return a fleet that is just too large for a full mesh."""
+    fleet = Fleet(size=SIZE, seed=1)
+    fleet.channel.run(for_ms=4000)
+    return fleet
+
+
+def test_all_hosts_know_all_and_loss_is_told(fleet):
+    """Also hosts that do not hear a host learn that it is gone."""
+    everyone = set(fleet.hosts_by_id)
+    for host in fleet.hosts_by_id.values():
+        assert set(host.members.hosts_by_id) == everyone
+    fleet.crash(CRASHED)
+    beats = settings.LOST_BEATS + 1
+    fleet.channel.run(for_ms=beats * settings.FAR_HEARTBEAT_MS + 1000)
+    for host in fleet.hosts_by_id.values():
+        assert set(host.members.hosts_by_id) == everyone - {CRASHED}
--- a/chicorybridge/tests/test_members.py
+++ b/chicorybridge/tests/test_members.py
@@ -26,8 +26,8 @@
 
 
 def _reach(fleet: Fleet, host_id: HostId, other: HostId) -> Reach:
-    members = fleet.hosts_by_id[host_id].members
-    return members.reach_of(other, now=fleet.channel.clock.now())
+    peers = fleet.hosts_by_id[host_id].members.peers
+    return peers.links_by_id[other].reach(fleet.channel.clock.now())
 
 
 def _cut_off(fleet: Fleet) -> set[HostId]:
