--- a/chicorybridge/candidates.py
+++ b/chicorybridge/candidates.py
@@ -5,12 +5,18 @@
 from collections.abc import Iterator
 
 from chicorybridge import settings
+from chicorybridge.attempts import Attempt, AttemptOutcome
 from chicorybridge.clocks import Millis
 from chicorybridge.declarations import Declaration
 from chicorybridge.identities import TargetId, ZoneId
 
 # Factors on the cost of a target in the own zone, own region and across.
 PLACE_COSTS = (1.0, settings.REGION_COST, settings.ACROSS_COST)
+ACROSS = len(PLACE_COSTS) - 1
+
+
+# Beyond so many sheds in turn the pause no longer grows.
+MOST_SHEDS_IN_TURN = 8
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -23,8 +29,31 @@
     in_flight: int = 0
     cold_since: Millis | None = None
     paused_until: Millis = Millis(0)
+    sheds_in_turn: int = 0
     unreachable: bool = False
 
+    def learn(self, attempt: Attempt, *, now: Millis) -> None:
+        """Take in how an attempt at this target ended."""
+        if attempt.outcome is AttemptOutcome.unreachable:
+            self.unreachable = True
+            return
+        if self.unreachable:
+            # A target that answers again after a restart has cold caches.
+            self.unreachable = False
+            self.cold_since = now
+        if attempt.outcome is AttemptOutcome.shed:
+            self.pause(attempt.retry_after_ms, now=now)
+        else:
+            self.sheds_in_turn = 0
+
+    def pause(self, asked_ms: float | None, *, now: Millis) -> None:
+        """Take nothing for a while after a shed, longer after each."""
+        waited = settings.SHED_PAUSE_MS * 2**self.sheds_in_turn
+        pause_ms = max(waited, asked_ms or 0)
+        longest = settings.SHED_PAUSE_LIMIT_MS
+        self.paused_until = Millis(now + min(pause_ms, longest))
+        self.sheds_in_turn = min(self.sheds_in_turn + 1, MOST_SHEDS_IN_TURN)
+
     def warmth(self, now: Millis) -> float:
         """Return the share of its load that a cold target may take."""
         if self.cold_since is None:
--- a/chicorybridge/dispatchers.py
+++ b/chicorybridge/dispatchers.py
@@ -2,21 +2,26 @@
 
 import dataclasses
 from collections.abc import Callable
+from enum import Enum
 
 from chicorybridge.attempts import Attempt, AttemptOutcome
 from chicorybridge.bodies import CallerError, RequestBody
 from chicorybridge.calls import DEADLINE_HEADER, WORKSPACE_HEADER, Call
 from chicorybridge.claim_messages import ClaimDecided, ClaimVerdict
-from chicorybridge.claimants import Claimant
+from chicorybridge.claimants import Claimant, Post
 from chicorybridge.clocks import Clock, Millis
 from chicorybridge.configurations import ActiveConfiguration
 from chicorybridge.connections import TargetConnections
-from chicorybridge.entry_messages import Duty
 from chicorybridge.errors import ErrorCode, RequestError, require
 from chicorybridge.exchanges import CallerExchange, Head, Headers
 from chicorybridge.forwards import Forward
 from chicorybridge.answers import WholeAnswer
-from chicorybridge.identities import RequestKey, WorkspaceId
+from chicorybridge.identities import (
+    NO_VERSION,
+    RequestKey,
+    Version,
+    WorkspaceId,
+)
 from chicorybridge.outcomes import (
     COMPLETE_OUTCOMES,
     RequestOutcome,
@@ -35,6 +40,14 @@
 from chicorybridge.routes import IDEMPOTENT_HEADER, KEY_HEADER, is_idempotent
 
 
+class Duty(Enum):
+    """What an entry process does with the connections of callers."""
+
+    serving = 'serving'
+    # Closes each connection after its answer.
+    draining = 'draining'
+
+
 @dataclasses.dataclass(kw_only=True)
 class EntryState:
     """What governs the requests that come now.
@@ -46,6 +59,20 @@
 
     duty: Duty = Duty.serving
     lease_until: Millis = Millis(0)
+
+    @property
+    def version(self) -> Version:
+        """Return the version in force, 0 without one."""
+        return self.configuration.version if self.configuration else NO_VERSION
+
+    def switch(self, configuration: ActiveConfiguration) -> None:
+        """Put a newer configuration in force."""
+        require(
+            promise='an accepted configuration never reverts',
+            holds=configuration.version > self.version,
+        )
+        self.configuration = configuration
+
     configuration: ActiveConfiguration | None = None
 
 
@@ -77,15 +104,21 @@
         policies: Policies,
         connections: TargetConnections,
         claimant: Claimant,
+        post: Post,
         ended: Callable[[Call], None],
     ) -> None:
-        """Join the parts; `ended` hears of every call that has ended."""
+        """Join the parts.
+
+        `post` hands a message to the control process; `ended` hears of
+        every call that has ended.
+        """
         self.calls_by_number: dict[int, Call] = {}
         self._clock = clock
         self._state = state
         self._policies = policies
         self._connections = connections
         self._claimant = claimant
+        self._post = post
         self._ended = ended
         self._serial = 0
 
@@ -137,9 +170,7 @@
 
     def version_headers(self) -> Headers:
         """Return the header that names the version in force."""
-        configuration = self._state.configuration
-        version = 0 if configuration is None else configuration.version
-        return [(VERSION, str(version).encode())]
+        return [(VERSION, str(self._state.version).encode())]
 
     async def _fail(self, call: Call, error: RequestError) -> None:
         if call.committed:
@@ -266,6 +297,12 @@
             excluded = decision.excluded
 
     def _next_forward(self, call: Call, excluded: frozenset) -> Forward:
+        if self._policies.is_quarantined(call, now=self._clock.now()):
+            raise RefusalError(
+                code=ErrorCode.request_quarantined,
+                detail='targets died when they ran this request',
+                outcome=outcome_of(call.attempts),
+            )
         service_id = call.service.service_id
         target = self._policies.pick(
             service_id, excluded=excluded, now=self._clock.now()
@@ -300,12 +337,16 @@
             outcome = await forward.run()
         finally:
             attempt = forward.result(outcome)
-            self._learn(call, number, attempt)
+            await self._learn(call, number, attempt)
         return attempt
 
-    def _learn(self, call: Call, number: int, attempt: Attempt) -> None:
+    async def _learn(self, call: Call, number: int, attempt: Attempt) -> None:
+        now = self._clock.now()
         call.attempts.append(attempt)
-        self._policies.finished(number, attempt, now=self._clock.now())
+        self._policies.finished(number, attempt, now=now)
+        report = self._policies.suspect(call, attempt, now=now)
+        if report is not None:
+            await self._post(report)
 
 
 def _facts_of(call: Call) -> RequestFacts:
--- a/chicorybridge/permits.py
+++ b/chicorybridge/permits.py
@@ -17,6 +17,7 @@
 from chicorybridge.ledgers import (
     Ledger,
     holder_of,
+    incarnation_of,
     ledger_of,
     row_key_of,
 )
@@ -45,16 +46,20 @@
         rng: random.Random,
     ) -> None:
         """Claim for `incarnation`; `rng` spreads the retries."""
-        self._holder = holder_of(host_id, incarnation)
+        self._host_id = host_id
+        self._incarnation = incarnation
         self._holdings = holdings
         self._rng = rng
         self._gone_since: dict[Incarnation, Millis] = {}
+        # When a share of an incarnation that is gone was first read.
+        self._read_since: dict[tuple[ServiceId, str], Millis] = {}
 
     def mark_gone(self, gone: frozenset[Incarnation], *, now: Millis) -> None:
         """Take in the incarnations that are surely gone.
 
         An incarnation is surely gone when its process has ended, or when
-        no host heard it for longer than `LAPSE_MS`.
+        no host heard it for longer than `LAPSE_MS`. It must be taken out
+        of `gone` within `REGAIN_MS` if it is heard again.
         """
         self._gone_since = {
             incarnation: self._gone_since.get(incarnation, now)
@@ -64,6 +69,8 @@
     def tick(self, *, now: Millis) -> Effects:
         """Claim what is wanted."""
         self._holdings.check_lapse(now=now)
+        if self._holdings.is_cut_off(now=now):
+            return ()
         effects: list[Effect] = []
         for holding in self._holdings.by_service.values():
             if holding.asking or now < holding.store_at:
@@ -89,7 +96,7 @@
             return False
         ledger = ledger_of(holding.service_id, holding.row)
         booked = ledger.shares_by_holder.get(self._holder, 0)
-        return booked != holding.booked
+        return booked != holding.booked(now)
 
     def _missing(self, holding: Holding, *, now: Millis) -> int:
         service_id = holding.service_id
@@ -117,32 +124,45 @@
     ) -> Transact | None:
         if ledger.version > self._holdings.version:
             return None
-        gone = self._regainable(now)
-        others = ledger.shares_without(holder=self._holder, gone=gone)
-        room = holding.budget - sum(others.values()) - holding.booked
+        holder = self._holder
+        struck = self._strikable(ledger, now=now)
+        others = ledger.shares_without(holder=holder, struck=struck)
+        booked = holding.booked(now)
+        room = holding.budget - sum(others.values()) - booked
         holding.claimed = max(0, min(room, self._missing(holding, now=now)))
-        slots = holding.booked + holding.claimed
-        if slots == ledger.shares_by_holder.get(self._holder, 0):
-            if not holding.claimed:
-                return None
+        slots = booked + holding.claimed
+        if slots == ledger.shares_by_holder.get(holder, 0):
+            return None
         require(
             promise='permits claimed stay within the budget of the service',
             holds=not holding.claimed
             or sum(others.values()) + slots <= holding.budget,
         )
         return ledger.with_share(
-            holder=self._holder,
+            holder=holder,
             slots=slots,
-            gone=gone,
+            struck=struck,
             version=self._holdings.version,
         )
 
-    def _regainable(self, now: Millis) -> frozenset[Incarnation]:
-        return frozenset(
-            incarnation
-            for incarnation, since in self._gone_since.items()
-            if now - since >= REGAIN_MS
-        )
+    @property
+    def _holder(self) -> str:
+        epoch = self._holdings.epoch
+        return holder_of(self._host_id, self._incarnation, epoch)
+
+    def _strikable(self, ledger: Ledger, *, now: Millis) -> frozenset[str]:
+        """Return the holders whose share is surely out of use."""
+        strikable = set()
+        for holder in ledger.shares_by_holder:
+            key = (ledger.service_id, holder)
+            gone_since = self._gone_since.get(incarnation_of(holder))
+            if gone_since is None:
+                self._read_since.pop(key, None)
+                continue
+            read_since = self._read_since.setdefault(key, now)
+            if now - max(gone_since, read_since) >= REGAIN_MS:
+                strikable.add(holder)
+        return frozenset(strikable)
 
     def _take_reply(self, reply: StoreReply, *, now: Millis) -> Effects:
         service_id = ServiceId(reply.token.removeprefix(TOKEN_PREFIX))
@@ -153,10 +173,14 @@
         holding.claimed = 0
         holding.asking = False
         holding.row = reply.rows[0] if reply.rows else None
+        if holding.row is not None:
+            holding.holders = ledger_of(service_id, holding.row).hosts
         if reply.outcome is StoreOutcome.unavailable:
             holding.store_at = Millis(now + FULL_MS)
         if reply.outcome is not StoreOutcome.done or not claimed:
             return ()
+        if self._holdings.is_cut_off(now=now):
+            return ()
         holding.owned += claimed
         facts = {'service': service_id, 'slots': claimed}
         event = Event(kind=EventKind.permit_taken, facts=facts)
--- /dev/null
+++ b/chicorybridge/scores.py
@@ -0,0 +1,110 @@
+"""Evidence added up: cumulative sums of log likelihood ratios (CUSUM)."""
+
+import dataclasses
+import math
+from enum import Enum
+
+from chicorybridge.clocks import Millis
+from chicorybridge.evidence import Evidence
+from chicorybridge.identities import HostId
+
+# What a gray target fails beyond the expected, as a share of the rest.
+GRAY_FAILURES = 0.2
+DOWN_FAILURES = 0.95
+# Evidence that ends all doubt, in nats.
+CLEARING_NATS = -1000.0
+# Shift of the other targets from which shedding is a matter of load.
+BUSY_SHIFT = 0.4
+GRAY_SHED = 0.5
+# Time in which evidence loses most of its worth.
+MEMORY_MS = 20_000.0
+
+
+class Stream(Enum):
+    """Kinds of evidence that are added up apart."""
+
+    failed = 'failed'
+    # No connection: the target is down, and well again once it answers.
+    down = 'down'
+    large = 'large'
+    shed = 'shed'
+    latency = 'latency'
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Score:
+    """A sum in nats, never below 0; since when it is above, and by whom."""
+
+    nats: float = 0
+    since: Millis = Millis(0)
+    at: Millis = Millis(0)
+    hosts: set[HostId] = dataclasses.field(default_factory=set)
+
+    def add(
+        self, nats: float, *, host_id: HostId, now: Millis, most: float
+    ) -> None:
+        """Add evidence of a host; `most` bounds the sum."""
+        faded = self.nats * math.exp((self.at - now) / MEMORY_MS)
+        self.at = now
+        self.nats = min(max(0, faded + nats), most)
+        if self.nats == 0:
+            self.hosts.clear()
+            return
+        if nats > 0:
+            if not self.hosts:
+                self.since = now
+            self.hosts.add(host_id)
+
+    def reset(self) -> None:
+        """Forget all evidence."""
+        self.nats = 0
+        self.hosts.clear()
+
+
+def weigh_outcomes(evidence: Evidence, *, cuts: int) -> dict[Stream, float]:
+    """Return what the outcomes of attempts say, in nats.
+
+    `cuts` is how many causes the connections that were cut have.
+    """
+    tally = evidence.tally
+    good = tally.answered + tally.large_answered
+    normal = evidence.failed_share
+    return {
+        Stream.failed: _ratio(
+            tally.failed + cuts, tally.answered, normal, GRAY_FAILURES
+        ),
+        Stream.down: _weigh_down(evidence, good),
+        Stream.large: _ratio(
+            tally.large_failed,
+            tally.large_answered,
+            evidence.large_share,
+            GRAY_FAILURES,
+        ),
+        Stream.shed: _weigh_shed(evidence, good),
+    }
+
+
+def _weigh_down(evidence: Evidence, good: float) -> float:
+    """Weigh refused connections; a target that answers is up."""
+    refused = evidence.tally.unreachable
+    if good and not refused:
+        return CLEARING_NATS
+    return _ratio(refused, good, evidence.failed_share, DOWN_FAILURES)
+
+
+def _weigh_shed(evidence: Evidence, good: float) -> float:
+    """Weigh shedding, which a busy pool does for good reason."""
+    if evidence.shift >= BUSY_SHIFT:
+        return 0
+    shed = evidence.tally.shed
+    return _ratio(shed, good, evidence.shed_share, GRAY_SHED)
+
+
+def _ratio(bad: float, good: float, normal: float, gray: float) -> float:
+    """Return the log likelihood ratio of gray against normal."""
+    if not bad and not good:
+        return 0
+    expected = normal + (1 - normal) * gray
+    ratio_bad = math.log(expected / normal)
+    ratio_good = math.log((1 - expected) / (1 - normal))
+    return bad * ratio_bad + good * ratio_good
