Follow real hosts through the specification of configurations

Command: pytest chicorybridge/tests/test_configuration_specifications.py. Every tick of six real hosts under random faults is explained by steps of the specification (seeds 1 and 2, 90 s each); code that accepts without waiting, or excuses at once, is left unexplained.

--- a/chicorybridge/tests/test_configuration_specifications.py
+++ b/chicorybridge/tests/test_configuration_specifications.py
@@ -2,6 +2,9 @@
 
 import pytest
 
+from chicorybridge import settings
+from chicorybridge.applies import Applies
+from chicorybridge.tools.configuration_runs import ConfigurationRun
 from chicorybridge.tools.configuration_specifications import (
     ConfigurationSpecification,
 )
@@ -47,3 +50,37 @@
         bases=(0, 1), answered=answered, broken=broken
     )
     assert check(variant.build()).holds is False
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_specification_explains_the_code(seed):
+    """Whatever real hosts do under faults, the specification allows."""
+    trial = ConfigurationRun(seed=seed)
+    assert trial.run(for_ms=90_000)
+    assert trial.accepted > 3
+
+
+@pytest.mark.long
+@pytest.mark.parametrize('seed', range(100, 130))
+def test_specification_explains_long_runs(seed):
+    """The same for ten simulated minutes a seed."""
+    assert ConfigurationRun(seed=seed).run(for_ms=600_000)
+
+
+def _wait_for_nobody(applies, apply, now):
+    apply.waiting = ()
+
+
+@pytest.mark.parametrize(
+    ('owner', 'name', 'broken'),
+    [
+        (Applies, '_review', _wait_for_nobody),
+        (settings, 'EXCUSE_MS', 0),
+    ],
+)
+def test_broken_code_is_left_unexplained(monkeypatch, owner, name, broken):
+    """Code that does not wait for a host that serves is not allowed."""
+    monkeypatch.setattr(owner, name, broken)
+    assert not all(
+        ConfigurationRun(seed=seed).run(for_ms=120_000) for seed in range(1, 9)
+    )
