Claim slots again that an unanswered transaction booked

Cause: a claim that took effect unanswered shows in the row as this host's share. The next claim of as many slots found the row as wanted and asked for nothing, again and again, so the host could not use the slots for as long as it wanted just these. Found by taking traces of the specification of permits through the code: claim_unanswered, claim. test_slots_booked_unanswered_are_claimed_again and the traces fail before and pass after. Ruled out: owning them without a transaction, as an older write of ours may still be on its way. Also ties the specification of permits to the code by random traces of the steps that need no time; code that books no loans, or owns what was not answered, does not follow.

--- a/chicorybridge/permits.py
+++ b/chicorybridge/permits.py
@@ -131,7 +131,8 @@
         room = holding.budget - sum(others.values()) - booked
         holding.claimed = max(0, min(room, self._missing(holding, now=now)))
         slots = booked + holding.claimed
-        if slots == ledger.shares_by_holder.get(holder, 0):
+        is_booked = slots == ledger.shares_by_holder.get(holder, 0)
+        if is_booked and not holding.claimed:
             return None
         require(
             promise='permits claimed stay within the budget of the service',
--- /dev/null
+++ b/chicorybridge/tools/permit_replays.py
@@ -0,0 +1,253 @@
+"""Take the steps of the specification of permits through the real code.
+
+Real holdings, claims and loans of each host carry out each step of a
+trace on a clock that stands still between them. Only steps without a
+bound of time are replayed: those of silences and starts are not.
+"""
+
+import itertools
+import random
+
+from chicorybridge.clocks import MILLIS_PER_SECOND, Millis
+from chicorybridge.declarations import (
+    Declaration,
+    Pool,
+    Region,
+    Service,
+    Target,
+    Zone,
+)
+from chicorybridge.freshness import FRESH_MS, Freshness
+from chicorybridge.identities import (
+    HostId,
+    Incarnation,
+    PoolId,
+    RegionId,
+    ServiceId,
+    TargetId,
+    Version,
+    ZoneId,
+)
+from chicorybridge.ledgers import holder_of, ledger_of, row_key_of
+from chicorybridge.loans import Loans, PermitLoan, PermitRequest, PermitReturn
+from chicorybridge.permit_holdings import Holding, HoldingTable
+from chicorybridge.permits import Permits
+from chicorybridge.stores import ReadRows, Row, StoreOutcome, StoreReply
+from chicorybridge.systems import Ask, Send
+from chicorybridge.tables import MemoryTables
+from chicorybridge.tools.permit_worlds import PermitHost, PermitWorld
+from chicorybridge.tools.specifications import Label
+
+SERVICE_ID = ServiceId('quotes')
+VERSION = Version(1)
+# Far from the start of the clock, so that no pause is under way.
+START = Millis(60 * MILLIS_PER_SECOND)
+
+
+class ReplayedHost:
+    """The permits of one host."""
+
+    def __init__(self, *, number: int, declaration: Declaration) -> None:
+        """Start with nothing held under the first version."""
+        self.host_id = HostId(str(number))
+        self.incarnation = Incarnation(number + 1)
+        self.freshness = Freshness(incarnation=self.incarnation)
+        self.holdings = HoldingTable(freshness=self.freshness)
+        self.holdings.configure(declaration, version=VERSION)
+        self.permits = Permits(
+            host_id=self.host_id,
+            incarnation=self.incarnation,
+            holdings=self.holdings,
+            rng=random.Random(number),
+        )
+        self.loans = Loans(
+            host_id=self.host_id,
+            incarnation=self.incarnation,
+            freshness=self.freshness,
+            holdings=self.holdings,
+        )
+
+    @property
+    def holding(self) -> Holding:
+        """Return what it holds of the service."""
+        return self.holdings.by_service[SERVICE_ID]
+
+    @property
+    def name(self) -> str:
+        """Return its name in the row."""
+        epoch = self.holdings.epoch
+        return holder_of(self.host_id, self.incarnation, epoch)
+
+    def matches(self, host: PermitHost) -> bool:
+        """Tell whether it holds what the specification says."""
+        holding = self.holding
+        return (
+            holding.owned,
+            holding.used,
+            len(holding.lent_by_serial),
+            len(holding.loans),
+        ) == (
+            host.owned,
+            host.used,
+            len(host.lent),
+            int(host.loan is not None),
+        )
+
+
+class PermitReplay:
+    """Hosts that hear each other, their row, and messages by label."""
+
+    def __init__(self, *, hosts: int, budget: int) -> None:
+        """Start with an empty row."""
+        self.tables = MemoryTables()
+        declaration = _declaration(budget)
+        self.hosts = [
+            ReplayedHost(number=number, declaration=declaration)
+            for number in range(hosts)
+        ]
+        self._now = START
+        self._loans: dict[tuple[int, int], PermitLoan] = {}
+        self._returns: dict[tuple[int, int], PermitReturn] = {}
+        _greet(self.hosts, now=self._now)
+
+    def step(self, label: Label) -> None:
+        """Do one step of a trace."""
+        name, number, *details = label
+        getattr(self, name)(self.hosts[number], *details)
+
+    def shows(self, world: PermitWorld) -> bool:
+        """Tell whether the code is in the state of the specification."""
+        ledger = ledger_of(SERVICE_ID, self._row())
+        booked = tuple(
+            ledger.shares_by_holder.get(host.name, 0) for host in self.hosts
+        )
+        return booked == world.row and all(
+            host.matches(expected)
+            for host, expected in zip(self.hosts, world.hosts, strict=True)
+        )
+
+    def claim(self, host: ReplayedHost) -> None:
+        """Claim a slot and hear that it is done."""
+        self._transact(host, wanted=1, answered=True)
+
+    def claim_unanswered(self, host: ReplayedHost) -> None:
+        """Claim a slot and hear nothing, though it took effect."""
+        self._transact(host, wanted=1, answered=False)
+
+    def book(self, host: ReplayedHost) -> None:
+        """Set the row to what the host holds."""
+        self._transact(host, wanted=0, answered=True)
+
+    def eject(self, host: ReplayedHost) -> None:
+        """Put a slot to use."""
+        host.holdings.use(SERVICE_ID, 1, now=self._now)
+
+    def readmit(self, host: ReplayedHost) -> None:
+        """End a use, and wait until nobody honours it."""
+        host.holdings.release(SERVICE_ID, 1, now=self._now)
+        # Every host stays in touch while the slot cools down.
+        for _ in range(3):
+            self._now = Millis(self._now + FRESH_MS / 2)
+            _greet(self.hosts, now=self._now)
+
+    def lend(self, host: ReplayedHost, borrower: int) -> None:
+        """Lend a slot to a host that asks for it."""
+        asker = self.hosts[borrower]
+        request = PermitRequest(
+            stamp=asker.freshness.stamp(to=host.host_id, now=self._now),
+            service_id=SERVICE_ID,
+            slots=1,
+            version=VERSION,
+        )
+        effects = host.loans.receive(
+            request, sender=asker.host_id, now=self._now
+        )
+        for effect in effects:
+            if isinstance(effect, Send):
+                loan = effect.message
+                # The specification counts loans from 0.
+                key = (int(host.host_id), loan.serial - 1)
+                self._loans[key] = loan
+
+    def borrow(self, host: ReplayedHost, lender: int, serial: int) -> None:
+        """Receive a loan."""
+        loan = self._loans[lender, serial]
+        free = host.holdings.free_slots(SERVICE_ID, now=self._now)
+        host.holdings.want(SERVICE_ID, free + 1)
+        host.loans.receive(loan, sender=HostId(str(lender)), now=self._now)
+        host.holdings.want(SERVICE_ID, 0)
+
+    def give_back(self, host: ReplayedHost) -> None:
+        """Return the loan that is not in use."""
+        host.holding.give_up_loans()
+        for effect in host.loans.tick(now=self._now):
+            if isinstance(effect, Send):
+                self._keep_return(effect)
+
+    def take_back(self, host: ReplayedHost, serial: int) -> None:
+        """Receive a loan that was returned."""
+        message = self._returns[int(host.host_id), serial]
+        host.loans.receive(message, sender=host.host_id, now=self._now)
+
+    def _keep_return(self, send: Send) -> None:
+        if isinstance(send.message, PermitReturn):
+            key = (int(send.to), send.message.serial - 1)
+            self._returns[key] = send.message
+
+    def _transact(
+        self, host: ReplayedHost, *, wanted: int, answered: bool
+    ) -> None:
+        free = host.holdings.free_slots(SERVICE_ID, now=self._now)
+        host.holdings.want(SERVICE_ID, free + wanted if wanted else 0)
+        host.holding.row = self._row()
+        ask = self._ask(host)
+        reply = self.tables.execute(ask.request, token=ask.token)
+        if not answered:
+            reply = StoreReply(token=ask.token, outcome=StoreOutcome.unanswered)
+        host.permits.receive(reply, sender=host.host_id, now=self._now)
+        host.holdings.want(SERVICE_ID, 0)
+
+    def _ask(self, host: ReplayedHost) -> Ask:
+        host.holding.store_at = self._now
+        asked = [
+            effect
+            for effect in host.permits.tick(now=self._now)
+            if isinstance(effect, Ask)
+        ]
+        return asked[0]
+
+    def _row(self) -> Row:
+        read = ReadRows(row_keys=(row_key_of(SERVICE_ID),))
+        return self.tables.execute(read).rows[0]
+
+
+def _greet(hosts: list[ReplayedHost], *, now: Millis) -> None:
+    """Let every host hear every other one, with fresh echoes."""
+    for _ in range(2):
+        for host, other in itertools.permutations(hosts, 2):
+            stamp = host.freshness.stamp(to=other.host_id, now=now)
+            other.freshness.take(stamp, sender=host.host_id, now=now)
+
+
+def _declaration(budget: int) -> Declaration:
+    """Declare a service with one target more than may be ejected."""
+    slots = budget + 1
+    region_id, zone_id = RegionId('noord'), ZoneId('groningen')
+    pool = Pool(pool_id=PoolId('pool'), service_id=SERVICE_ID, slots=slots)
+    target = Target(
+        target_id=TargetId('target'),
+        pool_id=pool.pool_id,
+        zone_id=zone_id,
+        address='127.0.0.1:1',
+    )
+    service = Service(service_id=SERVICE_ID, floor=1 / slots)
+    return Declaration(
+        name='permits',
+        regions_by_id={region_id: Region(region_id=region_id)},
+        zones_by_id={zone_id: Zone(zone_id=zone_id, region_id=region_id)},
+        services_by_id={SERVICE_ID: service},
+        pools_by_id={pool.pool_id: pool},
+        targets_by_id={target.target_id: target},
+        routes_by_id={},
+        workspaces_by_id={},
+    )
