--- a/chicorybridge/tools/control_costs.py
+++ b/chicorybridge/tools/control_costs.py
@@ -26,6 +26,7 @@
 )
 from chicorybridge.observations import Observations, Tally
 from chicorybridge.profiles import HostProfile
+from chicorybridge.sessions import EntryTable
 from chicorybridge.stores import HostState, ListedHost, PutObject
 from chicorybridge.systems import Effects, System
 from chicorybridge.tools.counting_channels import CountingChannel
@@ -181,7 +182,7 @@
             clock=self.channel.clock,
             rng=random.Random(number),
             seeds=(),
-            all_governed=lambda version, now: True,
+            entries=EntryTable(),
         )
         self.systems_by_host[host_id] = systems
         tables = self.channel.store.tables
--- a/examples/capacity.sh
+++ b/examples/capacity.sh
@@ -13,6 +13,7 @@
 stop_all() {
     for pid in $pids; do kill -TERM "$pid" 2>/dev/null || true; done
     for pid in $pids; do wait "$pid" 2>/dev/null || true; done
+    [ -n "${CAPACITY_LOGS:-}" ] && cp -r "$run" "$CAPACITY_LOGS"
     rm -rf "$run"
 }
 trap stop_all EXIT
@@ -62,9 +63,9 @@
 INI
     start "control-$number" "$bin/chicorybridge-control" --settings "$run/host-$number.ini"
     [ "$number" = 1 ] && control=$!
+    start "entry-$number" "$bin/chicorybridge-entry" --settings "$run/host-$number.ini"
+    [ "$number" = 1 ] && entry=$!
 done
-start entry-1 "$bin/chicorybridge-entry" --settings "$run/host-1.ini"
-entry=$!
 "$bin/python" -m chicorybridge.tools.demos wait --control "$CHICORYBRIDGE_CONTROL" --hosts 3
 
 show_all "no configuration"
