--- a/chicorybridge/tools/capacities.py
+++ b/chicorybridge/tools/capacities.py
@@ -24,6 +24,7 @@
     measure_changes,
     measure_declarations,
 )
+from chicorybridge.tools.message_costs import measure_messages
 from chicorybridge.tools.slopes import Slope
 from chicorybridge.tools.synthetics import Sizes, write_declaration
 
@@ -33,6 +34,7 @@
     {
         'declarations': measure_declarations,
         'changes': measure_changes,
+        'messages': measure_messages,
         'controls': measure_controls,
     }
 )
@@ -50,7 +52,7 @@
     options: ClassVar[list[Option]] = [
         option(
             'part',
-            'Which slopes: declarations, changes, controls, all',
+            'Which slopes: declarations, changes, messages, controls, all',
             ALL_PARTS,
         ),
         option('output', 'Write the slopes as JSON to this file'),
