--- a/examples/bench.sh
+++ b/examples/bench.sh
@@ -31,6 +31,20 @@
     pids="$pids $!"
 }
 
+# Another run on the same ports would answer in place of this one.
+check_started() {
+    for log in "$run"/*.out; do
+        for _ in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20; do
+            grep -q '^listening' "$log" && break
+            sleep 1
+        done
+        grep -q '^listening' "$log" && continue
+        echo "$(basename "$log" .out) did not start:" >&2
+        cat "${log%.out}.err" >&2
+        exit 1
+    done
+}
+
 start platform "$bin/chicorybridge-standin" platform --listen 127.0.0.1:22001
 for number in 1 2 3 4; do
     start "target-$number" "$bin/chicorybridge-standin" target \
@@ -69,6 +83,7 @@
     number=$((number + 1))
 done
 
+check_started
 "$bin/python" -m chicorybridge.tools.demos wait --control "$CHICORYBRIDGE_CONTROL" --hosts 2
 "$bin/chicorybridge" apply "$here/bench" --wait-ms 30000
 
--- a/examples/capacity.sh
+++ b/examples/capacity.sh
@@ -26,6 +26,20 @@
     pids="$pids $!"
 }
 
+# Another run on the same ports would answer in place of this one.
+check_started() {
+    for log in "$run"/*.out; do
+        for _ in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20; do
+            grep -q '^listening' "$log" && break
+            sleep 1
+        done
+        grep -q '^listening' "$log" && continue
+        echo "$(basename "$log" .out) did not start:" >&2
+        cat "${log%.out}.err" >&2
+        exit 1
+    done
+}
+
 # Prints ticks of 10 ms of processor time and kilobytes of memory.
 show() {
     echo "$1: $(awk '{print $14 + $15}' "/proc/$2/stat") ticks," \
@@ -66,6 +80,7 @@
     start "entry-$number" "$bin/chicorybridge-entry" --settings "$run/host-$number.ini"
     [ "$number" = 1 ] && entry=$!
 done
+check_started
 "$bin/python" -m chicorybridge.tools.demos wait --control "$CHICORYBRIDGE_CONTROL" --hosts 3
 
 show_all "no configuration"
