--- a/chicorybridge/cases.py
+++ b/chicorybridge/cases.py
@@ -9,7 +9,7 @@
 from chicorybridge.clocks import Millis
 from chicorybridge.evidence import Evidence, empty_recent, expect, worst
 from chicorybridge.identities import HostId, ZoneId
-from chicorybridge.latencies import LatencyCase, WarmUp
+from chicorybridge.latency_verdicts import LatencyCase, WarmUp
 from chicorybridge.observations import Tally
 from chicorybridge.scores import Score, Stream, weigh_outcomes
 from chicorybridge.thresholds import Thresholds
--- /dev/null
+++ b/chicorybridge/configurations.py
@@ -0,0 +1,30 @@
+"""The configuration that governs a process."""
+
+import dataclasses
+
+from chicorybridge.codecs import unpack
+from chicorybridge.declarations import Declaration
+from chicorybridge.identities import Digest, Version
+from chicorybridge.routes import RouteTable
+from chicorybridge.versions import DeclarationActivated
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ActiveConfiguration:
+    """A version with its declaration and what is derived from it."""
+
+    version: Version
+    digest: Digest
+    declaration: Declaration
+    routes: RouteTable
+
+
+def activate(sent: DeclarationActivated) -> ActiveConfiguration:
+    """Derive what requests need from a declaration."""
+    declaration = unpack(sent.body)
+    return ActiveConfiguration(
+        version=sent.version,
+        digest=sent.digest,
+        declaration=declaration,
+        routes=RouteTable(declaration=declaration),
+    )
--- a/chicorybridge/detections.py
+++ b/chicorybridge/detections.py
@@ -9,7 +9,7 @@
 from chicorybridge.declarations import Declaration
 from chicorybridge.ejections import Ejections
 from chicorybridge.freshness import Beats, Freshness
-from chicorybridge.holdings import HoldingTable
+from chicorybridge.permit_holdings import HoldingTable
 from chicorybridge.identities import (
     HostId,
     Incarnation,
@@ -21,7 +21,7 @@
 from chicorybridge.loans import Loans
 from chicorybridge.permits import Permits
 from chicorybridge.probes import Probes
-from chicorybridge.reports import Reports
+from chicorybridge.evidence_reports import Reports
 from chicorybridge.systems import Effects, System
 
 
--- a/chicorybridge/ejections.py
+++ b/chicorybridge/ejections.py
@@ -12,7 +12,7 @@
 from chicorybridge.declarations import Declaration
 from chicorybridge.errors import require
 from chicorybridge.events import Event, EventKind
-from chicorybridge.holdings import HoldingTable
+from chicorybridge.permit_holdings import HoldingTable
 from chicorybridge.identities import ServiceId, TargetId, ZoneId
 from chicorybridge.notices import Ejection, OwnEjection, Rests
 from chicorybridge.systems import Effect, Effects, Emit, System
--- a/chicorybridge/loans.py
+++ b/chicorybridge/loans.py
@@ -12,7 +12,7 @@
 from chicorybridge.codecs import wire
 from chicorybridge.events import Event, EventKind
 from chicorybridge.freshness import FRESH_MS, Freshness, Stamp
-from chicorybridge.holdings import Borrowed, Holding, HoldingTable, Lent
+from chicorybridge.permit_holdings import Borrowed, Holding, HoldingTable, Lent
 from chicorybridge.identities import HostId, Incarnation, ServiceId, Version
 from chicorybridge.systems import Effect, Effects, Emit, Send, System
 
--- a/chicorybridge/permits.py
+++ b/chicorybridge/permits.py
@@ -12,7 +12,7 @@
 from chicorybridge.errors import require
 from chicorybridge.events import Event, EventKind
 from chicorybridge.freshness import FRESH_MS, LAPSE_MS
-from chicorybridge.holdings import Holding, HoldingTable
+from chicorybridge.permit_holdings import Holding, HoldingTable
 from chicorybridge.identities import HostId, Incarnation, ServiceId
 from chicorybridge.ledgers import (
     Ledger,
--- a/chicorybridge/reports.py
+++ b/chicorybridge/reports.py
@@ -1,103 +1,168 @@
-"""Send what the entries of this host saw to the judges of the targets.
+"""Results as a self-contained HTML page with plots.
 
-Bad news goes at once, good news now and then.
+The plots need matplotlib, the optional extra `report`; without it the
+page has its tables only.
 """
 
+import base64
+import html
+import io
+import json
+import logging
+import pathlib
 from collections.abc import Iterable
+from typing import Any
 
-from chicorybridge.announcements import Announcements
-from chicorybridge.assignments import Assignments
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Declaration
-from chicorybridge.evidence import CommonView, Evidence, EvidenceReport
-from chicorybridge.freshness import Freshness
-from chicorybridge.identities import HostId, TargetId, ZoneId
-from chicorybridge.observations import Observations, Tally
-from chicorybridge.systems import Effect, Effects, Send, System
-
-# Time between two reports of good news.
-REPORT_MS = 500.0
-# Mean residual from which a report goes at once.
-URGENT_SHIFT = 0.5
-
-
-class Reports(System):
-    """Gather observations of entries into evidence for the judges."""
-
-    def __init__(
-        self,
-        *,
-        zone_id: ZoneId,
-        freshness: Freshness,
-        announcements: Announcements,
-        assignments: Assignments,
-    ) -> None:
-        """Report from a host in `zone_id`."""
-        self._zone_id = zone_id
-        self._freshness = freshness
-        self._announcements = announcements
-        self._assignments = assignments
-        self._view = CommonView()
-        self._tallies_by_id: dict[TargetId, Tally] = {}
-        self._report_at = Millis(0)
-
-    def configure(self, declaration: Declaration) -> None:
-        """Take in the targets of a configuration."""
-        self._view.configure(declaration)
-        for target_id in self._tallies_by_id.keys() - declaration.targets_by_id:
-            self._tallies_by_id.pop(target_id)
-
-    def tick(self, *, now: Millis) -> Effects:
-        """Report good news when it is time."""
-        if now < self._report_at:
-            return ()
-        self._report_at = Millis(now + REPORT_MS)
-        return self._report(tuple(self._tallies_by_id), now=now)
-
-    def receive(
-        self, message: object, *, sender: HostId, now: Millis
-    ) -> Effects:
-        """Take in observations; report at once what speaks against some."""
-        if not isinstance(message, Observations):
-            return ()
-        urgent = []
-        for tally in message.tallies:
-            target_id = tally.target_id
-            if not self._view.knows(target_id):
-                continue
-            self._view.add(tally, now=now)
-            gathered = self._tallies_by_id.setdefault(
-                target_id, Tally(target_id=target_id)
-            )
-            gathered.add(tally)
-            if _is_urgent(gathered):
-                urgent.append(target_id)
-        return self._report(urgent, now=now)
-
-    def _report(
-        self, target_ids: Iterable[TargetId], *, now: Millis
-    ) -> list[Effect]:
-        evidence_by_judge: dict[HostId, list[Evidence]] = {}
-        for target_id in target_ids:
-            tally = self._tallies_by_id.pop(target_id)
-            judge = self._announcements.ejector_of(target_id, now=now)
-            judge = judge or self._assignments.judges_by_id[target_id]
-            evidence = self._view.judge(tally, now=now)
-            evidence_by_judge.setdefault(judge, []).append(evidence)
-        return [
-            Send(
-                to=judge,
-                message=EvidenceReport(
-                    stamp=self._freshness.stamp(to=judge, now=now),
-                    zone_id=self._zone_id,
-                    evidence=tuple(evidence),
-                ),
+from hdrh.histogram import HdrHistogram
+
+from chicorybridge.recorders import MICROS_PER_MILLI
+from chicorybridge.results import compare
+
+logger = logging.getLogger(__name__)
+
+FIGURE_INCHES = (9, 4)
+HIGHEST_PERCENTILE = 99.99
+PLOTTED_PERCENTILES = (
+    1, 5, 10, 25, 50, 75, 90, 95, 98, 99, 99.5, 99.9, HIGHEST_PERCENTILE,
+)  # fmt: skip
+TICK_PERCENTILES = (50, 90, 99, 99.9, HIGHEST_PERCENTILE)
+
+PAGE = """<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>{title}</title><style>
+body {{ font-family: sans-serif; margin: 2em auto; max-width: 60em }}
+table {{ border-collapse: collapse; margin: 1em 0 }}
+td, th {{ border: 1px solid #999; padding: 0.2em 0.7em; text-align: right }}
+pre {{ background: #eee; padding: 1em; overflow: auto }}
+</style></head><body><h1>{title}</h1>{content}</body></html>
+"""
+
+
+def write_report(
+    result: dict[str, Any],
+    earlier: dict[str, Any] | None,
+    *,
+    path: pathlib.Path,
+) -> None:
+    """Write a result as a page, with an earlier one beside it."""
+    path.write_text(make_report(result, earlier), encoding='utf-8')
+
+
+def make_report(result: dict[str, Any], earlier: dict[str, Any] | None) -> str:
+    """Return the page."""
+    figures = [
+        (item.group, item.figure, item.before, item.after)
+        for item in compare(result, earlier)
+    ]
+    outcomes = [
+        (name, outcome, count)
+        for name, group in result['groups'].items()
+        for outcome, count in group['outcomes'].items()
+    ]
+    parts = [
+        _table(('group', 'figure', 'before', 'after'), figures),
+        _table(('group', 'outcome', 'requests'), outcomes),
+        _table(('promise', 'seen broken'), result['verdict'].items()),
+        *_plots(result, earlier),
+        *(
+            _listing(name, result[name])
+            for name in ('faults', 'machine', 'settings')
+        ),
+    ]
+    title = '{name}, seed {seed}'.format(**result)
+    return PAGE.format(title=html.escape(title), content=''.join(parts))
+
+
+def _plots(
+    result: dict[str, Any], earlier: dict[str, Any] | None
+) -> Iterable[str]:
+    try:
+        from matplotlib import figure  # noqa: PLC0415, WPS433
+    except ImportError:
+        logger.warning('no plots: install the extra "report"')
+        return
+    percentiles = figure.Figure(figsize=FIGURE_INCHES)
+    _plot_percentiles(percentiles.subplots(), result, earlier)
+    yield _image(percentiles)
+    time_line = figure.Figure(figsize=FIGURE_INCHES)
+    _plot_time_line(time_line.subplots(), result)
+    yield _image(time_line)
+
+
+def _plot_percentiles(
+    axes: Any, result: dict[str, Any], earlier: dict[str, Any] | None
+) -> None:
+    shown = [(result, '', '-')]
+    if earlier:
+        shown.append((earlier, ' (earlier)', ':'))
+    for document, suffix, style in shown:
+        for name, group in document['groups'].items():
+            histogram = HdrHistogram.decode(group['histogram'])
+            axes.plot(
+                [100 / (100 - point) for point in PLOTTED_PERCENTILES],
+                [
+                    histogram.get_value_at_percentile(point) / MICROS_PER_MILLI
+                    for point in PLOTTED_PERCENTILES
+                ],
+                style,
+                label=name + suffix,
             )
-            for judge, evidence in evidence_by_judge.items()
-        ]
+    axes.set_xscale('log')
+    axes.set_yscale('log')
+    axes.set_xticks(
+        [100 / (100 - point) for point in TICK_PERCENTILES],
+        [str(point) for point in TICK_PERCENTILES],
+    )
+    axes.set(xlabel='percentile', ylabel='latency, ms')
+    axes.legend()
+
+
+def _plot_time_line(axes: Any, result: dict[str, Any]) -> None:
+    for name, group in result['groups'].items():
+        seconds = sorted(group['seconds'].items(), key=_number)
+        axes.plot(
+            [int(number) for number, _ in seconds],
+            [second['p99_ms'] for _, second in seconds],
+            label=name,
+        )
+    for fault in result['faults']:
+        axes.axvline(fault['at_ms'] / 1000, color='grey', linestyle=':')
+    axes.set_yscale('log')
+    axes.set(xlabel='second of the run', ylabel='p99 of the second, ms')
+    axes.legend()
+
+
+def _number(pair: tuple[str, Any]) -> int:
+    return int(pair[0])
+
+
+def _image(figure: Any) -> str:
+    stream = io.BytesIO()
+    figure.savefig(stream, format='svg', bbox_inches='tight')
+    encoded = base64.b64encode(stream.getvalue()).decode()
+    return f'<p><img alt="plot" src="data:image/svg+xml;base64,{encoded}"></p>'
+
+
+def _table(head: Iterable[str], rows: Iterable[Iterable[Any]]) -> str:
+    lines = [_table_row('th', head)]
+    lines.extend(_table_row('td', row) for row in rows)
+    return _element('table', ''.join(lines))
+
+
+def _table_row(tag: str, cells: Iterable[Any]) -> str:
+    shown = (_element(tag, html.escape(_cell_text(cell))) for cell in cells)
+    return _element('tr', ''.join(shown))
+
+
+def _cell_text(cell: Any) -> str:
+    if cell is None:
+        return ''
+    return f'{cell:.3f}' if isinstance(cell, float) else str(cell)
+
+
+def _element(tag: str, content: str) -> str:
+    return f'<{tag}>{content}</{tag}>'
 
 
-def _is_urgent(tally: Tally) -> bool:
-    if tally.failures:
-        return True
-    return tally.latency_shift > URGENT_SHIFT * tally.latency_weight
+def _listing(name: str, document: Any) -> str:
+    text = html.escape(json.dumps(document, indent=1))
+    return f'<h2>{html.escape(name)}</h2><pre>{text}</pre>'
--- a/chicorybridge/tests/test_ejections.py
+++ b/chicorybridge/tests/test_ejections.py
@@ -5,11 +5,15 @@
 from chicorybridge.attempts import Attempt, AttemptOutcome
 from chicorybridge.clocks import Millis
 from chicorybridge.errors import PromiseError
-from chicorybridge.holdings import Holding
+from chicorybridge.permit_holdings import Holding
 from chicorybridge.identities import HostId, TargetId, Version
 from chicorybridge.notices import Ejection
-from chicorybridge.tools.declared import READ_ROUTE, SERVICE_ID, declare
-from chicorybridge.tools.fleets import Fleet
+from chicorybridge.tools.mixed_declarations import (
+    READ_ROUTE,
+    SERVICE_ID,
+    declare,
+)
+from chicorybridge.tools.judging_fleets import Fleet
 
 HOSTS = 6
 # Ten targets of six slots with a floor of 0.7 leave three to eject.
--- a/chicorybridge/tests/test_observations.py
+++ b/chicorybridge/tests/test_observations.py
@@ -5,7 +5,11 @@
 from chicorybridge.codecs import pack, unpack
 from chicorybridge.identities import HostId, TargetId
 from chicorybridge.observations import LARGE_BODY_BYTES, Observer
-from chicorybridge.tools.declared import READ_ROUTE, SERVICE_ID, declare
+from chicorybridge.tools.mixed_declarations import (
+    READ_ROUTE,
+    SERVICE_ID,
+    declare,
+)
 
 HOST = HostId('host-00')
 FIRST = TargetId('target-00')
--- a/chicorybridge/tests/test_permits.py
+++ b/chicorybridge/tests/test_permits.py
@@ -1,11 +1,11 @@
 """Tests of permits: claims, loans and lapses."""
 
-from chicorybridge.holdings import HoldingTable
+from chicorybridge.permit_holdings import HoldingTable
 from chicorybridge.identities import HostId, Version
 from chicorybridge.ledgers import budgets_of, ledger_of, row_key_of
 from chicorybridge.stores import ReadRows
-from chicorybridge.tools.declared import SERVICE_ID, declare
-from chicorybridge.tools.fleets import Fleet
+from chicorybridge.tools.mixed_declarations import SERVICE_ID, declare
+from chicorybridge.tools.judging_fleets import Fleet
 
 # Ten targets of six slots with a floor of 0.9 leave one to eject.
 BUDGET = 6
--- a/chicorybridge/tests/test_probes.py
+++ b/chicorybridge/tests/test_probes.py
@@ -6,8 +6,8 @@
 from chicorybridge.identities import TargetId
 from chicorybridge.notices import Ejection
 from chicorybridge.probes import PROBE_MS
-from chicorybridge.tools.declared import SERVICE_ID, declare
-from chicorybridge.tools.fleets import Fleet
+from chicorybridge.tools.mixed_declarations import SERVICE_ID, declare
+from chicorybridge.tools.judging_fleets import Fleet
 
 FIRST = TargetId('target-00')
 SECONDS = 20
--- a/chicorybridge/tests/test_weights.py
+++ b/chicorybridge/tests/test_weights.py
@@ -7,7 +7,11 @@
 from chicorybridge.clocks import Millis
 from chicorybridge.identities import HostId, TargetId
 from chicorybridge.notices import TargetLimits
-from chicorybridge.tools.declared import READ_ROUTE, SERVICE_ID, declare
+from chicorybridge.tools.mixed_declarations import (
+    READ_ROUTE,
+    SERVICE_ID,
+    declare,
+)
 from chicorybridge.weights import TRICKLE, Weights
 
 EVERYONE = tuple(declare(targets=10).targets_by_id)
--- a/chicorybridge/tools/detection_runs.py
+++ b/chicorybridge/tools/detection_runs.py
@@ -14,13 +14,13 @@
 from chicorybridge.clocks import Millis
 from chicorybridge.identities import HostId, RouteId, TargetId
 from chicorybridge.settings import TICK_MS
-from chicorybridge.tools.declared import (
+from chicorybridge.tools.mixed_declarations import (
     SERVICE_ID,
     UPLOAD_ROUTE,
     declare,
     region_of,
 )
-from chicorybridge.tools.fleets import Fleet, Host
+from chicorybridge.tools.judging_fleets import Fleet, Host
 from chicorybridge.tools.policies import (
     ConsecutiveFailures,
     LeastInFlight,
--- a/chicorybridge/tools/episodes.py
+++ b/chicorybridge/tools/episodes.py
@@ -5,7 +5,7 @@
 
 from chicorybridge.identities import TargetId
 from chicorybridge.tools.detection_runs import Simulation
-from chicorybridge.tools.fleets import Host
+from chicorybridge.tools.judging_fleets import Host
 from chicorybridge.tools.service_models import Condition, Work
 
 # Without new work for so long, a gray target counts as detected.
--- a/chicorybridge/tools/floor_runs.py
+++ b/chicorybridge/tools/floor_runs.py
@@ -18,8 +18,8 @@
 from chicorybridge.ledgers import budgets_of
 from chicorybridge.observations import Observations, Tally
 from chicorybridge.settings import SLOTS, TICK_MS
-from chicorybridge.tools.declared import SERVICE_ID, declare
-from chicorybridge.tools.fleets import Fleet
+from chicorybridge.tools.mixed_declarations import SERVICE_ID, declare
+from chicorybridge.tools.judging_fleets import Fleet
 from chicorybridge.tools.host_faults import HostFaults
 
 HOSTS = 8
--- a/chicorybridge/tools/host_faults.py
+++ b/chicorybridge/tools/host_faults.py
@@ -4,7 +4,7 @@
 from chicorybridge.freshness import LAPSE_MS
 from chicorybridge.identities import HostId
 from chicorybridge.settings import TICK_MS
-from chicorybridge.tools.fleets import Fleet
+from chicorybridge.tools.judging_fleets import Fleet
 
 # Chances that something happens in a tick.
 PAUSE_CHANCE = 0.004
--- a/chicorybridge/tools/policies.py
+++ b/chicorybridge/tools/policies.py
@@ -7,7 +7,7 @@
 from chicorybridge.attempts import Attempt, AttemptOutcome
 from chicorybridge.clocks import Millis
 from chicorybridge.identities import TargetId
-from chicorybridge.tools.declared import SERVICE_ID
+from chicorybridge.tools.mixed_declarations import SERVICE_ID
 from chicorybridge.weights import BAD, Weights
 
 # A plain ejector: failures in a row, and how long a target stays out.
