Keep a stopping entry up until the lists that name it have expired

Cause: the wait was the time to live of the newest list, which a host that is off the list tells as a short one; callers hold the longer one of before.

--- a/chicorybridge/entry_processes.py
+++ b/chicorybridge/entry_processes.py
@@ -13,6 +13,7 @@
 from chicorybridge.connections import TargetConnections
 from chicorybridge.control_links import ControlLink
 from chicorybridge.dispatchers import Dispatcher, Duty, EntryState
+from chicorybridge.drains import withdrawn_ms
 from chicorybridge.entry_inboxes import EntryInbox
 from chicorybridge.entry_lists import EntryListResponder
 from chicorybridge.entry_messages import EntryClosing, EntryOpened
@@ -108,8 +109,8 @@
         self.state.duty = Duty.draining
         await self._link.post(EntryClosing(entry_id=self._entry_id))
         await self._wait_unlisted()
-        # Callers may go on using what they were told for its time to live.
-        await curio.sleep(as_seconds(self._list.ttl_ms))
+        # Callers may go on using what they were told before.
+        await curio.sleep(as_seconds(withdrawn_ms()))
         await self.callers.stop_accepting()
         await self.callers.close_idle()
         await self._finish_calls()
--- /dev/null
+++ b/chicorybridge/tests/test_entry_processes.py
@@ -0,0 +1,48 @@
+"""Tests of a whole entry process on loopback, without its control."""
+
+import random
+
+import curio
+import pytest
+
+from chicorybridge import settings, sockets
+from chicorybridge.clocks import Clock
+from chicorybridge.entry_processes import Entry
+from chicorybridge.identities import HostId, RegionId, ZoneId
+from chicorybridge.process_settings import EntrySettings
+
+GONE = '127.0.0.1:1'
+
+
+def _entry():
+    given = EntrySettings(
+        host_id=HostId('host-1'),
+        zone_id=ZoneId('groningen'),
+        region_id=RegionId('noord'),
+        listen='127.0.0.1:0',
+        control=GONE,
+        fleet_key=b'key',
+    )
+    return Entry(given=given, clock=Clock(), rng=random.Random(1))
+
+
+async def test_planned_stop_takes_callers_until_their_lists_expire(
+    monkeypatch,
+):
+    """A caller told of the address before the stop can still connect."""
+    monkeypatch.setattr(settings, 'ENTRY_TTL_MS', 300)
+    monkeypatch.setattr(settings, 'DRAIN_SPREAD_MS', 100)
+    monkeypatch.setattr(settings, 'ENTRY_SHORT_TTL_MS', 0)
+    entry = _entry()
+    listener = sockets.listen('127.0.0.1:0')
+    address = sockets.bound_address(listener)
+    running = await curio.spawn(entry.run(listener))
+    await curio.sleep(0)
+    draining = await curio.spawn(entry.drain(listener))
+    await curio.sleep(0.2)
+    caller = await sockets.connect(address)
+    await caller.close()
+    await draining.join()
+    with pytest.raises(ConnectionRefusedError):
+        await sockets.connect(address)
+    await running.cancel()
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -5,29 +5,12 @@
 bin=$1
 keep=${2:-}
 here=$(cd "$(dirname "$0")" && pwd)
-run=$(mktemp -d)
-pids=""
+. "$here/fleet.sh"
 
 export CHICORYBRIDGE_FLEET_KEY=demo-fleet-key
 export CHICORYBRIDGE_OPERATOR_TOKEN=demo-operator-token
 export CHICORYBRIDGE_CONTROL=127.0.0.1:20101
 
-stop_all() {
-    for pid in $pids; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in $pids; do wait "$pid" 2>/dev/null || true; done
-    [ -n "${DEMO_LOGS:-}" ] && cp -r "$run" "$DEMO_LOGS"
-    rm -rf "$run"
-}
-trap stop_all EXIT
-trap 'exit 130' INT TERM
-
-start() {
-    log=$1
-    shift
-    "$@" >"$run/$log.out" 2>"$run/$log.err" &
-    pids="$pids $!"
-}
-
 start platform "$bin/chicorybridge-standin" platform \
     --listen 127.0.0.1:20001 ${keep:+--file "${TMPDIR:-/tmp}/chicorybridge-demo.sqlite"}
 
@@ -44,26 +27,8 @@
 for zone in groningen leeuwarden eindhoven; do
     region=noord
     [ "$zone" = eindhoven ] && region=zuid
-    cat >"$run/host-$number.ini" <<INI
-[control]
-host = host-$number
-zone = $zone
-region = $region
-listen = 127.0.0.1:2010$number
-platform = 127.0.0.1:20001
-fleet_key_variable = CHICORYBRIDGE_FLEET_KEY
-operator_token_variable = CHICORYBRIDGE_OPERATOR_TOKEN
-
-[entry]
-host = host-$number
-zone = $zone
-region = $region
-listen = 127.0.0.1:2020$number
-control = 127.0.0.1:2010$number
-fleet_key_variable = CHICORYBRIDGE_FLEET_KEY
-INI
-    start "control-$number" "$bin/chicorybridge-control" --settings "$run/host-$number.ini"
-    start "entry-$number" "$bin/chicorybridge-entry" --settings "$run/host-$number.ini"
+    write_host "$number" "$zone" "$region" "2010$number" "2020$number" 127.0.0.1:20001
+    start_host "$number"
     number=$((number + 1))
 done
 
