Accept a version as soon as the last report is in; measure fleets

Before, an accepted version was told 1040 ms after the request at any size (p50 to max; 6 and 20 hosts), since the wait for reports slept for the store's retry time.

--- a/chicorybridge/applies.py
+++ b/chicorybridge/applies.py
@@ -111,7 +111,7 @@
                 continue
             if apply.stage not in ENDED and now >= apply.due:
                 effects.extend(self._step(apply, now))
-                effects.extend(self._tell(apply))
+                effects.extend(self._tell_at_times(apply, now))
         return effects
 
     def take_reply(self, reply: StoreReply, *, now: Millis) -> Effects:
@@ -201,6 +201,7 @@
         apply.head = head
         apply.stage = ApplyStage.spreading
         apply.durable_at = now
+        apply.due = NEVER
         effects = list(self._spreads.learn(head, now=now))
         if self._holdings.wanted == head:
             self._spreads.collector = self._members.profile.host_id
@@ -209,9 +210,11 @@
         return effects
 
     def _wait(self, apply: Apply, now: Millis) -> Effects:
-        apply.due = Millis(now + settings.REPORT_MS)
         self._review(apply, now)
         if apply.waiting or self._members.is_cut_off(now):
+            if now < apply.ask_due:
+                return ()
+            apply.ask_due = Millis(now + settings.REPORT_MS)
             lagging = {status.host_id for status in apply.waiting}
             return self._confirmations.ask(lagging, apply.head.version, now=now)
         apply.stage = ApplyStage.accepted
@@ -241,6 +244,12 @@
         undecided = apply.stage in NOT_DURABLE and not apply.asked
         return undecided or apply.stage in ENDED
 
+    def _tell_at_times(self, apply: Apply, now: Millis) -> Effects:
+        if apply.stage not in ENDED and now < apply.tell_due:
+            return ()
+        apply.tell_due = Millis(now + settings.REPORT_MS)
+        return self._tell(apply)
+
     def _tell(self, apply: Apply) -> Effects:
         progress = progress_of(apply)
         return [
--- a/chicorybridge/applysteps.py
+++ b/chicorybridge/applysteps.py
@@ -37,6 +37,10 @@
     operators: set[HostId] = dataclasses.field(default_factory=set)
     watched_at: Millis
     due: Millis = NEVER
+    # When lagging hosts are asked for reports again.
+    ask_due: Millis = NEVER
+    # When the operators are told again without an end.
+    tell_due: Millis = NEVER
     # Whether a request to the platform is under way.
     asked: bool = False
     durable_at: Millis = NEVER
--- a/chicorybridge/tools/channels.py
+++ b/chicorybridge/tools/channels.py
@@ -42,6 +42,9 @@
         self.loss_share: float = 0
         self.duplicate_share: float = 0
         self.delay_ms = (0.5, 1)
+        # Delay between hosts of different regions, if these are given.
+        self.far_delay_ms = (12.0, 13.0)
+        self.region_by_host: dict[HostId, str] = {}
         self.store_delay_ms = (1, 5)
         self._queue: list[tuple[float, int, Step]] = []
         self._serial = 0
@@ -111,7 +114,14 @@
                 return
             self.hand_in(receiver, unpack(body), sender=sender)
 
-        self._later(self.rng.uniform(*self.delay_ms), arrive)
+        delay_ms = self._delay_ms(sender, receiver)
+        self._later(self.rng.uniform(*delay_ms), arrive)
+
+    def _delay_ms(self, sender: HostId, receiver: HostId) -> tuple:
+        regions = self.region_by_host
+        if regions.get(sender) == regions.get(receiver):
+            return self.delay_ms
+        return self.far_delay_ms
 
     def _ask(self, host_id: HostId, ask: Ask) -> None:
         incarnation = self.systems_by_host.get(host_id)
--- a/chicorybridge/tools/fleets.py
+++ b/chicorybridge/tools/fleets.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from chicorybridge import settings
+from chicorybridge.applysteps import ENDED
 from chicorybridge.clocks import Millis
 from chicorybridge.errors import require
 from chicorybridge.events import EventKind
@@ -78,7 +79,7 @@
 
     def __init__(self, *, size: int, seed: int, zones: int = 4) -> None:
         """Start `size` hosts and list them in the platform."""
-        self.channel = FaultyChannel(seed=seed)
+        self.channel = self.open_channel(seed=seed)
         self.rng = random.Random(seed)
         self.hosts_by_id: dict[HostId, FleetHost] = {}
         self.zones = zones
@@ -86,6 +87,10 @@
             name = str(number).zfill(4)
             self.start(HostId(f'host-{name}'), zone=number % zones)
 
+    def open_channel(self, *, seed: int) -> FaultyChannel:
+        """Return the channel that joins the hosts."""
+        return FaultyChannel(seed=seed)
+
     def start(
         self, host_id: HostId, *, zone: int, seeds: tuple[HostId, ...] = ()
     ) -> FleetHost:
@@ -107,6 +112,7 @@
         host = FleetHost(members=members, rollouts=rollouts)
         self.hosts_by_id[host_id] = host
         self.channel.add(host_id, members, rollouts)
+        self.channel.region_by_host[host_id] = profile.region_id
         self.list_host(host_id, state=HostState.live)
         return host
 
@@ -176,13 +182,21 @@
 
     @property
     def last(self) -> ApplyProgress:
-        """Return the last progress that the operator was told."""
+        """Return the last progress that the operator was told.
+
+        The end of an apply counts, also if it overtook other answers.
+        """
         told = [
             answer
             for answer in self.answers
             if isinstance(answer, ApplyProgress)
         ]
-        return told[-1]
+        ends = [
+            answer
+            for answer in told
+            if answer.apply_id == told[-1].apply_id and answer.stage in ENDED
+        ]
+        return (ends or told)[-1]
 
     def apply(
         self,
