--- a/chicorybridge/tests/test_deltas.py
+++ b/chicorybridge/tests/test_deltas.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from chicorybridge.deltas import difference, patched
-from chicorybridge.tools.declared import declared
+from chicorybridge.tools.sized_declarations import declared
 
 
 def test_difference_rebuilds_the_declaration():
--- a/chicorybridge/tests/test_spreads.py
+++ b/chicorybridge/tests/test_spreads.py
@@ -25,9 +25,10 @@
         """Note bodies, and carry all effects out."""
         listed = list(effects)
         for effect in listed:
-            match effect:
-                case Send(to=to, message=BodySent() as sent):
-                    self.bodies.append((host_id, to, sent))
+            if not isinstance(effect, Send):
+                continue
+            if isinstance(effect.message, BodySent):
+                self.bodies.append((host_id, effect.to, effect.message))
         super().carry_out(host_id, listed)
 
 
