--- /dev/null
+++ b/chicorybridge/tests/test_crossings.py
@@ -0,0 +1,86 @@
+"""Tests of bytes across regions."""
+
+import pytest
+
+from chicorybridge.clocks import Millis
+from chicorybridge.crossings import CrossingGranted, CrossingMeter
+from chicorybridge.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.tools.declared import ServiceShape, declare
+from chicorybridge.tools.upload_models import UploadModel, UploadPlan
+
+SERVICE = ServiceId('quotes')
+NOW = Millis(0)
+MIB = 1024 * 1024
+DECLARATION = declare(ServiceShape(name='quotes'), ServiceShape(name='photos'))
+
+
+def _meter():
+    meter = CrossingMeter(entry_id='entry')
+    meter.set_declaration(
+        DECLARATION, ZoneId('north-1'), region_processes=20, now=NOW
+    )
+    return meter
+
+
+def test_only_targets_of_another_region_cross():
+    """Targets of the own region cost nothing."""
+    meter = _meter()
+    assert not meter.crosses(TargetId('quotes-0'))
+    assert not meter.crosses(TargetId('quotes-1'))
+    assert meter.crosses(TargetId('quotes-2'))
+
+
+def test_bytes_are_counted_with_those_of_retries():
+    """A retry of an upload costs its bytes again."""
+    meter = _meter()
+    meter.spend(SERVICE, 4 * MIB, now=NOW)
+    meter.spend(SERVICE, 4 * MIB, retried=True, now=NOW)
+    count = meter.counts()[SERVICE]
+    assert (count.crossed_bytes, count.retried_bytes) == (8 * MIB, 4 * MIB)
+    assert not meter.may_cross(SERVICE, 4 * MIB, now=NOW)
+
+
+def test_reads_go_on_while_an_upload_waits():
+    """A service that owes little lets small requests cross."""
+    meter = _meter()
+    meter.spend(SERVICE, 6000, now=NOW)
+    assert not meter.may_cross(SERVICE, 4 * MIB, now=NOW)
+    assert meter.wait_ms(SERVICE, now=NOW) > 0
+    assert meter.may_cross(SERVICE, 1000, now=NOW)
+
+
+def test_unknown_service_crosses_nothing():
+    """Without a share there is nothing to use."""
+    assert not _meter().may_cross(ServiceId('other'), 1, now=NOW)
+
+
+def test_grant_raises_the_rate_until_its_lease_ends():
+    """Only a grant to this process counts, and only for its time."""
+    meter = _meter()
+    meter.spend(SERVICE, MIB, now=NOW)
+    before = meter.wait_ms(SERVICE, now=NOW)
+    for entry_id in ('other', 'entry'):
+        granted = CrossingGranted(
+            entry_id=entry_id,
+            service_id=SERVICE,
+            bytes_per_second=MIB,
+            lease_ms=100,
+        )
+        meter.receive(granted, now=NOW)
+    assert meter.wait_ms(SERVICE, now=NOW) < before / 10
+    meter.tick(now=Millis(100))
+    assert meter.wait_ms(SERVICE, now=Millis(100)) > before / 2
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_upload_peak_leaves_reads_alone(seed):
+    """The link carries the declared share; reads do not queue behind it."""
+    plan = UploadPlan(uploads_per_second=2)
+    model = UploadModel(DECLARATION, plan, seed=seed)
+    model.run(for_ms=20_000)
+    waits = sorted(model.read_ms)
+    assert waits[int(0.99 * len(waits))] < 100
+    # Half of the link for the service, and half of that for this region.
+    budget = 30_000_000 / 8 / 2 / 2
+    bursts = 20 * 2 * 65_536
+    assert MIB < model.crossed_bytes('photos') <= 20 * budget + bursts
