--- a/chicorybridge/tests/test_crossings.py
+++ b/chicorybridge/tests/test_crossings.py
@@ -84,3 +84,14 @@
     budget = 30_000_000 / 8 / 2 / 2
     bursts = 20 * 2 * 65_536
     assert MIB < model.crossed_bytes('photos') <= 20 * budget + bursts
+
+
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED: uploads share and starve')
+def test_uploads_beyond_the_share_end_one_after_the_other():
+    """Bytes paid for bring whole uploads: most of what the share carries."""
+    plan = UploadPlan(uploads_per_second=0.5)
+    model = UploadModel(DECLARATION, plan, seed=1)
+    model.run(for_ms=60_000)
+    # Half of the link for the service, and half of that for this region.
+    budget = 30_000_000 / 8 / 2 / 2
+    assert len(model.upload_ms) >= 0.8 * 60 * budget / plan.upload_bytes
