--- a/chicorybridge/control_processes.py
+++ b/chicorybridge/control_processes.py
@@ -15,26 +15,21 @@
 from chicorybridge.control_systems import ControlSystems
 from chicorybridge.drains import DrainState
 from chicorybridge.errors import PromiseError
-from chicorybridge.events import Event, EventKind, EventLog
-from chicorybridge.identities import HostId, Incarnation
+from chicorybridge.events import EventLog
+from chicorybridge.identities import HostId, Incarnation, TargetId
 from chicorybridge.operator_desks import OperatorDesk
 from chicorybridge.peer_links import PeerLinks
+from chicorybridge.platform_desks import PlatformDesk
+from chicorybridge.probers import Prober
 from chicorybridge.process_settings import ControlSettings
 from chicorybridge.profiles import HostProfile
 from chicorybridge.sessions import EntryTable
-from chicorybridge.stores import (
-    HostState,
-    ListedHost,
-    StoreOutcome,
-    StoreReply,
-)
 from chicorybridge.stream_servers import StreamServer
 from chicorybridge.streams import Identity, Role
 from chicorybridge.tasks import run_all
 from chicorybridge.systems import Ask, Effect, Emit, Send, SendEntries
 
 INCARNATION_BITS = 63
-AWAY = frozenset((StoreOutcome.unavailable, StoreOutcome.unanswered))
 
 
 class Control:
@@ -73,11 +68,12 @@
             log=self.log,
             address_of=self._addresses_by_host.get,
         )
-        self._platform = PlatformClient(
+        client = PlatformClient(
             address=parse_address(given.platform),
             host_id=given.host_id,
             timeout_ms=settings.PLATFORM_TIMEOUT_MS,
         )
+        self._platform = PlatformDesk(client=client, log=self.log)
         self._server = StreamServer(
             identity=self._identity,
             clock=clock,
@@ -86,9 +82,9 @@
             take=self._take,
             take_of_operator=self._take_of_operator,
         )
+        self._prober = Prober(finished=self._finish_probe)
         self._effects: deque[Effect] = deque()
         self._is_carrying = False
-        self._store_is_away = False
         self._broken: PromiseError | None = None
         self._is_broken = curio.Event()
 
@@ -102,7 +98,7 @@
         await run_all(
             self._server.accept(listener),
             self._tick_forever(),
-            self._register_forever(address),
+            self._platform.register_forever(self.systems.members),
             self._raise_broken_promise(),
         )
 
@@ -152,21 +148,28 @@
     async def _tick(self) -> None:
         await self._carry_out(self.systems.tick(now=self._clock.now()))
         self._learn_addresses()
+        await self._probe()
         if self.entries.addresses != self.systems.members.profile.entries:
             await self._carry_out(
                 self.systems.members.change(entries=self.entries.addresses)
             )
 
-    async def _register_forever(self, address: str) -> None:
-        while True:
-            leaving = self.systems.members.profile.leaving
-            listed = ListedHost(
-                host_id=self._given.host_id,
-                address=address,
-                state=HostState.leaving if leaving else HostState.live,
+    async def _probe(self) -> None:
+        held = self.systems.rollouts.held
+        due = self.systems.detection.probes.take_due()
+        if due and held is not None:
+            await self._prober.probe(due, held.declaration)
+
+    async def _finish_probe(
+        self,
+        target_id: TargetId,
+        is_answered: bool,  # noqa: FBT001
+    ) -> None:
+        await self._carry_out(
+            self.systems.detection.probes.finish(
+                target_id, is_answered=is_answered
             )
-            await self._platform.register(listed)
-            await curio.sleep(as_seconds(settings.REGISTER_MS))
+        )
 
     async def _take_of_operator(self, operator: HostId, message: Any) -> None:
         await self._carry_out(self._desk.take(message, operator=operator))
@@ -217,20 +220,11 @@
                 await curio.spawn(self._ask(effect), daemon=True)
 
     async def _ask(self, ask: Ask) -> None:
-        reply = await self._platform.execute(ask.request, token=ask.token)
-        self._note_store(reply)
+        reply = await self._platform.execute(ask)
         for host in reply.hosts:
             self._addresses_by_host[host.host_id] = host.address
         await self._take(reply, sender=self._given.host_id)
 
-    def _note_store(self, reply: StoreReply) -> None:
-        is_away = reply.outcome in AWAY
-        if is_away == self._store_is_away:
-            return
-        self._store_is_away = is_away
-        kind = EventKind.store_lost if is_away else EventKind.store_back
-        self.log.emit(Event(kind=kind, facts={'token': reply.token}))
-
     def _learn_addresses(self) -> None:
         for host_id, profile in self.systems.members.hosts_by_id.items():
             self._addresses_by_host[host_id] = profile.address
--- a/chicorybridge/permits.py
+++ b/chicorybridge/permits.py
@@ -69,6 +69,8 @@
     def tick(self, *, now: Millis) -> Effects:
         """Claim what is wanted."""
         self._holdings.check_lapse(now=now)
+        if self._holdings.is_cut_off(now=now):
+            return ()
         effects: list[Effect] = []
         for holding in self._holdings.by_service.values():
             if holding.asking or now < holding.store_at:
@@ -94,7 +96,7 @@
             return False
         ledger = ledger_of(holding.service_id, holding.row)
         booked = ledger.shares_by_holder.get(self._holder, 0)
-        return booked != holding.booked
+        return booked != holding.booked(now)
 
     def _missing(self, holding: Holding, *, now: Millis) -> int:
         service_id = holding.service_id
@@ -125,10 +127,12 @@
         holder = self._holder
         struck = self._strikable(ledger, now=now)
         others = ledger.shares_without(holder=holder, struck=struck)
-        room = holding.budget - sum(others.values()) - holding.booked
+        booked = holding.booked(now)
+        room = holding.budget - sum(others.values()) - booked
         holding.claimed = max(0, min(room, self._missing(holding, now=now)))
-        slots = holding.booked + holding.claimed
-        if slots == ledger.shares_by_holder.get(holder, 0):
+        slots = booked + holding.claimed
+        is_booked = slots == ledger.shares_by_holder.get(holder, 0)
+        if is_booked and not holding.claimed:
             return None
         require(
             promise='permits claimed stay within the budget of the service',
@@ -170,10 +174,14 @@
         holding.claimed = 0
         holding.asking = False
         holding.row = reply.rows[0] if reply.rows else None
+        if holding.row is not None:
+            holding.holders = ledger_of(service_id, holding.row).hosts
         if reply.outcome is StoreOutcome.unavailable:
             holding.store_at = Millis(now + FULL_MS)
         if reply.outcome is not StoreOutcome.done or not claimed:
             return ()
+        if self._holdings.is_cut_off(now=now):
+            return ()
         holding.owned += claimed
         facts = {'service': service_id, 'slots': claimed}
         event = Event(kind=EventKind.permit_taken, facts=facts)
--- a/chicorybridge/scores.py
+++ b/chicorybridge/scores.py
@@ -10,6 +10,11 @@
 
 # What a gray target fails beyond the expected, as a share of the rest.
 GRAY_FAILURES = 0.2
+DOWN_FAILURES = 0.95
+# Evidence that ends all doubt, in nats.
+CLEARING_NATS = -1000.0
+# Shift of the other targets from which shedding is a matter of load.
+BUSY_SHIFT = 0.4
 GRAY_SHED = 0.5
 # Time in which evidence loses most of its worth.
 MEMORY_MS = 20_000.0
@@ -19,6 +24,8 @@
     """Kinds of evidence that are added up apart."""
 
     failed = 'failed'
+    # No connection: the target is down, and well again once it answers.
+    down = 'down'
     large = 'large'
     shed = 'shed'
     latency = 'latency'
@@ -54,30 +61,45 @@
         self.hosts.clear()
 
 
-def weigh_outcomes(evidence: Evidence, *, broken: int) -> dict[Stream, float]:
+def weigh_outcomes(evidence: Evidence, *, cuts: int) -> dict[Stream, float]:
     """Return what the outcomes of attempts say, in nats.
 
-    `broken` is how many causes the broken connections have.
+    `cuts` is how many causes the connections that were cut have.
     """
     tally = evidence.tally
     good = tally.answered + tally.large_answered
+    normal = evidence.failed_share
     return {
         Stream.failed: _ratio(
-            tally.failed + broken,
-            tally.answered,
-            evidence.failed_share,
-            GRAY_FAILURES,
+            tally.failed + cuts, tally.answered, normal, GRAY_FAILURES
         ),
+        Stream.down: _weigh_down(evidence, good),
         Stream.large: _ratio(
             tally.large_failed,
             tally.large_answered,
             evidence.large_share,
             GRAY_FAILURES,
         ),
-        Stream.shed: _ratio(tally.shed, good, evidence.shed_share, GRAY_SHED),
+        Stream.shed: _weigh_shed(evidence, good),
     }
 
 
+def _weigh_down(evidence: Evidence, good: float) -> float:
+    """Weigh refused connections; a target that answers is up."""
+    refused = evidence.tally.unreachable
+    if good and not refused:
+        return CLEARING_NATS
+    return _ratio(refused, good, evidence.failed_share, DOWN_FAILURES)
+
+
+def _weigh_shed(evidence: Evidence, good: float) -> float:
+    """Weigh shedding, which a busy pool does for good reason."""
+    if evidence.shift >= BUSY_SHIFT:
+        return 0
+    shed = evidence.tally.shed
+    return _ratio(shed, good, evidence.shed_share, GRAY_SHED)
+
+
 def _ratio(bad: float, good: float, normal: float, gray: float) -> float:
     """Return the log likelihood ratio of gray against normal."""
     if not bad and not good:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -58,6 +58,10 @@
 FAR_HEARTBEAT_MS = 3000
 LOST_BEATS = 4
 HOST_LIST_MS = 5000
+# Up to this size all hosts exchange heartbeats; in larger fleets each does
+# with few of its zone, and so many bridges of a zone with other zones.
+MESH_HOSTS = 50
+BRIDGES = 4
 # A host that nobody proves to hear, and that cannot read the head of the
 # configuration, takes no new work after `CUT_OFF_MS`. Others stop waiting
 # for it after `EXCUSE_MS`, which leaves a margin for clock drift.
@@ -130,7 +134,7 @@
 # How long the end of a try is offered to an owner that does not hear.
 CLAIM_REPORT_MS = 600_000
 # Limits of one control process.
-CLAIMS_KEPT = 40_000
+CLAIMS_KEPT = 25_000
 CLAIM_WAITING = 8
 CLAIM_WITHDRAWN = 16
 CLAIM_REPORTS = 4096
@@ -140,6 +144,11 @@
 CLAIM_ROWS_IN_TRANSACTION = 64
 CLAIM_ROWS_WAITING = 1024
 CLAIM_ROWS_RETRY_MS = 1000
+# Rows that the fleet may write for claims, shared by this many hosts until
+# their number is known; what one host may write at once.
+CLAIM_ROWS_PER_SECOND = 200
+CLAIM_HOSTS = 44
+CLAIM_ROWS_BURST = 64
 # Mean time between two sweeps of old rows by one host.
 CLAIM_SWEEP_MS = 600_000
 LINGER_MS = 2000
@@ -235,3 +244,4 @@
 
 # Departures.
 LEAVING_SIGN_MS = 2000
+PROBE_TIMEOUT_MS = 1000
