--- a/chicorybridge/control_systems.py
+++ b/chicorybridge/control_systems.py
@@ -136,6 +136,7 @@
             if host_id in incarnations and incarnations[host_id] != known:
                 self._gone.add(known)
         self._incarnations_by_host.update(incarnations)
+        self.claims.assignments.share_among(len(hosts_by_id))
         self.detection.update_hosts(
             incarnations, gone=frozenset(self._gone), now=now
         )
