Wait for a claim's decision before its request is handed over

Cause: the entry process noted the try only after the request was posted, so a decision that came meanwhile was ignored and the key stayed taken until it lapsed; a decision that came with the deadline was dropped, too. Before: test_decision_during_the_request_is_not_missed does not end within 20 s; after: it passes. A try that ends without a decision in hand is always withdrawn.

--- a/chicorybridge/claimants.py
+++ b/chicorybridge/claimants.py
@@ -69,22 +69,19 @@
             key=key,
             fingerprint=call.digest,
         )
-        if not await self._post(request):
-            raise _unavailable('the control process is not reached')
+        # A decision may come while the request is being handed over.
         pending = PendingClaim(settled=curio.Event())
         self._pending_by_id[request.attempt_id] = pending
-        left_ms = call.deadline_at - self._clock.now()
+        decided = False
         try:
-            async with curio.timeout_after(as_seconds(max(0, left_ms))):
-                await pending.settled.wait()
-        except curio.TaskTimeout:
-            raise _unavailable('no decision within the deadline') from None
+            await self._wait(pending, request, call)
+            decided = pending.decision is not None
         finally:
             self._pending_by_id.pop(request.attempt_id)
-            if pending.decision is None:
+            if not decided:
                 await self._post(ClaimWithdrawn(attempt_id=request.attempt_id))
         if pending.decision is None:
-            raise _unavailable('the control process was lost')
+            raise _unavailable('no decision within the deadline')
         return pending.decision
 
     async def finish(
@@ -121,6 +118,15 @@
         for pending in tuple(self._pending_by_id.values()):
             await pending.settled.set()
 
+    async def _wait(
+        self, pending: PendingClaim, request: ClaimRequested, call: Call
+    ) -> None:
+        if not await self._post(request):
+            raise _unavailable('the control process is not reached')
+        left_ms = call.deadline_at - self._clock.now()
+        async with curio.ignore_after(as_seconds(max(0, left_ms))):
+            await pending.settled.wait()
+
     def _new_attempt_id(self) -> AttemptId:
         serial = self._rng.getrandbits(ATTEMPT_BITS)
         return AttemptId(f'{self._entry_id}/{serial:x}')
