--- a/chicorybridge/processes.py
+++ b/chicorybridge/processes.py
@@ -8,20 +8,10 @@
 import curio
 
 from chicorybridge.addresses import Address
-from chicorybridge.services import BACKLOG
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-def open_listener(address: Address) -> curio.io.Socket:
-    """Listen on `address`; raise `OSError` if it is taken."""
-    raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    raw.bind((address.host, address.port))
-    raw.listen(BACKLOG)
-    return curio.io.Socket(raw)
-
-
 def announce(listener: curio.io.Socket) -> Address:
     """Print the bound address on one line and return it."""
     host, port = listener.getsockname()
--- a/chicorybridge/services.py
+++ b/chicorybridge/services.py
@@ -24,7 +24,6 @@
 logger = logging.getLogger(__name__)
 
 RECEIVE_BYTES = 65536
-BACKLOG = 1024
 MAX_HEAD_BYTES = 32768
 
 # What a closed or broken connection raises.
--- a/chicorybridge/standins.py
+++ b/chicorybridge/standins.py
@@ -12,7 +12,7 @@
 from cleo.commands.command import Command
 from cleo.io.inputs.option import Option
 
-from chicorybridge import settings
+from chicorybridge import settings, sockets
 from chicorybridge.addresses import Address
 from chicorybridge.clocks import Clock
 from chicorybridge.collectors import freeze_collector
@@ -26,7 +26,7 @@
     refused,
 )
 from chicorybridge.platforms import PlatformStandin
-from chicorybridge.processes import StopSignals, announce, open_listener
+from chicorybridge.processes import StopSignals, announce
 from chicorybridge.services import Handler, Server
 from chicorybridge.tables import MemoryTables
 
@@ -41,7 +41,7 @@
 async def serve(address: Address, handler: Handler) -> None:
     """Serve until a stop signal, then finish what is in flight."""
     signals = StopSignals()
-    listener = open_listener(address)
+    listener = sockets.listen(str(address))
     server = Server(listener=listener, handler=handler)
     announce(listener)
     freeze_collector()
--- a/chicorybridge/tests/serving.py
+++ b/chicorybridge/tests/serving.py
@@ -5,8 +5,8 @@
 
 import curio
 
+from chicorybridge import sockets
 from chicorybridge.addresses import Address
-from chicorybridge.processes import open_listener
 from chicorybridge.services import Handler, Server
 
 STOP_MS = 1000
@@ -15,7 +15,7 @@
 @contextlib.asynccontextmanager
 async def serving(handler: Handler) -> AsyncIterator[Address]:
     """Serve `handler` on loopback while the block runs."""
-    listener = open_listener(Address(host='127.0.0.1', port=0))
+    listener = sockets.listen('127.0.0.1:0')
     host, port = listener.getsockname()
     server = Server(listener=listener, handler=handler)
     task = await curio.spawn(server.run)
