--- a/chicorybridge/callers.py
+++ b/chicorybridge/callers.py
@@ -74,6 +74,7 @@
     """A request that is ready to be sent; `digest` is that of its body."""
 
     name: str
+    key: str
     kind: RequestKind
     request: Request
     digest: str
@@ -99,14 +100,21 @@
         self._clock = clock
         self._rng = rng
         self._expires_at = clock.now()
+        # What the fleet lets this host's keys start with.
+        self.key_prefix = ''
 
     async def pick(self) -> Address:
         """Return the address for the next request."""
-        if self._group.via is Via.entries:
-            if self._clock.now() >= self._expires_at:
-                await self._refresh()
+        await self.refresh()
         return self._rng.choice(self._listed)
 
+    async def refresh(self) -> None:
+        """Ask for the list if it has expired."""
+        if self._group.via is Via.direct:
+            return
+        if self._clock.now() >= self._expires_at:
+            await self._refresh()
+
     def avoid(self, address: Address) -> None:
         """Drop an address that could not be reached until the next list."""
         if len(self._listed) > 1 and address in self._listed:
@@ -122,6 +130,7 @@
         if document is None:
             # Callers go on with what they have.
             return
+        self.key_prefix = document.get('key_prefix', '')
         self._listed = [parse_address(text) for text in document['entries']]
         self._expires_at = clocks.Millis(self._clock.now() + document['ttl_ms'])
 
@@ -166,15 +175,19 @@
         self._rng = rng
         self._fillers_by_size = {0: b''}
 
-    def prepare(self, kind: RequestKind, *, number: int) -> Prepared:
+    async def prepare(self, kind: RequestKind, *, number: int) -> Prepared:
         """Make the request `number`, which no other request equals."""
+        await self._entries.refresh()
         name = f'{self._name}-{number}'
         filler = self._filler(kind.body_bytes)
         body = (name.encode() + filler)[: kind.body_bytes]
+        prefix = self._entries.key_prefix if self._group.issued_keys else ''
+        key = f'{prefix}{name}' if kind.keyed else ''
         return Prepared(
             name=name,
+            key=key,
             kind=kind,
-            request=_make_request(kind, name, body),
+            request=_make_request(kind, name, key, body),
             digest=hashlib.sha256(body).hexdigest(),
         )
 
@@ -191,7 +204,7 @@
             if not _may_repeat(kind, outcomes[-1]):
                 break
         return Call(
-            key=prepared.name if kind.keyed else '',
+            key=prepared.key,
             kind=kind,
             body_sha256=prepared.digest if prepared.request.body else '',
             outcomes=tuple(outcomes),
@@ -220,10 +233,12 @@
         return self._fillers_by_size[size]
 
 
-def _make_request(kind: RequestKind, name: str, body: bytes) -> Request:
+def _make_request(
+    kind: RequestKind, name: str, key: str, body: bytes
+) -> Request:
     headers_by_name = {'Chicorybridge-Request': name}
-    if kind.keyed:
-        headers_by_name['Idempotency-Key'] = name
+    if key:
+        headers_by_name['Idempotency-Key'] = key
     return Request(
         method=kind.method,
         path=kind.path,
--- a/chicorybridge/experiment_files.py
+++ b/chicorybridge/experiment_files.py
@@ -110,6 +110,7 @@
             'start_ms': _milliseconds(),
             'stop_ms': _milliseconds(),
             'timeout_ms': _milliseconds(),
+            'issued_keys': FlagField(),
             'repeats': _count(low=0),
             'repeat_after_ms': _milliseconds(),
             'process': Field(),
--- a/chicorybridge/experiments.py
+++ b/chicorybridge/experiments.py
@@ -46,6 +46,7 @@
 
     The rate is that of the group; `hosts` share it, each with its own
     connections and entry list. `stop_ms` 0 means the end of the run.
+    With `issued_keys` the keys start as the entry list says.
     """
 
     name: str
@@ -59,6 +60,7 @@
     start_ms: int = 0
     stop_ms: int = 0
     timeout_ms: int = settings.LOAD_TIMEOUT_MS
+    issued_keys: bool = False
     repeats: int = 0
     repeat_after_ms: int = settings.LOAD_REPEAT_AFTER_MS
     process: str = ''
--- a/chicorybridge/runs.py
+++ b/chicorybridge/runs.py
@@ -256,7 +256,7 @@
             arrival = next(self.arrivals, None)
 
     async def _send(self, arrival: Arrival) -> None:
-        prepared = self.host.prepare(arrival.kind, number=arrival.number)
+        prepared = await self.host.prepare(arrival.kind, number=arrival.number)
         wait_ms = arrival.at_ms - self.run_clock()
         if wait_ms > 0:
             await curio.sleep(clocks.as_seconds(wait_ms))
