--- a/chicorybridge/baselines.py
+++ b/chicorybridge/baselines.py
@@ -7,8 +7,9 @@
 
 import dataclasses
 import math
+from typing import NamedTuple, TypeAlias
 
-from chicorybridge.identities import RouteId, ZoneId
+from chicorybridge.identities import RouteId, ServiceId, ZoneId
 
 # Attempts before the expectation of a route counts as known.
 LEARNING_ATTEMPTS = 20
@@ -26,6 +27,22 @@
 LEAST_ELAPSED_MS = 0.1
 
 
+BaselineKey: TypeAlias = tuple[RouteId | ServiceId, ZoneId]
+
+
+class WorkKind(NamedTuple):
+    """What latency depends on, besides the target."""
+
+    service_id: ServiceId
+    route_id: RouteId
+    zone_id: ZoneId
+
+    @property
+    def keys(self) -> tuple[BaselineKey, BaselineKey]:
+        """Return the keys of the baselines, the narrower first."""
+        return (self.route_id, self.zone_id), (self.service_id, self.zone_id)
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Baseline:
     """Running mean and variance of the logarithm of latency."""
@@ -62,43 +79,42 @@
 
 
 class Baselines:
-    """Keep one baseline for each route and target zone."""
+    """Keep baselines for each route and service by target zone.
+
+    A route that is not known yet is compared with its whole service.
+    """
 
     def __init__(self) -> None:
         """Start without any expectation."""
-        self._baselines_by_key: dict[tuple[RouteId, ZoneId], Baseline] = {}
+        self._baselines_by_key: dict[BaselineKey, Baseline] = {}
 
-    def compare(
-        self, *, route_id: RouteId, zone_id: ZoneId, elapsed_ms: float
-    ) -> Residual:
+    def compare(self, kind: WorkKind, *, elapsed_ms: float) -> Residual:
         """Compare an attempt with the expectation.
 
         `elapsed_ms` is scaled to the speed of the newest hardware.
         """
-        baseline = self._baseline(route_id, zone_id)
-        return _residual(baseline, _logarithm(elapsed_ms))
+        return _residual(self._known(kind), _logarithm(elapsed_ms))
 
-    def learn(
-        self, *, route_id: RouteId, zone_id: ZoneId, elapsed_ms: float
-    ) -> None:
+    def learn(self, kind: WorkKind, *, elapsed_ms: float) -> None:
         """Take a whole answer into the expectation."""
-        baseline = self._baseline(route_id, zone_id)
-        baseline.learn(_logarithm(elapsed_ms))
+        for key in kind.keys:
+            baseline = self._baselines_by_key.setdefault(key, Baseline())
+            baseline.learn(_logarithm(elapsed_ms))
 
-    def overdue_ms(self, *, route_id: RouteId, zone_id: ZoneId) -> float:
+    def overdue_ms(self, kind: WorkKind) -> float:
         """Return the age from which a pending attempt counts as slow."""
-        baseline = self._baseline(route_id, zone_id)
-        if baseline.attempts < LEARNING_ATTEMPTS:
+        baseline = self._known(kind)
+        if baseline is None:
             return math.inf
         return math.exp(baseline.mean + OVERDUE_RESIDUAL)
 
-    def _baseline(self, route_id: RouteId, zone_id: ZoneId) -> Baseline:
-        key = (route_id, zone_id)
-        baseline = self._baselines_by_key.get(key)
-        if baseline is None:
-            baseline = Baseline()
-            self._baselines_by_key[key] = baseline
-        return baseline
+    def _known(self, kind: WorkKind) -> Baseline | None:
+        """Return the narrowest baseline with enough attempts."""
+        for key in kind.keys:
+            baseline = self._baselines_by_key.get(key)
+            if baseline is not None and baseline.attempts >= LEARNING_ATTEMPTS:
+                return baseline
+        return None
 
 
 def _logarithm(elapsed_ms: float) -> float:
@@ -110,8 +126,8 @@
     return min(max(residual, LOWEST_RESIDUAL), HIGHEST_RESIDUAL)
 
 
-def _residual(baseline: Baseline, log_ms: float) -> Residual:
-    if baseline.attempts < LEARNING_ATTEMPTS:
+def _residual(baseline: Baseline | None, log_ms: float) -> Residual:
+    if baseline is None:
         return UNKNOWN
     return Residual(
         shift=clip(log_ms - baseline.mean),
--- a/chicorybridge/observations.py
+++ b/chicorybridge/observations.py
@@ -3,11 +3,17 @@
 import dataclasses
 
 from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.baselines import UNKNOWN, Baselines, Residual
+from chicorybridge.baselines import UNKNOWN, Baselines, Residual, WorkKind
 from chicorybridge.clocks import Millis
 from chicorybridge.codecs import wire
 from chicorybridge.declarations import Declaration
-from chicorybridge.identities import HostId, RouteId, TargetId, ZoneId
+from chicorybridge.identities import (
+    HostId,
+    RouteId,
+    ServiceId,
+    TargetId,
+    ZoneId,
+)
 from chicorybridge.systems import Effects, Send, System
 
 # Request bodies from this size are counted apart from small ones.
@@ -99,6 +105,7 @@
         self._tallies_by_id: dict[TargetId, Tally] = {}
         self._pending_by_number: dict[int, Pending] = {}
         self._zones_by_id: dict[TargetId, ZoneId] = {}
+        self._services_by_id: dict[TargetId, ServiceId] = {}
         self._speeds_by_id: dict[TargetId, float] = {}
         self._serial = 0
 
@@ -106,6 +113,9 @@
         """Take in the targets of a configuration."""
         targets = declaration.targets_by_id.values()
         self._zones_by_id = {each.target_id: each.zone_id for each in targets}
+        self._services_by_id = {
+            each.target_id: declaration.service_id_of(each) for each in targets
+        }
         self._speeds_by_id = {
             each.target_id: declaration.pool_of(each).speed for each in targets
         }
@@ -115,9 +125,8 @@
     ) -> int:
         """Note that an attempt begins; return its number for `finish`."""
         self._serial += 1
-        overdue_ms = self._baselines.overdue_ms(
-            route_id=route_id, zone_id=self._zone_of(target_id)
-        )
+        kind = self._kind(target_id, route_id)
+        overdue_ms = self._baselines.overdue_ms(kind)
         self._pending_by_number[self._serial] = Pending(
             target_id=target_id,
             route_id=route_id,
@@ -136,14 +145,12 @@
         if attempt.outcome is not AttemptOutcome.answered:
             return UNKNOWN
         scaled_ms = attempt.elapsed_ms * self._speed_of(attempt.target_id)
-        zone_id = self._zone_of(attempt.target_id)
         counted = None if pending is None else pending.counted
         residual = self._compare(
             tally, attempt.route_id, attempt.elapsed_ms, counted=counted
         )
-        self._baselines.learn(
-            route_id=attempt.route_id, zone_id=zone_id, elapsed_ms=scaled_ms
-        )
+        kind = self._kind(attempt.target_id, attempt.route_id)
+        self._baselines.learn(kind, elapsed_ms=scaled_ms)
         return residual
 
     def tick(self, *, now: Millis) -> Effects:
@@ -176,8 +183,7 @@
     ) -> Residual:
         """Add the residual of an attempt, or what is new since `counted`."""
         residual = self._baselines.compare(
-            route_id=route_id,
-            zone_id=self._zone_of(tally.target_id),
+            self._kind(tally.target_id, route_id),
             elapsed_ms=elapsed_ms * self._speed_of(tally.target_id),
         )
         if counted is None:
@@ -195,8 +201,12 @@
             self._tallies_by_id[target_id] = tally
         return tally
 
-    def _zone_of(self, target_id: TargetId) -> ZoneId:
-        return self._zones_by_id.get(target_id, ZoneId(''))
+    def _kind(self, target_id: TargetId, route_id: RouteId) -> WorkKind:
+        return WorkKind(
+            service_id=self._services_by_id.get(target_id, ServiceId('')),
+            route_id=route_id,
+            zone_id=self._zones_by_id.get(target_id, ZoneId('')),
+        )
 
     def _speed_of(self, target_id: TargetId) -> float:
         return self._speeds_by_id.get(target_id, 1)
--- a/chicorybridge/tests/test_observations.py
+++ b/chicorybridge/tests/test_observations.py
@@ -7,6 +7,7 @@
 from chicorybridge.observations import LARGE_BODY_BYTES, Observer
 from chicorybridge.tools.mixed_declarations import (
     READ_ROUTE,
+    UPLOAD_ROUTE,
     SERVICE_ID,
     declare,
 )
@@ -91,3 +92,24 @@
     assert not observer.tick(now=Millis(100))
     assert _tallies(observer, now=500)[FIRST].latency_shift > 0
     assert not observer.tick(now=Millis(600))
+
+
+def test_route_that_is_not_known_yet_is_compared_with_its_service():
+    """With many routes, latency counts long before each is known."""
+    observer = _observer()
+    for _ in range(50):
+        _run(observer, FIRST, AttemptOutcome.answered, elapsed_ms=50)
+    number = observer.start(
+        target_id=FIRST, route_id=UPLOAD_ROUTE, now=Millis(0)
+    )
+    attempt = Attempt(
+        service_id=SERVICE_ID,
+        target_id=FIRST,
+        route_id=UPLOAD_ROUTE,
+        outcome=AttemptOutcome.answered,
+        started_at=Millis(0),
+        elapsed_ms=500,
+    )
+    residual = observer.finish(number, attempt)
+    assert residual.weight > 0
+    assert residual.shift > SMALL_SHIFT
