--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -58,6 +58,10 @@
 FAR_HEARTBEAT_MS = 3000
 LOST_BEATS = 4
 HOST_LIST_MS = 5000
+# Up to this size all hosts exchange heartbeats; in larger fleets each does
+# with few of its zone, and so many bridges of a zone with other zones.
+MESH_HOSTS = 50
+BRIDGES = 4
 # A host that nobody proves to hear, and that cannot read the head of the
 # configuration, takes no new work after `CUT_OFF_MS`. Others stop waiting
 # for it after `EXCUSE_MS`, which leaves a margin for clock drift.
@@ -216,5 +220,20 @@
 LOAD_TIMEOUT_MS = 10_000
 LOAD_REPEAT_AFTER_MS = 100
 LOAD_ENTRIES_TIMEOUT_MS = 2000
+
+# Requests that crash targets.
+SUSPECT_MS = 600_000
+SUSPECT_REPEAT_MS = 2000
+SUSPECTS_MOST = 4096
+VICTIMS_CLEAR = 2
+VICTIMS_AMBIGUOUS = 3
+VICTIMS_MASS = 3
+CRASHES_MS = 60_000
+CRASHES_ELSEWHERE_FACTOR = 5
+SUSPECT_RELAYS = 6
+SUSPECT_WAIT_MS = 30
+
+# Bytes across regions.
+CROSSING_BURST_MS = 1000
 LEAVING_SIGN_MS = 2000
 PROBE_TIMEOUT_MS = 1000
--- a/examples/capacity.sh
+++ b/examples/capacity.sh
@@ -13,6 +13,7 @@
 stop_all() {
     for pid in $pids; do kill -TERM "$pid" 2>/dev/null || true; done
     for pid in $pids; do wait "$pid" 2>/dev/null || true; done
+    [ -n "${CAPACITY_LOGS:-}" ] && cp -r "$run" "$CAPACITY_LOGS"
     rm -rf "$run"
 }
 trap stop_all EXIT
@@ -25,6 +26,20 @@
     pids="$pids $!"
 }
 
+# Another run on the same ports would answer in place of this one.
+check_started() {
+    for log in "$run"/*.out; do
+        for _ in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20; do
+            grep -q '^listening' "$log" && break
+            sleep 1
+        done
+        grep -q '^listening' "$log" && continue
+        echo "$(basename "$log" .out) did not start:" >&2
+        cat "${log%.out}.err" >&2
+        exit 1
+    done
+}
+
 # Prints ticks of 10 ms of processor time and kilobytes of memory.
 show() {
     echo "$1: $(awk '{print $14 + $15}' "/proc/$2/stat") ticks," \
@@ -62,9 +77,10 @@
 INI
     start "control-$number" "$bin/chicorybridge-control" --settings "$run/host-$number.ini"
     [ "$number" = 1 ] && control=$!
+    start "entry-$number" "$bin/chicorybridge-entry" --settings "$run/host-$number.ini"
+    [ "$number" = 1 ] && entry=$!
 done
-start entry-1 "$bin/chicorybridge-entry" --settings "$run/host-1.ini"
-entry=$!
+check_started
 "$bin/python" -m chicorybridge.tools.demos wait --control "$CHICORYBRIDGE_CONTROL" --hosts 3
 
 show_all "no configuration"
