--- a/chicorybridge/ejections.py
+++ b/chicorybridge/ejections.py
@@ -88,11 +88,16 @@
         return self._publish_ejected(own, now=now)
 
     def prepare(
-        self, service_id: ServiceId, slots: int, *, now: Millis
+        self,
+        service_id: ServiceId,
+        slots: int,
+        *,
+        pressing: bool = False,
+        now: Millis,
     ) -> None:
         """Get permits from peers or store for an ejection that may come."""
         self._urgent_until[service_id] = Millis(now + URGENT_MS)
-        self._holdings.want(service_id, slots, urgent=True)
+        self._holdings.want(service_id, slots, urgent=True, pressing=pressing)
 
     def readmit(self, target_id: TargetId, *, now: Millis) -> Effects:
         """End an ejection of this host."""
@@ -117,7 +122,7 @@
         free = self._holdings.free_slots(service_id, now=now)
         if free >= ejection.slots:
             return True
-        self.prepare(service_id, ejection.slots, now=now)
+        self.prepare(service_id, ejection.slots, pressing=True, now=now)
         return False
 
     def _allowed(self, service_id: ServiceId) -> int:
--- a/chicorybridge/loans.py
+++ b/chicorybridge/loans.py
@@ -29,12 +29,13 @@
 @wire
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PermitRequest:
-    """Ask a peer for free slots of a service."""
+    """Ask a peer for free slots of a service; `pressing` for a verdict."""
 
     stamp: Stamp
     service_id: ServiceId
     slots: int
     version: Version
+    pressing: bool = False
 
 
 @wire
@@ -146,6 +147,7 @@
                     service_id=holding.service_id,
                     slots=missing,
                     version=self._holdings.version,
+                    pressing=holding.pressing,
                 ),
             )
             for peer in self._likely_lenders(holding)
@@ -166,7 +168,7 @@
         if holding is None or request.version != self._holdings.version:
             return ()
         slots = min(request.slots, holding.spare(now))
-        if holding.urgent:
+        if holding.pressing or (holding.urgent and not request.pressing):
             return ()
         if slots <= 0:
             holding.give_up_spare_loans(now)
--- a/chicorybridge/permit_holdings.py
+++ b/chicorybridge/permit_holdings.py
@@ -59,6 +59,7 @@
     used: int = 0
     wanted: int = 0
     urgent: bool = False
+    pressing: bool = False
     claimed: int = 0
     asking: bool = False
     store_at: Millis = Millis(0)
@@ -198,14 +199,23 @@
         return 0 if holding is None else holding.budget
 
     def want(
-        self, service_id: ServiceId, slots: int, *, urgent: bool = False
+        self,
+        service_id: ServiceId,
+        slots: int,
+        *,
+        urgent: bool = False,
+        pressing: bool = False,
     ) -> None:
-        """Try to hold `slots` free slots; if urgent, borrow them, too."""
+        """Try to hold `slots` free slots; if urgent, borrow them, too.
+
+        A verdict is pressing: it gets slots that others only prepare.
+        """
         holding = self.by_service.get(service_id)
         if holding is None:
             return
         holding.wanted = slots
         holding.urgent = urgent
+        holding.pressing = pressing or (holding.pressing and urgent)
 
     def use(self, service_id: ServiceId, slots: int, *, now: Millis) -> None:
         """Put free slots to use for an ejection."""
--- a/chicorybridge/tests/test_permits.py
+++ b/chicorybridge/tests/test_permits.py
@@ -84,6 +84,23 @@
     assert _held(fleet) == BUDGET
 
 
+def test_verdict_gets_permits_that_a_peer_only_prepares():
+    """A peer with a target in doubt lends to one with a gray target."""
+    fleet = _fleet()
+    fleet.run(for_ms=5000)
+    holder = _holder(fleet)
+    borrower = next(each for each in fleet.hosts_by_id if each != holder)
+    detection = fleet.hosts_by_id[borrower].detection
+    lender = fleet.hosts_by_id[holder].detection
+    for _ in range(5):
+        lender.ejections.prepare(SERVICE_ID, BUDGET, now=fleet.now)
+        detection.ejections.prepare(
+            SERVICE_ID, BUDGET, pressing=True, now=fleet.now
+        )
+        fleet.run()
+    assert detection.holdings.free_slots(SERVICE_ID, now=fleet.now) == BUDGET
+
+
 def test_loan_counts_only_while_the_lender_lives():
     """The lender's share can be given out again, so the loan must end."""
     fleet = _fleet()
