Wire checks of doubted targets, requests apart, and bytes across regions

Checks and suspects are placed before the chooser. Bytes across regions are counted and bounded; a body that is large waits for a free share.

--- a/chicorybridge/calls.py
+++ b/chicorybridge/calls.py
@@ -39,6 +39,13 @@
     committed: bool = False
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
 
+    @property
+    def body_bytes(self) -> int:
+        """Return the length of the body, or its bound if it is not told."""
+        if self.head.length is None:
+            return self.service.max_body_bytes
+        return self.head.length
+
     @property
     def digest(self) -> Digest:
         """Return a digest that a repeat of the request has, too."""
--- a/chicorybridge/control_systems.py
+++ b/chicorybridge/control_systems.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from chicorybridge import settings
@@ -13,6 +13,7 @@
 from chicorybridge.detections import Detection
 from chicorybridge.drains import Drains
 from chicorybridge.entry_messages import FleetSent
+from chicorybridge.grants import Grants
 from chicorybridge.identities import (
     NO_VERSION,
     HostId,
@@ -67,6 +68,9 @@
             connections=lambda: entries.connections,
             in_flight=lambda: entries.in_flight,
         )
+        self.grants = Grants(
+            host_id=profile.host_id, region_hosts=self._region_hosts
+        )
         self._systems: tuple[System, ...] = (
             self.members,
             self.rollouts,
@@ -74,6 +78,7 @@
             self.claims,
             self.departures,
             self.drains,
+            self.grants,
             Rosters(members=self.members),
             Quarantines(
                 host_id=profile.host_id,
@@ -121,6 +126,9 @@
         if held is None or held.head.version == self._configured:
             return
         self._configured = held.head.version
+        self.grants.set_declaration(
+            held.declaration, self.members.profile.region_id
+        )
         yield from self.detection.configure(
             held.declaration, version=held.head.version, now=now
         )
@@ -135,6 +143,7 @@
             # An incarnation is surely gone once another took its place.
             if host_id in incarnations and incarnations[host_id] != known:
                 self._gone.add(known)
+        self._gone -= set(incarnations.values())
         self._incarnations_by_host.update(incarnations)
         self.claims.assignments.share_among(len(hosts_by_id))
         self.detection.update_hosts(
@@ -142,6 +151,14 @@
         )
         yield SendEntries(message=self._describe_fleet(hosts_by_id))
 
+    def _region_hosts(self) -> list[HostId]:
+        own = self.members.profile
+        return [
+            host_id
+            for host_id, profile in self.members.hosts_by_id.items()
+            if profile.region_id == own.region_id
+        ]
+
     def _update_lost(self) -> None:
         """Tell the floor which slots are lost to targets that leave."""
         held = self.rollouts.held
@@ -163,14 +180,15 @@
         self, hosts_by_id: dict[HostId, HostProfile]
     ) -> FleetSent:
         own = self.members.profile
-        near = [
-            profile
-            for profile in hosts_by_id.values()
-            if profile.zone_id == own.zone_id
-        ]
+        profiles = hosts_by_id.values()
         return FleetSent(
-            processes=max(1, _count_entries(hosts_by_id.values())),
-            zone_processes=max(1, _count_entries(near)),
+            processes=_count_entries(profiles),
+            zone_processes=_count_entries(
+                one for one in profiles if one.zone_id == own.zone_id
+            ),
+            region_processes=_count_entries(
+                one for one in profiles if one.region_id == own.region_id
+            ),
         )
 
     def _lease(self) -> Iterator[Effect]:
@@ -184,5 +202,6 @@
         )
 
 
-def _count_entries(profiles) -> int:
-    return sum(len(profile.entries) for profile in profiles)
+def _count_entries(profiles: Iterable[HostProfile]) -> int:
+    """Count entry processes, at least the one that is told."""
+    return max(1, sum(len(profile.entries) for profile in profiles))
--- a/chicorybridge/crossings.py
+++ b/chicorybridge/crossings.py
@@ -123,6 +123,14 @@
             return level >= 0
         return level > -allowance.bucket.burst
 
+    def barred(
+        self, service_id: ServiceId, size: int, *, now: Millis
+    ) -> frozenset[TargetId]:
+        """Return the targets that a request must not be sent across to."""
+        if not self._across or self.may_cross(service_id, size, now=now):
+            return frozenset()
+        return self._across
+
     def wait_ms(self, service_id: ServiceId, *, now: Millis) -> float:
         """Return how long the next chunk of a large body has to wait."""
         allowance = self._allowances_by_service[service_id]
--- a/chicorybridge/dispatchers.py
+++ b/chicorybridge/dispatchers.py
@@ -4,12 +4,15 @@
 from collections.abc import Callable
 from enum import Enum
 
+import curio
+
+from chicorybridge import settings
 from chicorybridge.attempts import Attempt, AttemptOutcome
 from chicorybridge.bodies import CallerError, RequestBody
 from chicorybridge.calls import DEADLINE_HEADER, WORKSPACE_HEADER, Call
 from chicorybridge.claim_messages import ClaimDecided, ClaimVerdict
 from chicorybridge.claimants import Claimant, Post
-from chicorybridge.clocks import Clock, Millis
+from chicorybridge.clocks import Clock, Millis, as_seconds
 from chicorybridge.configurations import ActiveConfiguration
 from chicorybridge.connections import TargetConnections
 from chicorybridge.errors import ErrorCode, RequestError, require
@@ -35,6 +38,7 @@
     problem_headers,
     status_of,
 )
+from chicorybridge.quarantines import may_have_crashed
 from chicorybridge.request_keys import read_header
 from chicorybridge.retries import RequestFacts
 from chicorybridge.routes import IDEMPOTENT_HEADER, KEY_HEADER, is_idempotent
@@ -303,12 +307,11 @@
                 detail='targets died when they ran this request',
                 outcome=outcome_of(call.attempts),
             )
-        service_id = call.service.service_id
         target = self._policies.pick(
-            service_id, excluded=excluded, now=self._clock.now()
+            call, excluded=excluded, now=self._clock.now()
         )
         if target is None:
-            admission = self._policies.overloaded(service_id)
+            admission = self._policies.overloaded(call.service.service_id)
             raise RefusalError(
                 code=ErrorCode.no_target,
                 detail='no target may take the request now',
@@ -345,8 +348,12 @@
         call.attempts.append(attempt)
         self._policies.finished(number, attempt, now=now)
         report = self._policies.suspect(call, attempt, now=now)
-        if report is not None:
-            await self._post(report)
+        if report is None:
+            return
+        await self._post(report)
+        if may_have_crashed(attempt):
+            # Other hosts may know by now that the request is to blame.
+            await curio.sleep(as_seconds(settings.SUSPECT_WAIT_MS))
 
 
 def _facts_of(call: Call) -> RequestFacts:
--- a/chicorybridge/entry_inboxes.py
+++ b/chicorybridge/entry_inboxes.py
@@ -4,11 +4,13 @@
 from typing import Any
 
 from chicorybridge.caller_connections import CallerTable
+from chicorybridge.checks import TargetCheck
 from chicorybridge.claim_messages import ClaimDecided, KeyPrefixIssued
 from chicorybridge.claimants import Claimant
 from chicorybridge.clocks import Clock, Millis
 from chicorybridge.collectors import freeze_collector
 from chicorybridge.configurations import activate
+from chicorybridge.crossings import CrossingGranted
 from chicorybridge.departures import TargetsLeaving
 from chicorybridge.dispatchers import Duty, EntryState
 from chicorybridge.drains import DrainAdvanced, DrainState
@@ -79,15 +81,24 @@
         size = FleetSize(
             processes=message.processes, zone_processes=message.zone_processes
         )
-        self._policies.resize(size, now=self._clock.now())
+        self._policies.resize(
+            size,
+            region_processes=message.region_processes,
+            now=self._clock.now(),
+        )
 
     @take.register
     async def _take_roster(self, message: Roster) -> None:
         self._responder.roster = message
 
+    @take.register(TargetLimits)
+    @take.register(TargetCheck)
+    async def _take_judged(self, message: TargetLimits | TargetCheck) -> None:
+        self._policies.judge_targets(message, now=self._clock.now())
+
     @take.register
-    async def _take_limits(self, message: TargetLimits) -> None:
-        self._policies.limit_targets(message, now=self._clock.now())
+    async def _take_grant(self, message: CrossingGranted) -> None:
+        self._policies.crossings.receive(message, now=self._clock.now())
 
     @take.register
     async def _take_leaving(self, message: TargetsLeaving) -> None:
--- a/chicorybridge/entry_messages.py
+++ b/chicorybridge/entry_messages.py
@@ -62,9 +62,10 @@
 class FleetSent:
     """Tell entry processes of the fleet around them.
 
-    `processes` counts the entry processes of the fleet, `zone_processes`
-    those of the zone of this host.
+    `processes` counts the entry processes of the fleet, the others those
+    of the zone and of the region of this host.
     """
 
     processes: int
     zone_processes: int
+    region_processes: int
--- a/chicorybridge/exchanges.py
+++ b/chicorybridge/exchanges.py
@@ -76,6 +76,7 @@
         self.sock = sock
         # When the wait under way for the other end began, if any.
         self.waiting_since: Millis | None = None
+        self.received_bytes = 0
         self._clock = clock
         self._conn = h11.Connection(
             our_role=role, max_incomplete_event_size=settings.MAX_HEAD_BYTES
@@ -135,6 +136,7 @@
             raise _closed(error) from error
         finally:
             self.waiting_since = None
+        self.received_bytes += len(data)
         self._conn.receive_data(data)
         return data
 
--- a/chicorybridge/forwards.py
+++ b/chicorybridge/forwards.py
@@ -54,6 +54,7 @@
         self._started_at = clock.now()
         self._exchange: TargetExchange | None = None
         self._sent_before = 0
+        self._received_before = 0
         self._fresh = False
         self._first_byte_ms: float | None = None
         self._head: Head | None = None
@@ -95,6 +96,7 @@
             first_byte_ms=self._first_byte_ms,
             retry_after_ms=retry_after_ms(self._head),
             sent_bytes=self._sent_bytes,
+            received_bytes=self._received_bytes,
             fresh_connection=self._fresh,
             leaving=is_draining(self._head),
             marked_not_run=is_not_run(self._head),
@@ -106,6 +108,12 @@
             return 0
         return self._exchange.sent_bytes - self._sent_before
 
+    @property
+    def _received_bytes(self) -> int:
+        if self._exchange is None:
+            return 0
+        return self._exchange.received_bytes - self._received_before
+
     async def _run(self) -> AttemptOutcome:
         try:
             exchange = await self._connect()
@@ -114,6 +122,7 @@
         self._exchange = exchange
         self._fresh = exchange.fresh
         self._sent_before = exchange.sent_bytes
+        self._received_before = exchange.received_bytes
         body = self._call.body.whole
         await exchange.send_request(
             method=self._call.head.method,
--- a/chicorybridge/policies.py
+++ b/chicorybridge/policies.py
@@ -6,9 +6,11 @@
 from chicorybridge import settings
 from chicorybridge.attempts import Attempt
 from chicorybridge.calls import Call
+from chicorybridge.checks import TargetCheck
 from chicorybridge.choosers import Chooser
 from chicorybridge.clocks import Millis
 from chicorybridge.configurations import ActiveConfiguration
+from chicorybridge.crossings import CrossingMeter
 from chicorybridge.declarations import Route, Target
 from chicorybridge.identities import (
     HostId,
@@ -48,9 +50,11 @@
         self._zone_id = zone_id
         self._process_name = process_name
         self._fleet = FleetSize(processes=1, zone_processes=1)
+        self._region_processes = 1
         self._configuration: ActiveConfiguration | None = None
         self._leaving = LeavingTargets()
         self.quarantine = Quarantine()
+        self.crossings = CrossingMeter(entry_id=process_name)
         self._weights = Weights()
         self._observer = Observer(host_id=host_id)
         self._limiter = Limiter(rng=rng)
@@ -72,16 +76,21 @@
         self._retries.set_declaration(declaration)
         self._share(now)
 
-    def resize(self, fleet: FleetSize, *, now: Millis) -> None:
-        """Share the targets with a fleet of another size."""
-        if fleet == self._fleet:
+    def resize(
+        self, fleet: FleetSize, *, region_processes: int, now: Millis
+    ) -> None:
+        """Share targets and links with a fleet of another size."""
+        if (fleet, region_processes) == (self._fleet, self._region_processes):
             return
         self._fleet = fleet
+        self._region_processes = region_processes
         self._share(now)
 
-    def limit_targets(self, limits: TargetLimits, *, now: Millis) -> None:
-        """Take over which targets are ejected or on trial."""
-        self._weights.receive(limits, sender=self._host_id, now=now)
+    def judge_targets(
+        self, judged: TargetLimits | TargetCheck, *, now: Millis
+    ) -> None:
+        """Take over which targets are ejected, on trial or to be checked."""
+        self._weights.receive(judged, sender=self._host_id, now=now)
         self._chooser.set_ejected(self._weights.ejected)
 
     def mark_leaving(self, target_ids: Collection[TargetId]) -> None:
@@ -108,21 +117,19 @@
         return self._limiter.overloaded(service_id)
 
     def pick(
-        self,
-        service_id: ServiceId,
-        *,
-        excluded: Collection[TargetId],
-        now: Millis,
+        self, call: Call, *, excluded: Collection[TargetId], now: Millis
     ) -> Target | None:
         """Return the target of the next attempt, `None` without one.
 
         It is one of the configuration in force now, also for a request
         that came under an older one.
         """
-        target_id = self._chooser.pick(service_id, excluded=excluded, now=now)
-        if target_id is None or self._configuration is None:
+        if self._configuration is None:
+            return None
+        target_id = self._pick_id(call, excluded, now)
+        if target_id is None:
             return None
-        return self._configuration.declaration.targets_by_id[target_id]
+        return self._configuration.declaration.targets_by_id.get(target_id)
 
     def started(self, target_id: TargetId, route: Route, *, now: Millis) -> int:
         """Count an attempt that begins; return its number."""
@@ -139,6 +146,12 @@
         if attempt.leaving:
             self._leaving.note(attempt, now=now)
             self._chooser.set_leaving(self._leaving.target_ids)
+        if self.crossings.crosses(attempt.target_id):
+            self.crossings.spend(
+                attempt.service_id,
+                attempt.sent_bytes + attempt.received_bytes,
+                now=now,
+            )
         slowness = self._chooser.finished(attempt, now)
         self._limiter.finished(attempt, slowness=slowness, now=now)
 
@@ -150,7 +163,7 @@
 
     def is_quarantined(self, call: Call, *, now: Millis) -> bool:
         """Return whether targets died when they ran this request."""
-        if self.quarantine.is_empty:
+        if not self.quarantine.knows(call):
             return False
         return self.quarantine.refuses(call.digest, now=now)
 
@@ -169,14 +182,29 @@
         if self._leaving.forget(now=now):
             self._chooser.set_leaving(self._leaving.target_ids)
         self.quarantine.tick(now=now)
+        reports = (*self._leaving.take_new(), *self.crossings.tick(now=now))
         return [
             *self._observer.tick(now=now),
-            *(
-                Send(to=self._host_id, message=sign)
-                for sign in self._leaving.take_new()
-            ),
+            *(Send(to=self._host_id, message=told) for told in reports),
         ]
 
+    def _pick_id(
+        self, call: Call, excluded: Collection[TargetId], now: Millis
+    ) -> TargetId | None:
+        service_id = call.service.service_id
+        if self.quarantine.knows(call):
+            return self._chooser.pick_apart(
+                service_id, call.digest, excluded=excluded
+            )
+        barred = self.crossings.barred(
+            service_id, call.body_bytes, now=now
+        ).union(excluded)
+        if call.idempotent:
+            checked = self._weights.take_check(service_id, now=now)
+            if checked and checked not in barred | self._leaving.target_ids:
+                return checked
+        return self._chooser.pick(service_id, excluded=barred, now=now)
+
     def _share(self, now: Millis) -> None:
         configuration = self._configuration
         if configuration is None:
@@ -192,6 +220,12 @@
         self._chooser.set_declaration(
             declaration, self._zone_id, subset=subset, now=now
         )
+        self.crossings.set_declaration(
+            declaration,
+            self._zone_id,
+            region_processes=self._region_processes,
+            now=now,
+        )
         share = settings.WORKSPACE_SHARE_FACTOR / self._fleet.processes
         for workspace_id in declaration.workspaces_by_id:
             self._limiter.set_workspace_share(
--- a/chicorybridge/quarantines.py
+++ b/chicorybridge/quarantines.py
@@ -9,7 +9,7 @@
 import functools
 import random
 from collections.abc import Callable, Collection, Iterator
-from typing import Any, TypeAlias
+from typing import Any, Protocol, TypeAlias
 
 from chicorybridge import settings
 from chicorybridge.attempts import Attempt, AttemptOutcome
@@ -34,6 +34,14 @@
 Report: TypeAlias = CrashSuspected | SuspectCleared
 
 
+class Identified(Protocol):
+    """A request that can be told from others."""
+
+    @property
+    def digest(self) -> Digest:
+        """Return a digest that a repeat of the request has, too."""
+
+
 class Quarantine:
     """What an entry process knows of requests that crash targets."""
 
@@ -46,6 +54,10 @@
         """Tell whether no request is suspect, so that none need a digest."""
         return not len(self._suspects)
 
+    def knows(self, request: Identified) -> bool:
+        """Tell whether a request is suspect; works out its digest if any."""
+        return not self.is_empty and request.digest in self._suspects
+
     def is_suspect(self, digest: Digest) -> bool:
         """Tell whether a request is to be kept apart from the others."""
         return digest in self._suspects
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -5,11 +5,8 @@
 bin=$1
 keep=${2:-}
 here=$(cd "$(dirname "$0")" && pwd)
-. "$here/fleet.sh"
-
-export CHICORYBRIDGE_FLEET_KEY=demo-fleet-key
-export CHICORYBRIDGE_OPERATOR_TOKEN=demo-operator-token
-export CHICORYBRIDGE_CONTROL=127.0.0.1:20101
+base=20
+. "$here/processes.sh"
 
 start platform "$bin/chicorybridge-standin" platform \
     --listen 127.0.0.1:20001 ${keep:+--file "${TMPDIR:-/tmp}/chicorybridge-demo.sqlite"}
@@ -27,23 +24,22 @@
 for zone in groningen leeuwarden eindhoven; do
     region=noord
     [ "$zone" = eindhoven ] && region=zuid
-    write_host "$number" "$zone" "$region" "2010$number" "2020$number" 127.0.0.1:20001
-    start_host "$number"
+    start_host "$number" "$zone" "$region"
     number=$((number + 1))
 done
 
-"$bin/python" -m chicorybridge.tools.demos wait --control "$CHICORYBRIDGE_CONTROL" --hosts 3
+wait_for_hosts 3
 "$bin/chicorybridge" check "$here/bureau"
 "$bin/chicorybridge" plan "$here/bureau" | head -n 3
 "$bin/chicorybridge" apply "$here/bureau" --wait-ms 30000
 "$bin/chicorybridge" status
-"$bin/python" -m chicorybridge.tools.demos show --entry 127.0.0.1:20201 \
+"$bin/python" -m chicorybridge.tools.demos show --entry 127.0.0.1:20301 \
     --declaration "$here/bureau"
 "$bin/chicorybridge" timeline | tail -n 5
 "$bin/chicorybridge" metrics
 
 if [ "$keep" = 1 ]; then
-    echo "up; entry at 127.0.0.1:20201, control at $CHICORYBRIDGE_CONTROL; interrupt to stop"
+    echo "up; entry at 127.0.0.1:20301, control at $CHICORYBRIDGE_CONTROL; interrupt to stop"
     while :; do sleep 1; done
 fi
 echo "stopping all gracefully"
--- a/examples/rolling-restart.sh
+++ b/examples/rolling-restart.sh
@@ -6,24 +6,21 @@
 here=$(cd "$(dirname "$0")" && pwd)
 out=${2:-$here/../build/rolling-restart}
 mkdir -p "$out"
-. "$here/fleet.sh"
+base=23
+. "$here/processes.sh"
 
-export CHICORYBRIDGE_FLEET_KEY=restart-fleet-key
-export CHICORYBRIDGE_OPERATOR_TOKEN=restart-operator-token
-export CHICORYBRIDGE_CONTROL=127.0.0.1:23201
 
-start platform "$bin/chicorybridge-standin" platform --listen 127.0.0.1:23001
+start_platform
 for number in 1 2 3 4; do
     start "target-$number" "$bin/chicorybridge-standin" target \
         --listen "127.0.0.1:2310$number" --name "quotes-$number"
 done
 for number in 1 2 3; do
-    write_host "$number" groningen noord "2320$number" "2330$number" 127.0.0.1:23001
-    start_host "$number"
+    start_host "$number" groningen noord
     eval "host_$number='$entry $control'"
 done
 
-"$bin/python" -m chicorybridge.tools.demos wait --control "$CHICORYBRIDGE_CONTROL" --hosts 3
+wait_for_hosts 3
 sed 's/127\.0\.0\.1:221/127.0.0.1:231/' "$here"/bench/*.ini >"$run/declaration.ini"
 "$bin/chicorybridge" apply "$run/declaration.ini" --wait-ms 30000
 
@@ -38,7 +35,7 @@
     kill -TERM $stopping
     # shellcheck disable=SC2086
     wait $stopping || true
-    start_host "$number"
+    start_host "$number" groningen noord
     sleep 6
 done
 status=0
