Let hosts that do not use a doubted target check it, too

Cause: callers' work stays in the zone, so at a light load one host alone uses a target; a verdict needs several hosts that agree, and only hosts that use the target were asked to check it.

--- a/chicorybridge/cases.py
+++ b/chicorybridge/cases.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Collection
 
 from chicorybridge.clocks import Millis
 from chicorybridge.evidence import Evidence, empty_recent, expect, worst
@@ -12,7 +13,7 @@
 from chicorybridge.latency_verdicts import LatencyCase, WarmUp
 from chicorybridge.observations import Tally
 from chicorybridge.scores import Score, Stream, weigh_outcomes
-from chicorybridge.thresholds import Thresholds
+from chicorybridge.thresholds import LEAST_HOSTS, Thresholds
 
 # Latency needs more evidence: samples of one target are not independent.
 LATENCY_FACTOR = 1.5
@@ -96,10 +97,15 @@
         self._count_good(evidence.tally)
 
     def is_gray(
-        self, *, thresholds: Thresholds, hosts: int, now: Millis
+        self, *, thresholds: Thresholds, live: Collection[HostId], now: Millis
     ) -> bool:
-        """Tell whether the evidence suffices; `hosts` is how many live."""
-        wanted = min(hosts, thresholds.hosts)
+        """Tell whether the evidence suffices; `live` are the live hosts.
+
+        Hosts that use the target must agree, as many as the thresholds
+        ask for, and two at least unless there is only one host.
+        """
+        users = max(LEAST_HOSTS, len(self.reporters.intersection(live)))
+        wanted = min(len(live), thresholds.hosts, users)
         return any(
             score.nats >= thresholds.evidence * _factor(stream)
             and now - score.since >= _span_ms(stream, thresholds)
--- a/chicorybridge/detections.py
+++ b/chicorybridge/detections.py
@@ -45,24 +45,24 @@
         self.ejections = Ejections(
             announcements=self.announcements, holdings=self.holdings
         )
-        self._assignments = Assignments(host_id=host_id)
+        self.assignments = Assignments(host_id=host_id)
         self._reports = Reports(
             zone_id=zone_id,
             freshness=self.freshness,
             announcements=self.announcements,
-            assignments=self._assignments,
+            assignments=self.assignments,
         )
         self.judgements = Judgements(
             host_id=host_id,
             freshness=self.freshness,
             announcements=self.announcements,
-            assignments=self._assignments,
+            assignments=self.assignments,
             ejections=self.ejections,
             rng=rng,
         )
         self.probes = Probes(
             announcements=self.announcements,
-            assignments=self._assignments,
+            assignments=self.assignments,
             ejections=self.ejections,
             rng=rng,
         )
@@ -96,10 +96,10 @@
     ) -> Effects:
         """Take in a configuration and end what contradicts it."""
         self.holdings.configure(declaration, version=version)
-        self._assignments.configure(declaration)
+        self.assignments.configure(declaration)
         self._reports.configure(declaration)
         self.judgements.configure()
-        self.ejections.reserve_by_service = self._assignments.reserves()
+        self.ejections.reserve_by_service = self.assignments.reserves()
         return self.ejections.configure(declaration, now=now)
 
     def is_settled(self, *, now: Millis) -> bool:
@@ -125,8 +125,8 @@
         self._beats.update_hosts(host_ids)
         self._loans.update_hosts(host_ids)
         self.announcements.update_hosts(host_ids)
-        self._assignments.update_hosts(host_ids)
-        self.ejections.reserve_by_service = self._assignments.reserves()
+        self.assignments.update_hosts(host_ids)
+        self.ejections.reserve_by_service = self.assignments.reserves()
         self._permits.mark_gone(gone, now=now)
 
     def update_lost(self, slots_by_service: dict[ServiceId, int]) -> None:
--- a/chicorybridge/judgements.py
+++ b/chicorybridge/judgements.py
@@ -102,8 +102,8 @@
             return ()
         case = self.cases_by_id[target_id]
         thresholds = self._assignments.thresholds_of(target_id)
-        hosts = len(self._assignments.hosts)
-        if case.is_gray(thresholds=thresholds, hosts=hosts, now=now):
+        live = self._assignments.hosts
+        if case.is_gray(thresholds=thresholds, live=live, now=now):
             return self._eject(target_id, now=now)
         if case.is_doubted(thresholds=thresholds):
             self._waiting.add(target_id)
@@ -121,18 +121,28 @@
         return ()
 
     def _check(self, target_id: TargetId, *, now: Millis) -> Effects:
-        """Ask some of the hosts that use a target to check it."""
+        """Ask hosts that use a target, and others if too few do, to check."""
         case = self.cases_by_id[target_id]
         if now - case.checked_at < ROUND_MS:
             return ()
         case.checked_at = now
         pool = self._assignments.pools_by_target[target_id]
         self._ejections.prepare(pool.service_id, pool.slots, now=now)
-        hosts = sorted(case.reporters.intersection(self._assignments.hosts))
-        asked = self._rng.sample(hosts, min(HOSTS_ASKED, len(hosts)))
+        asked = self._checkers(case, target_id)
         message = CheckRequest(target_id=target_id)
         return [Send(to=host_id, message=message) for host_id in asked]
 
+    def _checkers(self, case: Case, target_id: TargetId) -> list[HostId]:
+        live = set(self._assignments.hosts)
+        users = sorted(live & case.reporters)
+        others = sorted(live - case.reporters)
+        wanted = self._assignments.thresholds_of(target_id).hosts
+        missing = max(0, wanted - len(users))
+        return [
+            *self._rng.sample(users, min(HOSTS_ASKED, len(users))),
+            *self._rng.sample(others, min(missing, len(others))),
+        ]
+
     def _eject(self, target_id: TargetId, *, now: Millis) -> Effects:
         case = self.cases_by_id[target_id]
         pool = self._assignments.pools_by_target[target_id]
--- a/chicorybridge/tests/test_cases.py
+++ b/chicorybridge/tests/test_cases.py
@@ -18,6 +18,7 @@
 WEIGHT = 4
 SLOW = 1.1
 HOSTS = tuple(HostId(f'host-{number}') for number in range(6))
+LIVE = tuple(HostId(f'host-{number}') for number in range(36))
 
 
 def _evidence(*, shift=0, others_shift=0, failed_share=0.005, **counts):
@@ -52,8 +53,8 @@
     return Case(warm_up_ms=0, now=Millis(0))
 
 
-def _is_gray(case, thresholds=FAST):
-    return case.is_gray(thresholds=thresholds, hosts=36, now=Millis(60_000))
+def _is_gray(case, thresholds=FAST, live=LIVE):
+    return case.is_gray(thresholds=thresholds, live=live, now=Millis(60_000))
 
 
 def test_failures_suffice_sooner_at_higher_sensitivity(case):
@@ -137,3 +138,29 @@
     assert case.passes_trial(thresholds=FAST)
     _report(case, _evidence(failed=1), times=1, start=3000)
     assert not case.passes_trial(thresholds=FAST)
+
+
+def test_hosts_that_do_not_use_a_target_need_not_agree(case):
+    """Two of three hosts use it, and both see it fail."""
+    for number in range(12):
+        case.add(
+            _evidence(failed=2),
+            host_id=HOSTS[number % 2],
+            zone_id=NEAR,
+            now=Millis(200 * number),
+            thresholds=CAUTIOUS,
+        )
+    assert _is_gray(case, CAUTIOUS, live=HOSTS[:3])
+
+
+def test_one_host_alone_is_not_believed_among_several(case):
+    """The fault may be near that host."""
+    for number in range(12):
+        case.add(
+            _evidence(failed=2),
+            host_id=HOSTS[0],
+            zone_id=NEAR,
+            now=Millis(200 * number),
+            thresholds=FAST,
+        )
+    assert not _is_gray(case, FAST, live=HOSTS[:3])
--- /dev/null
+++ b/chicorybridge/tests/test_judgements.py
@@ -0,0 +1,67 @@
+"""Tests of who is asked to check a target in doubt."""
+
+import random
+
+from chicorybridge.checks import CheckRequest
+from chicorybridge.clocks import Millis
+from chicorybridge.detections import Detection
+from chicorybridge.evidence import Evidence, EvidenceReport
+from chicorybridge.freshness import Freshness
+from chicorybridge.identities import HostId, Incarnation, Version, ZoneId
+from chicorybridge.observations import Tally
+from chicorybridge.tools.mixed_declarations import declare
+
+HOSTS = tuple(HostId(f'host-{number}') for number in range(3))
+ZONE = ZoneId('groningen')
+
+
+def _detection():
+    detection = Detection(
+        host_id=HOSTS[0],
+        zone_id=ZONE,
+        incarnation=Incarnation(1),
+        rng=random.Random(1),
+    )
+    incarnations = {
+        host_id: Incarnation(number + 1) for number, host_id in enumerate(HOSTS)
+    }
+    now = Millis(0)
+    detection.update_hosts(incarnations, gone=frozenset(), now=now)
+    declaration = declare(targets=12, warm_up_ms=0)
+    detection.configure(declaration, version=Version(1), now=now)
+    return detection
+
+
+def _report(target_id):
+    evidence = Evidence(
+        tally=Tally(target_id=target_id, failed=3),
+        failed_share=0.005,
+        large_share=0.005,
+        shed_share=0.03,
+        shift=0,
+        others=Tally(target_id=target_id),
+    )
+    stamp = Freshness(incarnation=Incarnation(1)).stamp(
+        to=HOSTS[0], now=Millis(0)
+    )
+    return EvidenceReport(stamp=stamp, zone_id=ZONE, evidence=(evidence,))
+
+
+def test_hosts_that_do_not_use_a_doubted_target_are_asked_to_check_it():
+    """Else a target that one zone uses could never be agreed to be gray."""
+    detection = _detection()
+    judges_by_id = detection.assignments.judges_by_id
+    target_id = next(
+        target_id
+        for target_id, judge in judges_by_id.items()
+        if judge == HOSTS[0]
+    )
+    effects = detection.receive(
+        _report(target_id), sender=HOSTS[0], now=Millis(10)
+    )
+    asked = {
+        effect.to
+        for effect in effects
+        if isinstance(getattr(effect, 'message', None), CheckRequest)
+    }
+    assert asked == set(HOSTS)
--- a/chicorybridge/tools/policies.py
+++ b/chicorybridge/tools/policies.py
@@ -1,7 +1,7 @@
 """How a simulated entry picks a target: ours and the usual ones."""
 
 import random
-from collections import deque
+from collections import Counter, deque
 from enum import Enum
 
 from chicorybridge.attempts import Attempt, AttemptOutcome
@@ -43,7 +43,8 @@
         self.capacities = capacities
         self.targets = tuple(capacities)
         self.rng = rng
-        self.in_flight = dict.fromkeys(self.targets, 0)
+        # Checks go to targets of other regions, too.
+        self.in_flight: Counter[TargetId] = Counter()
         self._next = rng.randrange(len(self.targets))
 
     def pick(self, *, now: float) -> TargetId:
