Tell a keyed request unknown before its key is looked up

Cause: a refusal by the head, or a control process that is not reached, was told as not-run, while an earlier request with the key may have run; the page for callers promises that nothing ran under the key. Besides: bytes to a target are counted before they are written, since a failed write may have sent a part; a silent host's report no longer counts as its word. Its confirmation counts while it is heard. Pages of settings and of the data plane, compared with the code by tests.

--- a/chicorybridge/calls.py
+++ b/chicorybridge/calls.py
@@ -9,6 +9,7 @@
 from chicorybridge.declarations import Route, Service
 from chicorybridge.exchanges import CallerExchange, Head
 from chicorybridge.identities import Digest, RequestKey, WorkspaceId
+from chicorybridge.outcomes import RequestOutcome, outcome_of
 from chicorybridge.request_keys import fingerprint
 
 DEADLINE_HEADER = b'chicorybridge-deadline-ms'
@@ -35,10 +36,23 @@
     deadline_at: Millis
     workspace_id: WorkspaceId | None = None
     key: RequestKey | None = None
+    # Whether the claim of the key was granted to this request.
+    claimed: bool = False
     # Whether a part of an answer went to the caller.
     committed: bool = False
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
 
+    @property
+    def outcome(self) -> RequestOutcome:
+        """Return what is known of the request so far.
+
+        Before its claim is granted, an earlier request with the same key
+        may have run.
+        """
+        if self.key is not None and not self.claimed:
+            return RequestOutcome.unknown
+        return outcome_of(self.attempts)
+
     @property
     def body_bytes(self) -> int:
         """Return the length of the body, or its bound if it is not told."""
--- a/chicorybridge/confirmations.py
+++ b/chicorybridge/confirmations.py
@@ -136,7 +136,8 @@
     version: Version,
     excused: set[HostId],
 ) -> LagReason:
-    if report and report.confirmed >= version:
+    # A host that fell silent may have been replaced since its report.
+    if link.live and report and report.confirmed >= version:
         return LagReason.current
     if link.host_id in excused:
         return LagReason.excused
--- a/chicorybridge/entry_inboxes.py
+++ b/chicorybridge/entry_inboxes.py
@@ -12,10 +12,10 @@
 from chicorybridge.configurations import activate
 from chicorybridge.crossings import CrossingGranted
 from chicorybridge.departures import TargetsLeaving
-from chicorybridge.dispatchers import Duty, EntryState
 from chicorybridge.drains import DrainAdvanced, DrainState
 from chicorybridge.entry_lists import EntryListResponder
 from chicorybridge.entry_messages import FleetSent
+from chicorybridge.entry_states import Duty, EntryState
 from chicorybridge.events import Event, EventKind, EventLog
 from chicorybridge.notices import TargetLimits
 from chicorybridge.policies import Policies
--- a/chicorybridge/entry_processes.py
+++ b/chicorybridge/entry_processes.py
@@ -12,12 +12,13 @@
 from chicorybridge.clocks import Clock, as_seconds
 from chicorybridge.connections import TargetConnections
 from chicorybridge.control_links import ControlLink
-from chicorybridge.dispatchers import Dispatcher, Duty, EntryState
+from chicorybridge.dispatchers import Dispatcher
 from chicorybridge.drains import withdrawn_ms
 from chicorybridge.entry_inboxes import EntryInbox
 from chicorybridge.entry_lists import EntryListResponder
 from chicorybridge.entry_messages import EntryClosing, EntryOpened
 from chicorybridge.entry_reports import EntryReporter
+from chicorybridge.entry_states import Duty, EntryState
 from chicorybridge.events import EventLog
 from chicorybridge.exchanges import CallerExchange, Head
 from chicorybridge.identities import Incarnation
--- a/chicorybridge/entry_reports.py
+++ b/chicorybridge/entry_reports.py
@@ -7,12 +7,13 @@
 from chicorybridge.attempts import AttemptOutcome
 from chicorybridge.calls import Call
 from chicorybridge.clocks import Clock, Millis
-from chicorybridge.dispatchers import Dispatcher, EntryState
+from chicorybridge.dispatchers import Dispatcher
 from chicorybridge.entry_messages import (
     EntryReport,
     EventsReport,
     MetricsReport,
 )
+from chicorybridge.entry_states import EntryState
 from chicorybridge.events import EventLog
 from chicorybridge.meters import Meters
 
--- a/chicorybridge/exchanges.py
+++ b/chicorybridge/exchanges.py
@@ -295,8 +295,9 @@
         return True
 
     async def _write(self, data: bytes) -> None:
-        await super()._write(data)
+        # Counted first: a write that fails may have sent a part.
         self.sent_bytes += len(data)
+        await super()._write(data)
 
     def _answer_head(self, response: h11.Response) -> Head:
         headers = list(response.headers)
--- a/chicorybridge/tests/fronts.py
+++ b/chicorybridge/tests/fronts.py
@@ -16,7 +16,8 @@
 from chicorybridge.configurations import ActiveConfiguration
 from chicorybridge.connections import TargetConnections
 from chicorybridge.declarations import Declaration, Service
-from chicorybridge.dispatchers import Dispatcher, EntryState
+from chicorybridge.dispatchers import Dispatcher
+from chicorybridge.entry_states import EntryState
 from chicorybridge.identities import Digest, HostId, ServiceId, Version, ZoneId
 from chicorybridge.policies import Policies
 from chicorybridge.routes import RouteTable
--- /dev/null
+++ b/chicorybridge/tests/test_meters.py
@@ -0,0 +1,32 @@
+"""Tests of metrics and of their page."""
+
+import pathlib
+import re
+
+from chicorybridge.attempts import AttemptOutcome
+from chicorybridge.meters import Meters, merge_histograms, summarise
+
+PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'metrics.md'
+ROW = re.compile(r'^\| (attempts_\w+) \| count \|', re.MULTILINE)
+
+
+def test_histograms_of_two_processes_add_up():
+    """Merged percentiles are those of all recorded durations."""
+    first, second = Meters(), Meters()
+    for _ in range(90):
+        first.time('request', 1)
+    for _ in range(10):
+        second.time('request', 100)
+    merged = merge_histograms(
+        meters.encoded()['request'] for meters in (first, second)
+    )
+    summary = summarise(merged)
+    assert summary['count'] == 100
+    assert round(summary['p50_ms']) == 1
+    assert 95 < summary['p99_ms'] < 105
+
+
+def test_page_lists_a_count_for_every_outcome():
+    """The page and the code name the same outcomes of attempts."""
+    expected = {f'attempts_{outcome.name}' for outcome in AttemptOutcome}
+    assert set(ROW.findall(PAGE.read_text())) == expected
--- /dev/null
+++ b/chicorybridge/tests/test_settings.py
@@ -0,0 +1,17 @@
+"""Tests that the page of settings lists what the code reads."""
+
+import pathlib
+import re
+
+from chicorybridge.process_settings import FIELDS_BY_KIND as PROCESS_FIELDS
+from chicorybridge.sections import FIELDS_BY_KIND as DECLARATION_FIELDS
+
+PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'settings.md'
+ROW = re.compile(r'^\| `\[(\w+)[^`]*\]` \| `(\w+)` \|', re.MULTILINE)
+
+
+def test_page_lists_every_key_and_no_other():
+    """The page and the code name the same keys of the same sections."""
+    known = {**DECLARATION_FIELDS, **PROCESS_FIELDS}
+    expected = {(kind, key) for kind, keys in known.items() for key in keys}
+    assert set(ROW.findall(PAGE.read_text())) == expected
