--- a/chicorybridge/bodies.py
+++ b/chicorybridge/bodies.py
@@ -1,9 +1,10 @@
 """Bodies of requests: whole when small, else streamed."""
 
 from chicorybridge import settings
+from chicorybridge.caller_exchanges import CallerExchange
 from chicorybridge.clocks import Clock
 from chicorybridge.errors import ChicorybridgeError, ErrorCode, RequestError
-from chicorybridge.exchanges import CallerExchange, ExchangeError, Head
+from chicorybridge.exchanges import ExchangeError, Head
 
 
 class CallerError(ChicorybridgeError):
--- a/chicorybridge/call_readers.py
+++ b/chicorybridge/call_readers.py
@@ -1,11 +1,12 @@
 """Reading a request by its head: route, service, deadline, key."""
 
 from chicorybridge.bodies import RequestBody
+from chicorybridge.caller_exchanges import CallerExchange
 from chicorybridge.calls import DEADLINE_HEADER, WORKSPACE_HEADER, Call
 from chicorybridge.clocks import Clock, Millis
 from chicorybridge.configurations import ActiveConfiguration
 from chicorybridge.errors import ErrorCode
-from chicorybridge.exchanges import CallerExchange, Head
+from chicorybridge.exchanges import Head
 from chicorybridge.identities import RequestKey, WorkspaceId
 from chicorybridge.refusals import RefusalError
 from chicorybridge.request_keys import read_header
--- a/chicorybridge/caller_connections.py
+++ b/chicorybridge/caller_connections.py
@@ -8,10 +8,11 @@
 
 from chicorybridge import settings, sockets
 from chicorybridge.bodies import CallerError
+from chicorybridge.caller_exchanges import CallerExchange
 from chicorybridge.clocks import Clock, Millis, as_seconds
 from chicorybridge.dispatchers import Dispatcher
 from chicorybridge.errors import ErrorCode, RequestError
-from chicorybridge.exchanges import CallerExchange, ExchangeError, Head
+from chicorybridge.exchanges import ExchangeError, Head
 from chicorybridge.outcomes import RequestOutcome
 
 OwnAnswer = Callable[[CallerExchange, Head], Awaitable[bool]]
--- a/chicorybridge/calls.py
+++ b/chicorybridge/calls.py
@@ -4,10 +4,11 @@
 
 from chicorybridge.attempts import Attempt
 from chicorybridge.bodies import RequestBody
+from chicorybridge.caller_exchanges import CallerExchange
 from chicorybridge.clocks import Millis
 from chicorybridge.configurations import ActiveConfiguration
 from chicorybridge.declarations import Route, Service
-from chicorybridge.exchanges import CallerExchange, Head
+from chicorybridge.exchanges import Head
 from chicorybridge.identities import Digest, RequestKey, WorkspaceId
 from chicorybridge.outcomes import RequestOutcome, outcome_of
 from chicorybridge.request_keys import fingerprint
--- a/chicorybridge/connections.py
+++ b/chicorybridge/connections.py
@@ -4,7 +4,7 @@
 
 from chicorybridge import settings, sockets
 from chicorybridge.clocks import Clock
-from chicorybridge.exchanges import TargetExchange
+from chicorybridge.target_exchanges import TargetExchange
 
 
 class TargetConnections:
--- a/chicorybridge/dispatchers.py
+++ b/chicorybridge/dispatchers.py
@@ -9,6 +9,7 @@
 from chicorybridge.attempts import Attempt, AttemptOutcome
 from chicorybridge.bodies import CallerError
 from chicorybridge.call_readers import CallReader
+from chicorybridge.caller_exchanges import CallerExchange
 from chicorybridge.calls import Call
 from chicorybridge.claim_messages import ClaimDecided, ClaimVerdict
 from chicorybridge.claimants import Claimant, Post
@@ -16,7 +17,7 @@
 from chicorybridge.connections import TargetConnections
 from chicorybridge.entry_states import Duty, EntryState
 from chicorybridge.errors import ErrorCode, RequestError, require
-from chicorybridge.exchanges import CallerExchange, Head, Headers
+from chicorybridge.exchanges import Head, Headers
 from chicorybridge.forwards import Forward
 from chicorybridge.identities import (
     RequestKey,
--- a/chicorybridge/entry_lists.py
+++ b/chicorybridge/entry_lists.py
@@ -5,7 +5,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 from chicorybridge import settings
-from chicorybridge.exchanges import CallerExchange, Head, Headers
+from chicorybridge.caller_exchanges import CallerExchange
+from chicorybridge.exchanges import Head, Headers
 from chicorybridge.identities import ZoneId
 from chicorybridge.rosters import Roster, entry_list
 
--- a/chicorybridge/entry_processes.py
+++ b/chicorybridge/entry_processes.py
@@ -7,6 +7,7 @@
 
 from chicorybridge import settings, sockets
 from chicorybridge.caller_connections import CallerTable
+from chicorybridge.caller_exchanges import CallerExchange
 from chicorybridge.claim_messages import EntryId
 from chicorybridge.claimants import Claimant
 from chicorybridge.clocks import Clock, as_seconds
@@ -20,7 +21,7 @@
 from chicorybridge.entry_reports import EntryReporter
 from chicorybridge.entry_states import Duty, EntryState
 from chicorybridge.events import EventLog
-from chicorybridge.exchanges import CallerExchange, Head
+from chicorybridge.exchanges import Head
 from chicorybridge.identities import Incarnation
 from chicorybridge.policies import Policies
 from chicorybridge.process_settings import EntrySettings
--- a/chicorybridge/forwards.py
+++ b/chicorybridge/forwards.py
@@ -5,19 +5,6 @@
 import curio
 
 from chicorybridge import settings
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.bodies import CallerError
-from chicorybridge.calls import Call
-from chicorybridge.clocks import Clock, as_seconds
-from chicorybridge.connections import TargetConnections
-from chicorybridge.declarations import Target
-from chicorybridge.errors import ChicorybridgeError, RequestError
-from chicorybridge.exchanges import (
-    CHUNKED,
-    ExchangeError,
-    Head,
-    TargetExchange,
-)
 from chicorybridge.answers import (
     WholeAnswer,
     answer_headers,
@@ -28,6 +15,15 @@
     retry_after_ms,
     whole_answer,
 )
+from chicorybridge.attempts import Attempt, AttemptOutcome
+from chicorybridge.bodies import CallerError
+from chicorybridge.calls import Call
+from chicorybridge.clocks import Clock, as_seconds
+from chicorybridge.connections import TargetConnections
+from chicorybridge.declarations import Target
+from chicorybridge.errors import ChicorybridgeError, RequestError
+from chicorybridge.exchanges import CHUNKED, ExchangeError, Head
+from chicorybridge.target_exchanges import TargetExchange
 
 
 class Forward:
--- /dev/null
+++ b/chicorybridge/target_exchanges.py
@@ -0,0 +1,102 @@
+"""The client side of HTTP/1.1 exchanges: connections to targets."""
+
+from typing import Any
+
+import curio
+import h11
+
+from chicorybridge.clocks import Clock
+from chicorybridge.errors import ErrorCode
+from chicorybridge.exchanges import (
+    TRANSFER_ENCODING,
+    Exchange,
+    ExchangeError,
+    Head,
+    Headers,
+    length_of,
+    refused,
+)
+
+# Statuses whose answers never have a body.
+BODILESS_STATUSES = frozenset((204, 304))
+
+
+class TargetExchange(Exchange):
+    """The client side of a connection to a target."""
+
+    def __init__(
+        self, *, sock: curio.io.Socket, clock: Clock, address: str
+    ) -> None:
+        """Take over a connection just opened to `address`."""
+        super().__init__(sock=sock, role=h11.CLIENT, clock=clock)
+        self.address = address
+        self.opened_at = clock.now()
+        self.idle_since = self.opened_at
+        self.sent_bytes = 0
+        self.fresh = True
+        self._method = b''
+
+    async def send_request(
+        self,
+        *,
+        method: bytes,
+        path: bytes,
+        headers: Headers,
+        body: bytes | None = None,
+    ) -> None:
+        """Send the head, and with `body` the whole request in one write."""
+        self._method = method
+        events: list[Any] = [
+            h11.Request(method=method, target=path, headers=headers)
+        ]
+        if body:
+            events.append(h11.Data(data=body))
+        if body is not None:
+            events.append(h11.EndOfMessage())
+        await self.send(*events)
+
+    async def read_head(self) -> Head:
+        """Return the head of the answer; raise if its end can't be told."""
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise ExchangeError(
+                code=ErrorCode.stream_closed, detail='no answer'
+            )
+        return self._answer_head(event)
+
+    def next_cycle(self) -> bool:
+        """Make ready for another request; `False` if it can't be reused."""
+        states = {self._conn.our_state, self._conn.their_state}
+        if states != {h11.DONE} or self._conn.trailing_data[0]:
+            return False
+        self._conn.start_next_cycle()
+        self.idle_since = self._clock.now()
+        self.fresh = False
+        return True
+
+    async def _write(self, data: bytes) -> None:
+        # Counted first: a write that fails may have sent a part.
+        self.sent_bytes += len(data)
+        await super()._write(data)
+
+    def _answer_head(self, response: h11.Response) -> Head:
+        headers = list(response.headers)
+        bodiless = (
+            self._method == b'HEAD' or response.status_code in BODILESS_STATUSES
+        )
+        length = 0 if bodiless else length_of(headers)
+        chunked = any(name == TRANSFER_ENCODING for name, _ in headers)
+        if chunked and length_of(headers) is not None:
+            raise refused('a length and chunked at once')
+        if length is None and not chunked:
+            # Its end could not be told from a cut.
+            raise refused('neither a length nor chunked')
+        return Head(
+            method=self._method,
+            path=b'',
+            headers=headers,
+            length=length,
+            status=response.status_code,
+        )
