--- a/chicorybridge/tests/test_deltas.py
+++ b/chicorybridge/tests/test_deltas.py
@@ -3,13 +3,13 @@
 import dataclasses
 
 from chicorybridge.deltas import difference, patched
-from chicorybridge.tools.sized_declarations import declared
+from chicorybridge.tools.synthetics import make_small
 
 
 def test_difference_rebuilds_the_declaration():
     """Changed, added and removed entities come out alike."""
-    before = declared('before', targets=40, routes=5)
-    after = declared('after', targets=30, routes=9)
+    before = make_small('before', targets=40, routes=5)
+    after = make_small('after', targets=30, routes=9)
     services_by_id = {
         service_id: dataclasses.replace(service, floor=0.9)
         for service_id, service in after.services_by_id.items()
@@ -21,6 +21,6 @@
 
 def test_difference_of_one_entity_is_small():
     """A single change costs little, whatever the size of the whole."""
-    before = declared('before', targets=2000)
-    after = declared('after', targets=2001)
+    before = make_small('before', targets=2000)
+    after = make_small('after', targets=2001)
     assert len(difference(before, after)) < len(after.body) / 100
--- a/chicorybridge/tools/fleets.py
+++ b/chicorybridge/tools/fleets.py
@@ -24,7 +24,7 @@
 from chicorybridge.stores import HostState, ListedHost
 from chicorybridge.systems import Effects, System
 from chicorybridge.tools.channels import FaultyChannel
-from chicorybridge.tools.sized_declarations import declared
+from chicorybridge.tools.synthetics import make_small
 from chicorybridge.versions import (
     ApplyProgress,
     ApplyRequested,
@@ -215,7 +215,7 @@
         request = ApplyRequested(
             apply_id=ApplyId(apply_id or f'apply-{name}'),
             base=Version(base),
-            body=body or declared(name).body,
+            body=body or make_small(name).body,
             excused=excused,
         )
         self.channel.hand_in(at or self.first, request, sender=HostId(sender))
--- a/chicorybridge/tools/synthetics.py
+++ b/chicorybridge/tools/synthetics.py
@@ -28,6 +28,8 @@
 PORTS_PER_NUMBER = 50_000
 FIRST_PORT = 10_000
 
+DIGITS = 5
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Sizes:
@@ -73,6 +75,21 @@
     )
 
 
+def make_small(
+    name: str, *, targets: int = 8, routes: int = 2, workspaces: int = 2
+) -> Declaration:
+    """Return a declaration of one service in one zone."""
+    sizes = Sizes(
+        regions=1,
+        zones=1,
+        services=1,
+        targets=targets,
+        routes=routes,
+        workspaces=workspaces,
+    )
+    return make_declaration(sizes, name=name)
+
+
 def write_declaration(sizes: Sizes, path: pathlib.Path) -> None:
     """Write the same declaration as an INI file."""
     path.write_text('\n'.join(_lines(make_declaration(sizes))))
@@ -113,7 +130,9 @@
 
 
 def _name(kind: str, number: int) -> str:
-    return f'{kind}-{number}'
+    # Ids that sort by number, as operators' tables do.
+    digits = str(number).zfill(DIGITS)
+    return f'{kind}-{digits}'
 
 
 def _region(number: int) -> Region:
