Write refusals, retries and aborted answers on the time line

One event a tick for each code and service, with its count, so that an overload does not flood it; counts of refusals by code besides. Events and errors that nothing raised are gone; their numbers stay free. An apply that is watched is kept going each second also while progress comes: it was dropped after 10 s without the platform before. Sections are sorted by id, so that the order of files changes nothing.

--- a/chicorybridge/apply_commands.py
+++ b/chicorybridge/apply_commands.py
@@ -2,11 +2,14 @@
 
 import pathlib
 import secrets
+from collections.abc import Mapping
+from types import MappingProxyType
 
 from cleo.helpers import option
 
 from chicorybridge import settings
 from chicorybridge.declarations import Declaration
+from chicorybridge.errors import ErrorCode
 from chicorybridge.identities import ApplyId, HostId, Version
 from chicorybridge.operator_clients import ControlClient
 from chicorybridge.operator_commands import (
@@ -27,7 +30,13 @@
 )
 
 APPLY_ID_BYTES = 8
-REFUSED_STAGES = frozenset((ApplyStage.conflict, ApplyStage.rejected))
+CODES_BY_STAGE: Mapping[ApplyStage, ErrorCode] = MappingProxyType(
+    {
+        ApplyStage.conflict: ErrorCode.apply_conflict,
+        ApplyStage.rejected: ErrorCode.apply_rejected,
+    }
+)
+ENDED_STAGES = frozenset((ApplyStage.accepted, *CODES_BY_STAGE))
 
 
 class ApplyCommand(FleetCommand):
@@ -81,16 +90,19 @@
     ) -> ApplyProgress | None:
         wait_ms = float(self.option('wait-ms') or settings.APPLY_WAIT_MS)
         deadline = self.clock.now() + wait_ms
+        watch_at = self.clock.now() + settings.WATCH_MS
         progress = None
         while self.clock.now() < deadline:
             message = await client.receive(within_ms=settings.WATCH_MS)
             if isinstance(message, ApplyProgress):
                 progress = message
                 self.line_error(describe_progress(progress))
-                if progress.stage in {ApplyStage.accepted, *REFUSED_STAGES}:
+                if progress.stage in ENDED_STAGES:
                     return progress
-            else:
+            if self.clock.now() >= watch_at:
+                # Keeps an apply going that is not durable yet.
                 await client.send(ApplyWatched(apply_id=apply_id))
+                watch_at = self.clock.now() + settings.WATCH_MS
         return progress
 
     def _conclude(self, progress: ApplyProgress | None) -> int:
@@ -109,7 +121,9 @@
         )
         if progress.stage is ApplyStage.accepted:
             return EXIT_DONE
-        if progress.stage in REFUSED_STAGES:
+        code = CODES_BY_STAGE.get(progress.stage)
+        if code is not None:
+            self.line_error(f'{code}: nothing was written')
             return EXIT_REFUSED
         return EXIT_WAITING
 
--- a/chicorybridge/dispatchers.py
+++ b/chicorybridge/dispatchers.py
@@ -58,11 +58,12 @@
         claimant: Claimant,
         post: Post,
         ended: Callable[[Call], None],
+        refused: Callable[[ErrorCode], None],
     ) -> None:
         """Join the parts.
 
         `post` hands a message to the control process; `ended` hears of
-        every call that has ended.
+        every call that has ended, `refused` of every refusal.
         """
         self.calls_by_number: dict[int, Call] = {}
         self._clock = clock
@@ -73,6 +74,7 @@
         self._claimant = claimant
         self._post = post
         self._ended = ended
+        self._refused = refused
         self._serial = 0
 
     async def answer(self, exchange: CallerExchange, head: Head) -> None:
@@ -101,6 +103,7 @@
         outcome: RequestOutcome,
     ) -> None:
         """Answer with a problem document."""
+        self._refused(error.code)
         body = problem_body(code=error.code, detail=error.detail)
         retry_after_ms = getattr(error, 'retry_after_ms', 0)
         headers = problem_headers(body=body, retry_after_ms=retry_after_ms)
--- a/chicorybridge/entry_processes.py
+++ b/chicorybridge/entry_processes.py
@@ -81,6 +81,7 @@
             claimant=self._claimant,
             post=self._link.post,
             ended=self._reporter.count,
+            refused=self._reporter.count_refusal,
         )
         self.callers = CallerTable(
             clock=clock,
--- a/chicorybridge/entry_reports.py
+++ b/chicorybridge/entry_reports.py
@@ -1,5 +1,6 @@
 """What an entry process tells its control process each tick."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -14,7 +15,8 @@
     MetricsReport,
 )
 from chicorybridge.entry_states import EntryState
-from chicorybridge.events import EventLog
+from chicorybridge.errors import ErrorCode
+from chicorybridge.events import Event, EventKind, EventLog
 from chicorybridge.meters import Meters
 
 
@@ -38,6 +40,9 @@
         self._post = post
         self._meters = Meters()
         self._metrics_due = clock.now()
+        # Since the last tick, for the time line.
+        self._refused_by_code: Counter[str] = Counter()
+        self._retried_by_service: Counter[str] = Counter()
 
     def count(self, call: Call) -> None:
         """Count a call that ended, with what this process added to it."""
@@ -50,8 +55,15 @@
             self._meters.count('attempts_{0}'.format(attempt.outcome.name))
         if len(call.attempts) > 1:
             self._meters.count('retries')
+            self._retried_by_service[call.service.service_id] += 1
         if call.committed and _is_cut(call):
             self._meters.count('answers_aborted')
+            self._log.emit(_aborted(call))
+
+    def count_refusal(self, code: ErrorCode) -> None:
+        """Count a request that was refused."""
+        self._meters.count(f'refused_{code.name}')
+        self._refused_by_code[code.name] += 1
 
     async def report(
         self, dispatcher: Dispatcher, *, connections: int, now: Millis
@@ -70,6 +82,7 @@
                 connections=connections,
             )
         )
+        self._emit_counts()
         records = self._log.take_new(limit=settings.EVENTS_PER_REPORT)
         if records:
             await self._post(EventsReport(records=records))
@@ -77,6 +90,17 @@
             self._metrics_due = Millis(now + settings.METRICS_MS)
             await self._report_metrics()
 
+    def _emit_counts(self) -> None:
+        """Write one event for each code and service, however many."""
+        for code, count in self._refused_by_code.items():
+            facts = {'code': code, 'count': count}
+            self._log.emit(Event(kind=EventKind.request_refused, facts=facts))
+        for service_id, count in self._retried_by_service.items():
+            facts = {'service': service_id, 'count': count}
+            self._log.emit(Event(kind=EventKind.request_retried, facts=facts))
+        self._refused_by_code.clear()
+        self._retried_by_service.clear()
+
     async def _report_metrics(self) -> None:
         await self._post(
             MetricsReport(
@@ -86,5 +110,11 @@
         )
 
 
+def _aborted(call: Call) -> Event:
+    last = call.attempts[-1]
+    facts = {'target': last.target_id, 'outcome': last.outcome.name}
+    return Event(kind=EventKind.answer_aborted, facts=facts)
+
+
 def _is_cut(call: Call) -> bool:
     return call.attempts[-1].outcome is not AttemptOutcome.answered
--- a/chicorybridge/errors.py
+++ b/chicorybridge/errors.py
@@ -15,11 +15,6 @@
     setting_duplicate = 'CB1006'
     declaration_unreadable = 'CB1007'
 
-    # Platform.
-    store_unavailable = 'CB2001'
-    store_unanswered = 'CB2002'
-    store_refused = 'CB2003'
-
     # Streams between processes.
     stream_closed = 'CB3001'
     stream_unauthenticated = 'CB3002'
@@ -46,7 +41,6 @@
     apply_conflict = 'CB5001'
     apply_rejected = 'CB5002'
     control_unreachable = 'CB5003'
-    operator_unauthorised = 'CB5004'
 
     # Promises asserted inside the program.
     promise_broken = 'CB9001'
@@ -66,10 +60,6 @@
         self.detail = detail
 
 
-class StoreError(ChicorybridgeError):
-    """Report a failed request to the platform."""
-
-
 class StreamError(ChicorybridgeError):
     """Report a broken stream between processes."""
 
--- a/chicorybridge/events.py
+++ b/chicorybridge/events.py
@@ -30,7 +30,6 @@
     configuration_active = 201
     configuration_confirmed = 202
     configuration_accepted = 203
-    configuration_refused = 204
 
     # 300: membership.
     peer_heard = 300
@@ -39,13 +38,11 @@
     host_returned = 303
 
     # 400: targets.
-    target_weighed = 400
     target_ejected = 401
     target_readmitted = 402
     target_leaving = 403
     permit_taken = 410
     permit_given = 411
-    permit_lost = 412
 
     # 500: requests.
     request_refused = 500
--- a/chicorybridge/sections.py
+++ b/chicorybridge/sections.py
@@ -183,7 +183,10 @@
     def _build(self, kind: str) -> dict[str, Any]:
         references = _references(FIELDS_BY_KIND[kind])
         entities_by_id = {}
-        for entity_id, values_by_key in self._values_by_kind[kind].items():
+        # Sorted, so that the order of files and sections does not matter.
+        for entity_id, values_by_key in sorted(
+            self._values_by_kind[kind].items()
+        ):
             arguments = {
                 f'{key}_id' if key in references else key: value
                 for key, value in values_by_key.items()
--- a/chicorybridge/tests/fronts.py
+++ b/chicorybridge/tests/fronts.py
@@ -166,6 +166,7 @@
         claimant=claimant,
         post=_refuse_post,
         ended=lambda call: None,
+        refused=lambda code: None,
     )
     return CallerTable(
         clock=clock, dispatcher=dispatcher, own_answer=_no_own_answer
--- a/chicorybridge/tests/test_sections.py
+++ b/chicorybridge/tests/test_sections.py
@@ -44,13 +44,12 @@
 
 
 @pytest.mark.parametrize(
-    ('name', 'targets', 'slots'),
-    [('bureau', 38, 30 * 6), ('kente', 33, 25 * 6)],
+    ('name', 'service_id', 'targets', 'slots'),
+    [('bureau', 'quote', 38, 30 * 6), ('kente', 'stock', 33, 25 * 6)],
 )
-def test_examples_are_whole(name, targets, slots):
+def test_examples_are_whole(name, service_id, targets, slots):
     """The examples carry the sizes of the brief and survive the codec."""
     declaration = read_declaration(EXAMPLES / name)
-    service_id = next(iter(declaration.services_by_id))
     assert len(declaration.targets_by_id) == targets
     assert declaration.slots_of(service_id) == slots
     assert unpack(declaration.body) == declaration
@@ -73,3 +72,16 @@
     file.write_text('floor = 1\n')
     with pytest.raises(SettingsError, match='broken.ini'):
         read_declaration(file)
+
+
+def test_order_of_sections_does_not_matter(tmp_path):
+    """The same declaration has the same digest however it is written."""
+    zones = [f'[zone {name}]\nregion = noord\n' for name in ('a', 'b')]
+    digests = set()
+    for order in (zones, list(reversed(zones))):
+        file = tmp_path / 'zones.ini'
+        file.write_text(
+            '\n'.join(['[declaration d]', '[region noord]', *order])
+        )
+        digests.add(read_declaration(file).digest)
+    assert len(digests) == 1
