--- a/chicorybridge/connections.py
+++ b/chicorybridge/connections.py
@@ -2,8 +2,10 @@
 
 from collections import deque
 
+import curio
+
 from chicorybridge import settings, sockets
-from chicorybridge.clocks import Clock
+from chicorybridge.clocks import Clock, as_seconds
 from chicorybridge.target_exchanges import TargetExchange
 
 
@@ -25,7 +27,9 @@
         return len(self._idle_by_address.get(address, ()))
 
     async def take(self, address: str, *, max_idle_ms: float) -> TargetExchange:
-        """Return an idle connection, or open one; raise `OSError`.
+        """Return an idle connection, or open one.
+
+        Raise `OSError`, or `curio.TaskTimeout` after `CONNECT_MS`.
 
         One that was idle for longer than `max_idle_ms` is not lent: it
         may have gone silent without a sign.
@@ -70,7 +74,8 @@
     async def _open(self, address: str) -> TargetExchange:
         self._open_by_address[address] = self.open_at(address) + 1
         try:
-            sock = await sockets.connect(address)
+            async with curio.timeout_after(as_seconds(settings.CONNECT_MS)):
+                sock = await sockets.connect(address)
         except BaseException:
             self._forget(address)
             raise
--- a/chicorybridge/forwards.py
+++ b/chicorybridge/forwards.py
@@ -139,10 +139,9 @@
         max_idle_ms = settings.CONNECTION_IDLE_MS
         if not self._call.idempotent:
             max_idle_ms = settings.CONNECTION_PROVEN_MS
-        async with curio.timeout_after(as_seconds(settings.CONNECT_MS)):
-            return await self._connections.take(
-                self.target.address, max_idle_ms=max_idle_ms
-            )
+        return await self._connections.take(
+            self.target.address, max_idle_ms=max_idle_ms
+        )
 
     async def _upload(self, exchange: TargetExchange) -> Head:
         """Send the body while waiting for the answer, which may be early."""
--- a/chicorybridge/sockets.py
+++ b/chicorybridge/sockets.py
@@ -1,5 +1,6 @@
 """Sockets of curio: opening, probing without reading, aborting."""
 
+import select
 import socket
 import struct
 
@@ -61,25 +62,19 @@
 
 def is_quiet(sock: curio.io.Socket) -> bool:
     """Return whether an idle connection is open with nothing to read."""
-    try:
-        with sock.blocking() as plain:
-            plain.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
+    return not _ready(sock, select.POLLIN | select.POLLRDHUP)
 
 
 def is_closed(sock: curio.io.Socket) -> bool:
     """Return whether the other end has closed or reset the connection."""
-    try:
-        with sock.blocking() as plain:
-            return not plain.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
+    return _ready(sock, select.POLLRDHUP)
+
+
+def _ready(sock: curio.io.Socket, events: int) -> bool:
+    # Errors and resets are reported whatever is asked for.
+    poller = select.poll()
+    poller.register(sock.fileno(), events)
+    return bool(poller.poll(0))
 
 
 async def abort(sock: curio.io.Socket) -> None:
