--- a/chicorybridge/experiment_files.py
+++ b/chicorybridge/experiment_files.py
@@ -30,6 +30,7 @@
     Fields,
     Problem,
     Section,
+    missing_section,
     parse_section,
     read_sections,
     refuse,
@@ -206,11 +207,9 @@
             self._check_references(section)
         if len(self.values_by_kind[EXPERIMENT]) != 1:
             self.problems.append(
-                Problem(
+                missing_section(
                     file=self._file,
                     section=EXPERIMENT,
-                    key='',
-                    code=ErrorCode.setting_missing,
                     detail='expected one [experiment NAME] section',
                 )
             )
--- a/chicorybridge/process_settings.py
+++ b/chicorybridge/process_settings.py
@@ -14,6 +14,7 @@
     Fields,
     Problem,
     Section,
+    missing_section,
     parse_section,
     read_sections,
     refuse,
@@ -137,7 +138,10 @@
     sections, problems = read_sections(path)
     found = [section for section in sections if section.title == kind]
     if not found:
-        refuse((*problems, _problem(path, kind, '', 'missing section')))
+        missing = missing_section(
+            file=path.name, section=kind, detail='missing section'
+        )
+        refuse((*problems, missing))
     section = dataclasses.replace(
         found[0], texts_by_key={**found[0].texts_by_key, **overrides}
     )
@@ -158,17 +162,5 @@
     ]
 
 
-def _problem(
-    path: pathlib.Path, section: str, key: str, detail: str
-) -> Problem:
-    return Problem(
-        file=path.name,
-        section=section,
-        key=key,
-        code=ErrorCode.setting_missing,
-        detail=detail,
-    )
-
-
 def _secret(name: str) -> bytes:
     return os.environ[name].encode()
--- a/chicorybridge/readers.py
+++ b/chicorybridge/readers.py
@@ -127,6 +127,17 @@
     return values_by_key, tuple(problems)
 
 
+def missing_section(*, file: str, section: str, detail: str) -> Problem:
+    """Return the problem of a file without a section that it needs."""
+    return Problem(
+        file=file,
+        section=section,
+        key='',
+        code=ErrorCode.setting_missing,
+        detail=detail,
+    )
+
+
 def refuse(problems: Iterable[Problem]) -> None:
     """Raise `SettingsError` if there is any problem."""
     found = tuple(problems)
--- a/chicorybridge/sections.py
+++ b/chicorybridge/sections.py
@@ -34,6 +34,7 @@
     Problem,
     Section,
     find_files,
+    missing_section,
     parse_section,
     read_sections,
     refuse,
@@ -166,11 +167,9 @@
         self._check_addresses()
         if not self._name:
             self.problems.append(
-                Problem(
+                missing_section(
                     file=path.name,
                     section=NAME_KIND,
-                    key='',
-                    code=ErrorCode.setting_missing,
                     detail='no [declaration NAME] section',
                 )
             )
