Work out ejected targets and addresses only when they change

Each tick an entry process walked all its targets for the ejected ones, and a control process copied the addresses of all hosts; both now follow a change. Incarnations, the version and the outcomes of an absent platform are named in one place; two methods that nothing called are gone. Behaviour is as before: the checks pass unchanged.

--- a/chicorybridge/applies.py
+++ b/chicorybridge/applies.py
@@ -7,7 +7,6 @@
 
 from chicorybridge import settings
 from chicorybridge.applysteps import (
-    AWAY,
     COUNTED,
     ENDED,
     NOT_DURABLE,
@@ -41,10 +40,7 @@
 from chicorybridge.links import NEVER
 from chicorybridge.members import Members
 from chicorybridge.spreads import Spreads
-from chicorybridge.stores import (
-    StoreOutcome,
-    StoreReply,
-)
+from chicorybridge.stores import AWAY, StoreOutcome, StoreReply
 from chicorybridge.systems import Ask, Effect, Effects, Emit, Send
 from chicorybridge.versions import (
     ApplyRequested,
--- a/chicorybridge/applysteps.py
+++ b/chicorybridge/applysteps.py
@@ -9,7 +9,7 @@
 from chicorybridge.holdings import NO_DIGEST, digest_of
 from chicorybridge.identities import NO_VERSION, HostId
 from chicorybridge.links import NEVER
-from chicorybridge.stores import PutObject, StoreOutcome, StoreRequest
+from chicorybridge.stores import PutObject, StoreRequest
 from chicorybridge.versions import (
     ApplyProgress,
     ApplyRequested,
@@ -22,7 +22,6 @@
 
 ENDED = (ApplyStage.accepted, ApplyStage.conflict, ApplyStage.rejected)
 NOT_DURABLE = (ApplyStage.storing, ApplyStage.writing)
-AWAY = (StoreOutcome.unavailable, StoreOutcome.unanswered)
 COUNTED = (LagReason.current, LagReason.excused)
 
 
--- a/chicorybridge/control_processes.py
+++ b/chicorybridge/control_processes.py
@@ -1,7 +1,6 @@
 """The control process of a host: streams and the platform around systems."""
 
 import random
-import secrets
 from collections import deque
 from collections.abc import Iterable
 from typing import Any
@@ -16,7 +15,7 @@
 from chicorybridge.drains import DrainState
 from chicorybridge.errors import PromiseError
 from chicorybridge.events import EventLog
-from chicorybridge.identities import HostId, Incarnation, TargetId
+from chicorybridge.identities import HostId, TargetId, draw_incarnation
 from chicorybridge.operator_desks import OperatorDesk
 from chicorybridge.peer_links import PeerLinks
 from chicorybridge.platform_desks import PlatformDesk
@@ -29,8 +28,6 @@
 from chicorybridge.tasks import run_all
 from chicorybridge.systems import Ask, Effect, Emit, Send, SendEntries
 
-INCARNATION_BITS = 63
-
 
 class Control:
     """Carry out what the systems decide, and pass them what comes in."""
@@ -42,7 +39,7 @@
         self._given = given
         self._clock = clock
         self._rng = rng
-        self._incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
+        self._incarnation = draw_incarnation()
         self.log = EventLog(
             clock=clock,
             host_id=given.host_id,
@@ -85,6 +82,8 @@
         self._prober = Prober(finished=self._finish_probe)
         self._effects: deque[Effect] = deque()
         self._is_carrying = False
+        # Of the hosts whose addresses are known.
+        self._generation = -1
         self._broken: PromiseError | None = None
         self._is_broken = curio.Event()
 
@@ -226,5 +225,9 @@
         await self._take(reply, sender=self._given.host_id)
 
     def _learn_addresses(self) -> None:
-        for host_id, profile in self.systems.members.hosts_by_id.items():
+        members = self.systems.members
+        if members.generation == self._generation:
+            return
+        self._generation = members.generation
+        for host_id, profile in members.hosts_by_id.items():
             self._addresses_by_host[host_id] = profile.address
--- a/chicorybridge/entry_processes.py
+++ b/chicorybridge/entry_processes.py
@@ -1,7 +1,6 @@
 """The data plane of a host: all parts of an entry process, joined."""
 
 import random
-import secrets
 
 import curio
 
@@ -22,15 +21,13 @@
 from chicorybridge.entry_states import Duty, EntryState
 from chicorybridge.events import EventLog
 from chicorybridge.exchanges import Head
-from chicorybridge.identities import Incarnation
+from chicorybridge.identities import draw_incarnation
 from chicorybridge.policies import Policies
 from chicorybridge.process_settings import EntrySettings
 from chicorybridge.streams import Identity, Role
 from chicorybridge.systems import Emit, Send
 from chicorybridge.tasks import run_all
 
-INCARNATION_BITS = 63
-
 
 class Entry:
     """All parts of an entry process, joined."""
@@ -42,7 +39,7 @@
         self.address = given.listen
         self._given = given
         self._clock = clock
-        self._incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
+        self._incarnation = draw_incarnation()
         self._entry_id = EntryId(f'{given.host_id}/{self._incarnation:x}')
         self.log = EventLog(
             clock=clock,
--- a/chicorybridge/identities.py
+++ b/chicorybridge/identities.py
@@ -1,7 +1,10 @@
 """Types of the ids that name entities across processes."""
 
+import secrets
 from typing import NewType
 
+INCARNATION_BITS = 63
+
 HostId = NewType('HostId', str)
 TargetId = NewType('TargetId', str)
 ServiceId = NewType('ServiceId', str)
@@ -26,3 +29,8 @@
 Version = NewType('Version', int)
 
 NO_VERSION = Version(0)
+
+
+def draw_incarnation() -> Incarnation:
+    """Return the incarnation of a process that starts."""
+    return Incarnation(secrets.randbits(INCARNATION_BITS))
--- a/chicorybridge/loads.py
+++ b/chicorybridge/loads.py
@@ -14,6 +14,7 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
+from chicorybridge.binaries import VERSION
 from chicorybridge.clocks import Clock
 from chicorybridge.errors import ChicorybridgeError
 from chicorybridge.experiment_files import read_experiment
@@ -32,8 +33,6 @@
 
 logger = logging.getLogger(__name__)
 
-VERSION = '0.1.0'
-
 # Exit status when the run ended and a promise was seen broken.
 BROKEN_STATUS = 3
 
--- a/chicorybridge/members.py
+++ b/chicorybridge/members.py
@@ -75,11 +75,6 @@
         }
         return {**live, self.profile.host_id: self.profile}
 
-    def age_of(self, host_id: HostId, *, now: Millis) -> float:
-        """Bound the age in ms of what was last heard; infinite without."""
-        link = self.peers.links_by_id.get(host_id)
-        return now - link.proven_at if link else float('inf')
-
     def is_cut_off(self, now: Millis) -> bool:
         """Return whether this host must take no new work."""
         return not self.profile.taking or self.peers.is_cut_off(now)
--- a/chicorybridge/platform_desks.py
+++ b/chicorybridge/platform_desks.py
@@ -8,15 +8,13 @@
 from chicorybridge.events import Event, EventKind, EventLog
 from chicorybridge.members import Members
 from chicorybridge.stores import (
+    AWAY,
     HostState,
     ListedHost,
-    StoreOutcome,
     StoreReply,
 )
 from chicorybridge.systems import Ask
 
-AWAY = frozenset((StoreOutcome.unavailable, StoreOutcome.unanswered))
-
 
 class PlatformDesk:
     """Carry out requests, keep the host registered, note outages."""
--- a/chicorybridge/standins.py
+++ b/chicorybridge/standins.py
@@ -14,6 +14,7 @@
 
 from chicorybridge import settings, sockets
 from chicorybridge.addresses import Address
+from chicorybridge.binaries import VERSION
 from chicorybridge.clocks import Clock
 from chicorybridge.collectors import freeze_collector
 from chicorybridge.databases import DatabaseTables
@@ -32,8 +33,6 @@
 
 logger = logging.getLogger(__name__)
 
-VERSION = '0.1.0'
-
 LISTEN = option('listen', 'Address as IP:PORT; port 0 picks one', '127.0.0.1:0')
 SEED = option('seed', 'Seed of the faults that are drawn', 1)
 
--- a/chicorybridge/stores.py
+++ b/chicorybridge/stores.py
@@ -106,6 +106,10 @@
     unanswered = 'unanswered'
 
 
+# Outcomes of a request that the platform did not answer.
+AWAY = frozenset((StoreOutcome.unavailable, StoreOutcome.unanswered))
+
+
 @wire
 class HostState(Enum):
     """What the platform says of a host."""
--- a/chicorybridge/suspects.py
+++ b/chicorybridge/suspects.py
@@ -47,11 +47,6 @@
     digest: Digest
     victims: dict[Victim, Millis] = dataclasses.field(default_factory=dict)
 
-    @property
-    def seen_at(self) -> Millis:
-        """Return when the last victim died."""
-        return max(self.victims.values())
-
 
 class SuspectTable:
     """Suspects by digest; every host and entry process keeps one."""
--- a/chicorybridge/weights.py
+++ b/chicorybridge/weights.py
@@ -84,6 +84,8 @@
         self._checks_by_service: dict[ServiceId, TargetCheck] = {}
         self._valid_until = Millis(0)
         self._is_limited = False
+        # Targets that get no work at all.
+        self.ejected: frozenset[TargetId] = frozenset()
 
     def configure(self, declaration: Declaration) -> None:
         """Take in a configuration; known targets keep their weight."""
@@ -106,6 +108,7 @@
                 entry.shift for entry in entries
             )
             self._bound(service_id)
+        self._find_ejected()
 
     @property
     def limited(self) -> set[TargetId]:
@@ -116,15 +119,6 @@
             if entry.limit < 1
         }
 
-    @property
-    def ejected(self) -> set[TargetId]:
-        """Return the targets that get no work at all."""
-        return {
-            entry.target_id
-            for entry in self._weights_by_id.values()
-            if entry.limit == 0
-        }
-
     def weight_of(self, target_id: TargetId) -> float:
         """Return the weight from 0 to 1; 1 for an unknown target."""
         entry = self._weights_by_id.get(target_id)
@@ -183,6 +177,15 @@
                 changed.add(entry.service_id)
         for service_id in changed:
             self._bound(service_id)
+        if changed:
+            self._find_ejected()
+
+    def _find_ejected(self) -> None:
+        self.ejected = frozenset(
+            entry.target_id
+            for entry in self._weights_by_id.values()
+            if entry.limit == 0
+        )
 
     def _learn_latency(self, entry: TargetWeight, shift: float) -> None:
         """Average the latency of a target and of the others."""
