Take only the wait within an attempt off its time

Cause, found by reading: the wait for a small body that is read ahead lies before the attempt, but was taken off the attempt's time, so that a slow caller made a target look fast. Test: body 200 ms late, answer after 100 ms; elapsed 0 ms before, at least 90 ms after.

--- a/chicorybridge/forwards.py
+++ b/chicorybridge/forwards.py
@@ -57,6 +57,7 @@
         # Time spent waiting for the caller, which the target is not
         # to blame for.
         self._caller_ms: float = 0
+        self._waited_before = call.body.wait_ms
         self._sending_to_caller = False
         self._caller_error: ChicorybridgeError | None = None
 
@@ -81,14 +82,14 @@
     def result(self, outcome: AttemptOutcome) -> Attempt:
         """Return the attempt as it stands, with `outcome`."""
         elapsed = self._clock.now() - self._started_at
-        waited = self._caller_ms + self._call.body.wait_ms
+        waited = self._call.body.wait_ms - self._waited_before
         return Attempt(
             service_id=self._call.service.service_id,
             target_id=self.target.target_id,
             route_id=self._call.route.route_id,
             outcome=outcome,
             started_at=self._started_at,
-            elapsed_ms=max(0, elapsed - waited),
+            elapsed_ms=max(0, elapsed - waited - self._caller_ms),
             first_byte_ms=self._first_byte_ms,
             retry_after_ms=retry_after_ms(self._head),
             sent_bytes=self._sent_bytes,
--- a/chicorybridge/tests/test_dispatchers.py
+++ b/chicorybridge/tests/test_dispatchers.py
@@ -319,3 +319,29 @@
         await sock.close()
         return
     await sock.sendall(OK)
+
+
+async def test_wait_for_a_body_before_the_attempt_is_not_taken_off_it(
+    monkeypatch,
+):
+    """A caller that sends its body late does not make a target look fast."""
+
+    async def late(target, sock, data):  # noqa: WPS430
+        await curio.sleep(0.1)
+        await sock.sendall(OK)
+
+    attempts = []
+    async with front(late) as plane:
+        finished = plane.policies.finished
+
+        def record(number, attempt, *, now):  # noqa: WPS430
+            attempts.append(attempt)
+            finished(number, attempt, now=now)
+
+        monkeypatch.setattr(plane.policies, 'finished', record)
+        sock = await plane.connect()
+        await sock.sendall(POST + LAST)
+        await curio.sleep(0.2)
+        await sock.sendall(b'body')
+        await read_all(sock)
+    assert attempts[0].elapsed_ms >= 90
