--- a/chicorybridge/answers.py
+++ b/chicorybridge/answers.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from chicorybridge.attempts import AttemptOutcome
-from chicorybridge.calls import DEADLINE_HEADER, Call
+from chicorybridge.calls import Call
 from chicorybridge.clocks import MILLIS_PER_SECOND, Millis
 from chicorybridge.exchanges import (
     CHUNKED,
@@ -12,16 +12,16 @@
     Headers,
     forwarded,
 )
+from chicorybridge.dialects import SHED_STATUSES, Dialect
+from chicorybridge.identities import TargetId
 from chicorybridge.problems import OUTCOME, RETRY_AFTER, VERSION
 
-DRAINING = b'chicorybridge-draining'
-NOT_RUN = b'not-run'
 COMPLETE = b'complete'
-SHED_STATUSES = frozenset((429, 503))
+FAILURE_STATUS = 300
 SERVER_ERROR_STATUS = 500
+CONTENT_ENCODING = b'content-encoding'
 
-OWN_ANSWER_HEADERS = frozenset((OUTCOME, VERSION, DRAINING))
-OWN_REQUEST_HEADERS = frozenset((DEADLINE_HEADER, CONTENT_LENGTH))
+OWN_ANSWER_HEADERS = frozenset((OUTCOME, VERSION))
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -33,15 +33,19 @@
     body: bytes
 
 
-def request_headers(call: Call, body: bytes | None, *, now: Millis) -> Headers:
+def request_headers(
+    call: Call, body: bytes | None, *, target_id: TargetId, now: Millis
+) -> Headers:
     """Return the headers for the target; `body` if it is sent whole."""
+    dialect = call.dialect
+    replaced = (dialect.deadline, dialect.target, CONTENT_LENGTH)
     headers = [
-        pair
-        for pair in forwarded(call.head.headers)
-        if pair[0] not in OWN_REQUEST_HEADERS
+        pair for pair in forwarded(call.head.headers) if pair[0] not in replaced
     ]
     left_ms = max(0, round(call.deadline_at - now))
-    headers.append((DEADLINE_HEADER, str(left_ms).encode()))
+    headers.append((dialect.deadline, str(left_ms).encode()))
+    if dialect.target is not None:
+        headers.append((dialect.target, target_id.encode()))
     length = call.head.length if body is None else len(body)
     if length is None:
         headers.append(CHUNKED)
@@ -52,11 +56,12 @@
 
 def answer_headers(call: Call, head: Head) -> Headers:
     """Return the headers of a target's answer for the caller."""
+    dropped = {*OWN_ANSWER_HEADERS, call.dialect.draining}
     headers = [
-        pair
-        for pair in forwarded(head.headers)
-        if pair[0] not in OWN_ANSWER_HEADERS
+        pair for pair in forwarded(head.headers) if pair[0] not in dropped
     ]
+    if not call.dialect.marks_outcome:
+        return headers
     version = str(call.configuration.version).encode()
     headers.append((OUTCOME, COMPLETE))
     headers.append((VERSION, version))
@@ -71,26 +76,29 @@
     return WholeAnswer(status=head.status, headers=headers, body=body)
 
 
-def outcome_of_answer(head: Head, *, idempotent: bool) -> AttemptOutcome:
+def outcome_of_answer(call: Call, head: Head) -> AttemptOutcome:
     """Tell shedding from failing from answering."""
-    if is_not_run(head):
+    if call.dialect.is_not_run(head):
         return AttemptOutcome.shed
     retry_after = head.header(RETRY_AFTER)
-    if head.status in SHED_STATUSES and retry_after and idempotent:
+    if head.status in SHED_STATUSES and retry_after and call.idempotent:
         return AttemptOutcome.shed
     if head.status >= SERVER_ERROR_STATUS:
         return AttemptOutcome.failed
     return AttemptOutcome.answered
 
 
-def is_not_run(head: Head | None) -> bool:
-    """Return whether the target says that it ran nothing."""
-    return head is not None and head.header(OUTCOME) == NOT_RUN
+def is_genuine(dialect: Dialect, head: Head) -> bool:
+    """Return whether a success was made by the target itself.
 
-
-def is_draining(head: Head | None) -> bool:
-    """Return whether the target says that it is leaving."""
-    return head is not None and head.header(DRAINING) == b'true'
+    Requests ask for bodies without an encoding, so an encoded one was
+    made by something between.
+    """
+    if dialect.signature is None or head.status >= FAILURE_STATUS:
+        return True
+    if head.header(CONTENT_ENCODING) is not None:
+        return False
+    return head.header(dialect.signature) is not None
 
 
 def retry_after_ms(head: Head | None) -> float | None:
--- a/chicorybridge/bodies.py
+++ b/chicorybridge/bodies.py
@@ -14,7 +14,7 @@
 class RequestBody:
     """The body of one request, read from its caller at most once.
 
-    Up to `BUFFER_BYTES` are read ahead; if that is all, the body is
+    Up to `buffer_bytes` are read ahead; if that is all, the body is
     whole and can be sent again.
     """
 
@@ -25,8 +25,10 @@
         head: Head,
         limit: int,
         clock: Clock,
+        buffer_bytes: int = settings.BUFFER_BYTES,
     ) -> None:
         """Read from `exchange`; `limit` bounds the body in bytes."""
+        self._buffer_bytes = buffer_bytes
         self._exchange = exchange
         self._limit = limit
         self._clock = clock
@@ -46,7 +48,7 @@
 
     async def read_ahead(self) -> None:
         """Read until the end or until the buffer is full."""
-        while not self.ended and self._received < settings.BUFFER_BYTES:
+        while not self.ended and self._received < self._buffer_bytes:
             chunk = await self._read()
             if chunk:
                 self._ahead.append(chunk)
--- a/chicorybridge/call_readers.py
+++ b/chicorybridge/call_readers.py
@@ -2,9 +2,10 @@
 
 from chicorybridge.bodies import RequestBody
 from chicorybridge.caller_exchanges import CallerExchange
-from chicorybridge.calls import DEADLINE_HEADER, WORKSPACE_HEADER, Call
+from chicorybridge.calls import WORKSPACE_HEADER, Call
 from chicorybridge.clocks import Clock, Millis
 from chicorybridge.configurations import ActiveConfiguration
+from chicorybridge.dialects import OWN
 from chicorybridge.errors import ErrorCode
 from chicorybridge.exchanges import Head
 from chicorybridge.identities import RequestKey, WorkspaceId
@@ -60,7 +61,7 @@
         )
 
     def _deadline(self, head: Head, timeout_ms: int) -> Millis:
-        text = head.header(DEADLINE_HEADER)
+        text = head.header(OWN.deadline)
         if text is not None and text.isdigit():
             timeout_ms = min(timeout_ms, int(text))
         return Millis(self._clock.now() + timeout_ms)
--- a/chicorybridge/caller_connections.py
+++ b/chicorybridge/caller_connections.py
@@ -3,14 +3,15 @@
 import dataclasses
 import socket
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import curio
 
 from chicorybridge import settings, sockets
 from chicorybridge.bodies import CallerError
 from chicorybridge.caller_exchanges import CallerExchange
+from chicorybridge.caller_limits import CallerLimits
 from chicorybridge.clocks import Clock, Millis, as_seconds
-from chicorybridge.dispatchers import Dispatcher
 from chicorybridge.errors import ErrorCode, RequestError
 from chicorybridge.exchanges import ExchangeError, Head
 from chicorybridge.outcomes import RequestOutcome
@@ -18,6 +19,21 @@
 OwnAnswer = Callable[[CallerExchange, Head], Awaitable[bool]]
 
 
+class Answerer(Protocol):
+    """What answers the requests of callers."""
+
+    async def answer(self, exchange: CallerExchange, head: Head) -> None:
+        """Answer one request; raise `CallerError` if the caller is gone."""
+
+    async def refuse(
+        self,
+        exchange: CallerExchange,
+        error: RequestError,
+        outcome: RequestOutcome,
+    ) -> None:
+        """Answer with a problem document."""
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class CallerConnection:
     """An open connection of a caller and the task that serves it."""
@@ -31,13 +47,19 @@
     """Serve callers, one task a connection."""
 
     def __init__(
-        self, *, clock: Clock, dispatcher: Dispatcher, own_answer: OwnAnswer
+        self,
+        *,
+        clock: Clock,
+        dispatcher: Answerer,
+        own_answer: OwnAnswer,
+        limits: Callable[[], CallerLimits] = CallerLimits,
     ) -> None:
         """Start without connections.
 
         `own_answer` answers the paths of the fleet itself and returns
-        whether it did.
+        whether it did; `limits` returns the bounds in force.
         """
+        self._limits = limits
         self._clock = clock
         self._dispatcher = dispatcher
         self._own_answer = own_answer
@@ -89,7 +111,11 @@
             await self._add(sock)
 
     async def _add(self, sock: curio.io.Socket) -> None:
-        exchange = CallerExchange(sock=sock, clock=self._clock)
+        exchange = CallerExchange(
+            sock=sock,
+            clock=self._clock,
+            head_bytes=self._limits().head_bytes,
+        )
         connection = CallerConnection(exchange=exchange)
         self._serial += 1
         self._connections_by_number[self._serial] = connection
@@ -106,7 +132,7 @@
         exchange = connection.exchange
         waiting_since = exchange.waiting_since
         if not exchange.busy:
-            return _is_idle_too_long(exchange, now)
+            return _is_idle_too_long(exchange, self._limits(), now)
         if waiting_since is not None:
             return now - waiting_since > settings.CALLER_STALL_MS
         # The caller of a request that may run once gets its answer kept.
@@ -180,10 +206,12 @@
         chunk = await sock.recv(settings.RECEIVE_BYTES)
 
 
-def _is_idle_too_long(exchange: CallerExchange, now: Millis) -> bool:
+def _is_idle_too_long(
+    exchange: CallerExchange, limits: CallerLimits, now: Millis
+) -> bool:
     if exchange.head_since is not None:
-        return now - exchange.head_since > settings.CALLER_HEAD_MS
+        return now - exchange.head_since > limits.head_ms
     waiting_since = exchange.waiting_since
     if waiting_since is None:
         return False
-    return now - waiting_since > settings.CALLER_IDLE_MS
+    return now - waiting_since > limits.idle_ms
--- a/chicorybridge/caller_exchanges.py
+++ b/chicorybridge/caller_exchanges.py
@@ -27,8 +27,15 @@
 class CallerExchange(Exchange):
     """The server side of a caller's connection."""
 
-    def __init__(self, *, sock: curio.io.Socket, clock: Clock) -> None:
-        """Take over an accepted connection."""
+    def __init__(
+        self,
+        *,
+        sock: curio.io.Socket,
+        clock: Clock,
+        head_bytes: int = settings.MAX_HEAD_BYTES,
+    ) -> None:
+        """Take over an accepted connection; bound heads in bytes."""
+        self._head_bytes = head_bytes
         super().__init__(sock=sock, role=h11.SERVER, clock=clock)
         # When the first byte of the head under way came, if any.
         self.head_since: Millis | None = None
@@ -104,7 +111,7 @@
         end = HEAD_END.search(self._raw_head)
         head = self._raw_head[: end.end()] if end else self._raw_head
         self._raw_head = b''
-        if len(head) > settings.MAX_HEAD_BYTES:
+        if len(head) > self._head_bytes:
             raise ExchangeError(
                 code=ErrorCode.request_too_large, detail='the head is too long'
             )
--- a/chicorybridge/calls.py
+++ b/chicorybridge/calls.py
@@ -8,12 +8,13 @@
 from chicorybridge.clocks import Millis
 from chicorybridge.configurations import ActiveConfiguration
 from chicorybridge.declarations import Route, Service
+from chicorybridge.dialects import OWN, Dialect
 from chicorybridge.exchanges import Head
+from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.identities import Digest, RequestKey, WorkspaceId
 from chicorybridge.outcomes import RequestOutcome, outcome_of
 from chicorybridge.request_keys import fingerprint
 
-DEADLINE_HEADER = b'chicorybridge-deadline-ms'
 WORKSPACE_HEADER = b'chicorybridge-workspace'
 DIGEST_HEADER = b'content-digest'
 
@@ -31,7 +32,7 @@
     body: RequestBody
     route: Route
     service: Service
-    configuration: ActiveConfiguration
+    configuration: ActiveConfiguration | HostConfiguration
     idempotent: bool
     started_at: Millis
     deadline_at: Millis
@@ -39,6 +40,7 @@
     key: RequestKey | None = None
     # Whether the claim of the key was granted to this request.
     claimed: bool = False
+    dialect: Dialect = OWN
     # Whether a part of an answer went to the caller.
     committed: bool = False
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
--- a/chicorybridge/clocks.py
+++ b/chicorybridge/clocks.py
@@ -9,13 +9,17 @@
 MILLIS_PER_SECOND = 1000
 NANOS_PER_MILLI = 1_000_000
 
+# Counts the time in which the machine was suspended, so that what was
+# known before is as old as it really is.
+STEADY = time.CLOCK_BOOTTIME
+
 
 class Clock:
     """Read monotonic time in milliseconds."""
 
     def now(self) -> Millis:
         """Return the milliseconds since an arbitrary start."""
-        return Millis(time.monotonic_ns() / NANOS_PER_MILLI)
+        return Millis(time.clock_gettime_ns(STEADY) / NANOS_PER_MILLI)
 
     def epoch(self) -> Millis:
         """Return wall time, for people only: milliseconds since 1970."""
--- a/chicorybridge/connections.py
+++ b/chicorybridge/connections.py
@@ -12,9 +12,13 @@
 class TargetConnections:
     """Open, lend and retire the connections of this process."""
 
-    def __init__(self, *, clock: Clock) -> None:
-        """Start without connections."""
+    def __init__(self, *, clock: Clock, unframed: bool = False) -> None:
+        """Start without connections.
+
+        With `unframed`, answers may end with their connection.
+        """
         self._clock = clock
+        self._unframed = unframed
         self._idle_by_address: dict[str, deque[TargetExchange]] = {}
         self._open_by_address: dict[str, int] = {}
 
@@ -26,10 +30,16 @@
         """Return how many connections to `address` are idle."""
         return len(self._idle_by_address.get(address, ()))
 
-    async def take(self, address: str, *, max_idle_ms: float) -> TargetExchange:
+    async def take(
+        self,
+        address: str,
+        *,
+        max_idle_ms: float,
+        connect_ms: float = settings.CONNECT_MS,
+    ) -> TargetExchange:
         """Return an idle connection, or open one.
 
-        Raise `OSError`, or `curio.TaskTimeout` after `CONNECT_MS`.
+        Raise `OSError`, or `curio.TaskTimeout` after `connect_ms`.
 
         One that was idle for longer than `max_idle_ms` is not lent: it
         may have gone silent without a sign.
@@ -40,7 +50,7 @@
             if self._is_clean(exchange, max_idle_ms):
                 return exchange
             await self.drop(exchange)
-        return await self._open(address)
+        return await self._open(address, connect_ms)
 
     async def give_back(self, exchange: TargetExchange) -> None:
         """Keep a connection whose exchange is over, if it is reusable."""
@@ -71,16 +81,21 @@
             while idle:
                 await self.drop(idle.pop())
 
-    async def _open(self, address: str) -> TargetExchange:
+    async def _open(self, address: str, connect_ms: float) -> TargetExchange:
         self._open_by_address[address] = self.open_at(address) + 1
         try:
-            async with curio.timeout_after(as_seconds(settings.CONNECT_MS)):
+            async with curio.timeout_after(as_seconds(connect_ms)):
                 sock = await sockets.connect(address)
         except BaseException:
             self._forget(address)
             raise
         sockets.bound_silence(sock)
-        return TargetExchange(sock=sock, clock=self._clock, address=address)
+        return TargetExchange(
+            sock=sock,
+            clock=self._clock,
+            address=address,
+            unframed=self._unframed,
+        )
 
     def _forget(self, address: str) -> None:
         left = self._open_by_address[address] - 1
--- a/chicorybridge/declarations.py
+++ b/chicorybridge/declarations.py
@@ -95,14 +95,27 @@
     address: str
 
 
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TrafficShare:
+    """A service that gets requests of a route in proportion to `weight`."""
+
+    service_id: ServiceId
+    weight: float
+
+
 @wire
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Route:
-    """Requests that go to one service.
+    """Requests that go to one service, or to several by weight.
 
     A route takes the paths that start with `prefix` and, if `methods` is
-    not empty, only these methods. The longest prefix wins, then the
-    route that names methods. `idempotent` is `None` to go by the method.
+    not empty, only these methods; with `host` set, only requests to that
+    name. The longest prefix wins, then the route that names methods.
+    `idempotent` is `None` to go by the method. `split`, if not empty,
+    goes before `service_id`. `attempts` bounds the targets that may run
+    one request; an answer within `target_latency_ms` is in time. Of two
+    requests the one with the lower `rank` is the more urgent.
     """
 
     route_id: RouteId
@@ -112,6 +125,11 @@
     idempotent: bool | None = None
     priority: Priority = Priority.normal
     timeout_ms: int | None = None
+    host: str = ''
+    split: tuple[TrafficShare, ...] = ()
+    attempts: int = settings.MAX_ATTEMPTS
+    target_latency_ms: int | None = None
+    rank: int = 0
 
 
 @wire
--- a/chicorybridge/dispatchers.py
+++ b/chicorybridge/dispatchers.py
@@ -18,7 +18,7 @@
 from chicorybridge.entry_states import Duty, EntryState
 from chicorybridge.errors import ErrorCode, RequestError, require
 from chicorybridge.exchanges import Head, Headers
-from chicorybridge.forwards import Forward
+from chicorybridge.forwards import CAREFUL, PATIENT, Forward
 from chicorybridge.identities import (
     RequestKey,
 )
@@ -232,6 +232,7 @@
             target=target,
             connections=self._connections,
             clock=self._clock,
+            patience=PATIENT if call.idempotent else CAREFUL,
         )
 
     async def _attempt(self, call: Call, forward: Forward) -> Attempt:
--- a/chicorybridge/errors.py
+++ b/chicorybridge/errors.py
@@ -15,6 +15,10 @@
     setting_duplicate = 'CB1006'
     declaration_unreadable = 'CB1007'
 
+    # The platform's store.
+    store_unavailable = 'CB2001'
+    entry_unreadable = 'CB2002'
+
     # Streams between processes.
     stream_closed = 'CB3001'
     stream_unauthenticated = 'CB3002'
@@ -36,6 +40,7 @@
     host_leaving = 'CB4013'
     host_cut_off = 'CB4014'
     workspace_unknown = 'CB4015'
+    body_timeout = 'CB4016'
 
     # Operations.
     apply_conflict = 'CB5001'
--- a/chicorybridge/events.py
+++ b/chicorybridge/events.py
@@ -24,6 +24,7 @@
     process_stopping = 101
     process_stopped = 102
     process_failed = 103
+    settings_reloaded = 104
 
     # 200: configuration.
     configuration_received = 200
@@ -41,6 +42,8 @@
     target_ejected = 401
     target_readmitted = 402
     target_leaving = 403
+    target_listed = 404
+    target_gone = 405
     permit_taken = 410
     permit_given = 411
 
@@ -48,6 +51,7 @@
     request_refused = 500
     request_retried = 501
     answer_aborted = 502
+    attempt_ended = 504
     request_quarantined = 503
     claim_decided = 510
 
--- /dev/null
+++ b/chicorybridge/fleet/directories.py
@@ -0,0 +1,145 @@
+"""The targets that the platform lists, as far as this host knows."""
+
+import dataclasses
+import zlib
+
+from chicorybridge.codecs import pack, wire
+from chicorybridge.identities import ServiceId, TargetId, ZoneId
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetEntry:
+    """A target as it registered itself; `address` is IP:PORT.
+
+    `row_version` is the version of its row in the platform's store and
+    orders entries of the same target; `born` tells the starts of a target
+    apart, in milliseconds since 1970. `warming` is set while a target that
+    has just started is slow.
+    """
+
+    target_id: TargetId
+    row_version: int
+    service_id: ServiceId
+    address: str
+    zone_id: ZoneId
+    slots: int
+    leaving: bool
+    warming: bool
+    born: int
+
+    def differs(self, other: 'TargetEntry | None') -> bool:
+        """Return whether anything but the version of the row differs."""
+        if other is None:
+            return True
+        return self != dataclasses.replace(other, row_version=self.row_version)
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetsChanged:
+    """Entries that are new or differ, and targets whose row is gone.
+
+    `store_version` is the version of the store that they were read at.
+    """
+
+    store_version: int
+    entries: tuple[TargetEntry, ...] = ()
+    removed: tuple[TargetId, ...] = ()
+
+    def __bool__(self) -> bool:
+        """Return whether anything changed."""
+        return bool(self.entries or self.removed)
+
+
+class TargetDirectory:
+    """Entries by target, merged from any number of sources.
+
+    Entries are ordered by the version of their row and removals by the
+    version of the store at which they were seen, so that the order in
+    which sources are heard does not matter.
+    """
+
+    def __init__(self) -> None:
+        """Start empty, at a version before any of the store."""
+        self.entries_by_id: dict[TargetId, TargetEntry] = {}
+        self.store_version = -1
+        self._removed_at_by_id: dict[TargetId, int] = {}
+        self._digest: int | None = None
+
+    @property
+    def digest(self) -> int:
+        """Return a checksum, equal for directories with equal contents."""
+        if self._digest is None:
+            entries = sorted(
+                (entry.target_id, entry.address, entry.leaving, entry.born)
+                for entry in self.entries_by_id.values()
+            )
+            self._digest = zlib.crc32(pack(tuple(entries)))
+        return self._digest
+
+    def of_service(self, service_id: ServiceId) -> tuple[TargetEntry, ...]:
+        """Return the entries of a service, leaving ones included."""
+        return tuple(
+            entry
+            for entry in self.entries_by_id.values()
+            if entry.service_id == service_id
+        )
+
+    def merge(self, change: TargetsChanged) -> TargetsChanged:
+        """Take in a change; return the part of it that was new here."""
+        entries = tuple(entry for entry in change.entries if self._put(entry))
+        removed = tuple(
+            target_id
+            for target_id in change.removed
+            if self._remove(target_id, change.store_version)
+        )
+        self.store_version = max(self.store_version, change.store_version)
+        return TargetsChanged(
+            store_version=change.store_version,
+            entries=entries,
+            removed=removed,
+        )
+
+    def replace(self, whole: TargetsChanged) -> TargetsChanged:
+        """Take in a whole state; targets that it lacks are gone."""
+        if whole.store_version < self.store_version:
+            # What is known here is newer; the entries may be new still.
+            return self.merge(whole)
+        named = {entry.target_id for entry in whole.entries}
+        missing = tuple(
+            target_id
+            for target_id in self.entries_by_id
+            if target_id not in named
+        )
+        return self.merge(dataclasses.replace(whole, removed=missing))
+
+    def whole(self) -> TargetsChanged:
+        """Return all entries as a change."""
+        return TargetsChanged(
+            store_version=self.store_version,
+            entries=tuple(self.entries_by_id.values()),
+        )
+
+    def _put(self, entry: TargetEntry) -> bool:
+        known = self.entries_by_id.get(entry.target_id)
+        if known is not None and known.row_version >= entry.row_version:
+            return False
+        gone_at = self._removed_at_by_id.get(entry.target_id, -1)
+        if gone_at >= entry.row_version:
+            return False
+        self._removed_at_by_id.pop(entry.target_id, None)
+        self.entries_by_id[entry.target_id] = entry
+        differs = entry.differs(known)
+        if differs:
+            self._digest = None
+        return differs
+
+    def _remove(self, target_id: TargetId, store_version: int) -> bool:
+        known = self.entries_by_id.get(target_id)
+        if known is None or known.row_version > store_version:
+            return False
+        self.entries_by_id.pop(target_id)
+        self._removed_at_by_id[target_id] = store_version
+        self._digest = None
+        return True
--- /dev/null
+++ b/chicorybridge/fleet/sightings.py
@@ -0,0 +1,146 @@
+"""Hosts of the fleet, as heard by datagrams."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+import xxhash
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.codecs import wire
+from chicorybridge.identities import HostId, Incarnation, RegionId, ZoneId
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HostProfile:
+    """What a host says of itself; addresses are IP:PORT.
+
+    `front` takes callers; `fleet` takes datagrams and streams of other
+    hosts. `serial` rises with each change within an incarnation.
+    """
+
+    host_id: HostId
+    zone_id: ZoneId
+    incarnation: Incarnation
+    serial: int
+    front: str
+    fleet: str
+    serving: bool
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Sighting:
+    """A host and when it was heard last."""
+
+    profile: HostProfile
+    heard_at: Millis
+
+
+class Sightings:
+    """Hosts heard lately; the own host is not among them."""
+
+    def __init__(
+        self,
+        *,
+        host_id: HostId,
+        zone_id: ZoneId,
+        regions_by_zone: Mapping[ZoneId, RegionId],
+    ) -> None:
+        """Start without hosts."""
+        self._host_id = host_id
+        self._zone_id = zone_id
+        self._regions_by_zone = regions_by_zone
+        self._sightings_by_id: dict[HostId, Sighting] = {}
+
+    def hear(self, profile: HostProfile, *, now: Millis) -> bool:
+        """Take in what a host says of itself; return whether it is new."""
+        if profile.host_id == self._host_id:
+            return False
+        known = self._sightings_by_id.get(profile.host_id)
+        if known is not None and _precedes(profile, known.profile):
+            return False
+        self._sightings_by_id[profile.host_id] = Sighting(
+            profile=profile, heard_at=now
+        )
+        return known is None
+
+    def touch(self, host_id: HostId, *, now: Millis) -> bool:
+        """Note any word of a host; return whether the host is known."""
+        known = self._sightings_by_id.get(host_id)
+        if known is None:
+            return False
+        known.heard_at = now
+        return True
+
+    def introduce(
+        self, profiles: Iterable[HostProfile], *, now: Millis
+    ) -> None:
+        """Take in hosts that others know; their own word goes before."""
+        for profile in profiles:
+            if profile.host_id not in self._sightings_by_id:
+                self.hear(profile, now=now)
+
+    def expire(self, *, now: Millis) -> tuple[HostProfile, ...]:
+        """Forget and return the hosts that fell silent."""
+        silent = [
+            sighting.profile
+            for sighting in self._sightings_by_id.values()
+            if now - sighting.heard_at > self._silence_ms(sighting.profile)
+        ]
+        for profile in silent:
+            self._sightings_by_id.pop(profile.host_id)
+        return tuple(silent)
+
+    def profiles(self) -> tuple[HostProfile, ...]:
+        """Return all hosts that were heard lately."""
+        return tuple(
+            sighting.profile for sighting in self._sightings_by_id.values()
+        )
+
+    def near(self) -> tuple[HostProfile, ...]:
+        """Return the hosts of the own region."""
+        return tuple(
+            profile for profile in self.profiles() if self.is_near(profile)
+        )
+
+    def far(self) -> tuple[HostProfile, ...]:
+        """Return the hosts of other regions."""
+        return tuple(
+            profile for profile in self.profiles() if not self.is_near(profile)
+        )
+
+    def is_near(self, profile: HostProfile) -> bool:
+        """Return whether a host is in the own region."""
+        own = self._regions_by_zone.get(self._zone_id)
+        return self._regions_by_zone.get(profile.zone_id) == own
+
+    def rank(self) -> int:
+        """Return the place of the own host among those of its region.
+
+        Rendezvous hashing: all hosts agree, and one that leaves changes
+        the order of no others.
+        """
+        own = _weight(self._host_id)
+        return sum(
+            _weight(profile.host_id) < own
+            for profile in self.near()
+            if profile.serving
+        )
+
+    def _silence_ms(self, profile: HostProfile) -> float:
+        if self.is_near(profile):
+            return settings.HOST_SILENCE_MS
+        return settings.FAR_HOST_SILENCE_MS
+
+
+def _precedes(profile: HostProfile, known: HostProfile) -> bool:
+    """Return whether a profile is older than the one known."""
+    if profile.incarnation != known.incarnation:
+        # A host that has started anew; datagrams seldom arrive so late.
+        return False
+    return profile.serial < known.serial
+
+
+def _weight(host_id: HostId) -> int:
+    return xxhash.xxh64_intdigest(host_id.encode())
--- /dev/null
+++ b/chicorybridge/fleet/snapshots.py
@@ -0,0 +1,84 @@
+"""Whole states that a host takes from another one, over a stream."""
+
+import dataclasses
+import logging
+import zlib
+from collections.abc import Callable
+
+import curio
+
+from chicorybridge import settings, sockets
+from chicorybridge.clocks import as_seconds
+from chicorybridge.codecs import MALFORMED, pack, unpack, wire
+from chicorybridge.errors import ChicorybridgeError
+from chicorybridge.fleet.directories import TargetsChanged
+from chicorybridge.fleet.sightings import HostProfile
+from chicorybridge.fleet.configurations import HostConfiguration
+
+logger = logging.getLogger(__name__)
+
+# What a body raises that another version of the program has sent.
+UNREADABLE = (ChicorybridgeError, *MALFORMED)
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Snapshot:
+    """All that a host knows; `age_ms` is the age of its last read."""
+
+    configuration: HostConfiguration | None
+    targets: TargetsChanged
+    hosts: tuple[HostProfile, ...]
+    age_ms: float
+
+
+class SnapshotServer:
+    """Send a snapshot to each host that connects, then close."""
+
+    def __init__(self, *, take: Callable[[], Snapshot]) -> None:
+        """Send what `take` returns."""
+        self._take = take
+
+    async def run(self, listener: curio.io.Socket) -> None:
+        """Accept until cancelled."""
+        while True:
+            sock, _ = await listener.accept()
+            await curio.spawn(self._serve(sock), daemon=True)
+
+    async def _serve(self, sock: curio.io.Socket) -> None:
+        body = zlib.compress(pack(self._take()), 1)
+        try:
+            async with curio.timeout_after(as_seconds(settings.SNAPSHOT_MS)):
+                await sock.sendall(body)
+        except (OSError, curio.TaskTimeout) as error:
+            logger.warning('snapshot not sent: %s', error)
+        finally:
+            await sock.close()
+
+
+async def fetch_snapshot(address: str) -> Snapshot | None:
+    """Return the snapshot of the host at IP:PORT, `None` without one."""
+    try:
+        async with curio.timeout_after(as_seconds(settings.SNAPSHOT_MS)):
+            body = await _read(address)
+        snapshot = unpack(zlib.decompress(body))
+    except (OSError, curio.TaskTimeout, zlib.error) as error:
+        logger.warning('no snapshot of %s: %r', address, error)
+        return None
+    except UNREADABLE as error:
+        logger.warning('snapshot of %s can not be read: %s', address, error)
+        return None
+    return snapshot if isinstance(snapshot, Snapshot) else None
+
+
+async def _read(address: str) -> bytes:
+    sock = await sockets.connect(address)
+    parts = []
+    try:
+        part = await sock.recv(settings.RECEIVE_BYTES)
+        while part:
+            parts.append(part)
+            part = await sock.recv(settings.RECEIVE_BYTES)
+    finally:
+        await sock.close()
+    return b''.join(parts)
--- /dev/null
+++ b/chicorybridge/fleet/watches.py
@@ -0,0 +1,104 @@
+"""When a host reads the platform's store, and what it makes of removals."""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.codecs import wire
+from chicorybridge.fleet.directories import TargetsChanged
+from chicorybridge.identities import TargetId, Version
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreMark:
+    """Tell other hosts how far and how recently the store was read."""
+
+    store_version: int
+    targets_digest: int
+    configuration_version: Version
+    age_ms: int
+
+
+class ReadSchedule:
+    """Decide when this host reads the store for itself.
+
+    The first host of a region reads at every interval and tells the
+    others; each of the rest does so only when what it was told is older
+    than its own threshold, which rises with its rank, so that another
+    host takes over and not all at once.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        """Start with nothing read."""
+        self._rng = rng
+        self.read_at = Millis(-settings.STALE_LONG_MS)
+        self._paused_until = Millis(0)
+        self._failures = 0
+
+    def age_ms(self, *, now: Millis) -> float:
+        """Return the age of what is known of the store."""
+        return now - self.read_at
+
+    def is_due(self, *, rank: int, now: Millis) -> bool:
+        """Return whether this host should read the store now."""
+        if now < self._paused_until:
+            return False
+        if not rank:
+            return self.age_ms(now=now) >= settings.READ_INTERVAL_MS
+        step = min(rank, settings.READ_RANKS) * settings.READ_RANK_MS
+        return self.age_ms(now=now) >= settings.READ_STALE_MS + step
+
+    def told(self, mark: StoreMark, *, now: Millis) -> None:
+        """Note that another host has read the store."""
+        self.read_at = max(self.read_at, Millis(now - mark.age_ms))
+
+    def succeeded(self, *, started_at: Millis) -> None:
+        """Note a read of this host that began at `started_at`."""
+        self.read_at = max(self.read_at, started_at)
+        self._failures = 0
+
+    def failed(self, *, now: Millis) -> None:
+        """Wait before the next read, longer after each failure."""
+        turns = min(self._failures, settings.READ_BACKOFF_TURNS)
+        pause = settings.READ_BACKOFF_MS * 2**turns
+        self._paused_until = Millis(now + self._rng.uniform(pause, pause * 2))
+        self._failures += 1
+
+
+class RemovalDelay:
+    """Hold back removals that an outage of the store may have caused.
+
+    Entries lapse while their targets can't write. They are back shortly
+    after the store is; what is missing then is gone.
+    """
+
+    def __init__(self) -> None:
+        """Start with a store that works."""
+        self._failing = False
+        self._trusted_at = Millis(0)
+        self._held_by_id: dict[TargetId, int] = {}
+
+    def failed(self) -> None:
+        """Note that the store could not be read."""
+        self._failing = True
+
+    def succeeded(self, *, now: Millis) -> None:
+        """Note that the store was read."""
+        if self._failing:
+            self._trusted_at = Millis(now + settings.LAPSED_BACK_MS)
+        self._failing = False
+
+    def sift(self, change: TargetsChanged, *, now: Millis) -> TargetsChanged:
+        """Return `change` with the removals that hold by now."""
+        for entry in change.entries:
+            self._held_by_id.pop(entry.target_id, None)
+        for target_id in change.removed:
+            self._held_by_id[target_id] = change.store_version
+        released: Iterable[TargetId] = ()
+        if now >= self._trusted_at:
+            released = tuple(self._held_by_id)
+            self._held_by_id.clear()
+        return dataclasses.replace(change, removed=tuple(released))
--- a/chicorybridge/forwards.py
+++ b/chicorybridge/forwards.py
@@ -1,5 +1,7 @@
 """One attempt of a request at a target, and the relay of its answer."""
 
+import dataclasses
+import math
 import socket
 
 import curio
@@ -8,8 +10,7 @@
 from chicorybridge.answers import (
     WholeAnswer,
     answer_headers,
-    is_draining,
-    is_not_run,
+    is_genuine,
     outcome_of_answer,
     request_headers,
     retry_after_ms,
@@ -22,10 +23,30 @@
 from chicorybridge.connections import TargetConnections
 from chicorybridge.declarations import Target
 from chicorybridge.errors import ChicorybridgeError, RequestError
-from chicorybridge.exchanges import CHUNKED, ExchangeError, Head
+from chicorybridge.exchanges import CHUNKED, ExchangeError, Head, refused
 from chicorybridge.target_exchanges import TargetExchange
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Patience:
+    """How long an attempt may take, and what it may hold.
+
+    `attempt_ms` bounds the whole attempt, which never outlasts the
+    request's deadline; a connection idle for over `idle_ms` is not used.
+    Answers up to `buffer_bytes` are kept whole before they are sent on.
+    """
+
+    attempt_ms: float = math.inf
+    connect_ms: float = settings.CONNECT_MS
+    idle_ms: float = settings.CONNECTION_IDLE_MS
+    buffer_bytes: int = settings.BUFFER_BYTES
+
+
+# A non-idempotent request must not meet a stale connection.
+PATIENT = Patience()
+CAREFUL = Patience(idle_ms=settings.CONNECTION_PROVEN_MS)
+
+
 class Forward:
     """Send one request to one target and read its answer.
 
@@ -40,8 +61,10 @@
         target: Target,
         connections: TargetConnections,
         clock: Clock,
+        patience: Patience = PATIENT,
     ) -> None:
         """Prepare an attempt of `call` at `target`."""
+        self._patience = patience
         self.answer: WholeAnswer | None = None
         self._call = call
         self.target = target
@@ -67,7 +90,10 @@
         Raise `CallerError` or `RequestError` when the caller is the
         reason that it did not end.
         """
-        left_ms = self._call.deadline_at - self._started_at
+        left_ms = min(
+            self._call.deadline_at - self._started_at,
+            self._patience.attempt_ms,
+        )
         try:
             async with curio.timeout_after(as_seconds(max(0, left_ms))):
                 outcome = await self._run()
@@ -95,8 +121,8 @@
             sent_bytes=self._sent_bytes,
             received_bytes=self._received_bytes,
             fresh_connection=self._fresh,
-            leaving=is_draining(self._head),
-            marked_not_run=is_not_run(self._head),
+            leaving=self._call.dialect.is_draining(self._head),
+            marked_not_run=self._call.dialect.is_not_run(self._head),
         )
 
     @property
@@ -124,31 +150,51 @@
         await exchange.send_request(
             method=self._call.head.method,
             path=self._call.head.path,
-            headers=request_headers(self._call, body, now=self._clock.now()),
+            headers=request_headers(
+                self._call,
+                body,
+                target_id=self.target.target_id,
+                now=self._clock.now(),
+            ),
             body=body,
         )
         if body is None:
             self._head = await self._upload(exchange)
         else:
-            self._head = await exchange.read_head()
+            self._head = await self._read_head(exchange)
         self._first_byte_ms = self._clock.now() - self._started_at
         await self._read_answer(exchange, self._head)
-        return outcome_of_answer(self._head, idempotent=self._call.idempotent)
+        return outcome_of_answer(self._call, self._head)
 
     async def _connect(self) -> TargetExchange:
-        # A non-idempotent request must not meet a stale connection.
-        max_idle_ms = settings.CONNECTION_IDLE_MS
-        if not self._call.idempotent:
-            max_idle_ms = settings.CONNECTION_PROVEN_MS
         return await self._connections.take(
-            self.target.address, max_idle_ms=max_idle_ms
+            self.target.address,
+            max_idle_ms=self._patience.idle_ms,
+            connect_ms=self._patience.connect_ms,
         )
 
+    async def _read_head(self, exchange: TargetExchange) -> Head:
+        """Return the head of the answer to this request.
+
+        A target may repeat an answer late, where the next one is due.
+        """
+        head = await exchange.read_head()
+        dialect = self._call.dialect
+        if dialect.request_id is None:
+            return head
+        own_id = self._call.head.header(dialect.request_id)
+        while head.header(dialect.request_id) not in (own_id, None):
+            await exchange.skip_answer()
+            head = await exchange.read_head()
+        if not is_genuine(dialect, head):
+            raise refused('not an answer of the target')
+        return head
+
     async def _upload(self, exchange: TargetExchange) -> Head:
         """Send the body while waiting for the answer, which may be early."""
         pump = await curio.spawn(self._pump(exchange))
         try:
-            return await exchange.read_head()
+            return await self._read_head(exchange)
         except ExchangeError:
             if self._caller_error is not None:
                 raise self._caller_error from None
@@ -177,7 +223,7 @@
     async def _read_answer(self, exchange: TargetExchange, head: Head) -> None:
         chunks: list[bytes] = []
         size = 0
-        while size < settings.BUFFER_BYTES:
+        while size < self._patience.buffer_bytes:
             chunk = await exchange.read_chunk()
             if not chunk:
                 body = b''.join(chunks)
--- /dev/null
+++ b/chicorybridge/hosts/__main__.py
@@ -0,0 +1,49 @@
+"""The binary chicorybridge-host: the process of a host on the platform."""
+
+import os
+import pathlib
+import random
+import sys
+
+import curio
+
+from chicorybridge import sockets
+from chicorybridge.binaries import ProcessCommand, run_application, serve
+from chicorybridge.clocks import Clock
+from chicorybridge.collectors import freeze_collector
+from chicorybridge.hosts.processes import Host
+from chicorybridge.hosts.settings_files import HostSettings, read_host_settings
+from chicorybridge.processes import ReloadSignals
+
+# Names the settings file where no option does.
+SETTINGS_VARIABLE = 'CHICORYBRIDGE_BOOT'
+
+
+class HostCommand(ProcessCommand):
+    """Run the process of a host."""
+
+    name = 'host'
+    description = 'Take requests of callers and forward them to targets'
+
+    def run_process(self, path: pathlib.Path) -> None:
+        """Read the settings and run; raise coded errors."""
+        if not self.option('settings'):
+            path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
+        curio.run(_run, read_host_settings(path))
+
+
+async def _run(given: HostSettings) -> None:
+    host = Host(given=given, clock=Clock(), rng=random.SystemRandom())
+    signals = ReloadSignals(reload=lambda: None)
+    listener = sockets.listen(given.front)
+    freeze_collector()
+    await serve(host, listener, signals)
+
+
+def main() -> int:
+    """Run the binary and return its exit status."""
+    return run_application('chicorybridge-host', HostCommand())
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/chicorybridge/hosts/directories.py
@@ -0,0 +1,57 @@
+"""Which addresses callers are told to use."""
+
+from collections.abc import Mapping
+
+from chicorybridge import settings
+from chicorybridge.fleet.sightings import Sightings
+from chicorybridge.hosts.states import HostState
+from chicorybridge.identities import RegionId, ZoneId
+
+
+class AddressDirectory:
+    """List the hosts that serve, nearest first."""
+
+    def __init__(
+        self,
+        *,
+        sightings: Sightings,
+        state: HostState,
+        zone_id: ZoneId,
+        front: str,
+        regions_by_zone: Mapping[ZoneId, RegionId],
+    ) -> None:
+        """Know the own host by its `front` address and its zone."""
+        self._sightings = sightings
+        self._state = state
+        self._zone_id = zone_id
+        self._front = front
+        self._regions_by_zone = regions_by_zone
+
+    def addresses(self, zone_id: ZoneId) -> tuple[str, ...]:
+        """Return the hosts for callers of a zone.
+
+        Those of the zone if there are a few, else those of its region
+        besides, else all.
+        """
+        known = [
+            (profile.zone_id, profile.front)
+            for profile in self._sightings.profiles()
+            if profile.serving
+        ]
+        if self._state.ready:
+            known.append((self._zone_id, self._front))
+        region_id = self._regions_by_zone.get(zone_id)
+        in_zone = [front for zone, front in known if zone == zone_id]
+        in_region = [
+            front
+            for zone, front in known
+            if self._regions_by_zone.get(zone) == region_id
+        ]
+        everywhere = [front for _, front in known]
+        wide_enough = (
+            found
+            for found in (in_zone, in_region)
+            if len(found) >= settings.DIRECTORY_LEAST
+        )
+        found = next(wide_enough, everywhere)
+        return tuple(found[: settings.DIRECTORY_MOST])
--- /dev/null
+++ b/chicorybridge/hosts/dispatchers.py
@@ -0,0 +1,212 @@
+"""What a host process does with one request of a caller."""
+
+import curio
+
+from chicorybridge import settings, sockets
+from chicorybridge.answers import WholeAnswer
+from chicorybridge.attempts import AttemptOutcome
+from chicorybridge.bodies import CallerError
+from chicorybridge.caller_exchanges import CallerExchange
+from chicorybridge.calls import Call
+from chicorybridge.clocks import Clock, as_seconds
+from chicorybridge.connections import TargetConnections
+from chicorybridge.declarations import Target
+from chicorybridge.dialects import Dialect
+from chicorybridge.errors import ErrorCode, RequestError, require
+from chicorybridge.exchanges import Head
+from chicorybridge.forwards import Forward
+from chicorybridge.hosts.policies import HostPolicies
+from chicorybridge.hosts.readers import RequestReader
+from chicorybridge.hosts.request_logs import RequestLog
+from chicorybridge.hosts.states import HostDuty, HostState
+from chicorybridge.identities import PoolId
+from chicorybridge.outcomes import RequestOutcome
+from chicorybridge.problems import problem_body, problem_headers, status_of
+from chicorybridge.refusals import RefusalError, check_relayed
+from chicorybridge.routing.selections import Option
+
+# Statuses that promise the caller that its request did not run.
+PROMISING_STATUSES = frozenset((408, 421, 429, 503))
+
+
+class HostDispatcher:
+    """Decide on requests and answer them."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        state: HostState,
+        dialect: Dialect,
+        policies: HostPolicies,
+        connections: TargetConnections,
+        request_log: RequestLog,
+    ) -> None:
+        """Join the parts; `dialect` names the headers."""
+        self.calls_by_number: dict[int, Call] = {}
+        self._clock = clock
+        self._state = state
+        self._dialect = dialect
+        self._policies = policies
+        self._connections = connections
+        self._request_log = request_log
+        self._serial = 0
+        self._reader = RequestReader(clock=clock, state=state, dialect=dialect)
+
+    async def answer(self, exchange: CallerExchange, head: Head) -> None:
+        """Answer one request; raise `CallerError` if the caller is gone."""
+        try:
+            call = await self._reader.read(exchange, head)
+        except RequestError as error:
+            await self.refuse(exchange, error, RequestOutcome.not_run, head)
+            return
+        self._serial += 1
+        number = self._serial
+        self.calls_by_number[number] = call
+        exchange.abandonable = call.idempotent
+        self._policies.admit(call)
+        try:
+            await self._run(call)
+        finally:
+            self.calls_by_number.pop(number)
+
+    async def refuse(
+        self,
+        exchange: CallerExchange,
+        error: RequestError,
+        outcome: RequestOutcome,
+        head: Head | None = None,
+    ) -> None:
+        """Answer with a problem document."""
+        status = status_of(error.code)
+        wait_ms: float = 0
+        if status in PROMISING_STATUSES:
+            wait_ms = getattr(error, 'retry_after_ms', 0)
+            wait_ms = wait_ms or settings.HOST_RETRY_AFTER_MS
+        body = problem_body(code=error.code, detail=error.detail)
+        headers = problem_headers(
+            body=body,
+            retry_after_ms=wait_ms,
+            fractional=self._dialect.fractional_wait,
+        )
+        request_id = self._request_log.request_id(head)
+        if request_id and self._dialect.request_id:
+            headers.append((self._dialect.request_id, request_id.encode()))
+        self._request_log.refused(head, error, outcome, status=status)
+        answer = WholeAnswer(status=status, headers=headers, body=body)
+        await self._send(exchange, answer)
+
+    async def _run(self, call: Call) -> None:
+        try:
+            answer = await self._forward(call)
+        except RequestError as error:
+            if call.committed:
+                # A cut answer must not look whole.
+                raise CallerError(
+                    code=error.code, detail=error.detail
+                ) from error
+            await self.refuse(call.exchange, error, call.outcome, call.head)
+            return
+        if answer is not None:
+            await self._send(call.exchange, answer)
+
+    async def _send(
+        self, exchange: CallerExchange, answer: WholeAnswer
+    ) -> None:
+        headers = answer.headers
+        if self._state.duty is not HostDuty.serving:
+            headers = [*headers, (b'connection', b'close')]
+        await exchange.answer(
+            status=answer.status, headers=headers, body=answer.body
+        )
+
+    async def _forward(self, call: Call) -> WholeAnswer | None:
+        """Try targets in turn; `None` if the answer was relayed."""
+        while True:
+            if sockets.is_closed(call.exchange.sock):
+                raise CallerError(
+                    code=ErrorCode.stream_closed, detail='the caller has gone'
+                )
+            option = self._policies.choose(call)
+            forward = self._prepare(call, option)
+            await self._attempt(call, forward, option)
+            attempt = call.attempts[-1]
+            if call.committed:
+                check_relayed(attempt)
+                return None
+            if attempt.outcome is AttemptOutcome.answered:
+                return forward.answer
+            if not self._policies.may_retry(call):
+                return _last_answer(call, forward)
+
+    def _prepare(self, call: Call, option: Option) -> Forward:
+        entry = option.entry
+        target = Target(
+            target_id=entry.target_id,
+            pool_id=PoolId(entry.service_id),
+            zone_id=entry.zone_id,
+            address=entry.address,
+        )
+        return Forward(
+            call=call,
+            target=target,
+            connections=self._connections,
+            clock=self._clock,
+            patience=self._policies.patience(call),
+        )
+
+    async def _attempt(
+        self, call: Call, forward: Forward, option: Option
+    ) -> None:
+        require(
+            promise='a non-idempotent request runs at most once',
+            holds=call.idempotent or call.outcome is RequestOutcome.not_run,
+        )
+        # Stands if the caller goes away first.
+        outcome = AttemptOutcome.cancelled
+        self._policies.started(forward.target.target_id)
+        stalled = await curio.spawn(self._watch_stall(call, forward))
+        try:
+            outcome = await forward.run()
+        finally:
+            self._learn(call, forward, outcome, option)
+            await stalled.cancel()
+
+    async def _watch_stall(self, call: Call, forward: Forward) -> None:
+        aim_ms = call.route.target_latency_ms or settings.STALL_MS
+        await curio.sleep(as_seconds(aim_ms * settings.STALL_SHARE))
+        self._policies.stalled(forward.target.target_id)
+
+    def _learn(
+        self,
+        call: Call,
+        forward: Forward,
+        outcome: AttemptOutcome,
+        option: Option,
+    ) -> None:
+        attempt = forward.result(outcome)
+        call.attempts.append(attempt)
+        self._policies.finished(attempt)
+        self._request_log.attempted(call, attempt, option)
+
+
+def _last_answer(call: Call, forward: Forward) -> WholeAnswer:
+    """Return the target's own answer, or raise what the caller is told."""
+    attempt = call.attempts[-1]
+    if call.outcome is RequestOutcome.not_run:
+        raise RefusalError(
+            code=ErrorCode.overloaded,
+            detail='no target took the request',
+            retry_after_ms=attempt.retry_after_ms or 0,
+        )
+    answer = forward.answer
+    if answer is not None and answer.status not in PROMISING_STATUSES:
+        return answer
+    code = ErrorCode.target_failed
+    if attempt.outcome is AttemptOutcome.timed_out:
+        code = ErrorCode.request_timeout
+    raise RefusalError(
+        code=code,
+        detail='the last attempt ended as {0}'.format(attempt.outcome.value),
+        outcome=call.outcome,
+    )
--- /dev/null
+++ b/chicorybridge/hosts/knowledge.py
@@ -0,0 +1,174 @@
+"""What a host knows, and how messages of other hosts change it."""
+
+import functools
+import random
+from typing import Any
+
+from chicorybridge.clocks import Clock, Millis
+from chicorybridge.events import Event, EventKind, EventLog
+from chicorybridge.fleet.configurations import HostConfiguration
+from chicorybridge.fleet.directories import TargetDirectory, TargetsChanged
+from chicorybridge.fleet.sightings import HostProfile, Sightings
+from chicorybridge.fleet.snapshots import Snapshot
+from chicorybridge.fleet.watches import ReadSchedule, StoreMark
+from chicorybridge.hosts.states import HostState
+from chicorybridge.identities import HostId
+from chicorybridge.routing.reputations import ReputationTable, TargetSeen
+
+
+class HostKnowledge:
+    """Join the tables of a host and keep them in step."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        log: EventLog,
+        rng: random.Random,
+        state: HostState,
+        sightings: Sightings,
+    ) -> None:
+        """Start with what `state` and `sightings` hold."""
+        self._clock = clock
+        self._log = log
+        self.state = state
+        self.sightings = sightings
+        self.directory = TargetDirectory()
+        self.reputations = ReputationTable()
+        self.schedule = ReadSchedule(rng=rng)
+        # Hosts that know more, by their address, to be asked for it.
+        self.ahead: list[str] = []
+
+    def adopt(self, configuration: HostConfiguration, *, source: str) -> bool:
+        """Put a configuration in force if it is newer; return if so."""
+        if configuration.version <= self.state.version:
+            return False
+        before = self.state.version
+        self.state.switch(configuration)
+        self._emit(
+            EventKind.configuration_active,
+            version=configuration.version,
+            before=before,
+            source=source,
+            routes=len(configuration.declaration.routes_by_id),
+        )
+        return True
+
+    def change_targets(
+        self, change: TargetsChanged, *, source: str
+    ) -> TargetsChanged:
+        """Take in a change of targets; return what was new."""
+        before = dict(self.directory.entries_by_id)
+        fresh = self.directory.merge(change)
+        for entry in fresh.entries:
+            known = before.get(entry.target_id)
+            if known is not None and known.born != entry.born:
+                self.reputations.forget(entry.target_id)
+            kind = EventKind.target_listed
+            if entry.leaving:
+                kind = EventKind.target_leaving
+            self._emit(
+                kind,
+                target=entry.target_id,
+                service=entry.service_id,
+                address=entry.address,
+                warming=entry.warming,
+                row_version=entry.row_version,
+                source=source,
+            )
+        for target_id in fresh.removed:
+            self.reputations.forget(target_id)
+            self._emit(
+                EventKind.target_gone,
+                target=target_id,
+                store_version=fresh.store_version,
+                source=source,
+            )
+        return fresh
+
+    def snapshot(self) -> Snapshot:
+        """Return all that other hosts may need."""
+        now = self._clock.now()
+        return Snapshot(
+            configuration=self.state.configuration,
+            targets=self.directory.whole(),
+            hosts=self.sightings.profiles(),
+            age_ms=self.schedule.age_ms(now=now),
+        )
+
+    def merge(self, snapshot: Snapshot, *, source: str) -> None:
+        """Take in what another host knows."""
+        now = self._clock.now()
+        self.sightings.introduce(snapshot.hosts, now=now)
+        whole = snapshot.targets
+        named = {entry.target_id for entry in whole.entries}
+        if whole.store_version >= self.directory.store_version:
+            missing = tuple(set(self.directory.entries_by_id) - named)
+            whole = TargetsChanged(
+                store_version=whole.store_version,
+                entries=whole.entries,
+                removed=missing,
+            )
+        self.change_targets(whole, source=source)
+        if snapshot.configuration is not None:
+            self.adopt(snapshot.configuration, source=source)
+
+    def mark(self) -> StoreMark:
+        """Return how far this host knows the store."""
+        return StoreMark(
+            store_version=self.directory.store_version,
+            targets_digest=self.directory.digest,
+            configuration_version=self.state.version,
+            age_ms=round(self.schedule.age_ms(now=self._clock.now())),
+        )
+
+    def take(self, message: Any, sender: HostId) -> None:
+        """Take in a message of another host."""
+        now = self._clock.now()
+        self.sightings.touch(sender, now=now)
+        self._take(message, sender, now)
+
+    @functools.singledispatchmethod
+    def _take(self, message: Any, sender: HostId, now: Millis) -> None:
+        """Leave out a message of a kind that is not known here."""
+
+    @_take.register
+    def _take_profile(
+        self, message: HostProfile, sender: HostId, now: Millis
+    ) -> None:
+        if self.sightings.hear(message, now=now):
+            self._emit(
+                EventKind.peer_heard,
+                peer=message.host_id,
+                zone=message.zone_id,
+                serving=message.serving,
+            )
+
+    @_take.register
+    def _take_seen(
+        self, message: TargetSeen, sender: HostId, now: Millis
+    ) -> None:
+        self.reputations.hear(message, sender, now=now)
+
+    @_take.register
+    def _take_targets(
+        self, message: TargetsChanged, sender: HostId, now: Millis
+    ) -> None:
+        self.change_targets(message, source=sender)
+
+    @_take.register
+    def _take_mark(
+        self, message: StoreMark, sender: HostId, now: Millis
+    ) -> None:
+        behind = message.configuration_version > self.state.version
+        if message.store_version >= self.directory.store_version:
+            behind = behind or message.targets_digest != self.directory.digest
+        if not behind:
+            self.schedule.told(message, now=now)
+            return
+        for profile in self.sightings.profiles():
+            if profile.host_id == sender:
+                self.ahead.append(profile.fleet)
+
+    def _emit(self, kind: EventKind, **facts: Any) -> None:
+        self._log.emit(Event(kind=kind, facts=facts))
--- /dev/null
+++ b/chicorybridge/hosts/readers.py
@@ -0,0 +1,131 @@
+"""Reading a request by its head: route, service, deadline, body."""
+
+import random
+
+import curio
+
+from chicorybridge import settings
+from chicorybridge.bodies import RequestBody
+from chicorybridge.caller_exchanges import CallerExchange
+from chicorybridge.calls import Call
+from chicorybridge.clocks import Clock, Millis, as_seconds
+from chicorybridge.declarations import Route
+from chicorybridge.dialects import Dialect
+from chicorybridge.errors import ErrorCode
+from chicorybridge.exchanges import Head
+from chicorybridge.fleet.configurations import HostConfiguration
+from chicorybridge.hosts.states import HostDuty, HostState
+from chicorybridge.identities import ServiceId
+from chicorybridge.refusals import RefusalError
+
+HOST_HEADER = b'host'
+
+
+class RequestReader:
+    """Make calls of requests under the configuration in force."""
+
+    def __init__(
+        self, *, clock: Clock, state: HostState, dialect: Dialect
+    ) -> None:
+        """Count deadlines on `clock`."""
+        self._clock = clock
+        self._state = state
+        self._dialect = dialect
+        self._rng = random.Random()
+
+    async def read(self, exchange: CallerExchange, head: Head) -> Call:
+        """Return the call with its body read as far as the buffer takes.
+
+        Raise `RefusalError` if nothing may run it.
+        """
+        configuration = self._configuration()
+        method = head.method.decode('ascii')
+        path = head.path.decode('ascii')
+        route = configuration.routes.find(
+            method=method, path=path, host=_host_of(head)
+        )
+        if route is None:
+            raise RefusalError(
+                code=ErrorCode.route_unknown, detail='no route takes this'
+            )
+        call = self._call(exchange, head, configuration, route)
+        await self._read_body(call)
+        return call
+
+    def _configuration(self) -> HostConfiguration:
+        if self._state.duty is HostDuty.closing:
+            raise RefusalError(
+                code=ErrorCode.host_leaving,
+                detail='this host is stopping',
+                retry_after_ms=settings.HOST_LEAVING_RETRY_MS,
+            )
+        configuration = self._state.configuration
+        if configuration is None:
+            raise RefusalError(
+                code=ErrorCode.no_configuration,
+                detail='this host has no configuration yet',
+            )
+        return configuration
+
+    def _call(
+        self,
+        exchange: CallerExchange,
+        head: Head,
+        configuration: HostConfiguration,
+        route: Route,
+    ) -> Call:
+        services_by_id = configuration.declaration.services_by_id
+        service_id = self._draw_service(route)
+        now = self._clock.now()
+        return Call(
+            exchange=exchange,
+            head=head,
+            body=RequestBody(
+                exchange=exchange,
+                head=head,
+                limit=configuration.limits.body_bytes,
+                clock=self._clock,
+                buffer_bytes=settings.HOST_BUFFER_BYTES,
+            ),
+            route=route,
+            service=services_by_id[service_id],
+            configuration=configuration,
+            idempotent=bool(route.idempotent),
+            started_at=now,
+            deadline_at=self._deadline(head, route, now),
+            dialect=self._dialect,
+        )
+
+    def _draw_service(self, route: Route) -> ServiceId:
+        if not route.split:
+            return route.service_id
+        drawn = self._rng.choices(
+            route.split, weights=[share.weight for share in route.split]
+        )
+        return drawn[0].service_id
+
+    def _deadline(self, head: Head, route: Route, now: Millis) -> Millis:
+        timeout_ms: float = route.timeout_ms or settings.TIMEOUT_MS
+        text = head.header(self._dialect.deadline)
+        if text is not None and text.isdigit():
+            # The answer has to be back before the caller leaves.
+            patience_ms = int(text) - settings.ANSWER_MARGIN_MS
+            timeout_ms = min(timeout_ms, max(0, patience_ms))
+        return Millis(now + timeout_ms)
+
+    async def _read_body(self, call: Call) -> None:
+        left_ms = max(0, call.deadline_at - self._clock.now())
+        try:
+            async with curio.timeout_after(as_seconds(left_ms)):
+                await call.body.read_ahead()
+        except curio.TaskTimeout as error:
+            raise RefusalError(
+                code=ErrorCode.body_timeout,
+                detail='the body did not arrive in time',
+            ) from error
+
+
+def _host_of(head: Head) -> str:
+    text = (head.header(HOST_HEADER) or b'').decode('latin-1').lower()
+    name, _, port = text.rpartition(':')
+    return name if port.isdecimal() else text
--- /dev/null
+++ b/chicorybridge/hosts/request_logs.py
@@ -0,0 +1,74 @@
+"""Lines of the log that tell the story of one request."""
+
+from chicorybridge import settings
+from chicorybridge.attempts import Attempt
+from chicorybridge.calls import Call
+from chicorybridge.dialects import Dialect
+from chicorybridge.errors import RequestError
+from chicorybridge.events import Event, EventKind, EventLog
+from chicorybridge.exchanges import Head
+from chicorybridge.hosts.states import HostState
+from chicorybridge.outcomes import RequestOutcome
+from chicorybridge.routing.selections import Option
+
+
+class RequestLog:
+    """Write what was decided on requests, and on what grounds."""
+
+    def __init__(
+        self, *, log: EventLog, state: HostState, dialect: Dialect
+    ) -> None:
+        """Write to `log`, with ids as `dialect` names them."""
+        self._log = log
+        self._state = state
+        self._dialect = dialect
+
+    def request_id(self, head: Head | None) -> str:
+        """Return the id of a request, empty without one."""
+        if head is None or self._dialect.request_id is None:
+            return ''
+        return (head.header(self._dialect.request_id) or b'').decode('latin-1')
+
+    def refused(
+        self,
+        head: Head | None,
+        error: RequestError,
+        outcome: RequestOutcome,
+        *,
+        status: int,
+    ) -> None:
+        """Tell of a request that was answered by the host itself."""
+        facts = {
+            'request': self.request_id(head),
+            'code': error.code.value,
+            'detail': error.detail,
+            'status': status,
+            'outcome': outcome.value,
+            'version': self._state.version,
+        }
+        self._log.emit(Event(kind=EventKind.request_refused, facts=facts))
+
+    def attempted(self, call: Call, attempt: Attempt, option: Option) -> None:
+        """Tell of an attempt, and of what led to its target."""
+        facts = {
+            'request': self.request_id(call.head),
+            'route': call.route.route_id,
+            'service': call.service.service_id,
+            'idempotent': call.idempotent,
+            'version': call.configuration.version,
+            'turn': len(call.attempts),
+            'target': attempt.target_id,
+            'outcome': attempt.outcome.value,
+            'elapsed_ms': round(attempt.elapsed_ms, 1),
+            'first_byte_ms': attempt.first_byte_ms,
+            'new_connection': attempt.fresh_connection,
+            'soundness': round(option.soundness, 3),
+            'load': round(option.load, 2),
+            'seen_ms_ago': _rounded(option.age_ms),
+        }
+        self._log.emit(Event(kind=EventKind.attempt_ended, facts=facts))
+
+
+def _rounded(age_ms: float) -> int | None:
+    # A target that was never seen has no age.
+    return round(age_ms) if age_ms < settings.STALE_LONG_MS else None
--- /dev/null
+++ b/chicorybridge/hosts/settings_files.py
@@ -0,0 +1,192 @@
+"""Settings of a host process, read from its INI file."""
+
+import dataclasses
+import pathlib
+from types import MappingProxyType
+from typing import Any
+
+from chicorybridge import settings
+from chicorybridge.addresses import parse_address
+from chicorybridge.clocks import MILLIS_PER_SECOND
+from chicorybridge.errors import ErrorCode
+from chicorybridge.fields import AddressField, Field, FieldError, NumberField
+from chicorybridge.identities import HostId, RegionId, ZoneId
+from chicorybridge.readers import (
+    Fields,
+    Problem,
+    missing_section,
+    parse_section,
+    read_sections,
+    refuse,
+)
+from chicorybridge.routing.allowances import RetryBound
+
+HOST = 'host'
+ZONES = 'zones'
+BOUNDS = 'bounds'
+MOST = 1_000_000.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AddressesField(Field):
+    """Addresses as IP:PORT, separated by commas; may be empty."""
+
+    def parse(self, text: str) -> Any:
+        """Return the addresses or raise `FieldError`."""
+        words = [word.strip() for word in text.split(',') if word.strip()]
+        try:
+            return tuple(parse_address(word) for word in words)
+        except ValueError as error:
+            raise FieldError(
+                code=ErrorCode.setting_type, detail=str(error)
+            ) from error
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PortsField(Field):
+    """The first and the last of a range of free ports."""
+
+    def parse(self, text: str) -> Any:
+        """Return the first port or raise `FieldError`."""
+        first, _, last = text.partition(',')
+        if not (first.isdecimal() and last.isdecimal()):
+            raise FieldError(
+                code=ErrorCode.setting_type, detail='expected FIRST,LAST'
+            )
+        return int(first)
+
+
+HOST_FIELDS: Fields = MappingProxyType(
+    {
+        'host': Field(required=True),
+        'ip': Field(required=True),
+        'zone': Field(required=True),
+        'region': Field(required=True),
+        'front': AddressField(required=True),
+        'readiness': AddressField(required=True),
+        'directory': AddressField(required=True),
+        'fleet_ports': PortsField(required=True),
+        'seeds': AddressesField(),
+        'store': AddressField(required=True),
+        'metrics_port': Field(),
+    }
+)
+
+SECONDS = NumberField(low=0, high=MOST, required=True)
+
+BOUND_FIELDS: Fields = MappingProxyType(
+    {
+        'grace_s': SECONDS,
+        'ttl_s': SECONDS,
+        'retry_ratio': SECONDS,
+        'retry_slack': SECONDS,
+        'retry_window_s': SECONDS,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HostBounds:
+    """Bounds that the operators of the platform set."""
+
+    grace_ms: float
+    ttl_ms: float
+    retries: RetryBound
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HostSettings:
+    """What a host process needs to start; addresses are IP:PORT."""
+
+    host_id: HostId
+    ip_number: str
+    zone_id: ZoneId
+    region_id: RegionId
+    front: str
+    readiness: str
+    directory: str
+    fleet_port: int
+    seeds: tuple[str, ...]
+    store: str
+    regions_by_zone: dict[ZoneId, RegionId]
+    bounds: HostBounds
+
+    @property
+    def fleet(self) -> str:
+        """Return the address for datagrams and streams of other hosts."""
+        return f'{self.ip_number}:{self.fleet_port}'
+
+
+def read_host_settings(path: pathlib.Path) -> HostSettings:
+    """Read the file; raise `SettingsError` with every problem."""
+    sections, problems = read_sections(path)
+    texts_by_title = {
+        section.title: section.texts_by_key for section in sections
+    }
+    found = list(problems)
+    values_by_key: dict[str, Any] = {}
+    for title, fields in ((HOST, HOST_FIELDS), (BOUNDS, BOUND_FIELDS)):
+        found.extend(_parse(path, sections, title, fields, values_by_key))
+    refuse(found)
+    return _settings(values_by_key, texts_by_title.get(ZONES, {}))
+
+
+def _parse(
+    path: pathlib.Path,
+    sections: Any,
+    title: str,
+    fields: Fields,
+    values_by_key: dict[str, Any],
+) -> list[Problem]:
+    for section in sections:
+        if section.title == title:
+            parsed, problems = parse_section(section, fields)
+            values_by_key.update(parsed)
+            return list(problems)
+    missing = missing_section(
+        file=path.name, section=title, detail='missing section'
+    )
+    return [missing]
+
+
+def _settings(
+    values_by_key: dict[str, Any], regions_by_zone: dict[str, str]
+) -> HostSettings:
+    fleet_port = values_by_key['fleet_ports']
+    zone_id = ZoneId(values_by_key['zone'])
+    region_id = RegionId(values_by_key['region'])
+    regions = {
+        ZoneId(zone): RegionId(region)
+        for zone, region in regions_by_zone.items()
+    }
+    return HostSettings(
+        host_id=HostId(values_by_key['host']),
+        ip_number=values_by_key['ip'],
+        zone_id=zone_id,
+        region_id=region_id,
+        front=values_by_key['front'],
+        readiness=values_by_key['readiness'],
+        directory=values_by_key['directory'],
+        fleet_port=fleet_port,
+        # The ports between hosts are the same on all of them.
+        seeds=tuple(
+            f'{seed.host}:{fleet_port}'
+            for seed in values_by_key.get('seeds', ())
+        ),
+        store=values_by_key['store'],
+        regions_by_zone={zone_id: region_id, **regions},
+        bounds=_bounds(values_by_key),
+    )
+
+
+def _bounds(values_by_key: dict[str, Any]) -> HostBounds:
+    ttl_ms = values_by_key['ttl_s'] * MILLIS_PER_SECOND
+    return HostBounds(
+        grace_ms=values_by_key['grace_s'] * MILLIS_PER_SECOND,
+        ttl_ms=min(ttl_ms, settings.DIRECTORY_TTL_MS),
+        retries=RetryBound(
+            ratio=values_by_key['retry_ratio'],
+            slack=values_by_key['retry_slack'],
+            window_ms=values_by_key['retry_window_s'] * MILLIS_PER_SECOND,
+        ),
+    )
--- /dev/null
+++ b/chicorybridge/hosts/states.py
@@ -0,0 +1,52 @@
+"""What a host process serves by: its duty and its configuration."""
+
+import dataclasses
+from enum import Enum
+
+from chicorybridge.caller_limits import CallerLimits
+from chicorybridge.errors import require
+from chicorybridge.fleet.configurations import HostConfiguration
+from chicorybridge.identities import NO_VERSION, Version
+
+
+class HostDuty(Enum):
+    """What a host does with requests of callers."""
+
+    serving = 'serving'
+    # Serves whoever still comes and closes each connection after it.
+    draining = 'draining'
+    # Finishes what is under way and refuses the rest.
+    closing = 'closing'
+
+
+@dataclasses.dataclass(kw_only=True)
+class HostState:
+    """The duty and the newest configuration of a host."""
+
+    duty: HostDuty = HostDuty.serving
+    configuration: HostConfiguration | None = None
+
+    @property
+    def version(self) -> Version:
+        """Return the version in force, 0 without one."""
+        return self.configuration.version if self.configuration else NO_VERSION
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return self.duty is HostDuty.serving and self.configuration is not None
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the bounds on callers."""
+        if self.configuration is None:
+            return CallerLimits()
+        return self.configuration.limits
+
+    def switch(self, configuration: HostConfiguration) -> None:
+        """Put a newer configuration in force."""
+        require(
+            promise='an accepted configuration never reverts',
+            holds=configuration.version > self.version,
+        )
+        self.configuration = configuration
--- /dev/null
+++ b/chicorybridge/hosts/store_readers.py
@@ -0,0 +1,114 @@
+"""Reading the platform's store when it is this host's turn."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import curio
+
+from chicorybridge import settings
+from chicorybridge.clocks import Clock, as_seconds
+from chicorybridge.errors import ChicorybridgeError
+from chicorybridge.events import Event, EventKind, EventLog
+from chicorybridge.fleet.configurations import HostConfiguration
+from chicorybridge.fleet.directories import TargetsChanged
+from chicorybridge.fleet.sightings import HostProfile
+from chicorybridge.fleet.watches import RemovalDelay
+from chicorybridge.hosts.knowledge import HostKnowledge
+
+Tell = Callable[[Any], None]
+
+
+class Watcher(Protocol):
+    """What reads the store; every method raises coded errors."""
+
+    async def read_configuration(self) -> HostConfiguration | None:
+        """Return the configuration if it changed."""
+
+    async def read_targets(self) -> TargetsChanged:
+        """Return the targets that changed."""
+
+    async def read_hosts(self) -> tuple[HostProfile, ...]:
+        """Return the hosts that wrote where they are."""
+
+    async def write_host(self, profile: HostProfile) -> None:
+        """Write where this host is."""
+
+
+class StoreReader:
+    """Read the store by turns with the other hosts, and tell them."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        log: EventLog,
+        knowledge: HostKnowledge,
+        watcher: Watcher,
+        tell: Tell,
+    ) -> None:
+        """Pass what is new to `tell`, which sends it to the region."""
+        self._clock = clock
+        self._log = log
+        self._knowledge = knowledge
+        self._watcher = watcher
+        self._tell = tell
+        self._delay = RemovalDelay()
+        self._failing = False
+
+    async def run(self) -> None:
+        """Read whenever it is due, until cancelled."""
+        while True:
+            rank = self._knowledge.sightings.rank()
+            schedule = self._knowledge.schedule
+            if schedule.is_due(rank=rank, now=self._clock.now()):
+                await self._read(rank)
+            await curio.sleep(as_seconds(settings.READ_CHECK_MS))
+
+    async def join(self, profile: HostProfile) -> None:
+        """Write where this host is and learn where the others are."""
+        profiles = await self._try(self._meet(profile))
+        if profiles:
+            now = self._clock.now()
+            self._knowledge.sightings.introduce(profiles, now=now)
+
+    async def _meet(self, profile: HostProfile) -> tuple[HostProfile, ...]:
+        await self._watcher.write_host(profile)
+        return await self._watcher.read_hosts()
+
+    async def _read(self, rank: int) -> None:
+        started_at = self._clock.now()
+        change = await self._try(self._read_all())
+        now = self._clock.now()
+        if change is None:
+            self._delay.failed()
+            self._knowledge.schedule.failed(now=now)
+            return
+        self._delay.succeeded(now=now)
+        change = self._delay.sift(change, now=now)
+        fresh = self._knowledge.change_targets(change, source='store')
+        self._knowledge.schedule.succeeded(started_at=started_at)
+        if fresh:
+            self._tell(fresh)
+        self._tell(self._knowledge.mark())
+
+    async def _read_all(self) -> TargetsChanged:
+        configuration = await self._watcher.read_configuration()
+        if configuration is not None:
+            self._knowledge.adopt(configuration, source='store')
+        return await self._watcher.read_targets()
+
+    async def _try(self, reading: Awaitable[Any]) -> Any:
+        try:
+            found = await reading
+        except ChicorybridgeError as error:
+            if not self._failing:
+                self._emit(EventKind.store_lost, error=str(error))
+            self._failing = True
+            return None
+        if self._failing:
+            self._emit(EventKind.store_back)
+        self._failing = False
+        return found
+
+    def _emit(self, kind: EventKind, **facts: Any) -> None:
+        self._log.emit(Event(kind=kind, facts=facts))
--- a/chicorybridge/problems.py
+++ b/chicorybridge/problems.py
@@ -25,6 +25,7 @@
         ErrorCode.key_conflict: 422,
         ErrorCode.claim_unavailable: 503,
         ErrorCode.host_leaving: 503,
+        ErrorCode.body_timeout: 408,
         ErrorCode.host_cut_off: 503,
     }
 )
@@ -53,13 +54,21 @@
     return json.dumps(document).encode()
 
 
-def problem_headers(*, body: bytes, retry_after_ms: float = 0) -> Headers:
-    """Return the headers of a problem document."""
+def problem_headers(
+    *, body: bytes, retry_after_ms: float = 0, fractional: bool = False
+) -> Headers:
+    """Return the headers of a problem document.
+
+    Seconds to wait are whole, as HTTP has them, unless `fractional`.
+    """
     headers = [
         (b'content-type', b'application/problem+json'),
         (b'content-length', str(len(body)).encode()),
     ]
     if retry_after_ms:
-        seconds = math.ceil(retry_after_ms / MILLIS_PER_SECOND)
-        headers.append((RETRY_AFTER, str(seconds).encode()))
+        seconds = retry_after_ms / MILLIS_PER_SECOND
+        if not fractional:
+            seconds = math.ceil(seconds)
+        text = str(round(seconds, 3))
+        headers.append((RETRY_AFTER, text.encode()))
     return headers
--- a/chicorybridge/processes.py
+++ b/chicorybridge/processes.py
@@ -3,7 +3,7 @@
 import signal
 import socket
 import sys
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import curio
 
@@ -35,9 +35,27 @@
         for number in signals:
             signal.signal(number, _ignore)
 
-    async def wait(self) -> None:
-        """Return once a signal has come."""
-        await curio.io.Socket(self._reader).recv(1)
+    async def wait(self) -> int:
+        """Return the number of the next signal."""
+        numbers = await curio.io.Socket(self._reader).recv(1)
+        return numbers[0]
+
+
+class ReloadSignals(StopSignals):
+    """Stop signals, and one on which settings are read again."""
+
+    def __init__(self, *, reload: Callable[[], None]) -> None:
+        """Call `reload` on each SIGHUP."""
+        super().__init__(signals=(*STOP_SIGNALS, signal.SIGHUP))
+        self._reload = reload
+
+    async def wait(self) -> int:
+        """Return the number of the next stop signal."""
+        number = await super().wait()
+        while number == signal.SIGHUP:
+            self._reload()
+            number = await super().wait()
+        return number
 
 
 def _ignore(number: int, frame: object) -> None:
--- a/chicorybridge/routes.py
+++ b/chicorybridge/routes.py
@@ -1,5 +1,7 @@
 """Finding the route of a request."""
 
+from typing import TypeAlias
+
 from chicorybridge.declarations import Declaration, Route
 from chicorybridge.identities import RouteId
 
@@ -14,6 +16,9 @@
     )
 )
 
+# The host that requests name and the prefix of their path.
+Place: TypeAlias = tuple[str, str]
+
 IDEMPOTENT_HEADER = b'chicorybridge-idempotent'
 KEY_HEADER = b'idempotency-key'
 
@@ -23,27 +28,32 @@
 
     def __init__(self, *, declaration: Declaration) -> None:
         """Index the routes of `declaration`."""
-        self._routes_by_prefix: dict[str, list[Route]] = {}
+        self._routes_by_place: dict[Place, list[Route]] = {}
         for route in declaration.routes_by_id.values():
-            prefix = route.prefix.rstrip('/')
-            self._routes_by_prefix.setdefault(prefix, []).append(route)
-        for routes in self._routes_by_prefix.values():
+            place = (route.host, route.prefix.rstrip('/'))
+            self._routes_by_place.setdefault(place, []).append(route)
+        for routes in self._routes_by_place.values():
             routes.sort(key=_precedence)
 
-    def find(self, *, method: str, path: str) -> Route | None:
+    def find(self, *, method: str, path: str, host: str = '') -> Route | None:
         """Return the route with the longest prefix, `None` without one.
 
         Prefixes end at a slash: /quotes takes /quotes/7, not /quotes7.
+        Routes without a host are not found for a request with one.
         """
-        prefix = path.partition('?')[0].rstrip('/')
+        path = path.partition('?')[0]
+        prefix = path.rstrip('/')
         while True:
-            route = self._match(prefix, method)
+            route = self._match((host, prefix), method, path)
             if route or not prefix:
                 return route
             prefix = prefix.rpartition('/')[0]
 
-    def _match(self, prefix: str, method: str) -> Route | None:
-        for route in self._routes_by_prefix.get(prefix, ()):
+    def _match(self, place: Place, method: str, path: str) -> Route | None:
+        for route in self._routes_by_place.get(place, ()):
+            if not path.startswith(route.prefix):
+                # A prefix with a slash at its end takes what is below it.
+                continue
             if not route.methods or method in route.methods:
                 return route
         return None
--- /dev/null
+++ b/chicorybridge/routing/reputations.py
@@ -0,0 +1,164 @@
+"""How likely a target is to answer now, from what all hosts saw of it.
+
+Gray targets work and fail by turns of seconds. Each target is a chain of
+two states, sound and gray; what any host sees of it shifts the
+probability that it is sound, and time without news lets it return to
+the share of time that targets are sound.
+"""
+
+import dataclasses
+import math
+from collections import deque
+from collections.abc import Mapping
+from enum import Enum
+from types import MappingProxyType
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.codecs import wire
+from chicorybridge.identities import HostId, TargetId
+
+
+@wire
+class Sign(Enum):
+    """What one request showed of a target."""
+
+    answered = 0
+    # An answer with a status of 500 or more: sound targets have some, too.
+    failed = 1
+    # The connection ended before the answer, or nothing came in time.
+    broke = 2
+    # No answer for much longer than usual; the request goes on.
+    stalled = 3
+    # Rejected without being run: the target is full.
+    rejected = 4
+    # No connection: true for this host's path, perhaps for no other.
+    unreachable = 5
+
+
+# How likely each sign is of a sound and of a gray target.
+LIKELIHOODS: Mapping[Sign, tuple[float, float]] = MappingProxyType(
+    {
+        Sign.answered: (settings.SOUND_ANSWERS, settings.GRAY_ANSWERS),
+        Sign.failed: (settings.SOUND_ERRORS, settings.GRAY_FAILURES),
+        Sign.broke: (settings.SOUND_BREAKS, settings.GRAY_FAILURES),
+        Sign.stalled: (settings.SOUND_STALLS, settings.GRAY_FAILURES),
+    }
+)
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetSeen:
+    """Tell other hosts how a request fared at a target.
+
+    `latency_ms` is the time to the whole answer, 0 without one;
+    `in_flight` what the sender has at the target besides.
+    """
+
+    target_id: TargetId
+    sign: Sign
+    latency_ms: int = 0
+    in_flight: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Reputation:
+    """What is known of one target; `soundness` is as of `moved_at`."""
+
+    soundness: float = settings.SOUND_SHARE
+    moved_at: Millis = Millis(-math.inf)
+    seen_at: Millis = Millis(-math.inf)
+    # Own attempts only: others may well reach the target.
+    unreachable_until: Millis = Millis(-math.inf)
+    unreachable_turns: int = 0
+    rejecting_until: Millis = Millis(-math.inf)
+    in_flight: int = 0
+    # When requests of other hosts ended here, and how long they took.
+    served: deque[tuple[Millis, float]] = dataclasses.field(
+        default_factory=deque
+    )
+
+    def sound_at(self, now: Millis) -> float:
+        """Return the probability that the target is sound now."""
+        elapsed = now - self.moved_at
+        kept = math.exp(-elapsed / settings.GRAY_MEMORY_MS)
+        prior = settings.SOUND_SHARE
+        return prior + (self.soundness - prior) * kept
+
+    def observe(self, sign: Sign, now: Millis) -> None:
+        """Shift the probability by what was seen."""
+        likelihoods = LIKELIHOODS.get(sign)
+        if likelihoods is None:
+            return
+        sound = self.sound_at(now) * likelihoods[0]
+        gray = (1 - self.sound_at(now)) * likelihoods[1]
+        bounded = max(settings.SOUND_LEAST, sound / (sound + gray))
+        self.soundness = min(settings.SOUND_MOST, bounded)
+        self.moved_at = now
+        self.seen_at = now
+
+    def load_at(self, now: Millis) -> float:
+        """Estimate the requests of all hosts under way at the target.
+
+        By Little's law: what ended lately, times how long it took.
+        """
+        horizon = now - settings.LOAD_WINDOW_MS
+        while self.served and self.served[0][0] < horizon:
+            self.served.popleft()
+        busy_ms = sum(latency for _, latency in self.served)
+        return max(self.in_flight, busy_ms / settings.LOAD_WINDOW_MS)
+
+
+class ReputationTable:
+    """Reputations of all targets; each host keeps one."""
+
+    def __init__(self) -> None:
+        """Start without targets."""
+        self._reputations_by_id: dict[TargetId, Reputation] = {}
+
+    def of(self, target_id: TargetId) -> Reputation:
+        """Return what is known of a target."""
+        known = self._reputations_by_id.get(target_id)
+        if known is None:
+            known = Reputation()
+            self._reputations_by_id[target_id] = known
+        return known
+
+    def forget(self, target_id: TargetId) -> None:
+        """Forget a target that is gone, or that has started anew."""
+        known = self._reputations_by_id.pop(target_id, None)
+        if known is not None and known.in_flight:
+            # Attempts under way still have to be counted off.
+            self.of(target_id).in_flight = known.in_flight
+
+    def hear(self, seen: TargetSeen, sender: HostId, *, now: Millis) -> None:
+        """Take in what another host saw."""
+        reputation = self.of(seen.target_id)
+        reputation.observe(seen.sign, now)
+        if seen.sign is Sign.answered:
+            reputation.served.append((now, seen.latency_ms))
+        elif seen.sign is Sign.rejected:
+            self._pause(reputation, now)
+
+    def see(self, seen: TargetSeen, *, now: Millis) -> None:
+        """Take in what an attempt of this host showed."""
+        reputation = self.of(seen.target_id)
+        reputation.observe(seen.sign, now)
+        match seen.sign:
+            case Sign.answered:
+                reputation.served.append((now, seen.latency_ms))
+                reputation.unreachable_turns = 0
+            case Sign.unreachable:
+                self._avoid(reputation, now)
+            case Sign.rejected:
+                self._pause(reputation, now)
+
+    def _avoid(self, reputation: Reputation, now: Millis) -> None:
+        turns = min(reputation.unreachable_turns, settings.UNREACHABLE_TURNS)
+        pause = settings.UNREACHABLE_MS * 2**turns
+        reputation.unreachable_turns += 1
+        reputation.unreachable_until = Millis(now + pause)
+
+    def _pause(self, reputation: Reputation, now: Millis) -> None:
+        reputation.rejecting_until = Millis(now + settings.REJECTED_MS)
--- /dev/null
+++ b/chicorybridge/routing/selections.py
@@ -0,0 +1,150 @@
+"""Choice of the target of a request from the reputations of all.
+
+A request that may run once goes to a target that has just proven itself
+to any host. One that can be tried again looks first at the target that
+was not seen for longest, so that the rest learn of it.
+"""
+
+import dataclasses
+import random
+from collections.abc import Collection, Mapping, Sequence
+from enum import Enum
+
+from chicorybridge import settings
+from chicorybridge.clocks import Millis
+from chicorybridge.fleet.directories import TargetDirectory, TargetEntry
+from chicorybridge.identities import RegionId, ServiceId, TargetId, ZoneId
+from chicorybridge.routing.reputations import Reputation, ReputationTable
+
+
+class Manner(Enum):
+    """How a target is chosen."""
+
+    # The most likely to answer.
+    safest = 'safest'
+    # The one that was not seen for longest, within reason.
+    exploring = 'exploring'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Option:
+    """A target that may be chosen, its expected loss, and its inputs."""
+
+    entry: TargetEntry
+    loss: float
+    soundness: float
+    load: float
+    # Milliseconds since any host saw it, infinite if none did.
+    age_ms: float
+
+
+class Selector:
+    """Choose targets as seen from one availability zone."""
+
+    def __init__(
+        self,
+        *,
+        directory: TargetDirectory,
+        reputations: ReputationTable,
+        zone_id: ZoneId,
+        regions_by_zone: Mapping[ZoneId, RegionId],
+        rng: random.Random,
+    ) -> None:
+        """Choose among the entries of `directory`."""
+        self._directory = directory
+        self._reputations = reputations
+        self._zone_id = zone_id
+        self._regions_by_zone = regions_by_zone
+        self._rng = rng
+
+    def choose(
+        self,
+        service_id: ServiceId,
+        manner: Manner,
+        *,
+        excluded: Collection[TargetId],
+        now: Millis,
+    ) -> Option | None:
+        """Return the target of the next attempt, `None` without any."""
+        options = [
+            self._option(entry, now)
+            for entry in self._directory.of_service(service_id)
+            if not entry.leaving and entry.target_id not in excluded
+        ]
+        if not options:
+            return None
+        if manner is Manner.exploring:
+            found = self._least_seen(options)
+            if found is not None:
+                return found
+        return self._safest(options)
+
+    def started(self, target_id: TargetId) -> None:
+        """Count an attempt of this host that begins."""
+        self._reputations.of(target_id).in_flight += 1
+
+    def finished(self, target_id: TargetId) -> None:
+        """Count off an attempt of this host."""
+        reputation = self._reputations.of(target_id)
+        reputation.in_flight = max(0, reputation.in_flight - 1)
+
+    def _safest(self, options: Sequence[Option]) -> Option:
+        least = min(option.loss for option in options)
+        near = [
+            option
+            for option in options
+            if option.loss <= least + settings.CHOICE_MARGIN
+        ]
+        return self._rng.choice(near)
+
+    def _least_seen(self, options: Sequence[Option]) -> Option | None:
+        """Return a near target worth a look, `None` if there is none."""
+        region_id = self._regions_by_zone.get(self._zone_id)
+        worth = [
+            option
+            for option in options
+            if self._regions_by_zone.get(option.entry.zone_id) == region_id
+            and option.soundness >= settings.EXPLORED_SOUNDNESS
+            and option.loss < settings.EXPLORED_LOSS
+        ]
+        if not worth:
+            return None
+        ranked = sorted(worth, key=lambda option: -option.age_ms)
+        return self._rng.choice(ranked[: settings.EXPLORED_CHOICES])
+
+    def _option(self, entry: TargetEntry, now: Millis) -> Option:
+        reputation = self._reputations.of(entry.target_id)
+        soundness = reputation.sound_at(now)
+        load = reputation.load_at(now) / max(1, entry.slots)
+        loss = 1 - soundness
+        loss += self._place_loss(entry) + _load_loss(load)
+        loss += _pause_loss(reputation, now)
+        if entry.warming:
+            loss += settings.WARMING_LOSS
+        return Option(
+            entry=entry,
+            loss=loss,
+            soundness=soundness,
+            load=load,
+            age_ms=now - reputation.seen_at,
+        )
+
+    def _place_loss(self, entry: TargetEntry) -> float:
+        if entry.zone_id == self._zone_id:
+            return 0
+        own = self._regions_by_zone.get(self._zone_id)
+        if self._regions_by_zone.get(entry.zone_id) == own:
+            return settings.OTHER_ZONE_LOSS
+        return settings.OTHER_REGION_LOSS
+
+
+def _load_loss(load: float) -> float:
+    return settings.LOAD_LOSS * max(0, load - settings.LOAD_CALM)
+
+
+def _pause_loss(reputation: Reputation, now: Millis) -> float:
+    if now < reputation.unreachable_until:
+        return settings.UNREACHABLE_LOSS
+    if now < reputation.rejecting_until:
+        return settings.REJECTED_LOSS
+    return 0
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -243,3 +243,96 @@
 # Departures.
 LEAVING_SIGN_MS = 2000
 PROBE_TIMEOUT_MS = 1000
+
+# Reputations of targets on the platform. The two-state chain of a target:
+# the share of time that it is sound, and the time in which old news loses
+# its weight, from the spells of gray targets that the users describe
+# (seconds, a third of the targets at a time).
+SOUND_SHARE = 0.7
+GRAY_MEMORY_MS = 2000.0
+# Likelihood of each sign. Sound targets fail about one request in eighty.
+SOUND_ANSWERS = 0.985
+GRAY_ANSWERS = 0.2
+GRAY_FAILURES = 0.8
+SOUND_ERRORS = 0.012
+SOUND_BREAKS = 0.004
+SOUND_STALLS = 0.03
+SOUND_LEAST = 0.01
+SOUND_MOST = 0.995
+# Time over which requests of all hosts at a target are counted.
+LOAD_WINDOW_MS = 1500.0
+# A target that this host can't reach is avoided for this long, doubled
+# with each further failure up to so many times.
+UNREACHABLE_MS = 500.0
+UNREACHABLE_TURNS = 3
+# A target that was full is avoided for about one request's time.
+REJECTED_MS = 300.0
+
+# Choice among them, in terms of the probability that the request is lost.
+CHOICE_MARGIN = 0.03
+LOAD_CALM = 0.5
+LOAD_LOSS = 0.4
+OTHER_ZONE_LOSS = 0.005
+OTHER_REGION_LOSS = 0.1
+UNREACHABLE_LOSS = 2.0
+REJECTED_LOSS = 0.5
+WARMING_LOSS = 0.05
+# Targets worth a look by requests that can be tried again.
+EXPLORED_SOUNDNESS = 0.25
+EXPLORED_LOSS = 1.0
+EXPLORED_CHOICES = 3
+
+# Hosts on the platform. Beats go to the region each interval; a host that
+# is silent for over two of them is lost. Far hosts are heard by turns.
+BEAT_MS = 1000.0
+HOST_SILENCE_MS = 3500.0
+FAR_HOST_SILENCE_MS = 30_000.0
+DATAGRAM_BYTES = 65_535
+SNAPSHOT_MS = 1500.0
+# Reads of the platform's store by the first host of a region, and when
+# the next ones take over; all within the bound on a target that leaves.
+READ_INTERVAL_MS = 500.0
+READ_STALE_MS = 900.0
+READ_RANK_MS = 120.0
+READ_RANKS = 6
+READ_BACKOFF_MS = 300.0
+READ_BACKOFF_TURNS = 3
+STALE_LONG_MS = 3_600_000.0
+# Entries that lapsed in an outage are back about two seconds after it.
+LAPSED_BACK_MS = 2200.0
+
+# Requests on the platform.
+# What a caller is told to wait after a refusal, before another host or
+# target may serve it.
+HOST_RETRY_AFTER_MS = 250.0
+HOST_LEAVING_RETRY_MS = 50.0
+# An answer leaves this much before the caller does: the way back.
+ANSWER_MARGIN_MS = 60.0
+# Within a region a connection opens in a few milliseconds.
+HOST_CONNECT_MS = 300.0
+# Targets close idle connections after some ten seconds.
+HOST_IDLE_MS = 5000.0
+# Attempts of one request, those included that reached no target.
+HOST_TRIES = 6
+# Shares of a route's target latency: when a repeatable request is tried
+# elsewhere, and when others are told that a target is slow.
+HEDGE_SHARE = 0.6
+STALL_SHARE = 1.0
+STALL_MS = 1500.0
+
+# Addresses that callers are told: how long they count, and how many of a
+# zone are enough not to name those of others.
+DIRECTORY_TTL_MS = 2000.0
+DIRECTORY_LEAST = 3
+DIRECTORY_MOST = 64
+# How often a host looks whether a read or a snapshot is due.
+READ_CHECK_MS = 50.0
+LEARN_CHECK_MS = 30.0
+
+# Planned stop on the platform: the share of the grace in which whoever
+# still comes is served, and what is kept of it for the end.
+DRAIN_SERVE_SHARE = 0.55
+DRAIN_MARGIN_MS = 300.0
+# Bodies and answers up to this size are kept whole, to be sent again; a
+# host has memory for some hundred of them.
+HOST_BUFFER_BYTES = 512 * 1024
--- a/chicorybridge/target_exchanges.py
+++ b/chicorybridge/target_exchanges.py
@@ -5,6 +5,7 @@
 import curio
 import h11
 
+from chicorybridge import settings
 from chicorybridge.clocks import Clock
 from chicorybridge.errors import ErrorCode
 from chicorybridge.exchanges import (
@@ -25,9 +26,18 @@
     """The client side of a connection to a target."""
 
     def __init__(
-        self, *, sock: curio.io.Socket, clock: Clock, address: str
+        self,
+        *,
+        sock: curio.io.Socket,
+        clock: Clock,
+        address: str,
+        unframed: bool = False,
     ) -> None:
-        """Take over a connection just opened to `address`."""
+        """Take over a connection just opened to `address`.
+
+        With `unframed`, answers may end with the connection.
+        """
+        self._unframed = unframed
         super().__init__(sock=sock, role=h11.CLIENT, clock=clock)
         self.address = address
         self.opened_at = clock.now()
@@ -66,6 +76,29 @@
             )
         return self._answer_head(event)
 
+    async def skip_answer(self) -> None:
+        """Read past an answer that belongs to another request."""
+        chunk = await self.read_chunk()
+        while chunk:
+            chunk = await self.read_chunk()
+        states = {self._conn.our_state, self._conn.their_state}
+        if states != {h11.DONE}:
+            raise refused('an answer to another request')
+        received = self._conn.trailing_data[0]
+        # The request is under way still; only its answer is awaited anew.
+        self._conn = h11.Connection(
+            our_role=h11.CLIENT,
+            max_incomplete_event_size=settings.MAX_HEAD_BYTES,
+        )
+        self._conn.send(
+            h11.Request(
+                method=self._method, target=b'/', headers=[(b'host', b'')]
+            )
+        )
+        self._conn.send(h11.EndOfMessage())
+        if received:
+            self._conn.receive_data(received)
+
     def next_cycle(self) -> bool:
         """Make ready for another request; `False` if it can't be reused."""
         states = {self._conn.our_state, self._conn.their_state}
@@ -90,7 +123,7 @@
         chunked = any(name == TRANSFER_ENCODING for name, _ in headers)
         if chunked and length_of(headers) is not None:
             raise refused('a length and chunked at once')
-        if length is None and not chunked:
+        if length is None and not (chunked or self._unframed):
             # Its end could not be told from a cut.
             raise refused('neither a length nor chunked')
         return Head(
