--- a/chicorybridge/claim_assignments.py
+++ b/chicorybridge/claims/claim_assignments.py
@@ -9,12 +9,13 @@
 from collections.abc import Callable
 
 from chicorybridge import settings
-from chicorybridge.buckets import TokenBucket
-from chicorybridge.claim_messages import ClaimRefusal, KeptAnswer
-from chicorybridge.claim_rows import OwnerRow, row_keys_of
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import RequestKey
-from chicorybridge.stores import (
+from chicorybridge.claims.claim_messages import ClaimRefusal, KeptAnswer
+from chicorybridge.claims.claim_rows import OwnerRow, row_keys_of
+from chicorybridge.common.buckets import TokenBucket
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import RequestKey
+from chicorybridge.common.systems import Ask
+from chicorybridge.storage.stores import (
     Condition,
     Row,
     RowKey,
@@ -23,7 +24,6 @@
     Transact,
     Write,
 )
-from chicorybridge.systems import Ask
 
 ASSIGNMENT_TOKEN = 'claims:assignments'  # noqa: S105
 
--- a/chicorybridge/claim_attempts.py
+++ b/chicorybridge/claims/claim_attempts.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 
 from chicorybridge import settings
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_messages import (
     AttemptId,
     ClaimDecided,
     ClaimFinished,
@@ -18,11 +18,11 @@
     ClaimVerdict,
     EntryId,
 )
-from chicorybridge.clocks import Millis
-from chicorybridge.errors import require
-from chicorybridge.identities import RequestKey
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.request_keys import KeyOwner
+from chicorybridge.claims.request_keys import KeyOwner
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import require
+from chicorybridge.common.identities import RequestKey
+from chicorybridge.routing.outcomes import RequestOutcome
 
 # Share of its age that a report waits before it is repeated.
 REPORT_BACKOFF = 0.5
--- a/chicorybridge/claim_ledgers.py
+++ b/chicorybridge/claims/claim_ledgers.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 
 from chicorybridge import settings
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_messages import (
     AttemptId,
     ClaimDecided,
     ClaimFinished,
@@ -14,18 +14,18 @@
     ClaimVerdict,
     KeptAnswer,
 )
-from chicorybridge.claim_tables import (
+from chicorybridge.claims.claim_tables import (
     Asker,
     Claim,
     ClaimState,
     ClaimTable,
 )
-from chicorybridge.clocks import Millis
-from chicorybridge.errors import require
-from chicorybridge.identities import Digest, HostId, RequestKey
-from chicorybridge.kept_answers import KeptAnswers
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.request_keys import KeyOwner
+from chicorybridge.claims.kept_answers import KeptAnswers
+from chicorybridge.claims.request_keys import KeyOwner
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import require
+from chicorybridge.common.identities import Digest, HostId, RequestKey
+from chicorybridge.routing.outcomes import RequestOutcome
 
 AT_MOST_ONCE = 'a keyed request runs at most once'
 
--- a/chicorybridge/claim_messages.py
+++ b/chicorybridge/claims/claim_messages.py
@@ -9,11 +9,11 @@
 from enum import Enum
 from typing import NewType
 
-from chicorybridge.codecs import wire
-from chicorybridge.errors import ErrorCode
-from chicorybridge.identities import Digest, RequestKey
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.request_keys import KeyOwner
+from chicorybridge.claims.request_keys import KeyOwner
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.identities import Digest, RequestKey
+from chicorybridge.routing.outcomes import RequestOutcome
 
 # Names one try of a request; unique over all entry processes and starts.
 AttemptId = NewType('AttemptId', str)
--- a/chicorybridge/claim_owners.py
+++ b/chicorybridge/claims/claim_owners.py
@@ -1,24 +1,24 @@
 """The owner's side of claims: decide tries and record their ends."""
 
 from chicorybridge import settings
-from chicorybridge.claim_ledgers import ClaimLedger, Verdict
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_ledgers import ClaimLedger, Verdict
+from chicorybridge.claims.claim_messages import (
     ClaimFinished,
     ClaimRefusal,
     ClaimRelayed,
     KeptAnswer,
     KeyPrefixIssued,
 )
-from chicorybridge.claim_tables import Asker
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import HostId, RequestKey
-from chicorybridge.request_keys import (
+from chicorybridge.claims.claim_tables import Asker
+from chicorybridge.claims.request_keys import (
     IssuedKey,
     KeyOwner,
     make_prefix,
     read_issued,
 )
-from chicorybridge.systems import Effect, SendEntries
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, RequestKey
+from chicorybridge.common.systems import Effect, SendEntries
 
 
 class ClaimOwner:
--- a/chicorybridge/claim_routers.py
+++ b/chicorybridge/claims/claim_routers.py
@@ -3,10 +3,10 @@
 import random
 from collections.abc import Callable, Iterable
 
-from chicorybridge.claim_assignments import Assignment, ClaimAssignments
-from chicorybridge.claim_attempts import ClaimAttempts, PendingAttempt
-from chicorybridge.claim_ledgers import Verdict
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_assignments import Assignment, ClaimAssignments
+from chicorybridge.claims.claim_attempts import ClaimAttempts, PendingAttempt
+from chicorybridge.claims.claim_ledgers import Verdict
+from chicorybridge.claims.claim_messages import (
     ClaimDecided,
     ClaimFinished,
     ClaimHeld,
@@ -14,15 +14,15 @@
     ClaimRelayed,
     ClaimVerdict,
 )
-from chicorybridge.claim_owners import ClaimOwner
-from chicorybridge.claim_rows import OwnerRow
-from chicorybridge.claim_sweeps import ClaimSweeps
-from chicorybridge.claim_tables import Asker
-from chicorybridge.clocks import Millis
-from chicorybridge.events import Event, EventKind
-from chicorybridge.request_keys import KeyOwner
+from chicorybridge.claims.claim_owners import ClaimOwner
+from chicorybridge.claims.claim_rows import OwnerRow
+from chicorybridge.claims.claim_sweeps import ClaimSweeps
+from chicorybridge.claims.claim_tables import Asker
+from chicorybridge.claims.request_keys import KeyOwner
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.events import Event, EventKind
+from chicorybridge.common.systems import Effect, Emit, Send, SendEntries, System
 from chicorybridge.settings import CLAIM_RESEND_MS
-from chicorybridge.systems import Effect, Emit, Send, SendEntries, System
 
 
 class ClaimRouter(System):
--- a/chicorybridge/claim_rows.py
+++ b/chicorybridge/claims/claim_rows.py
@@ -10,11 +10,16 @@
 import hashlib
 from typing import Any
 
-from chicorybridge.claim_messages import AttemptId, KeptAnswer
-from chicorybridge.codecs import pack, unpack
-from chicorybridge.identities import Digest, HostId, Incarnation, RequestKey
-from chicorybridge.request_keys import KeyOwner
-from chicorybridge.stores import RowKey
+from chicorybridge.claims.claim_messages import AttemptId, KeptAnswer
+from chicorybridge.claims.request_keys import KeyOwner
+from chicorybridge.common.codecs import pack, unpack
+from chicorybridge.common.identities import (
+    Digest,
+    HostId,
+    Incarnation,
+    RequestKey,
+)
+from chicorybridge.storage.stores import RowKey
 
 CLAIM_TABLE = 'claims'
 
--- a/chicorybridge/claim_sweeps.py
+++ b/chicorybridge/claims/claim_sweeps.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable
 
 from chicorybridge import settings
-from chicorybridge.claim_rows import CLAIM_TABLE, day_prefix
-from chicorybridge.clocks import Millis
-from chicorybridge.stores import (
+from chicorybridge.claims.claim_rows import CLAIM_TABLE, day_prefix
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.systems import Ask
+from chicorybridge.storage.stores import (
     Condition,
     Row,
     ScanRows,
@@ -19,7 +20,6 @@
     Transact,
     Write,
 )
-from chicorybridge.systems import Ask
 
 SCAN_TOKEN = 'claims:scan'  # noqa: S105
 DELETE_TOKEN = 'claims:delete'  # noqa: S105
--- a/chicorybridge/claim_tables.py
+++ b/chicorybridge/claims/claim_tables.py
@@ -8,8 +8,8 @@
 from enum import Enum
 
 from chicorybridge import settings
-from chicorybridge.claim_messages import AttemptId, ClaimRequested
-from chicorybridge.identities import Digest, HostId, RequestKey
+from chicorybridge.claims.claim_messages import AttemptId, ClaimRequested
+from chicorybridge.common.identities import Digest, HostId, RequestKey
 
 
 class ClaimState(Enum):
--- a/chicorybridge/claimants.py
+++ b/chicorybridge/claims/claimants.py
@@ -7,8 +7,7 @@
 
 import curio
 
-from chicorybridge.calls import Call
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_messages import (
     AttemptId,
     ClaimDecided,
     ClaimFinished,
@@ -17,11 +16,12 @@
     EntryId,
     KeptAnswer,
 )
-from chicorybridge.clocks import Clock, as_seconds
-from chicorybridge.errors import ErrorCode, RequestError
-from chicorybridge.answers import WholeAnswer
-from chicorybridge.identities import RequestKey
-from chicorybridge.outcomes import RequestOutcome
+from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.errors import ErrorCode, RequestError
+from chicorybridge.common.identities import RequestKey
+from chicorybridge.entry.calls import Call
+from chicorybridge.http.answers import WholeAnswer
+from chicorybridge.routing.outcomes import RequestOutcome
 
 ATTEMPT_BITS = 64
 
--- a/chicorybridge/claims.py
+++ b/chicorybridge/claims/claims.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from chicorybridge.claim_assignments import ASSIGNMENT_TOKEN
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_assignments import ASSIGNMENT_TOKEN
+from chicorybridge.claims.claim_messages import (
     ClaimDecided,
     ClaimFinished,
     ClaimHeld,
@@ -22,15 +22,15 @@
     ClaimWithdrawn,
     EntryLost,
 )
-from chicorybridge.claim_routers import ClaimRouter
-from chicorybridge.claim_rows import OwnerRow
-from chicorybridge.claim_tables import Asker
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import HostId, Incarnation
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.request_keys import KeyOwner, read_issued
-from chicorybridge.stores import StoreReply
-from chicorybridge.systems import Effect, Send
+from chicorybridge.claims.claim_routers import ClaimRouter
+from chicorybridge.claims.claim_rows import OwnerRow
+from chicorybridge.claims.claim_tables import Asker
+from chicorybridge.claims.request_keys import KeyOwner, read_issued
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, Incarnation
+from chicorybridge.common.systems import Effect, Send
+from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.storage.stores import StoreReply
 
 
 class Claims(ClaimRouter):
--- a/chicorybridge/kept_answers.py
+++ b/chicorybridge/claims/kept_answers.py
@@ -3,8 +3,8 @@
 from collections import OrderedDict
 
 from chicorybridge import settings
-from chicorybridge.claim_messages import KeptAnswer
-from chicorybridge.identities import RequestKey
+from chicorybridge.claims.claim_messages import KeptAnswer
+from chicorybridge.common.identities import RequestKey
 
 
 class KeptAnswers:
--- a/chicorybridge/request_keys.py
+++ b/chicorybridge/claims/request_keys.py
@@ -13,9 +13,14 @@
 import hashlib
 from collections.abc import Iterable
 
-from chicorybridge.codecs import wire
-from chicorybridge.errors import ErrorCode, RequestError
-from chicorybridge.identities import Digest, HostId, Incarnation, RequestKey
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.errors import ErrorCode, RequestError
+from chicorybridge.common.identities import (
+    Digest,
+    HostId,
+    Incarnation,
+    RequestKey,
+)
 
 KEY_FORMAT = 'cb1'
 SEPARATOR = '/'
--- a/chicorybridge/binaries.py
+++ b/chicorybridge/common/binaries.py
@@ -10,12 +10,12 @@
 from cleo.commands.command import Command
 from cleo.io.inputs.option import Option
 
-from chicorybridge import sockets
-from chicorybridge.collectors import freeze_collector
-from chicorybridge.errors import ChicorybridgeError, PromiseError
-from chicorybridge.events import Event, EventKind, EventLog
-from chicorybridge.options import option
-from chicorybridge.processes import StopSignals
+from chicorybridge.common import sockets
+from chicorybridge.common.collectors import freeze_collector
+from chicorybridge.common.errors import ChicorybridgeError, PromiseError
+from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.options import option
+from chicorybridge.common.processes import StopSignals
 
 VERSION = '0.1.0'
 
--- a/chicorybridge/buckets.py
+++ b/chicorybridge/common/buckets.py
@@ -1,7 +1,6 @@
 """Token buckets: a rate with a burst, refilled by the clock."""
 
-from chicorybridge.clocks import MILLIS_PER_SECOND, Millis
-
+from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
 
 # Where a bucket starts if not told: the start of the clock.
 START = Millis(0)
--- a/chicorybridge/codecs.py
+++ b/chicorybridge/common/codecs.py
@@ -11,7 +11,7 @@
 
 import msgpack
 
-from chicorybridge.errors import ErrorCode, StreamError
+from chicorybridge.common.errors import ErrorCode, StreamError
 
 MESSAGE_EXTENSION = 1
 ENUM_EXTENSION = 2
--- a/chicorybridge/events.py
+++ b/chicorybridge/common/events.py
@@ -7,8 +7,8 @@
 from enum import Enum
 from typing import Any
 
-from chicorybridge.clocks import Clock
-from chicorybridge.identities import HostId, Incarnation
+from chicorybridge.common.clocks import Clock
+from chicorybridge.common.identities import HostId, Incarnation
 
 logger = logging.getLogger(__name__)
 
--- a/chicorybridge/fields.py
+++ b/chicorybridge/common/fields.py
@@ -6,7 +6,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from chicorybridge.errors import ErrorCode
+from chicorybridge.common.errors import ErrorCode
 
 FLAGS_BY_TEXT = MappingProxyType(
     {'yes': True, 'no': False, 'true': True, 'false': False}
--- a/chicorybridge/options.py
+++ b/chicorybridge/common/options.py
@@ -6,8 +6,8 @@
 from cleo.helpers import option as cleo_option
 from cleo.io.inputs.option import Option
 
-from chicorybridge.addresses import Address, parse_address
-from chicorybridge.errors import ChicorybridgeError, ErrorCode
+from chicorybridge.common.addresses import Address, parse_address
+from chicorybridge.common.errors import ChicorybridgeError, ErrorCode
 
 
 class OptionError(ChicorybridgeError):
--- a/chicorybridge/processes.py
+++ b/chicorybridge/common/processes.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from chicorybridge.addresses import Address
+from chicorybridge.common.addresses import Address
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
--- a/chicorybridge/readers.py
+++ b/chicorybridge/common/readers.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from chicorybridge.errors import ChicorybridgeError, ErrorCode
-from chicorybridge.fields import Field, FieldError
+from chicorybridge.common.errors import ChicorybridgeError, ErrorCode
+from chicorybridge.common.fields import Field, FieldError
 
 # Fields of a section by key.
 Fields = Mapping[str, Field]
--- a/chicorybridge/systems.py
+++ b/chicorybridge/common/systems.py
@@ -9,9 +9,9 @@
 from collections.abc import Iterable
 from typing import Any, TypeAlias
 
-from chicorybridge.clocks import Millis
-from chicorybridge.events import Event
-from chicorybridge.identities import HostId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.events import Event
+from chicorybridge.common.identities import HostId
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/applies.py
+++ b/chicorybridge/configuration/applies.py
@@ -6,7 +6,16 @@
 """
 
 from chicorybridge import settings
-from chicorybridge.applysteps import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import StreamError, require
+from chicorybridge.common.events import Event, EventKind
+from chicorybridge.common.identities import (
+    ApplyId,
+    HostId,
+    Version,
+)
+from chicorybridge.common.systems import Ask, Effect, Effects, Emit, Send
+from chicorybridge.configuration.applysteps import (
     COUNTED,
     ENDED,
     NOT_DURABLE,
@@ -16,38 +25,29 @@
     request_of,
     unknown,
 )
-from chicorybridge.clocks import Millis
-from chicorybridge.confirmations import Confirmations
-from chicorybridge.declarations import Declaration
-from chicorybridge.errors import StreamError, require
-from chicorybridge.events import Event, EventKind
-from chicorybridge.heads import (
+from chicorybridge.configuration.confirmations import Confirmations
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.heads import (
     HEAD_KEY,
     head_from,
     version_key,
     version_of,
 )
-from chicorybridge.holdings import (
+from chicorybridge.configuration.holdings import (
     Holdings,
     declaration_from,
     digest_of,
 )
-from chicorybridge.identities import (
-    ApplyId,
-    HostId,
-    Version,
-)
-from chicorybridge.links import NEVER
-from chicorybridge.members import Members
-from chicorybridge.spreads import Spreads
-from chicorybridge.stores import AWAY, StoreOutcome, StoreReply
-from chicorybridge.systems import Ask, Effect, Effects, Emit, Send
-from chicorybridge.versions import (
+from chicorybridge.configuration.spreads import Spreads
+from chicorybridge.configuration.versions import (
     ApplyRequested,
     ApplyStage,
     ApplyWatched,
     HeadVersion,
 )
+from chicorybridge.fleet.links import NEVER
+from chicorybridge.fleet.members import Members
+from chicorybridge.storage.stores import AWAY, StoreOutcome, StoreReply
 
 APPLY_TOKEN = 'rollouts:apply'
 
--- a/chicorybridge/applysteps.py
+++ b/chicorybridge/configuration/applysteps.py
@@ -2,15 +2,13 @@
 
 import dataclasses
 
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Declaration
-from chicorybridge.errors import StreamError
-from chicorybridge.heads import read_version, write_version
-from chicorybridge.holdings import NO_DIGEST, digest_of
-from chicorybridge.identities import NO_VERSION, HostId
-from chicorybridge.links import NEVER
-from chicorybridge.stores import PutObject, StoreRequest
-from chicorybridge.versions import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import StreamError
+from chicorybridge.common.identities import NO_VERSION, HostId
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.heads import read_version, write_version
+from chicorybridge.configuration.holdings import NO_DIGEST, digest_of
+from chicorybridge.configuration.versions import (
     ApplyProgress,
     ApplyRequested,
     ApplyStage,
@@ -19,6 +17,8 @@
     HostStatus,
     LagReason,
 )
+from chicorybridge.fleet.links import NEVER
+from chicorybridge.storage.stores import PutObject, StoreRequest
 
 ENDED = (ApplyStage.accepted, ApplyStage.conflict, ApplyStage.rejected)
 NOT_DURABLE = (ApplyStage.storing, ApplyStage.writing)
--- a/chicorybridge/configurations.py
+++ b/chicorybridge/configuration/configurations.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 
-from chicorybridge.codecs import unpack
-from chicorybridge.declarations import Declaration
-from chicorybridge.identities import Digest, Version
-from chicorybridge.routes import RouteTable
-from chicorybridge.versions import DeclarationActivated
+from chicorybridge.common.codecs import unpack
+from chicorybridge.common.identities import Digest, Version
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.versions import DeclarationActivated
+from chicorybridge.routing.routes import RouteTable
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/confirmations.py
+++ b/chicorybridge/configuration/confirmations.py
@@ -2,19 +2,19 @@
 
 import dataclasses
 
-from chicorybridge.clocks import Millis
-from chicorybridge.events import Event, EventKind
-from chicorybridge.holdings import Holdings
-from chicorybridge.identities import NO_VERSION, HostId, Version
-from chicorybridge.links import Link
-from chicorybridge.members import Members
-from chicorybridge.systems import Effect, Effects, Emit
-from chicorybridge.versions import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.events import Event, EventKind
+from chicorybridge.common.identities import NO_VERSION, HostId, Version
+from chicorybridge.common.systems import Effect, Effects, Emit
+from chicorybridge.configuration.holdings import Holdings
+from chicorybridge.configuration.versions import (
     HostStatus,
     LagReason,
     ReportWanted,
     VersionReport,
 )
+from chicorybridge.fleet.links import Link
+from chicorybridge.fleet.members import Members
 
 UNASKED = -1
 NEVER_HEARD_MS = -1
--- a/chicorybridge/declarations.py
+++ b/chicorybridge/configuration/declarations.py
@@ -6,8 +6,8 @@
 from enum import Enum
 
 from chicorybridge import settings
-from chicorybridge.codecs import pack, wire
-from chicorybridge.identities import (
+from chicorybridge.common.codecs import pack, wire
+from chicorybridge.common.identities import (
     Digest,
     PoolId,
     RegionId,
--- a/chicorybridge/deltas.py
+++ b/chicorybridge/configuration/deltas.py
@@ -3,8 +3,8 @@
 import dataclasses
 from typing import Any
 
-from chicorybridge.codecs import pack, unpack, wire
-from chicorybridge.declarations import Declaration
+from chicorybridge.common.codecs import pack, unpack, wire
+from chicorybridge.configuration.declarations import Declaration
 
 TABLES = tuple(
     field.name
--- a/chicorybridge/headreads.py
+++ b/chicorybridge/configuration/headreads.py
@@ -6,13 +6,13 @@
 import xxhash
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.heads import head_from, read_head
-from chicorybridge.links import NEVER
-from chicorybridge.members import Members
-from chicorybridge.stores import StoreOutcome, StoreReply
-from chicorybridge.systems import Ask, Effect
-from chicorybridge.versions import HeadVersion
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.systems import Ask, Effect
+from chicorybridge.configuration.heads import head_from, read_head
+from chicorybridge.configuration.versions import HeadVersion
+from chicorybridge.fleet.links import NEVER
+from chicorybridge.fleet.members import Members
+from chicorybridge.storage.stores import StoreOutcome, StoreReply
 
 HEAD_TOKEN = 'rollouts:head:'
 
--- a/chicorybridge/heads.py
+++ b/chicorybridge/configuration/heads.py
@@ -6,8 +6,9 @@
 """
 
 from chicorybridge import settings
-from chicorybridge.identities import NO_VERSION, ApplyId, Digest, Version
-from chicorybridge.stores import (
+from chicorybridge.common.identities import NO_VERSION, ApplyId, Digest, Version
+from chicorybridge.configuration.versions import HeadVersion
+from chicorybridge.storage.stores import (
     Condition,
     ReadRows,
     Row,
@@ -15,7 +16,6 @@
     Transact,
     Write,
 )
-from chicorybridge.versions import HeadVersion
 
 TABLE = 'configuration'
 HEAD_KEY = RowKey(table=TABLE, key='head')
--- a/chicorybridge/holdings.py
+++ b/chicorybridge/configuration/holdings.py
@@ -4,12 +4,16 @@
 import hashlib
 from collections.abc import Callable
 
-from chicorybridge.codecs import unpack
-from chicorybridge.declarations import Declaration
-from chicorybridge.deltas import difference, patched
-from chicorybridge.errors import ErrorCode, StreamError, require
-from chicorybridge.identities import NO_VERSION, Digest, Version
-from chicorybridge.versions import BodySent, BodyWanted, HeadVersion
+from chicorybridge.common.codecs import unpack
+from chicorybridge.common.errors import ErrorCode, StreamError, require
+from chicorybridge.common.identities import NO_VERSION, Digest, Version
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.deltas import difference, patched
+from chicorybridge.configuration.versions import (
+    BodySent,
+    BodyWanted,
+    HeadVersion,
+)
 
 NO_DIGEST = Digest('')
 
--- a/chicorybridge/plans.py
+++ b/chicorybridge/configuration/plans.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Iterator
 
-from chicorybridge.declarations import Declaration
+from chicorybridge.configuration.declarations import Declaration
 
 ADDED = '+'
 REMOVED = '-'
--- a/chicorybridge/process_settings.py
+++ b/chicorybridge/configuration/process_settings.py
@@ -7,10 +7,10 @@
 from types import MappingProxyType
 from typing import Any
 
-from chicorybridge.errors import ErrorCode
-from chicorybridge.fields import AddressField, Field
-from chicorybridge.identities import HostId, RegionId, ZoneId
-from chicorybridge.readers import (
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.fields import AddressField, Field
+from chicorybridge.common.identities import HostId, RegionId, ZoneId
+from chicorybridge.common.readers import (
     Fields,
     Problem,
     Section,
@@ -19,7 +19,7 @@
     read_sections,
     refuse,
 )
-from chicorybridge.stores import HostState, ListedHost
+from chicorybridge.storage.stores import HostState, ListedHost
 
 ENTRY = 'entry'
 CONTROL = 'control'
--- a/chicorybridge/rollouts.py
+++ b/chicorybridge/configuration/rollouts.py
@@ -8,27 +8,27 @@
 from collections.abc import Callable
 from typing import Any
 
-from chicorybridge.applies import APPLY_TOKEN, Applies
-from chicorybridge.clocks import Millis
-from chicorybridge.confirmations import Confirmations
-from chicorybridge.declarations import Declaration
-from chicorybridge.headreads import HeadReads
-from chicorybridge.holdings import Held, Holdings
-from chicorybridge.identities import HostId, Version
-from chicorybridge.joinings import Joinings
-from chicorybridge.members import Members
-from chicorybridge.operators import Operators
-from chicorybridge.profiles import Heartbeat
-from chicorybridge.spreads import BODY_TOKEN, Spreads
-from chicorybridge.stores import StoreReply
-from chicorybridge.systems import Effects, System
-from chicorybridge.versions import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, Version
+from chicorybridge.common.systems import Effects, System
+from chicorybridge.configuration.applies import APPLY_TOKEN, Applies
+from chicorybridge.configuration.confirmations import Confirmations
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.headreads import HeadReads
+from chicorybridge.configuration.holdings import Held, Holdings
+from chicorybridge.configuration.spreads import BODY_TOKEN, Spreads
+from chicorybridge.configuration.versions import (
     BodySent,
     BodyWanted,
     ReportWanted,
     VersionOffered,
     VersionReport,
 )
+from chicorybridge.control.operators import Operators
+from chicorybridge.fleet.joinings import Joinings
+from chicorybridge.fleet.members import Members
+from chicorybridge.fleet.profiles import Heartbeat
+from chicorybridge.storage.stores import StoreReply
 
 
 class Rollouts(System):
--- a/chicorybridge/sections.py
+++ b/chicorybridge/configuration/sections.py
@@ -5,19 +5,8 @@
 from types import MappingProxyType
 from typing import Any, TypeAlias
 
-from chicorybridge.declarations import (
-    Declaration,
-    Pool,
-    Priority,
-    Region,
-    Route,
-    Service,
-    Target,
-    Workspace,
-    Zone,
-)
-from chicorybridge.errors import ErrorCode
-from chicorybridge.fields import (
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.fields import (
     AddressField,
     ChoiceField,
     Field,
@@ -29,7 +18,7 @@
     WordsField,
     share,
 )
-from chicorybridge.readers import (
+from chicorybridge.common.readers import (
     Fields,
     Problem,
     Section,
@@ -39,6 +28,17 @@
     read_sections,
     refuse,
 )
+from chicorybridge.configuration.declarations import (
+    Declaration,
+    Pool,
+    Priority,
+    Region,
+    Route,
+    Service,
+    Target,
+    Workspace,
+    Zone,
+)
 
 MAX_TIMEOUT_MS = 3_600_000
 MAX_BITS_PER_SECOND = 1_000_000_000_000
--- a/chicorybridge/spreads.py
+++ b/chicorybridge/configuration/spreads.py
@@ -10,23 +10,23 @@
 import xxhash
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.errors import StreamError
-from chicorybridge.events import Event, EventKind
-from chicorybridge.holdings import NO_DIGEST, Held, Holdings
-from chicorybridge.identities import HostId, Version
-from chicorybridge.links import NEVER
-from chicorybridge.members import Members
-from chicorybridge.profiles import Heartbeat
-from chicorybridge.stores import GetObject, StoreOutcome, StoreReply
-from chicorybridge.systems import Ask, Effect, Effects, Emit, SendEntries
-from chicorybridge.versions import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import StreamError
+from chicorybridge.common.events import Event, EventKind
+from chicorybridge.common.identities import HostId, Version
+from chicorybridge.common.systems import Ask, Effect, Effects, Emit, SendEntries
+from chicorybridge.configuration.holdings import NO_DIGEST, Held, Holdings
+from chicorybridge.configuration.versions import (
     BodySent,
     BodyWanted,
     DeclarationActivated,
     HeadVersion,
     VersionOffered,
 )
+from chicorybridge.fleet.links import NEVER
+from chicorybridge.fleet.members import Members
+from chicorybridge.fleet.profiles import Heartbeat
+from chicorybridge.storage.stores import GetObject, StoreOutcome, StoreReply
 
 BODY_TOKEN = 'rollouts:body'
 
--- a/chicorybridge/versions.py
+++ b/chicorybridge/configuration/versions.py
@@ -3,8 +3,8 @@
 import dataclasses
 from enum import Enum
 
-from chicorybridge.codecs import wire
-from chicorybridge.identities import (
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import (
     ApplyId,
     Digest,
     HostId,
--- a/chicorybridge/control_processes.py
+++ b/chicorybridge/control/control_processes.py
@@ -7,26 +7,27 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.addresses import parse_address
-from chicorybridge.clients import PlatformClient
-from chicorybridge.clocks import Clock, Millis, as_seconds
-from chicorybridge.control_systems import ControlSystems
-from chicorybridge.drains import DrainState
-from chicorybridge.errors import PromiseError
-from chicorybridge.events import EventLog
-from chicorybridge.identities import HostId, TargetId, draw_incarnation
-from chicorybridge.operator_desks import OperatorDesk
-from chicorybridge.peer_links import PeerLinks
-from chicorybridge.platform_desks import PlatformDesk
-from chicorybridge.probers import Prober
-from chicorybridge.process_settings import ControlSettings
-from chicorybridge.profiles import HostProfile
-from chicorybridge.sessions import EntryTable
-from chicorybridge.stream_servers import StreamServer
-from chicorybridge.streams import Identity, Role
-from chicorybridge.tasks import run_all
-from chicorybridge.systems import Ask, Effect, Emit, Send, SendEntries
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.addresses import parse_address
+from chicorybridge.common.clocks import Clock, Millis, as_seconds
+from chicorybridge.common.errors import PromiseError
+from chicorybridge.common.events import EventLog
+from chicorybridge.common.identities import HostId, TargetId, draw_incarnation
+from chicorybridge.common.systems import Ask, Effect, Emit, Send, SendEntries
+from chicorybridge.common.tasks import run_all
+from chicorybridge.configuration.process_settings import ControlSettings
+from chicorybridge.control.control_systems import ControlSystems
+from chicorybridge.control.operator_desks import OperatorDesk
+from chicorybridge.control.peer_links import PeerLinks
+from chicorybridge.control.platform_desks import PlatformDesk
+from chicorybridge.control.sessions import EntryTable
+from chicorybridge.control.stream_servers import StreamServer
+from chicorybridge.control.streams import Identity, Role
+from chicorybridge.detection.probers import Prober
+from chicorybridge.fleet.drains import DrainState
+from chicorybridge.fleet.profiles import HostProfile
+from chicorybridge.storage.clients import PlatformClient
 
 
 class Control:
--- a/chicorybridge/control_systems.py
+++ b/chicorybridge/control/control_systems.py
@@ -6,30 +6,30 @@
 from typing import Any
 
 from chicorybridge import settings
-from chicorybridge.claims import Claims
-from chicorybridge.clocks import Clock, Millis
-from chicorybridge.declarations import Declaration
-from chicorybridge.departures import Departures
-from chicorybridge.detections import Detection
-from chicorybridge.drains import Drains
-from chicorybridge.entry_messages import FleetSent
-from chicorybridge.grants import Grants
-from chicorybridge.identities import (
+from chicorybridge.claims.claims import Claims
+from chicorybridge.common.clocks import Clock, Millis
+from chicorybridge.common.identities import (
     NO_VERSION,
     HostId,
     Incarnation,
     ServiceId,
     TargetId,
 )
-from chicorybridge.members import Members
-from chicorybridge.profiles import HostProfile
-from chicorybridge.quarantines import Quarantines
-from chicorybridge.rollouts import Rollouts
-from chicorybridge.rosters import Rosters
-from chicorybridge.sessions import EntryTable
-from chicorybridge.stores import ListedHost
-from chicorybridge.systems import Effect, SendEntries, System
-from chicorybridge.versions import ServingLease
+from chicorybridge.common.systems import Effect, SendEntries, System
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.rollouts import Rollouts
+from chicorybridge.configuration.versions import ServingLease
+from chicorybridge.control.sessions import EntryTable
+from chicorybridge.detection.departures import Departures
+from chicorybridge.detection.detections import Detection
+from chicorybridge.entry.entry_messages import FleetSent
+from chicorybridge.fleet.drains import Drains
+from chicorybridge.fleet.members import Members
+from chicorybridge.fleet.profiles import HostProfile
+from chicorybridge.fleet.rosters import Rosters
+from chicorybridge.routing.grants import Grants
+from chicorybridge.routing.quarantines import Quarantines
+from chicorybridge.storage.stores import ListedHost
 
 MILLIS_PER_DAY = 86_400_000
 
--- a/chicorybridge/controls.py
+++ b/chicorybridge/control/controls.py
@@ -3,14 +3,14 @@
 import pathlib
 import random
 
-from chicorybridge.binaries import (
+from chicorybridge.common.binaries import (
     ProcessCommand,
     run_application,
     run_listening,
 )
-from chicorybridge.clocks import Clock
-from chicorybridge.control_processes import Control
-from chicorybridge.process_settings import read_control_settings
+from chicorybridge.common.clocks import Clock
+from chicorybridge.configuration.process_settings import read_control_settings
+from chicorybridge.control.control_processes import Control
 
 
 class ControlCommand(ProcessCommand):
--- a/chicorybridge/operator_desks.py
+++ b/chicorybridge/control/operator_desks.py
@@ -3,11 +3,11 @@
 import functools
 from typing import Any
 
-from chicorybridge.control_systems import ControlSystems
-from chicorybridge.drains import DrainAdvanced, DrainRequested
-from chicorybridge.events import EventLog
-from chicorybridge.identities import HostId
-from chicorybridge.operator_messages import (
+from chicorybridge.common.events import EventLog
+from chicorybridge.common.identities import HostId
+from chicorybridge.common.systems import Effects, Send
+from chicorybridge.control.control_systems import ControlSystems
+from chicorybridge.control.operator_messages import (
     HostMetrics,
     HostsRequested,
     KnownHost,
@@ -16,9 +16,9 @@
     Timeline,
     TimelineRequested,
 )
-from chicorybridge.profiles import HostProfile
-from chicorybridge.sessions import EntryTable
-from chicorybridge.systems import Effects, Send
+from chicorybridge.control.sessions import EntryTable
+from chicorybridge.fleet.drains import DrainAdvanced, DrainRequested
+from chicorybridge.fleet.profiles import HostProfile
 
 
 class OperatorDesk:
--- a/chicorybridge/operator_messages.py
+++ b/chicorybridge/control/operator_messages.py
@@ -3,9 +3,9 @@
 import dataclasses
 from typing import Any
 
-from chicorybridge.codecs import wire
-from chicorybridge.entry_messages import MetricsReport
-from chicorybridge.identities import HostId, Incarnation, Version, ZoneId
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import HostId, Incarnation, Version, ZoneId
+from chicorybridge.entry.entry_messages import MetricsReport
 
 
 @wire
--- a/chicorybridge/operators.py
+++ b/chicorybridge/control/operators.py
@@ -5,14 +5,13 @@
 from typing import Any
 
 from chicorybridge import settings
-from chicorybridge.applies import COUNTED, Applies
-from chicorybridge.clocks import Millis
-from chicorybridge.confirmations import Confirmations
-from chicorybridge.holdings import Holdings
-from chicorybridge.identities import NO_VERSION, HostId
-from chicorybridge.members import Members
-from chicorybridge.systems import Effect, Effects, Send
-from chicorybridge.versions import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import NO_VERSION, HostId
+from chicorybridge.common.systems import Effect, Effects, Send
+from chicorybridge.configuration.applies import COUNTED, Applies
+from chicorybridge.configuration.confirmations import Confirmations
+from chicorybridge.configuration.holdings import Holdings
+from chicorybridge.configuration.versions import (
     ApplyRequested,
     ApplyWatched,
     CurrentDeclaration,
@@ -20,6 +19,7 @@
     FleetStatus,
     StatusRequested,
 )
+from chicorybridge.fleet.members import Members
 
 
 class Operators:
--- a/chicorybridge/peer_links.py
+++ b/chicorybridge/control/peer_links.py
@@ -6,12 +6,13 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.clocks import as_seconds
-from chicorybridge.control_links import BROKEN
-from chicorybridge.events import EventLog
-from chicorybridge.identities import HostId
-from chicorybridge.streams import Identity, MessageStream
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import as_seconds
+from chicorybridge.common.events import EventLog
+from chicorybridge.common.identities import HostId
+from chicorybridge.control.streams import Identity, MessageStream
+from chicorybridge.entry.control_links import BROKEN
 
 logger = logging.getLogger(__name__)
 
--- a/chicorybridge/platform_desks.py
+++ b/chicorybridge/control/platform_desks.py
@@ -3,17 +3,17 @@
 import curio
 
 from chicorybridge import settings
-from chicorybridge.clients import PlatformClient
-from chicorybridge.clocks import as_seconds
-from chicorybridge.events import Event, EventKind, EventLog
-from chicorybridge.members import Members
-from chicorybridge.stores import (
+from chicorybridge.common.clocks import as_seconds
+from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.systems import Ask
+from chicorybridge.fleet.members import Members
+from chicorybridge.storage.clients import PlatformClient
+from chicorybridge.storage.stores import (
     AWAY,
     HostState,
     ListedHost,
     StoreReply,
 )
-from chicorybridge.systems import Ask
 
 
 class PlatformDesk:
--- a/chicorybridge/sessions.py
+++ b/chicorybridge/control/sessions.py
@@ -5,22 +5,25 @@
 
 import curio
 
-from chicorybridge.claim_messages import KeyPrefixIssued
-from chicorybridge.clocks import Millis
-from chicorybridge.departures import TargetsLeaving
-from chicorybridge.drains import DrainAdvanced
-from chicorybridge.entry_messages import (
+from chicorybridge.claims.claim_messages import KeyPrefixIssued
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import NO_VERSION, Version
+from chicorybridge.configuration.versions import (
+    DeclarationActivated,
+    ServingLease,
+)
+from chicorybridge.control.streams import MessageStream
+from chicorybridge.detection.departures import TargetsLeaving
+from chicorybridge.detection.notices import TargetLimits
+from chicorybridge.entry.entry_messages import (
     EntryClosing,
     EntryOpened,
     EntryReport,
     FleetSent,
     MetricsReport,
 )
-from chicorybridge.identities import NO_VERSION, Version
-from chicorybridge.notices import TargetLimits
-from chicorybridge.rosters import Roster
-from chicorybridge.streams import MessageStream
-from chicorybridge.versions import DeclarationActivated, ServingLease
+from chicorybridge.fleet.drains import DrainAdvanced
+from chicorybridge.fleet.rosters import Roster
 
 # Messages of which a new entry process needs the last one.
 LASTING = (
--- a/chicorybridge/stream_servers.py
+++ b/chicorybridge/control/stream_servers.py
@@ -5,15 +5,16 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.claim_messages import EntryId, EntryLost
-from chicorybridge.clocks import Clock, as_seconds
-from chicorybridge.entry_messages import EntryOpened, EventsReport
-from chicorybridge.errors import StreamError
-from chicorybridge.events import EventLog
-from chicorybridge.identities import HostId
-from chicorybridge.sessions import EntrySession, EntryTable, Session
-from chicorybridge.streams import Identity, MessageStream, Role
+from chicorybridge import settings
+from chicorybridge.claims.claim_messages import EntryId, EntryLost
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.errors import StreamError
+from chicorybridge.common.events import EventLog
+from chicorybridge.common.identities import HostId
+from chicorybridge.control.sessions import EntrySession, EntryTable, Session
+from chicorybridge.control.streams import Identity, MessageStream, Role
+from chicorybridge.entry.entry_messages import EntryOpened, EventsReport
 
 
 class Take(Protocol):
--- a/chicorybridge/streams.py
+++ b/chicorybridge/control/streams.py
@@ -17,10 +17,10 @@
 import msgpack
 
 from chicorybridge import settings
-from chicorybridge.codecs import MALFORMED, pack, unpack, wire
-from chicorybridge.errors import ErrorCode, StreamError
-from chicorybridge.events import EventLog
-from chicorybridge.identities import HostId, Incarnation
+from chicorybridge.common.codecs import MALFORMED, pack, unpack, wire
+from chicorybridge.common.errors import ErrorCode, StreamError
+from chicorybridge.common.events import EventLog
+from chicorybridge.common.identities import HostId, Incarnation
 
 NONCE_BYTES = 16
 DIGEST_BYTES = 16
--- /dev/null
+++ b/chicorybridge/detection/__init__.py
@@ -0,0 +1,5 @@
+"""Evidence on gray targets, judgement, ejection and the floor.
+
+Start with `detections`, which joins the systems, then `judgements` and
+`permits`. Decisions only.
+"""
--- a/chicorybridge/announcements.py
+++ b/chicorybridge/detection/announcements.py
@@ -5,17 +5,23 @@
 
 from collections.abc import Iterable
 
-from chicorybridge.clocks import Millis
-from chicorybridge.freshness import FRESH_MS, Freshness, StampRequest
-from chicorybridge.identities import HostId, ServiceId, TargetId, ZoneId
-from chicorybridge.notices import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, ServiceId, TargetId, ZoneId
+from chicorybridge.common.systems import (
+    Effect,
+    Effects,
+    Send,
+    SendEntries,
+    System,
+)
+from chicorybridge.detection.notices import (
     Ejection,
     EjectionNotice,
     Heard,
     TargetLimits,
 )
-from chicorybridge.systems import Effect, Effects, Send, SendEntries, System
-from chicorybridge.weights import TRIAL_WEIGHT
+from chicorybridge.fleet.freshness import FRESH_MS, Freshness, StampRequest
+from chicorybridge.routing.weights import TRIAL_WEIGHT
 
 # Time between two announcements of the same ejections.
 NOTICE_MS = 1000.0
--- a/chicorybridge/assignments.py
+++ b/chicorybridge/detection/assignments.py
@@ -4,9 +4,9 @@
 
 import xxhash
 
-from chicorybridge.declarations import Declaration, Pool, Service
-from chicorybridge.identities import HostId, ServiceId, TargetId
-from chicorybridge.thresholds import Thresholds, thresholds_of
+from chicorybridge.common.identities import HostId, ServiceId, TargetId
+from chicorybridge.configuration.declarations import Declaration, Pool, Service
+from chicorybridge.detection.thresholds import Thresholds, thresholds_of
 
 
 def judge_of(target_id: TargetId, host_ids: Iterable[HostId]) -> HostId:
--- a/chicorybridge/baselines.py
+++ b/chicorybridge/detection/baselines.py
@@ -9,7 +9,7 @@
 import math
 from typing import NamedTuple, TypeAlias
 
-from chicorybridge.identities import RouteId, ServiceId, ZoneId
+from chicorybridge.common.identities import RouteId, ServiceId, ZoneId
 
 # Attempts before the expectation of a route counts as known.
 LEARNING_ATTEMPTS = 20
--- a/chicorybridge/cases.py
+++ b/chicorybridge/detection/cases.py
@@ -7,13 +7,18 @@
 import math
 from collections.abc import Collection
 
-from chicorybridge.clocks import Millis
-from chicorybridge.evidence import Evidence, empty_recent, expect, worst
-from chicorybridge.identities import HostId, ZoneId
-from chicorybridge.latency_verdicts import LatencyCase, WarmUp
-from chicorybridge.observations import Tally
-from chicorybridge.scores import Score, Stream, weigh_outcomes
-from chicorybridge.thresholds import LEAST_HOSTS, Thresholds
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, ZoneId
+from chicorybridge.detection.evidence import (
+    Evidence,
+    empty_recent,
+    expect,
+    worst,
+)
+from chicorybridge.detection.latency_verdicts import LatencyCase, WarmUp
+from chicorybridge.detection.observations import Tally
+from chicorybridge.detection.scores import Score, Stream, weigh_outcomes
+from chicorybridge.detection.thresholds import LEAST_HOSTS, Thresholds
 
 # Latency needs more evidence: samples of one target are not independent.
 LATENCY_FACTOR = 1.5
--- a/chicorybridge/checks.py
+++ b/chicorybridge/detection/checks.py
@@ -8,10 +8,10 @@
 
 import dataclasses
 
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.identities import HostId, TargetId
-from chicorybridge.systems import Effects, SendEntries, System
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import HostId, TargetId
+from chicorybridge.common.systems import Effects, SendEntries, System
 
 # Hosts that are asked at once, and time between two rounds for a target.
 HOSTS_ASKED = 8
--- a/chicorybridge/departures.py
+++ b/chicorybridge/detection/departures.py
@@ -5,16 +5,11 @@
 from typing import Any
 
 from chicorybridge import settings
-from chicorybridge.attempts import Attempt
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.events import Event, EventKind
-from chicorybridge.hearings import HOSTS_TOKEN
-from chicorybridge.identities import HostId, TargetId
-from chicorybridge.links import NEVER
-from chicorybridge.members import Members
-from chicorybridge.stores import HostState, StoreOutcome, StoreReply
-from chicorybridge.systems import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.events import Event, EventKind
+from chicorybridge.common.identities import HostId, TargetId
+from chicorybridge.common.systems import (
     Effect,
     Effects,
     Emit,
@@ -22,6 +17,11 @@
     SendEntries,
     System,
 )
+from chicorybridge.fleet.hearings import HOSTS_TOKEN
+from chicorybridge.fleet.links import NEVER
+from chicorybridge.fleet.members import Members
+from chicorybridge.routing.attempts import Attempt
+from chicorybridge.storage.stores import HostState, StoreOutcome, StoreReply
 
 
 @wire
--- a/chicorybridge/detections.py
+++ b/chicorybridge/detection/detections.py
@@ -2,27 +2,27 @@
 
 import random
 
-from chicorybridge.announcements import Announcements
-from chicorybridge.assignments import Assignments
-from chicorybridge.checks import Checks
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Declaration
-from chicorybridge.ejections import Ejections
-from chicorybridge.freshness import Beats, Freshness
-from chicorybridge.permit_holdings import HoldingTable
-from chicorybridge.identities import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import (
     HostId,
     Incarnation,
     ServiceId,
     Version,
     ZoneId,
 )
-from chicorybridge.judgements import Judgements
-from chicorybridge.loans import Loans
-from chicorybridge.permits import Permits
-from chicorybridge.probes import Probes
-from chicorybridge.evidence_reports import Reports
-from chicorybridge.systems import Effects, System
+from chicorybridge.common.systems import Effects, System
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.detection.announcements import Announcements
+from chicorybridge.detection.assignments import Assignments
+from chicorybridge.detection.checks import Checks
+from chicorybridge.detection.ejections import Ejections
+from chicorybridge.detection.evidence_reports import Reports
+from chicorybridge.detection.judgements import Judgements
+from chicorybridge.detection.loans import Loans
+from chicorybridge.detection.permit_holdings import HoldingTable
+from chicorybridge.detection.permits import Permits
+from chicorybridge.detection.probes import Probes
+from chicorybridge.fleet.freshness import Beats, Freshness
 
 
 class Detection(System):
--- a/chicorybridge/ejections.py
+++ b/chicorybridge/detection/ejections.py
@@ -7,15 +7,15 @@
 
 import dataclasses
 
-from chicorybridge.announcements import Announcements
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Declaration
-from chicorybridge.errors import require
-from chicorybridge.events import Event, EventKind
-from chicorybridge.permit_holdings import HoldingTable
-from chicorybridge.identities import ServiceId, TargetId, ZoneId
-from chicorybridge.notices import Ejection, OwnEjection, Rests
-from chicorybridge.systems import Effect, Effects, Emit, System
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import require
+from chicorybridge.common.events import Event, EventKind
+from chicorybridge.common.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.common.systems import Effect, Effects, Emit, System
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.detection.announcements import Announcements
+from chicorybridge.detection.notices import Ejection, OwnEjection, Rests
+from chicorybridge.detection.permit_holdings import HoldingTable
 
 # How long a want for permits stays urgent after the last verdict.
 URGENT_MS = 500.0
--- a/chicorybridge/evidence.py
+++ b/chicorybridge/detection/evidence.py
@@ -8,12 +8,12 @@
 import dataclasses
 import math
 
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.declarations import Declaration
-from chicorybridge.freshness import Stamp
-from chicorybridge.identities import ServiceId, TargetId, ZoneId
-from chicorybridge.observations import Tally
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.detection.observations import Tally
+from chicorybridge.fleet.freshness import Stamp
 
 # Time over which the other targets of a service are averaged.
 COMMON_MS = 400.0
--- a/chicorybridge/evidence_reports.py
+++ b/chicorybridge/detection/evidence_reports.py
@@ -5,15 +5,19 @@
 
 from collections.abc import Iterable
 
-from chicorybridge.announcements import Announcements
-from chicorybridge.assignments import Assignments
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Declaration
-from chicorybridge.evidence import CommonView, Evidence, EvidenceReport
-from chicorybridge.freshness import Freshness
-from chicorybridge.identities import HostId, TargetId, ZoneId
-from chicorybridge.observations import Observations, Tally
-from chicorybridge.systems import Effect, Effects, Send, System
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, TargetId, ZoneId
+from chicorybridge.common.systems import Effect, Effects, Send, System
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.detection.announcements import Announcements
+from chicorybridge.detection.assignments import Assignments
+from chicorybridge.detection.evidence import (
+    CommonView,
+    Evidence,
+    EvidenceReport,
+)
+from chicorybridge.detection.observations import Observations, Tally
+from chicorybridge.fleet.freshness import Freshness
 
 # Time between two reports of good news.
 REPORT_MS = 500.0
--- a/chicorybridge/judgements.py
+++ b/chicorybridge/detection/judgements.py
@@ -5,17 +5,17 @@
 
 import random
 
-from chicorybridge.announcements import Announcements
-from chicorybridge.assignments import Assignments
-from chicorybridge.cases import Case
-from chicorybridge.checks import HOSTS_ASKED, ROUND_MS, CheckRequest
-from chicorybridge.clocks import Millis
-from chicorybridge.ejections import Ejections
-from chicorybridge.evidence import EvidenceReport
-from chicorybridge.freshness import Freshness
-from chicorybridge.identities import HostId, TargetId
-from chicorybridge.notices import Ejection
-from chicorybridge.systems import Effect, Effects, Send, System
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, TargetId
+from chicorybridge.common.systems import Effect, Effects, Send, System
+from chicorybridge.detection.announcements import Announcements
+from chicorybridge.detection.assignments import Assignments
+from chicorybridge.detection.cases import Case
+from chicorybridge.detection.checks import HOSTS_ASKED, ROUND_MS, CheckRequest
+from chicorybridge.detection.ejections import Ejections
+from chicorybridge.detection.evidence import EvidenceReport
+from chicorybridge.detection.notices import Ejection
+from chicorybridge.fleet.freshness import Freshness
 
 # Rest of a target that was down: probes tell well when it is up again.
 DOWN_REST_MS = 1500.0
--- a/chicorybridge/latency_verdicts.py
+++ b/chicorybridge/detection/latency_verdicts.py
@@ -3,12 +3,12 @@
 import dataclasses
 import math
 
-from chicorybridge.baselines import clip
-from chicorybridge.clocks import MILLIS_PER_SECOND, Millis
-from chicorybridge.evidence import Evidence
-from chicorybridge.identities import ZoneId
-from chicorybridge.observations import Tally
-from chicorybridge.thresholds import Thresholds
+from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
+from chicorybridge.common.identities import ZoneId
+from chicorybridge.detection.baselines import clip
+from chicorybridge.detection.evidence import Evidence
+from chicorybridge.detection.observations import Tally
+from chicorybridge.detection.thresholds import Thresholds
 
 # Logarithm of the slowdown that is told from normal.
 GRAY_SHIFT = 0.8
--- a/chicorybridge/ledgers.py
+++ b/chicorybridge/detection/ledgers.py
@@ -3,9 +3,14 @@
 import dataclasses
 import math
 
-from chicorybridge.declarations import Declaration
-from chicorybridge.identities import HostId, Incarnation, ServiceId, Version
-from chicorybridge.stores import Condition, Row, RowKey, Transact, Write
+from chicorybridge.common.identities import (
+    HostId,
+    Incarnation,
+    ServiceId,
+    Version,
+)
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.storage.stores import Condition, Row, RowKey, Transact, Write
 
 TABLE = 'permits'
 # Rounding errors of a floor times a number of slots.
--- a/chicorybridge/loans.py
+++ b/chicorybridge/detection/loans.py
@@ -8,13 +8,23 @@
 
 import dataclasses
 
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.events import Event, EventKind
-from chicorybridge.freshness import FRESH_MS, Freshness, Stamp
-from chicorybridge.permit_holdings import Borrowed, Holding, HoldingTable, Lent
-from chicorybridge.identities import HostId, Incarnation, ServiceId, Version
-from chicorybridge.systems import Effect, Effects, Emit, Send, System
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.events import Event, EventKind
+from chicorybridge.common.identities import (
+    HostId,
+    Incarnation,
+    ServiceId,
+    Version,
+)
+from chicorybridge.common.systems import Effect, Effects, Emit, Send, System
+from chicorybridge.detection.permit_holdings import (
+    Borrowed,
+    Holding,
+    HoldingTable,
+    Lent,
+)
+from chicorybridge.fleet.freshness import FRESH_MS, Freshness, Stamp
 
 # Wait between two requests to peers for the same permits.
 RETRY_MS = 100.0
--- a/chicorybridge/notices.py
+++ b/chicorybridge/detection/notices.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.freshness import Stamp
-from chicorybridge.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.fleet.freshness import Stamp
 
 # Longest rest between two trials, and how long a rest is remembered.
 LONGEST_REST_MS = 300_000.0
--- a/chicorybridge/observations.py
+++ b/chicorybridge/detection/observations.py
@@ -2,19 +2,24 @@
 
 import dataclasses
 
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.baselines import UNKNOWN, Baselines, Residual, WorkKind
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.declarations import Declaration
-from chicorybridge.identities import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import (
     HostId,
     RouteId,
     ServiceId,
     TargetId,
     ZoneId,
 )
-from chicorybridge.systems import Effects, Send, System
+from chicorybridge.common.systems import Effects, Send, System
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.detection.baselines import (
+    UNKNOWN,
+    Baselines,
+    Residual,
+    WorkKind,
+)
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 
 # Request bodies from this size are counted apart from small ones.
 LARGE_BODY_BYTES = 65_536
--- a/chicorybridge/permit_holdings.py
+++ b/chicorybridge/detection/permit_holdings.py
@@ -2,19 +2,19 @@
 
 import dataclasses
 
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Declaration
-from chicorybridge.errors import require
-from chicorybridge.freshness import FRESH_MS, Freshness
-from chicorybridge.identities import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import require
+from chicorybridge.common.identities import (
     NO_VERSION,
     HostId,
     Incarnation,
     ServiceId,
     Version,
 )
-from chicorybridge.ledgers import budgets_of
-from chicorybridge.stores import Row
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.detection.ledgers import budgets_of
+from chicorybridge.fleet.freshness import FRESH_MS, Freshness
+from chicorybridge.storage.stores import Row
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/permits.py
+++ b/chicorybridge/detection/permits.py
@@ -8,21 +8,26 @@
 
 import random
 
-from chicorybridge.clocks import Millis
-from chicorybridge.errors import require
-from chicorybridge.events import Event, EventKind
-from chicorybridge.freshness import FRESH_MS, LAPSE_MS
-from chicorybridge.permit_holdings import Holding, HoldingTable
-from chicorybridge.identities import HostId, Incarnation, ServiceId
-from chicorybridge.ledgers import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import require
+from chicorybridge.common.events import Event, EventKind
+from chicorybridge.common.identities import HostId, Incarnation, ServiceId
+from chicorybridge.common.systems import Ask, Effect, Effects, Emit, System
+from chicorybridge.detection.ledgers import (
     Ledger,
     holder_of,
     incarnation_of,
     ledger_of,
     row_key_of,
 )
-from chicorybridge.stores import ReadRows, StoreOutcome, StoreReply, Transact
-from chicorybridge.systems import Ask, Effect, Effects, Emit, System
+from chicorybridge.detection.permit_holdings import Holding, HoldingTable
+from chicorybridge.fleet.freshness import FRESH_MS, LAPSE_MS
+from chicorybridge.storage.stores import (
+    ReadRows,
+    StoreOutcome,
+    StoreReply,
+    Transact,
+)
 
 TOKEN_PREFIX = 'permits:'
 # Wait after an incarnation is surely gone: until it counts itself as cut
--- a/chicorybridge/probers.py
+++ b/chicorybridge/detection/probers.py
@@ -5,11 +5,11 @@
 import curio
 
 from chicorybridge import settings
-from chicorybridge.addresses import parse_address
-from chicorybridge.declarations import Declaration
-from chicorybridge.fetchers import Client
-from chicorybridge.identities import TargetId
-from chicorybridge.services import AnswerLostError, NotSentError, Request
+from chicorybridge.common.addresses import parse_address
+from chicorybridge.common.identities import TargetId
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.http.fetchers import Client
+from chicorybridge.http.services import AnswerLostError, NotSentError, Request
 
 # Statuses below this one say that a target is well.
 SERVER_ERROR_STATUS = 500
--- a/chicorybridge/probes.py
+++ b/chicorybridge/detection/probes.py
@@ -10,13 +10,13 @@
 import dataclasses
 import random
 
-from chicorybridge.announcements import Announcements
-from chicorybridge.assignments import Assignments
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.ejections import Ejections
-from chicorybridge.identities import HostId, TargetId
-from chicorybridge.systems import Effect, Effects, Send, System
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import HostId, TargetId
+from chicorybridge.common.systems import Effect, Effects, Send, System
+from chicorybridge.detection.announcements import Announcements
+from chicorybridge.detection.assignments import Assignments
+from chicorybridge.detection.ejections import Ejections
 
 # Time between two probes of a target by the whole fleet: 25 ms of a slot
 # in a second.
--- a/chicorybridge/scores.py
+++ b/chicorybridge/detection/scores.py
@@ -4,9 +4,9 @@
 import math
 from enum import Enum
 
-from chicorybridge.clocks import Millis
-from chicorybridge.evidence import Evidence
-from chicorybridge.identities import HostId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId
+from chicorybridge.detection.evidence import Evidence
 
 # What a gray target fails beyond the expected, as a share of the rest.
 GRAY_FAILURES = 0.2
--- a/chicorybridge/call_readers.py
+++ b/chicorybridge/entry/call_readers.py
@@ -1,17 +1,21 @@
 """Reading a request by its head: route, service, deadline, key."""
 
-from chicorybridge.bodies import RequestBody
-from chicorybridge.caller_exchanges import CallerExchange
-from chicorybridge.calls import WORKSPACE_HEADER, Call
-from chicorybridge.clocks import Clock, Millis
-from chicorybridge.configurations import ActiveConfiguration
-from chicorybridge.dialects import OWN
-from chicorybridge.errors import ErrorCode
-from chicorybridge.exchanges import Head
-from chicorybridge.identities import RequestKey, WorkspaceId
-from chicorybridge.refusals import RefusalError
-from chicorybridge.request_keys import read_header
-from chicorybridge.routes import IDEMPOTENT_HEADER, KEY_HEADER, is_idempotent
+from chicorybridge.claims.request_keys import read_header
+from chicorybridge.common.clocks import Clock, Millis
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.identities import RequestKey, WorkspaceId
+from chicorybridge.configuration.configurations import ActiveConfiguration
+from chicorybridge.entry.calls import WORKSPACE_HEADER, Call
+from chicorybridge.entry.refusals import RefusalError
+from chicorybridge.http.bodies import RequestBody
+from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.dialects import OWN
+from chicorybridge.http.exchanges import Head
+from chicorybridge.routing.routes import (
+    IDEMPOTENT_HEADER,
+    KEY_HEADER,
+    is_idempotent,
+)
 
 
 class CallReader:
--- a/chicorybridge/calls.py
+++ b/chicorybridge/entry/calls.py
@@ -2,18 +2,18 @@
 
 import dataclasses
 
-from chicorybridge.attempts import Attempt
-from chicorybridge.bodies import RequestBody
-from chicorybridge.caller_exchanges import CallerExchange
-from chicorybridge.clocks import Millis
-from chicorybridge.configurations import ActiveConfiguration
-from chicorybridge.declarations import Route, Service
-from chicorybridge.dialects import OWN, Dialect
-from chicorybridge.exchanges import Head
+from chicorybridge.claims.request_keys import fingerprint
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import Digest, RequestKey, WorkspaceId
+from chicorybridge.configuration.configurations import ActiveConfiguration
+from chicorybridge.configuration.declarations import Route, Service
 from chicorybridge.fleet.configurations import HostConfiguration
-from chicorybridge.identities import Digest, RequestKey, WorkspaceId
-from chicorybridge.outcomes import RequestOutcome, outcome_of
-from chicorybridge.request_keys import fingerprint
+from chicorybridge.http.bodies import RequestBody
+from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.dialects import OWN, Dialect
+from chicorybridge.http.exchanges import Head
+from chicorybridge.routing.attempts import Attempt
+from chicorybridge.routing.outcomes import RequestOutcome, outcome_of
 
 WORKSPACE_HEADER = b'chicorybridge-workspace'
 DIGEST_HEADER = b'content-digest'
--- a/chicorybridge/control_links.py
+++ b/chicorybridge/entry/control_links.py
@@ -6,11 +6,12 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.clocks import as_seconds
-from chicorybridge.errors import StreamError
-from chicorybridge.events import EventLog
-from chicorybridge.streams import Identity, MessageStream
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import as_seconds
+from chicorybridge.common.errors import StreamError
+from chicorybridge.common.events import EventLog
+from chicorybridge.control.streams import Identity, MessageStream
 
 logger = logging.getLogger(__name__)
 
--- a/chicorybridge/dispatchers.py
+++ b/chicorybridge/entry/dispatchers.py
@@ -5,44 +5,44 @@
 import curio
 
 from chicorybridge import settings
-from chicorybridge.answers import WholeAnswer
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.bodies import CallerError
-from chicorybridge.call_readers import CallReader
-from chicorybridge.caller_exchanges import CallerExchange
-from chicorybridge.calls import Call
-from chicorybridge.claim_messages import ClaimDecided, ClaimVerdict
-from chicorybridge.claimants import Claimant, Post
-from chicorybridge.clocks import Clock, as_seconds
-from chicorybridge.connections import TargetConnections
-from chicorybridge.entry_states import Duty, EntryState
-from chicorybridge.errors import ErrorCode, RequestError, require
-from chicorybridge.exchanges import Head, Headers
-from chicorybridge.forwards import CAREFUL, PATIENT, Forward
-from chicorybridge.identities import (
+from chicorybridge.claims.claim_messages import ClaimDecided, ClaimVerdict
+from chicorybridge.claims.claimants import Claimant, Post
+from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.errors import ErrorCode, RequestError, require
+from chicorybridge.common.identities import (
     RequestKey,
 )
-from chicorybridge.outcomes import (
-    COMPLETE_OUTCOMES,
-    RequestOutcome,
+from chicorybridge.entry.call_readers import CallReader
+from chicorybridge.entry.calls import Call
+from chicorybridge.entry.entry_states import Duty, EntryState
+from chicorybridge.entry.forwards import CAREFUL, PATIENT, Forward
+from chicorybridge.entry.refusals import (
+    RefusalError,
+    check_relayed,
+    last_answer,
+    outcome_unsent,
+    repeated_answer,
 )
-from chicorybridge.policies import Policies
-from chicorybridge.problems import (
+from chicorybridge.http.answers import WholeAnswer
+from chicorybridge.http.bodies import CallerError
+from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.connections import TargetConnections
+from chicorybridge.http.exchanges import Head, Headers
+from chicorybridge.http.problems import (
     OUTCOME,
     VERSION,
     problem_body,
     problem_headers,
     status_of,
 )
-from chicorybridge.quarantines import may_have_crashed
-from chicorybridge.refusals import (
-    RefusalError,
-    check_relayed,
-    last_answer,
-    outcome_unsent,
-    repeated_answer,
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.routing.outcomes import (
+    COMPLETE_OUTCOMES,
+    RequestOutcome,
 )
-from chicorybridge.retries import RequestFacts
+from chicorybridge.routing.policies import Policies
+from chicorybridge.routing.quarantines import may_have_crashed
+from chicorybridge.routing.retries import RequestFacts
 
 
 class Dispatcher:
--- a/chicorybridge/entries.py
+++ b/chicorybridge/entry/entries.py
@@ -3,14 +3,14 @@
 import pathlib
 import random
 
-from chicorybridge.binaries import (
+from chicorybridge.common.binaries import (
     ProcessCommand,
     run_application,
     run_listening,
 )
-from chicorybridge.clocks import Clock
-from chicorybridge.entry_processes import Entry
-from chicorybridge.process_settings import read_entry_settings
+from chicorybridge.common.clocks import Clock
+from chicorybridge.configuration.process_settings import read_entry_settings
+from chicorybridge.entry.entry_processes import Entry
 
 
 class EntryCommand(ProcessCommand):
--- a/chicorybridge/entry_inboxes.py
+++ b/chicorybridge/entry/entry_inboxes.py
@@ -3,26 +3,29 @@
 import functools
 from typing import Any
 
-from chicorybridge.caller_connections import CallerTable
-from chicorybridge.checks import TargetCheck
-from chicorybridge.claim_messages import ClaimDecided, KeyPrefixIssued
-from chicorybridge.claimants import Claimant
-from chicorybridge.clocks import Clock, Millis
-from chicorybridge.collectors import freeze_collector
-from chicorybridge.configurations import activate
-from chicorybridge.crossings import CrossingGranted
-from chicorybridge.departures import TargetsLeaving
-from chicorybridge.drains import DrainAdvanced, DrainState
-from chicorybridge.entry_lists import EntryListResponder
-from chicorybridge.entry_messages import FleetSent
-from chicorybridge.entry_states import Duty, EntryState
-from chicorybridge.events import Event, EventKind, EventLog
-from chicorybridge.notices import TargetLimits
-from chicorybridge.policies import Policies
-from chicorybridge.rosters import Roster
-from chicorybridge.subsets import FleetSize
-from chicorybridge.suspects import CrashSuspected, SuspectCleared
-from chicorybridge.versions import DeclarationActivated, ServingLease
+from chicorybridge.claims.claim_messages import ClaimDecided, KeyPrefixIssued
+from chicorybridge.claims.claimants import Claimant
+from chicorybridge.common.clocks import Clock, Millis
+from chicorybridge.common.collectors import freeze_collector
+from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.configuration.configurations import activate
+from chicorybridge.configuration.versions import (
+    DeclarationActivated,
+    ServingLease,
+)
+from chicorybridge.detection.checks import TargetCheck
+from chicorybridge.detection.departures import TargetsLeaving
+from chicorybridge.detection.notices import TargetLimits
+from chicorybridge.entry.entry_lists import EntryListResponder
+from chicorybridge.entry.entry_messages import FleetSent
+from chicorybridge.entry.entry_states import Duty, EntryState
+from chicorybridge.fleet.drains import DrainAdvanced, DrainState
+from chicorybridge.fleet.rosters import Roster
+from chicorybridge.http.caller_connections import CallerTable
+from chicorybridge.routing.crossings import CrossingGranted
+from chicorybridge.routing.policies import Policies
+from chicorybridge.routing.subsets import FleetSize
+from chicorybridge.routing.suspects import CrashSuspected, SuspectCleared
 
 # States of a planned stop in which no new connections are taken, and in
 # which answers close their connections.
--- a/chicorybridge/entry_lists.py
+++ b/chicorybridge/entry/entry_lists.py
@@ -5,10 +5,10 @@
 from urllib.parse import parse_qs, urlsplit
 
 from chicorybridge import settings
-from chicorybridge.caller_exchanges import CallerExchange
-from chicorybridge.exchanges import Head, Headers
-from chicorybridge.identities import ZoneId
-from chicorybridge.rosters import Roster, entry_list
+from chicorybridge.common.identities import ZoneId
+from chicorybridge.fleet.rosters import Roster, entry_list
+from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.exchanges import Head, Headers
 
 ENTRIES_PATH = '/chicorybridge/entries'
 ZONE_PARAMETER = 'zone'
--- a/chicorybridge/entry_messages.py
+++ b/chicorybridge/entry/entry_messages.py
@@ -3,8 +3,8 @@
 import dataclasses
 from typing import Any
 
-from chicorybridge.codecs import wire
-from chicorybridge.identities import Version
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import Version
 
 
 @wire
--- a/chicorybridge/entry_processes.py
+++ b/chicorybridge/entry/entry_processes.py
@@ -4,29 +4,30 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.caller_connections import CallerTable
-from chicorybridge.caller_exchanges import CallerExchange
-from chicorybridge.claim_messages import EntryId
-from chicorybridge.claimants import Claimant
-from chicorybridge.clocks import Clock, as_seconds
-from chicorybridge.connections import TargetConnections
-from chicorybridge.control_links import ControlLink
-from chicorybridge.dispatchers import Dispatcher
-from chicorybridge.drains import withdrawn_ms
-from chicorybridge.entry_inboxes import EntryInbox
-from chicorybridge.entry_lists import EntryListResponder
-from chicorybridge.entry_messages import EntryClosing, EntryOpened
-from chicorybridge.entry_reports import EntryReporter
-from chicorybridge.entry_states import Duty, EntryState
-from chicorybridge.events import EventLog
-from chicorybridge.exchanges import Head
-from chicorybridge.identities import draw_incarnation
-from chicorybridge.policies import Policies
-from chicorybridge.process_settings import EntrySettings
-from chicorybridge.streams import Identity, Role
-from chicorybridge.systems import Emit, Send
-from chicorybridge.tasks import run_all
+from chicorybridge import settings
+from chicorybridge.claims.claim_messages import EntryId
+from chicorybridge.claims.claimants import Claimant
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.events import EventLog
+from chicorybridge.common.identities import draw_incarnation
+from chicorybridge.common.systems import Emit, Send
+from chicorybridge.common.tasks import run_all
+from chicorybridge.configuration.process_settings import EntrySettings
+from chicorybridge.control.streams import Identity, Role
+from chicorybridge.entry.control_links import ControlLink
+from chicorybridge.entry.dispatchers import Dispatcher
+from chicorybridge.entry.entry_inboxes import EntryInbox
+from chicorybridge.entry.entry_lists import EntryListResponder
+from chicorybridge.entry.entry_messages import EntryClosing, EntryOpened
+from chicorybridge.entry.entry_reports import EntryReporter
+from chicorybridge.entry.entry_states import Duty, EntryState
+from chicorybridge.fleet.drains import withdrawn_ms
+from chicorybridge.http.caller_connections import CallerTable
+from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.connections import TargetConnections
+from chicorybridge.http.exchanges import Head
+from chicorybridge.routing.policies import Policies
 
 
 class Entry:
--- a/chicorybridge/entry_reports.py
+++ b/chicorybridge/entry/entry_reports.py
@@ -5,19 +5,19 @@
 from typing import Any
 
 from chicorybridge import settings
-from chicorybridge.attempts import AttemptOutcome
-from chicorybridge.calls import Call
-from chicorybridge.clocks import Clock, Millis
-from chicorybridge.dispatchers import Dispatcher
-from chicorybridge.entry_messages import (
+from chicorybridge.common.clocks import Clock, Millis
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.meters import Meters
+from chicorybridge.entry.calls import Call
+from chicorybridge.entry.dispatchers import Dispatcher
+from chicorybridge.entry.entry_messages import (
     EntryReport,
     EventsReport,
     MetricsReport,
 )
-from chicorybridge.entry_states import EntryState
-from chicorybridge.errors import ErrorCode
-from chicorybridge.events import Event, EventKind, EventLog
-from chicorybridge.meters import Meters
+from chicorybridge.entry.entry_states import EntryState
+from chicorybridge.routing.attempts import AttemptOutcome
 
 
 class EntryReporter:
--- a/chicorybridge/entry_states.py
+++ b/chicorybridge/entry/entry_states.py
@@ -3,10 +3,10 @@
 import dataclasses
 from enum import Enum
 
-from chicorybridge.clocks import Millis
-from chicorybridge.configurations import ActiveConfiguration
-from chicorybridge.errors import require
-from chicorybridge.identities import NO_VERSION, Version
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import require
+from chicorybridge.common.identities import NO_VERSION, Version
+from chicorybridge.configuration.configurations import ActiveConfiguration
 
 
 class Duty(Enum):
--- a/chicorybridge/refusals.py
+++ b/chicorybridge/entry/refusals.py
@@ -1,12 +1,12 @@
 """Refusals of requests, and what callers are told by them."""
 
-from chicorybridge.answers import WholeAnswer
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.claim_messages import ClaimDecided
-from chicorybridge.errors import ErrorCode, RequestError
-from chicorybridge.exchanges import Head
-from chicorybridge.outcomes import COMPLETE_OUTCOMES, RequestOutcome
-from chicorybridge.routes import KEY_HEADER
+from chicorybridge.claims.claim_messages import ClaimDecided
+from chicorybridge.common.errors import ErrorCode, RequestError
+from chicorybridge.http.answers import WholeAnswer
+from chicorybridge.http.exchanges import Head
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.routing.outcomes import COMPLETE_OUTCOMES, RequestOutcome
+from chicorybridge.routing.routes import KEY_HEADER
 
 
 class RefusalError(RequestError):
--- a/chicorybridge/fleet/channels.py
+++ b/chicorybridge/fleet/channels.py
@@ -8,10 +8,11 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.codecs import pack, unpack, wire
-from chicorybridge.errors import ChicorybridgeError
-from chicorybridge.identities import HostId
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.codecs import pack, unpack, wire
+from chicorybridge.common.errors import ChicorybridgeError
+from chicorybridge.common.identities import HostId
 
 logger = logging.getLogger(__name__)
 
--- a/chicorybridge/fleet/configurations.py
+++ b/chicorybridge/fleet/configurations.py
@@ -3,11 +3,11 @@
 import dataclasses
 import functools
 
-from chicorybridge.caller_limits import CallerLimits
-from chicorybridge.codecs import wire
-from chicorybridge.declarations import Declaration
-from chicorybridge.identities import Version
-from chicorybridge.routes import RouteTable
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import Version
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.http.caller_limits import CallerLimits
+from chicorybridge.routing.routes import RouteTable
 
 
 @wire
--- a/chicorybridge/fleet/directories.py
+++ b/chicorybridge/fleet/directories.py
@@ -3,8 +3,8 @@
 import dataclasses
 import zlib
 
-from chicorybridge.codecs import pack, wire
-from chicorybridge.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.common.codecs import pack, wire
+from chicorybridge.common.identities import ServiceId, TargetId, ZoneId
 
 
 @wire
--- a/chicorybridge/drains.py
+++ b/chicorybridge/fleet/drains.py
@@ -6,13 +6,13 @@
 from typing import Any
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.errors import require
-from chicorybridge.events import Event, EventKind
-from chicorybridge.identities import HostId
-from chicorybridge.members import Members
-from chicorybridge.systems import Effects, Emit, SendEntries, System
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.errors import require
+from chicorybridge.common.events import Event, EventKind
+from chicorybridge.common.identities import HostId
+from chicorybridge.common.systems import Effects, Emit, SendEntries, System
+from chicorybridge.fleet.members import Members
 
 
 @wire
--- a/chicorybridge/fanouts.py
+++ b/chicorybridge/fleet/fanouts.py
@@ -11,8 +11,8 @@
 import xxhash
 
 from chicorybridge import settings
-from chicorybridge.identities import HostId
-from chicorybridge.profiles import HostProfile
+from chicorybridge.common.identities import HostId
+from chicorybridge.fleet.profiles import HostProfile
 
 # Distances on the ring of a zone, both ways.
 CHORDS = (1, 2, 7, 25, 80)
--- a/chicorybridge/freshness.py
+++ b/chicorybridge/fleet/freshness.py
@@ -7,10 +7,10 @@
 
 import dataclasses
 
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.identities import HostId, Incarnation
-from chicorybridge.systems import Effects, Send, System
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import HostId, Incarnation
+from chicorybridge.common.systems import Effects, Send, System
 
 # How long an announcement is honoured after the reading that it echoes.
 FRESH_MS = 4000.0
--- a/chicorybridge/hearings.py
+++ b/chicorybridge/fleet/hearings.py
@@ -4,13 +4,14 @@
 import functools
 from typing import Any
 
-from chicorybridge.clocks import Millis
-from chicorybridge.events import Event, EventKind
-from chicorybridge.heartbeats import Heartbeats
-from chicorybridge.identities import HostId
-from chicorybridge.links import NEVER, Link
-from chicorybridge.peers import Peers
-from chicorybridge.profiles import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.events import Event, EventKind
+from chicorybridge.common.identities import HostId
+from chicorybridge.common.systems import Effect, Effects, Emit, Send
+from chicorybridge.fleet.heartbeats import Heartbeats
+from chicorybridge.fleet.links import NEVER, Link
+from chicorybridge.fleet.peers import Peers
+from chicorybridge.fleet.profiles import (
     Departed,
     Forward,
     Heartbeat,
@@ -19,8 +20,7 @@
     Relayed,
     Verdict,
 )
-from chicorybridge.stores import StoreOutcome, StoreReply
-from chicorybridge.systems import Effect, Effects, Emit, Send
+from chicorybridge.storage.stores import StoreOutcome, StoreReply
 
 HOSTS_TOKEN = 'members:hosts'
 
--- a/chicorybridge/heartbeats.py
+++ b/chicorybridge/fleet/heartbeats.py
@@ -5,12 +5,12 @@
 from typing import Any
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import HostId, Version
-from chicorybridge.links import NEVER, Link
-from chicorybridge.peers import Peers
-from chicorybridge.profiles import Heartbeat, Introduction, Relayed
-from chicorybridge.systems import Effect, Send
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, Version
+from chicorybridge.common.systems import Effect, Send
+from chicorybridge.fleet.links import NEVER, Link
+from chicorybridge.fleet.peers import Peers
+from chicorybridge.fleet.profiles import Heartbeat, Introduction, Relayed
 
 # Peers asked at once for news of unheard hosts, and hosts asked for.
 HELPERS = 8
--- a/chicorybridge/joinings.py
+++ b/chicorybridge/fleet/joinings.py
@@ -1,13 +1,13 @@
 """When a host that starts, or was cut off, may take work."""
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.confirmations import Confirmations
-from chicorybridge.holdings import Holdings
-from chicorybridge.identities import Version
-from chicorybridge.links import NEVER
-from chicorybridge.members import Members
-from chicorybridge.systems import Effects
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import Version
+from chicorybridge.common.systems import Effects
+from chicorybridge.configuration.confirmations import Confirmations
+from chicorybridge.configuration.holdings import Holdings
+from chicorybridge.fleet.links import NEVER
+from chicorybridge.fleet.members import Members
 
 
 class Joinings:
--- a/chicorybridge/links.py
+++ b/chicorybridge/fleet/links.py
@@ -3,16 +3,16 @@
 import dataclasses
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import HostId, Incarnation
-from chicorybridge.profiles import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, Incarnation
+from chicorybridge.fleet.profiles import (
     NO_READING,
     Heartbeat,
     HostProfile,
     Reach,
     Relayed,
 )
-from chicorybridge.stores import HostState
+from chicorybridge.storage.stores import HostState
 
 NEVER = Millis(float('-inf'))
 NO_INCARNATION = Incarnation(0)
--- a/chicorybridge/members.py
+++ b/chicorybridge/fleet/members.py
@@ -6,22 +6,22 @@
 from typing import Any
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.events import EventKind
-from chicorybridge.hearings import HOSTS_TOKEN, Hearings, told
-from chicorybridge.heartbeats import Heartbeats
-from chicorybridge.identities import NO_VERSION, HostId, Version
-from chicorybridge.links import NEVER, Link
-from chicorybridge.peers import Peers
-from chicorybridge.profiles import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.events import EventKind
+from chicorybridge.common.identities import NO_VERSION, HostId, Version
+from chicorybridge.common.systems import Ask, Effect, Effects, Send, System
+from chicorybridge.fleet.hearings import HOSTS_TOKEN, Hearings, told
+from chicorybridge.fleet.heartbeats import Heartbeats
+from chicorybridge.fleet.links import NEVER, Link
+from chicorybridge.fleet.peers import Peers
+from chicorybridge.fleet.profiles import (
     Departed,
     Forward,
     HostProfile,
     Introduction,
     Reach,
 )
-from chicorybridge.stores import ListedHost, ListHosts
-from chicorybridge.systems import Ask, Effect, Effects, Send, System
+from chicorybridge.storage.stores import ListedHost, ListHosts
 
 # Peers that a message passes through to go around a broken link.
 FORWARDERS = 2
--- a/chicorybridge/peers.py
+++ b/chicorybridge/fleet/peers.py
@@ -3,10 +3,10 @@
 import math
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import HostId
-from chicorybridge.links import NEVER, Link
-from chicorybridge.peertables import PeerTable
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId
+from chicorybridge.fleet.links import NEVER, Link
+from chicorybridge.fleet.peertables import PeerTable
 
 ALWAYS = Millis(float('inf'))
 
--- a/chicorybridge/peertables.py
+++ b/chicorybridge/fleet/peertables.py
@@ -1,11 +1,11 @@
 """The table of links to all known hosts."""
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.fanouts import chosen_peers, is_mesh
-from chicorybridge.identities import HostId, Incarnation
-from chicorybridge.links import NEVER, NO_INCARNATION, Link
-from chicorybridge.profiles import Heartbeat, HostProfile
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, Incarnation
+from chicorybridge.fleet.fanouts import chosen_peers, is_mesh
+from chicorybridge.fleet.links import NEVER, NO_INCARNATION, Link
+from chicorybridge.fleet.profiles import Heartbeat, HostProfile
 
 # Incarnations remembered as gone, so that late messages revive none.
 GONE_KEPT = 4096
--- a/chicorybridge/profiles.py
+++ b/chicorybridge/fleet/profiles.py
@@ -4,8 +4,8 @@
 from enum import Enum
 from typing import Any
 
-from chicorybridge.codecs import wire
-from chicorybridge.identities import (
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import (
     HostId,
     Incarnation,
     RegionId,
--- a/chicorybridge/rosters.py
+++ b/chicorybridge/fleet/rosters.py
@@ -5,12 +5,12 @@
 from collections.abc import Iterable
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.identities import RegionId, Version, ZoneId
-from chicorybridge.members import Members
-from chicorybridge.profiles import HostProfile
-from chicorybridge.systems import Effects, SendEntries, System
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import RegionId, Version, ZoneId
+from chicorybridge.common.systems import Effects, SendEntries, System
+from chicorybridge.fleet.members import Members
+from chicorybridge.fleet.profiles import HostProfile
 
 
 @wire
--- a/chicorybridge/fleet/sightings.py
+++ b/chicorybridge/fleet/sightings.py
@@ -6,9 +6,14 @@
 import xxhash
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.identities import HostId, Incarnation, RegionId, ZoneId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import (
+    HostId,
+    Incarnation,
+    RegionId,
+    ZoneId,
+)
 
 
 @wire
--- a/chicorybridge/fleet/snapshots.py
+++ b/chicorybridge/fleet/snapshots.py
@@ -7,13 +7,14 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.clocks import as_seconds
-from chicorybridge.codecs import MALFORMED, pack, unpack, wire
-from chicorybridge.errors import ChicorybridgeError
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import as_seconds
+from chicorybridge.common.codecs import MALFORMED, pack, unpack, wire
+from chicorybridge.common.errors import ChicorybridgeError
+from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.fleet.directories import TargetsChanged
 from chicorybridge.fleet.sightings import HostProfile
-from chicorybridge.fleet.configurations import HostConfiguration
 
 logger = logging.getLogger(__name__)
 
--- a/chicorybridge/fleet/watches.py
+++ b/chicorybridge/fleet/watches.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterable
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import TargetId, Version
 from chicorybridge.fleet.directories import TargetsChanged
-from chicorybridge.identities import TargetId, Version
 
 
 @wire
--- a/chicorybridge/hosts/__main__.py
+++ b/chicorybridge/hosts/__main__.py
@@ -7,13 +7,13 @@
 
 import curio
 
-from chicorybridge import sockets
-from chicorybridge.binaries import ProcessCommand, run_application, serve
-from chicorybridge.clocks import Clock
-from chicorybridge.collectors import freeze_collector
+from chicorybridge.common import sockets
+from chicorybridge.common.binaries import ProcessCommand, run_application, serve
+from chicorybridge.common.clocks import Clock
+from chicorybridge.common.collectors import freeze_collector
+from chicorybridge.common.processes import ReloadSignals
 from chicorybridge.hosts.processes import Host
 from chicorybridge.hosts.settings_files import HostSettings, read_host_settings
-from chicorybridge.processes import ReloadSignals
 
 # Names the settings file where no option does.
 SETTINGS_VARIABLE = 'CHICORYBRIDGE_BOOT'
--- a/chicorybridge/hosts/assemblies.py
+++ b/chicorybridge/hosts/assemblies.py
@@ -2,14 +2,14 @@
 
 import random
 
-from chicorybridge.clocks import Clock
-from chicorybridge.connections import TargetConnections
-from chicorybridge.events import EventLog
+from chicorybridge.common.clocks import Clock
+from chicorybridge.common.events import EventLog
 from chicorybridge.hosts.dispatchers import HostDispatcher
 from chicorybridge.hosts.knowledge import HostKnowledge
 from chicorybridge.hosts.policies import HostPolicies, Report
 from chicorybridge.hosts.request_logs import RequestLog
 from chicorybridge.hosts.settings_files import HostSettings
+from chicorybridge.http.connections import TargetConnections
 from chicorybridge.platform.dialects import PLATFORM
 from chicorybridge.routing.allowances import RetryAllowances
 from chicorybridge.routing.selections import Selector
--- a/chicorybridge/hosts/directories.py
+++ b/chicorybridge/hosts/directories.py
@@ -3,9 +3,9 @@
 from collections.abc import Mapping
 
 from chicorybridge import settings
+from chicorybridge.common.identities import RegionId, ZoneId
 from chicorybridge.fleet.sightings import Sightings
 from chicorybridge.hosts.states import HostState
-from chicorybridge.identities import RegionId, ZoneId
 
 
 class AddressDirectory:
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -2,27 +2,28 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.answers import WholeAnswer
-from chicorybridge.attempts import AttemptOutcome
-from chicorybridge.bodies import CallerError
-from chicorybridge.caller_exchanges import CallerExchange
-from chicorybridge.calls import Call
-from chicorybridge.clocks import Clock, as_seconds
-from chicorybridge.connections import TargetConnections
-from chicorybridge.declarations import Target
-from chicorybridge.dialects import Dialect
-from chicorybridge.errors import ErrorCode, RequestError, require
-from chicorybridge.exchanges import Head
-from chicorybridge.forwards import Forward
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.errors import ErrorCode, RequestError, require
+from chicorybridge.common.identities import PoolId
+from chicorybridge.configuration.declarations import Target
+from chicorybridge.entry.calls import Call
+from chicorybridge.entry.forwards import Forward
+from chicorybridge.entry.refusals import RefusalError, check_relayed
 from chicorybridge.hosts.policies import HostPolicies
 from chicorybridge.hosts.readers import RequestReader
 from chicorybridge.hosts.request_logs import RequestLog
 from chicorybridge.hosts.states import HostDuty, HostState
-from chicorybridge.identities import PoolId
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.problems import problem_body, problem_headers, status_of
-from chicorybridge.refusals import RefusalError, check_relayed
+from chicorybridge.http.answers import WholeAnswer
+from chicorybridge.http.bodies import CallerError
+from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.connections import TargetConnections
+from chicorybridge.http.dialects import Dialect
+from chicorybridge.http.exchanges import Head
+from chicorybridge.http.problems import problem_body, problem_headers, status_of
+from chicorybridge.routing.attempts import AttemptOutcome
+from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.routing.selections import Option
 
 # Statuses that promise the caller that its request did not run.
--- a/chicorybridge/hosts/knowledge.py
+++ b/chicorybridge/hosts/knowledge.py
@@ -4,15 +4,15 @@
 import random
 from typing import Any
 
-from chicorybridge.clocks import Clock, Millis
-from chicorybridge.events import Event, EventKind, EventLog
+from chicorybridge.common.clocks import Clock, Millis
+from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.identities import HostId
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.fleet.directories import TargetDirectory, TargetsChanged
 from chicorybridge.fleet.sightings import HostProfile, Sightings
 from chicorybridge.fleet.snapshots import Snapshot
 from chicorybridge.fleet.watches import ReadSchedule, StoreMark
 from chicorybridge.hosts.states import HostState
-from chicorybridge.identities import HostId
 from chicorybridge.routing.reputations import ReputationTable, TargetSeen
 
 
--- a/chicorybridge/hosts/processes.py
+++ b/chicorybridge/hosts/processes.py
@@ -6,11 +6,12 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.caller_connections import CallerTable
-from chicorybridge.clocks import Clock, Millis, as_seconds
-from chicorybridge.connections import TargetConnections
-from chicorybridge.events import Event, EventKind, EventLog
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import Clock, Millis, as_seconds
+from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.identities import HostId, draw_incarnation
+from chicorybridge.common.tasks import run_all
 from chicorybridge.fleet.channels import Channel
 from chicorybridge.fleet.sightings import HostProfile, Sightings
 from chicorybridge.fleet.snapshots import SnapshotServer, fetch_snapshot
@@ -20,13 +21,13 @@
 from chicorybridge.hosts.settings_files import HostSettings
 from chicorybridge.hosts.states import HostDuty, HostState
 from chicorybridge.hosts.store_readers import StoreReader
-from chicorybridge.identities import HostId, draw_incarnation
+from chicorybridge.http.caller_connections import CallerTable
+from chicorybridge.http.connections import TargetConnections
+from chicorybridge.http.services import Server
 from chicorybridge.platform.desks import ReadinessDesk, ResolveDesk
 from chicorybridge.platform.stores import Store
 from chicorybridge.platform.watchers import PlatformWatcher
 from chicorybridge.routing.reputations import TargetSeen
-from chicorybridge.services import Server
-from chicorybridge.tasks import run_all
 
 
 class Host:
--- a/chicorybridge/hosts/readers.py
+++ b/chicorybridge/hosts/readers.py
@@ -5,18 +5,18 @@
 import curio
 
 from chicorybridge import settings
-from chicorybridge.bodies import RequestBody
-from chicorybridge.caller_exchanges import CallerExchange
-from chicorybridge.calls import Call
-from chicorybridge.clocks import Clock, Millis, as_seconds
-from chicorybridge.declarations import Route
-from chicorybridge.dialects import Dialect
-from chicorybridge.errors import ErrorCode
-from chicorybridge.exchanges import Head
+from chicorybridge.common.clocks import Clock, Millis, as_seconds
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.identities import ServiceId
+from chicorybridge.configuration.declarations import Route
+from chicorybridge.entry.calls import Call
+from chicorybridge.entry.refusals import RefusalError
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.hosts.states import HostDuty, HostState
-from chicorybridge.identities import ServiceId
-from chicorybridge.refusals import RefusalError
+from chicorybridge.http.bodies import RequestBody
+from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.dialects import Dialect
+from chicorybridge.http.exchanges import Head
 
 HOST_HEADER = b'host'
 
--- a/chicorybridge/hosts/request_logs.py
+++ b/chicorybridge/hosts/request_logs.py
@@ -1,14 +1,14 @@
 """Lines of the log that tell the story of one request."""
 
 from chicorybridge import settings
-from chicorybridge.attempts import Attempt
-from chicorybridge.calls import Call
-from chicorybridge.dialects import Dialect
-from chicorybridge.errors import RequestError
-from chicorybridge.events import Event, EventKind, EventLog
-from chicorybridge.exchanges import Head
+from chicorybridge.common.errors import RequestError
+from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.entry.calls import Call
 from chicorybridge.hosts.states import HostState
-from chicorybridge.outcomes import RequestOutcome
+from chicorybridge.http.dialects import Dialect
+from chicorybridge.http.exchanges import Head
+from chicorybridge.routing.attempts import Attempt
+from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.routing.selections import Option
 
 
--- a/chicorybridge/hosts/settings_files.py
+++ b/chicorybridge/hosts/settings_files.py
@@ -6,12 +6,17 @@
 from typing import Any
 
 from chicorybridge import settings
-from chicorybridge.addresses import parse_address
-from chicorybridge.clocks import MILLIS_PER_SECOND
-from chicorybridge.errors import ErrorCode
-from chicorybridge.fields import AddressField, Field, FieldError, NumberField
-from chicorybridge.identities import HostId, RegionId, ZoneId
-from chicorybridge.readers import (
+from chicorybridge.common.addresses import parse_address
+from chicorybridge.common.clocks import MILLIS_PER_SECOND
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.fields import (
+    AddressField,
+    Field,
+    FieldError,
+    NumberField,
+)
+from chicorybridge.common.identities import HostId, RegionId, ZoneId
+from chicorybridge.common.readers import (
     Fields,
     Problem,
     missing_section,
--- a/chicorybridge/hosts/states.py
+++ b/chicorybridge/hosts/states.py
@@ -3,10 +3,10 @@
 import dataclasses
 from enum import Enum
 
-from chicorybridge.caller_limits import CallerLimits
-from chicorybridge.errors import require
+from chicorybridge.common.errors import require
+from chicorybridge.common.identities import NO_VERSION, Version
 from chicorybridge.fleet.configurations import HostConfiguration
-from chicorybridge.identities import NO_VERSION, Version
+from chicorybridge.http.caller_limits import CallerLimits
 
 
 class HostDuty(Enum):
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -6,9 +6,9 @@
 import curio
 
 from chicorybridge import settings
-from chicorybridge.clocks import Clock, as_seconds
-from chicorybridge.errors import ChicorybridgeError
-from chicorybridge.events import Event, EventKind, EventLog
+from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.errors import ChicorybridgeError
+from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.fleet.directories import TargetsChanged
 from chicorybridge.fleet.sightings import HostProfile
--- a/chicorybridge/answers.py
+++ b/chicorybridge/http/answers.py
@@ -2,19 +2,19 @@
 
 import dataclasses
 
-from chicorybridge.attempts import AttemptOutcome
-from chicorybridge.calls import Call
-from chicorybridge.clocks import MILLIS_PER_SECOND, Millis
-from chicorybridge.exchanges import (
+from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
+from chicorybridge.common.identities import TargetId
+from chicorybridge.entry.calls import Call
+from chicorybridge.http.dialects import SHED_STATUSES, Dialect
+from chicorybridge.http.exchanges import (
     CHUNKED,
     CONTENT_LENGTH,
     Head,
     Headers,
     forwarded,
 )
-from chicorybridge.dialects import SHED_STATUSES, Dialect
-from chicorybridge.identities import TargetId
-from chicorybridge.problems import OUTCOME, RETRY_AFTER, VERSION
+from chicorybridge.http.problems import OUTCOME, RETRY_AFTER, VERSION
+from chicorybridge.routing.attempts import AttemptOutcome
 
 COMPLETE = b'complete'
 FAILURE_STATUS = 300
--- a/chicorybridge/bodies.py
+++ b/chicorybridge/http/bodies.py
@@ -1,10 +1,14 @@
 """Bodies of requests: whole when small, else streamed."""
 
 from chicorybridge import settings
-from chicorybridge.caller_exchanges import CallerExchange
-from chicorybridge.clocks import Clock
-from chicorybridge.errors import ChicorybridgeError, ErrorCode, RequestError
-from chicorybridge.exchanges import ExchangeError, Head
+from chicorybridge.common.clocks import Clock
+from chicorybridge.common.errors import (
+    ChicorybridgeError,
+    ErrorCode,
+    RequestError,
+)
+from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.exchanges import ExchangeError, Head
 
 
 class CallerError(ChicorybridgeError):
--- a/chicorybridge/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -7,14 +7,15 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.bodies import CallerError
-from chicorybridge.caller_exchanges import CallerExchange
-from chicorybridge.caller_limits import CallerLimits
-from chicorybridge.clocks import Clock, Millis, as_seconds
-from chicorybridge.errors import ErrorCode, RequestError
-from chicorybridge.exchanges import ExchangeError, Head
-from chicorybridge.outcomes import RequestOutcome
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import Clock, Millis, as_seconds
+from chicorybridge.common.errors import ErrorCode, RequestError
+from chicorybridge.http.bodies import CallerError
+from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.caller_limits import CallerLimits
+from chicorybridge.http.exchanges import ExchangeError, Head
+from chicorybridge.routing.outcomes import RequestOutcome
 
 OwnAnswer = Callable[[CallerExchange, Head], Awaitable[bool]]
 
--- a/chicorybridge/caller_exchanges.py
+++ b/chicorybridge/http/caller_exchanges.py
@@ -7,9 +7,9 @@
 import h11
 
 from chicorybridge import settings
-from chicorybridge.clocks import Clock, Millis
-from chicorybridge.errors import ErrorCode
-from chicorybridge.exchanges import (
+from chicorybridge.common.clocks import Clock, Millis
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.http.exchanges import (
     CONTENT_LENGTH,
     TRANSFER_ENCODING,
     Exchange,
--- a/chicorybridge/caller_limits.py
+++ b/chicorybridge/http/caller_limits.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from chicorybridge import settings
-from chicorybridge.codecs import wire
+from chicorybridge.common.codecs import wire
 
 
 @wire
--- a/chicorybridge/connections.py
+++ b/chicorybridge/http/connections.py
@@ -4,9 +4,10 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.clocks import Clock, as_seconds
-from chicorybridge.target_exchanges import TargetExchange
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.http.target_exchanges import TargetExchange
 
 
 class TargetConnections:
--- a/chicorybridge/dialects.py
+++ b/chicorybridge/http/dialects.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from chicorybridge.exchanges import Head
+from chicorybridge.http.exchanges import Head
 
 SHED_STATUSES = frozenset((429, 503))
 
--- a/chicorybridge/exchanges.py
+++ b/chicorybridge/http/exchanges.py
@@ -6,9 +6,10 @@
 import curio
 import h11
 
-from chicorybridge import settings, sockets
-from chicorybridge.clocks import Clock, Millis
-from chicorybridge.errors import ChicorybridgeError, ErrorCode
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import Clock, Millis
+from chicorybridge.common.errors import ChicorybridgeError, ErrorCode
 
 # Names are lower case, as h11 gives them.
 Headers: TypeAlias = list[tuple[bytes, bytes]]
--- a/chicorybridge/fetchers.py
+++ b/chicorybridge/http/fetchers.py
@@ -8,9 +8,9 @@
 import curio
 import h11
 
-from chicorybridge import clocks
-from chicorybridge.addresses import Address
-from chicorybridge.services import (
+from chicorybridge.common import clocks
+from chicorybridge.common.addresses import Address
+from chicorybridge.http.services import (
     BROKEN,
     RECEIVE_BYTES,
     AnswerLostError,
--- a/chicorybridge/problems.py
+++ b/chicorybridge/http/problems.py
@@ -5,9 +5,9 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
-from chicorybridge.clocks import MILLIS_PER_SECOND
-from chicorybridge.errors import ErrorCode
-from chicorybridge.exchanges import Headers
+from chicorybridge.common.clocks import MILLIS_PER_SECOND
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.http.exchanges import Headers
 
 STATUSES_BY_CODE: Mapping[ErrorCode, int] = MappingProxyType(
     {
--- a/chicorybridge/services.py
+++ b/chicorybridge/http/services.py
@@ -14,7 +14,7 @@
 import curio
 import h11
 
-from chicorybridge import clocks
+from chicorybridge.common import clocks
 
 CLOCK = clocks.Clock()
 
--- a/chicorybridge/target_exchanges.py
+++ b/chicorybridge/http/target_exchanges.py
@@ -6,9 +6,9 @@
 import h11
 
 from chicorybridge import settings
-from chicorybridge.clocks import Clock
-from chicorybridge.errors import ErrorCode
-from chicorybridge.exchanges import (
+from chicorybridge.common.clocks import Clock
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.http.exchanges import (
     TRANSFER_ENCODING,
     Exchange,
     ExchangeError,
--- /dev/null
+++ b/chicorybridge/load/__init__.py
@@ -0,0 +1,4 @@
+"""Load, experiments and reports.
+
+Start with `loads`, the binary, then `runs`.
+"""
--- a/chicorybridge/arrivals.py
+++ b/chicorybridge/load/arrivals.py
@@ -4,8 +4,8 @@
 import random
 from collections.abc import Iterator, Sequence
 
-from chicorybridge.clocks import MILLIS_PER_SECOND
-from chicorybridge.experiments import CallerGroup, RequestKind
+from chicorybridge.common.clocks import MILLIS_PER_SECOND
+from chicorybridge.load.experiments import CallerGroup, RequestKind
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/callers.py
+++ b/chicorybridge/load/callers.py
@@ -10,16 +10,17 @@
 
 import curio
 
-from chicorybridge import clocks, settings
-from chicorybridge.addresses import Address, parse_address
-from chicorybridge.experiments import CallerGroup, RequestKind, Via
-from chicorybridge.fetchers import Client
-from chicorybridge.services import (
+from chicorybridge import settings
+from chicorybridge.common import clocks
+from chicorybridge.common.addresses import Address, parse_address
+from chicorybridge.http.fetchers import Client
+from chicorybridge.http.services import (
     AnswerLostError,
     NotSentError,
     Request,
     Response,
 )
+from chicorybridge.load.experiments import CallerGroup, RequestKind, Via
 
 ENTRIES_PATH = '/chicorybridge/entries'
 
--- a/chicorybridge/experiment_files.py
+++ b/chicorybridge/load/experiment_files.py
@@ -7,16 +7,8 @@
 from types import MappingProxyType
 from typing import Any, TypeAlias
 
-from chicorybridge.errors import ErrorCode
-from chicorybridge.experiments import (
-    CallerGroup,
-    Experiment,
-    FaultStep,
-    Place,
-    RequestKind,
-    Via,
-)
-from chicorybridge.fields import (
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.fields import (
     AddressField,
     ChoiceField,
     Field,
@@ -26,7 +18,7 @@
     NumberField,
     PathField,
 )
-from chicorybridge.readers import (
+from chicorybridge.common.readers import (
     Fields,
     Problem,
     Section,
@@ -35,6 +27,14 @@
     read_sections,
     refuse,
 )
+from chicorybridge.load.experiments import (
+    CallerGroup,
+    Experiment,
+    FaultStep,
+    Place,
+    RequestKind,
+    Via,
+)
 
 MAX_DURATION_MS = 86_400_000
 MAX_RATE = 100_000
--- a/chicorybridge/experiments.py
+++ b/chicorybridge/load/experiments.py
@@ -5,7 +5,8 @@
 from enum import Enum
 from typing import Any
 
-from chicorybridge import clocks, settings
+from chicorybridge import settings
+from chicorybridge.common import clocks
 
 # Methods that a caller may repeat after an unknown outcome.
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'PUT', 'DELETE'))
--- a/chicorybridge/loads.py
+++ b/chicorybridge/load/loads.py
@@ -14,22 +14,22 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from chicorybridge.binaries import VERSION
-from chicorybridge.clocks import Clock
-from chicorybridge.errors import ChicorybridgeError
-from chicorybridge.experiment_files import read_experiment
-from chicorybridge.experiments import Experiment
-from chicorybridge.options import number_of, option, refused
-from chicorybridge.reports import write_report
-from chicorybridge.results import (
+from chicorybridge.common.binaries import VERSION
+from chicorybridge.common.clocks import Clock
+from chicorybridge.common.errors import ChicorybridgeError
+from chicorybridge.common.options import number_of, option, refused
+from chicorybridge.load.experiment_files import read_experiment
+from chicorybridge.load.experiments import Experiment
+from chicorybridge.load.reports import write_report
+from chicorybridge.load.results import (
     Difference,
     compare,
     make_result,
     read_result,
     write_result,
 )
-from chicorybridge.runs import Run
-from chicorybridge.usages import read_usage
+from chicorybridge.load.runs import Run
+from chicorybridge.load.usages import read_usage
 
 logger = logging.getLogger(__name__)
 
--- a/chicorybridge/recorders.py
+++ b/chicorybridge/load/recorders.py
@@ -7,8 +7,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from chicorybridge.callers import Call, CallOutcome
-from chicorybridge.clocks import MILLIS_PER_SECOND
+from chicorybridge.common.clocks import MILLIS_PER_SECOND
+from chicorybridge.load.callers import Call, CallOutcome
 
 MICROS_PER_MILLI = 1000
 LOWEST_MICROS = 1
--- a/chicorybridge/reports.py
+++ b/chicorybridge/load/reports.py
@@ -15,8 +15,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from chicorybridge.recorders import MICROS_PER_MILLI
-from chicorybridge.results import compare
+from chicorybridge.load.recorders import MICROS_PER_MILLI
+from chicorybridge.load.results import compare
 
 logger = logging.getLogger(__name__)
 
--- a/chicorybridge/results.py
+++ b/chicorybridge/load/results.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterator
 from typing import Any
 
-from chicorybridge.clocks import Clock
-from chicorybridge.experiments import Experiment
-from chicorybridge.runs import Outcome
+from chicorybridge.common.clocks import Clock
+from chicorybridge.load.experiments import Experiment
+from chicorybridge.load.runs import Outcome
 
 # Version of the format; a reader refuses any other.
 FORMAT = 1
--- a/chicorybridge/runs.py
+++ b/chicorybridge/load/runs.py
@@ -10,18 +10,20 @@
 
 import curio
 
-from chicorybridge import clocks, documents, settings
-from chicorybridge.addresses import parse_address
-from chicorybridge.arrivals import Arrival, draw_arrivals
-from chicorybridge.callers import CallerHost
-from chicorybridge.collectors import freeze_collector
-from chicorybridge.emulators import COUNTS, KNOBS
-from chicorybridge.experiments import CallerGroup, Experiment, FaultStep
-from chicorybridge.fetchers import Client
-from chicorybridge.recorders import GroupRecorder
-from chicorybridge.services import AnswerLostError, NotSentError, Request
-from chicorybridge.usages import Usage, read_usage
-from chicorybridge.verdicts import Verdict, judge_calls
+from chicorybridge import settings
+from chicorybridge.common import clocks
+from chicorybridge.common.addresses import parse_address
+from chicorybridge.common.collectors import freeze_collector
+from chicorybridge.http.fetchers import Client
+from chicorybridge.http.services import AnswerLostError, NotSentError, Request
+from chicorybridge.load.arrivals import Arrival, draw_arrivals
+from chicorybridge.load.callers import CallerHost
+from chicorybridge.load.experiments import CallerGroup, Experiment, FaultStep
+from chicorybridge.load.recorders import GroupRecorder
+from chicorybridge.load.usages import Usage, read_usage
+from chicorybridge.load.verdicts import Verdict, judge_calls
+from chicorybridge.standins.emulators import COUNTS, KNOBS
+from chicorybridge.storage import documents
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/usages.py
+++ b/chicorybridge/load/usages.py
@@ -4,7 +4,7 @@
 import os
 import pathlib
 
-from chicorybridge.clocks import MILLIS_PER_SECOND
+from chicorybridge.common.clocks import MILLIS_PER_SECOND
 
 PROCESSES = pathlib.Path('/proc')
 
--- a/chicorybridge/verdicts.py
+++ b/chicorybridge/load/verdicts.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from chicorybridge.callers import SURELY_NOT_RUN, Call, CallOutcome
+from chicorybridge.load.callers import SURELY_NOT_RUN, Call, CallOutcome
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/chicorybridge/operators/__init__.py
@@ -0,0 +1,4 @@
+"""The command line of operators.
+
+Start with `commands`.
+"""
--- a/chicorybridge/apply_commands.py
+++ b/chicorybridge/operators/apply_commands.py
@@ -8,19 +8,11 @@
 from cleo.helpers import option
 
 from chicorybridge import settings
-from chicorybridge.declarations import Declaration
-from chicorybridge.errors import ErrorCode
-from chicorybridge.identities import ApplyId, HostId, Version
-from chicorybridge.operator_clients import ControlClient
-from chicorybridge.operator_commands import (
-    EXIT_DONE,
-    EXIT_REFUSED,
-    EXIT_WAITING,
-    PATH,
-    FleetCommand,
-)
-from chicorybridge.sections import read_declaration
-from chicorybridge.versions import (
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.identities import ApplyId, HostId, Version
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.sections import read_declaration
+from chicorybridge.configuration.versions import (
     ApplyProgress,
     ApplyRequested,
     ApplyStage,
@@ -28,6 +20,14 @@
     CurrentRequested,
     HostStatus,
 )
+from chicorybridge.operators.operator_clients import ControlClient
+from chicorybridge.operators.operator_commands import (
+    EXIT_DONE,
+    EXIT_REFUSED,
+    EXIT_WAITING,
+    PATH,
+    FleetCommand,
+)
 
 APPLY_ID_BYTES = 8
 CODES_BY_STAGE: Mapping[ApplyStage, ErrorCode] = MappingProxyType(
--- a/chicorybridge/commands.py
+++ b/chicorybridge/operators/commands.py
@@ -5,36 +5,36 @@
 
 from cleo.application import Application
 
-from chicorybridge.apply_commands import ApplyCommand
-from chicorybridge.binaries import VERSION
-from chicorybridge.codecs import unpack
-from chicorybridge.clocks import MILLIS_PER_SECOND
-from chicorybridge.declarations import Declaration
-from chicorybridge.drains import DrainRequested
-from chicorybridge.entry_messages import MetricsReport
-from chicorybridge.identities import Version
-from chicorybridge.operator_commands import (
-    EXIT_DONE,
-    EXIT_WAITING,
-    PATH,
-    CommandBase,
-    FleetCommand,
-)
-from chicorybridge.operator_messages import (
-    HostsRequested,
-    MetricsRequested,
-    TimelineRequested,
-)
-from chicorybridge.meters import merge_histograms, summarise
-from chicorybridge.plans import Change, compare
-from chicorybridge.sections import read_declaration
-from chicorybridge.versions import (
+from chicorybridge.common.binaries import VERSION
+from chicorybridge.common.clocks import MILLIS_PER_SECOND
+from chicorybridge.common.codecs import unpack
+from chicorybridge.common.identities import Version
+from chicorybridge.common.meters import merge_histograms, summarise
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.plans import Change, compare
+from chicorybridge.configuration.sections import read_declaration
+from chicorybridge.configuration.versions import (
     CurrentDeclaration,
     CurrentRequested,
     FleetStatus,
     HostStatus,
     StatusRequested,
 )
+from chicorybridge.control.operator_messages import (
+    HostsRequested,
+    MetricsRequested,
+    TimelineRequested,
+)
+from chicorybridge.entry.entry_messages import MetricsReport
+from chicorybridge.fleet.drains import DrainRequested
+from chicorybridge.operators.apply_commands import ApplyCommand
+from chicorybridge.operators.operator_commands import (
+    EXIT_DONE,
+    EXIT_WAITING,
+    PATH,
+    CommandBase,
+    FleetCommand,
+)
 
 
 class CheckCommand(CommandBase):
--- a/chicorybridge/operator_clients.py
+++ b/chicorybridge/operators/operator_clients.py
@@ -5,11 +5,16 @@
 
 import curio
 
-from chicorybridge import settings, sockets
-from chicorybridge.clocks import as_seconds
-from chicorybridge.errors import ChicorybridgeError, ErrorCode, StreamError
-from chicorybridge.identities import HostId, Incarnation
-from chicorybridge.streams import Identity, MessageStream, Role
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import as_seconds
+from chicorybridge.common.errors import (
+    ChicorybridgeError,
+    ErrorCode,
+    StreamError,
+)
+from chicorybridge.common.identities import HostId, Incarnation
+from chicorybridge.control.streams import Identity, MessageStream, Role
 
 ID_BYTES = 8
 
--- a/chicorybridge/operator_commands.py
+++ b/chicorybridge/operators/operator_commands.py
@@ -9,10 +9,10 @@
 from cleo.helpers import argument, option
 from cleo.io.inputs.option import Option
 
-from chicorybridge.clocks import Clock
-from chicorybridge.errors import ChicorybridgeError, ErrorCode
-from chicorybridge.operator_clients import ControlClient, ControlError
-from chicorybridge.operator_messages import HostsRequested
+from chicorybridge.common.clocks import Clock
+from chicorybridge.common.errors import ChicorybridgeError, ErrorCode
+from chicorybridge.control.operator_messages import HostsRequested
+from chicorybridge.operators.operator_clients import ControlClient, ControlError
 
 PATH = argument('path', 'INI file, or a directory of them')
 
--- a/chicorybridge/platform/desks.py
+++ b/chicorybridge/platform/desks.py
@@ -4,9 +4,9 @@
 from http import HTTPStatus
 from urllib.parse import parse_qs, urlsplit
 
-from chicorybridge.identities import ZoneId
+from chicorybridge.common.identities import ZoneId
+from chicorybridge.http.services import Request, Response, ServerConnection
 from chicorybridge.platform.formats import encode_addresses
-from chicorybridge.services import Request, Response, ServerConnection
 
 READINESS_PATH = '/readiness'
 RESOLVE_PATH = '/resolve'
--- a/chicorybridge/platform/dialects.py
+++ b/chicorybridge/platform/dialects.py
@@ -1,6 +1,6 @@
 """Headers of requests and answers on the platform."""
 
-from chicorybridge.dialects import Dialect
+from chicorybridge.http.dialects import Dialect
 
 REQUEST_ID = b'x-request-id'
 DEADLINE = b'x-deadline-ms'
--- a/chicorybridge/platform/formats.py
+++ b/chicorybridge/platform/formats.py
@@ -7,19 +7,24 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from chicorybridge.caller_limits import CallerLimits
-from chicorybridge.clocks import MILLIS_PER_SECOND
-from chicorybridge.declarations import Declaration, Route, Service, TrafficShare
-from chicorybridge.errors import ChicorybridgeError, ErrorCode
-from chicorybridge.fleet.configurations import HostConfiguration
-from chicorybridge.fleet.directories import TargetEntry
-from chicorybridge.identities import (
+from chicorybridge.common.clocks import MILLIS_PER_SECOND
+from chicorybridge.common.errors import ChicorybridgeError, ErrorCode
+from chicorybridge.common.identities import (
     RouteId,
     ServiceId,
     TargetId,
     Version,
     ZoneId,
 )
+from chicorybridge.configuration.declarations import (
+    Declaration,
+    Route,
+    Service,
+    TrafficShare,
+)
+from chicorybridge.fleet.configurations import HostConfiguration
+from chicorybridge.fleet.directories import TargetEntry
+from chicorybridge.http.caller_limits import CallerLimits
 
 IDEMPOTENT = 'idempotent'
 DRAINING = 'draining'
--- a/chicorybridge/platform/stores.py
+++ b/chicorybridge/platform/stores.py
@@ -5,9 +5,10 @@
 from typing import TypeAlias
 from urllib.parse import urlencode
 
-from chicorybridge.addresses import parse_address
-from chicorybridge.errors import ChicorybridgeError, ErrorCode
-from chicorybridge.fetchers import Client
+from chicorybridge.common.addresses import parse_address
+from chicorybridge.common.errors import ChicorybridgeError, ErrorCode
+from chicorybridge.http.fetchers import Client
+from chicorybridge.http.services import AnswerLostError, NotSentError, Request
 from chicorybridge.platform.formats import (
     StoredRow,
     StoredRows,
@@ -15,7 +16,6 @@
     encode_removal,
     encode_row,
 )
-from chicorybridge.services import AnswerLostError, NotSentError, Request
 
 logger = logging.getLogger(__name__)
 
--- a/chicorybridge/platform/watchers.py
+++ b/chicorybridge/platform/watchers.py
@@ -2,12 +2,12 @@
 
 import logging
 
-from chicorybridge.codecs import pack, unpack
-from chicorybridge.errors import ChicorybridgeError
+from chicorybridge.common.codecs import pack, unpack
+from chicorybridge.common.errors import ChicorybridgeError
+from chicorybridge.common.identities import TargetId
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.fleet.directories import TargetEntry, TargetsChanged
 from chicorybridge.fleet.sightings import HostProfile
-from chicorybridge.identities import TargetId
 from chicorybridge.platform.formats import (
     FormatError,
     StoredRows,
--- a/chicorybridge/admissions.py
+++ b/chicorybridge/routing/admissions.py
@@ -12,8 +12,8 @@
 import types
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Priority
+from chicorybridge.common.clocks import Millis
+from chicorybridge.configuration.declarations import Priority
 
 # Least important first; they give way in this order.
 PRIORITIES = (Priority.low, Priority.normal, Priority.high)
--- a/chicorybridge/routing/allowances.py
+++ b/chicorybridge/routing/allowances.py
@@ -3,8 +3,8 @@
 import dataclasses
 from collections import deque
 
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import ServiceId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import ServiceId
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/attempts.py
+++ b/chicorybridge/routing/attempts.py
@@ -3,9 +3,9 @@
 import dataclasses
 from enum import Enum
 
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.identities import RouteId, ServiceId, TargetId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import RouteId, ServiceId, TargetId
 
 
 @wire
--- a/chicorybridge/choosers.py
+++ b/chicorybridge/routing/choosers.py
@@ -13,8 +13,11 @@
 import xxhash
 
 from chicorybridge import settings
-from chicorybridge.attempts import Attempt
-from chicorybridge.candidates import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import Digest, ServiceId, TargetId, ZoneId
+from chicorybridge.configuration.declarations import Declaration, Target
+from chicorybridge.routing.attempts import Attempt
+from chicorybridge.routing.candidates import (
     ACROSS,
     PLACE_COSTS,
     Candidate,
@@ -22,10 +25,7 @@
     draw,
     place_of,
 )
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Declaration, Target
-from chicorybridge.identities import Digest, ServiceId, TargetId, ZoneId
-from chicorybridge.latencies import LatencyTable
+from chicorybridge.routing.latencies import LatencyTable
 
 WeightOf = Callable[[TargetId], float]
 MayTake = Callable[[TargetId, int], bool]
--- a/chicorybridge/crossings.py
+++ b/chicorybridge/routing/crossings.py
@@ -10,12 +10,17 @@
 import dataclasses
 
 from chicorybridge import settings
-from chicorybridge.buckets import TokenBucket
-from chicorybridge.candidates import ACROSS, place_of
-from chicorybridge.clocks import MILLIS_PER_SECOND, Millis
-from chicorybridge.codecs import wire
-from chicorybridge.declarations import Declaration
-from chicorybridge.identities import RegionId, ServiceId, TargetId, ZoneId
+from chicorybridge.common.buckets import TokenBucket
+from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import (
+    RegionId,
+    ServiceId,
+    TargetId,
+    ZoneId,
+)
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.routing.candidates import ACROSS, place_of
 
 BITS_PER_BYTE = 8
 
--- a/chicorybridge/grants.py
+++ b/chicorybridge/routing/grants.py
@@ -14,16 +14,22 @@
 import xxhash
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.crossings import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import require
+from chicorybridge.common.identities import HostId, RegionId, ServiceId
+from chicorybridge.common.systems import (
+    Effect,
+    Effects,
+    Send,
+    SendEntries,
+    System,
+)
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.routing.crossings import (
     CrossingGranted,
     CrossingWanted,
     budget_of,
 )
-from chicorybridge.declarations import Declaration
-from chicorybridge.errors import require
-from chicorybridge.identities import HostId, RegionId, ServiceId
-from chicorybridge.systems import Effect, Effects, Send, SendEntries, System
 
 # Rounding errors of sums of rates.
 TOLERANCE = 1e-6
--- a/chicorybridge/leavings.py
+++ b/chicorybridge/routing/leavings.py
@@ -1,9 +1,9 @@
 """Targets that are leaving, as one entry process knows them."""
 
 from chicorybridge import settings
-from chicorybridge.attempts import Attempt
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import TargetId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import TargetId
+from chicorybridge.routing.attempts import Attempt
 
 
 class LeavingTargets:
--- a/chicorybridge/limits.py
+++ b/chicorybridge/routing/limits.py
@@ -4,14 +4,19 @@
 import random
 
 from chicorybridge import settings
-from chicorybridge.admissions import ServiceAdmission, Signals
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.buckets import TokenBucket
-from chicorybridge.clocks import MILLIS_PER_SECOND, Millis
-from chicorybridge.declarations import Declaration, Priority
-from chicorybridge.errors import ErrorCode
-from chicorybridge.identities import ServiceId, TargetId, WorkspaceId
-from chicorybridge.subsets import FleetSize, TargetShare, share_of, window_of
+from chicorybridge.common.buckets import TokenBucket
+from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.identities import ServiceId, TargetId, WorkspaceId
+from chicorybridge.configuration.declarations import Declaration, Priority
+from chicorybridge.routing.admissions import ServiceAdmission, Signals
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.routing.subsets import (
+    FleetSize,
+    TargetShare,
+    share_of,
+    window_of,
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/policies.py
+++ b/chicorybridge/routing/policies.py
@@ -4,34 +4,38 @@
 from collections.abc import Collection, Sequence
 
 from chicorybridge import settings
-from chicorybridge.attempts import Attempt
-from chicorybridge.calls import Call
-from chicorybridge.checks import TargetCheck
-from chicorybridge.choosers import Chooser
-from chicorybridge.clocks import Millis
-from chicorybridge.configurations import ActiveConfiguration
-from chicorybridge.crossings import CrossingMeter
-from chicorybridge.declarations import Route, Target
-from chicorybridge.identities import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import (
     HostId,
     ServiceId,
     TargetId,
     WorkspaceId,
     ZoneId,
 )
-from chicorybridge.leavings import LeavingTargets
-from chicorybridge.limits import Admission, Limiter
-from chicorybridge.notices import TargetLimits
-from chicorybridge.observations import Observer
-from chicorybridge.quarantines import (
+from chicorybridge.common.systems import Effects, Send
+from chicorybridge.configuration.configurations import ActiveConfiguration
+from chicorybridge.configuration.declarations import Route, Target
+from chicorybridge.detection.checks import TargetCheck
+from chicorybridge.detection.notices import TargetLimits
+from chicorybridge.detection.observations import Observer
+from chicorybridge.entry.calls import Call
+from chicorybridge.routing.attempts import Attempt
+from chicorybridge.routing.choosers import Chooser
+from chicorybridge.routing.crossings import CrossingMeter
+from chicorybridge.routing.leavings import LeavingTargets
+from chicorybridge.routing.limits import Admission, Limiter
+from chicorybridge.routing.quarantines import (
     Quarantine,
     Report,
     may_have_crashed,
 )
-from chicorybridge.retries import RequestFacts, RetryDecision, RetryPolicy
-from chicorybridge.subsets import FleetSize, subset_of
-from chicorybridge.systems import Effects, Send
-from chicorybridge.weights import Weights
+from chicorybridge.routing.retries import (
+    RequestFacts,
+    RetryDecision,
+    RetryPolicy,
+)
+from chicorybridge.routing.subsets import FleetSize, subset_of
+from chicorybridge.routing.weights import Weights
 
 
 class Policies:
--- a/chicorybridge/quarantines.py
+++ b/chicorybridge/routing/quarantines.py
@@ -12,17 +12,10 @@
 from typing import Any, Protocol, TypeAlias
 
 from chicorybridge import settings
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.clocks import Millis
-from chicorybridge.events import Event, EventKind
-from chicorybridge.identities import Digest, HostId
-from chicorybridge.outcomes import COMPLETE_OUTCOMES
-from chicorybridge.suspects import (
-    CrashSuspected,
-    SuspectCleared,
-    SuspectTable,
-)
-from chicorybridge.systems import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.events import Event, EventKind
+from chicorybridge.common.identities import Digest, HostId
+from chicorybridge.common.systems import (
     Effect,
     Effects,
     Emit,
@@ -30,6 +23,13 @@
     SendEntries,
     System,
 )
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.routing.outcomes import COMPLETE_OUTCOMES
+from chicorybridge.routing.suspects import (
+    CrashSuspected,
+    SuspectCleared,
+    SuspectTable,
+)
 
 Report: TypeAlias = CrashSuspected | SuspectCleared
 
--- a/chicorybridge/routing/reputations.py
+++ b/chicorybridge/routing/reputations.py
@@ -14,9 +14,9 @@
 from types import MappingProxyType
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.identities import HostId, TargetId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import HostId, TargetId
 
 
 @wire
--- a/chicorybridge/retries.py
+++ b/chicorybridge/routing/retries.py
@@ -5,11 +5,15 @@
 from collections.abc import Sequence
 
 from chicorybridge import settings
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Declaration
-from chicorybridge.identities import ServiceId, TargetId
-from chicorybridge.outcomes import RequestOutcome, outcome_of, was_not_run
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import ServiceId, TargetId
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.routing.outcomes import (
+    RequestOutcome,
+    outcome_of,
+    was_not_run,
+)
 
 # Outcomes after which another target may do better.
 RETRIED_OUTCOMES = frozenset(
--- a/chicorybridge/routes.py
+++ b/chicorybridge/routing/routes.py
@@ -2,8 +2,8 @@
 
 from typing import TypeAlias
 
-from chicorybridge.declarations import Declaration, Route
-from chicorybridge.identities import RouteId
+from chicorybridge.common.identities import RouteId
+from chicorybridge.configuration.declarations import Declaration, Route
 
 IDEMPOTENT_METHODS = frozenset(
     (
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -11,9 +11,14 @@
 from enum import Enum
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import (
+    RegionId,
+    ServiceId,
+    TargetId,
+    ZoneId,
+)
 from chicorybridge.fleet.directories import TargetDirectory, TargetEntry
-from chicorybridge.identities import RegionId, ServiceId, TargetId, ZoneId
 from chicorybridge.routing.reputations import Reputation, ReputationTable
 
 
--- a/chicorybridge/subsets.py
+++ b/chicorybridge/routing/subsets.py
@@ -13,8 +13,8 @@
 import xxhash
 
 from chicorybridge import settings
-from chicorybridge.declarations import Declaration, Pool, Target
-from chicorybridge.identities import TargetId, ZoneId
+from chicorybridge.common.identities import TargetId, ZoneId
+from chicorybridge.configuration.declarations import Declaration, Pool, Target
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/suspects.py
+++ b/chicorybridge/routing/suspects.py
@@ -9,9 +9,9 @@
 from collections import defaultdict
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import wire
-from chicorybridge.identities import Digest, TargetId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import Digest, TargetId
 
 
 @wire
--- a/chicorybridge/weights.py
+++ b/chicorybridge/routing/weights.py
@@ -8,15 +8,15 @@
 
 import dataclasses
 
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.baselines import Residual
-from chicorybridge.checks import TargetCheck
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Declaration
-from chicorybridge.errors import require
-from chicorybridge.identities import HostId, ServiceId, TargetId
-from chicorybridge.notices import TargetLimits
-from chicorybridge.systems import Effects, System
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import require
+from chicorybridge.common.identities import HostId, ServiceId, TargetId
+from chicorybridge.common.systems import Effects, System
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.detection.baselines import Residual
+from chicorybridge.detection.checks import TargetCheck
+from chicorybridge.detection.notices import TargetLimits
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 
 # Share of its normal work that a target in doubt still gets.
 TRICKLE = 0.02
--- a/chicorybridge/databases.py
+++ b/chicorybridge/standins/databases.py
@@ -4,8 +4,9 @@
 import sqlite3
 from typing import Any
 
-from chicorybridge.identities import Digest
-from chicorybridge.stores import (
+from chicorybridge.common.identities import Digest
+from chicorybridge.standins.tables import MemoryTables
+from chicorybridge.storage.stores import (
     PutObject,
     Row,
     RowKey,
@@ -15,7 +16,6 @@
     Transact,
     Write,
 )
-from chicorybridge.tables import MemoryTables
 
 SCHEMA = """
 create table if not exists rows (
--- a/chicorybridge/echoes.py
+++ b/chicorybridge/standins/echoes.py
@@ -8,8 +8,12 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from chicorybridge.documents import CONTENT_TYPE, JSON_TYPE, encode_document
-from chicorybridge.services import Request, Response
+from chicorybridge.http.services import Request, Response
+from chicorybridge.storage.documents import (
+    CONTENT_TYPE,
+    JSON_TYPE,
+    encode_document,
+)
 
 # Headers of callers, in lower case as they arrive.
 IDEMPOTENCY_KEY = 'idempotency-key'
--- a/chicorybridge/emulators.py
+++ b/chicorybridge/standins/emulators.py
@@ -10,19 +10,24 @@
 from types import MappingProxyType
 from urllib.parse import urlsplit
 
-from chicorybridge.clocks import Clock
-from chicorybridge.echoes import (
+from chicorybridge.common.clocks import Clock
+from chicorybridge.http.services import Request, Response, ServerConnection
+from chicorybridge.standins.echoes import (
     IDEMPOTENCY_KEY,
     Upload,
     make_document,
     make_echo,
     read_number,
 )
-from chicorybridge.impairments import EmulatorKnobs, Fault, Impairments, Work
-from chicorybridge.platforms import MALFORMED, SILENCE_MS
-from chicorybridge.services import Request, Response, ServerConnection
-from chicorybridge.slots import Slots
-from chicorybridge.tallies import History, Snapshot, Tally
+from chicorybridge.standins.impairments import (
+    EmulatorKnobs,
+    Fault,
+    Impairments,
+    Work,
+)
+from chicorybridge.standins.platforms import MALFORMED, SILENCE_MS
+from chicorybridge.standins.slots import Slots
+from chicorybridge.standins.tallies import History, Snapshot, Tally
 
 HEALTH = '/health'
 LOAD = '/load'
--- a/chicorybridge/faults.py
+++ b/chicorybridge/standins/faults.py
@@ -2,8 +2,8 @@
 
 import random
 
-from chicorybridge.stores import StoreOutcome, StoreReply, StoreRequest
-from chicorybridge.tables import MemoryTables
+from chicorybridge.standins.tables import MemoryTables
+from chicorybridge.storage.stores import StoreOutcome, StoreReply, StoreRequest
 
 
 class FaultyTables:
--- a/chicorybridge/impairments.py
+++ b/chicorybridge/standins/impairments.py
@@ -5,8 +5,8 @@
 from enum import Enum
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.knobs import Knobs
+from chicorybridge.common.clocks import Millis
+from chicorybridge.standins.knobs import Knobs
 
 # A full period of flapping has a healthy and a sick half.
 HALVES = 2
--- a/chicorybridge/platforms.py
+++ b/chicorybridge/standins/platforms.py
@@ -14,13 +14,14 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from chicorybridge import documents
-from chicorybridge.clocks import Clock, Millis
-from chicorybridge.faults import FaultyTables
-from chicorybridge.identities import Digest, HostId
-from chicorybridge.knobs import Knobs
-from chicorybridge.services import Request, Response, ServerConnection
-from chicorybridge.stores import (
+from chicorybridge.common.clocks import Clock, Millis
+from chicorybridge.common.identities import Digest, HostId
+from chicorybridge.http.services import Request, Response, ServerConnection
+from chicorybridge.standins.faults import FaultyTables
+from chicorybridge.standins.knobs import Knobs
+from chicorybridge.standins.tables import MemoryTables
+from chicorybridge.storage import documents
+from chicorybridge.storage.stores import (
     GetObject,
     ListedHost,
     ListHosts,
@@ -32,7 +33,6 @@
     StoreRequest,
     Transact,
 )
-from chicorybridge.tables import MemoryTables
 
 # Stands for every host in a list of hosts.
 EVERY_HOST = '*'
--- a/chicorybridge/slots.py
+++ b/chicorybridge/standins/slots.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from chicorybridge import settings
-from chicorybridge.services import ServerConnection
+from chicorybridge.http.services import ServerConnection
 
 
 class Slots:
--- a/chicorybridge/standins.py
+++ b/chicorybridge/standins/standins.py
@@ -12,24 +12,25 @@
 from cleo.commands.command import Command
 from cleo.io.inputs.option import Option
 
-from chicorybridge import settings, sockets
-from chicorybridge.addresses import Address
-from chicorybridge.binaries import VERSION
-from chicorybridge.clocks import Clock
-from chicorybridge.collectors import freeze_collector
-from chicorybridge.databases import DatabaseTables
-from chicorybridge.emulators import EmulatorKnobs, TargetEmulator
-from chicorybridge.options import (
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.addresses import Address
+from chicorybridge.common.binaries import VERSION
+from chicorybridge.common.clocks import Clock
+from chicorybridge.common.collectors import freeze_collector
+from chicorybridge.common.options import (
     OptionError,
     address_of,
     number_of,
     option,
     refused,
 )
-from chicorybridge.platforms import PlatformStandin
-from chicorybridge.processes import StopSignals, announce
-from chicorybridge.services import Handler, Server
-from chicorybridge.tables import MemoryTables
+from chicorybridge.common.processes import StopSignals, announce
+from chicorybridge.http.services import Handler, Server
+from chicorybridge.standins.databases import DatabaseTables
+from chicorybridge.standins.emulators import EmulatorKnobs, TargetEmulator
+from chicorybridge.standins.platforms import PlatformStandin
+from chicorybridge.standins.tables import MemoryTables
 
 logger = logging.getLogger(__name__)
 
--- a/chicorybridge/tables.py
+++ b/chicorybridge/standins/tables.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from chicorybridge.identities import Digest, HostId
-from chicorybridge.stores import (
+from chicorybridge.common.identities import Digest, HostId
+from chicorybridge.storage.stores import (
     Condition,
     GetObject,
     ListedHost,
--- a/chicorybridge/tallies.py
+++ b/chicorybridge/standins/tallies.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from chicorybridge import settings
-from chicorybridge.clocks import Clock, Millis
+from chicorybridge.common.clocks import Clock, Millis
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/chicorybridge/storage/__init__.py
@@ -0,0 +1,4 @@
+"""Requests to the product's own table service, and its client.
+
+Start with `stores`.
+"""
--- a/chicorybridge/clients.py
+++ b/chicorybridge/storage/clients.py
@@ -3,22 +3,22 @@
 import json
 from http import HTTPStatus
 
-from chicorybridge.addresses import Address
-from chicorybridge.documents import (
-    decode_hosts,
-    decode_rows,
-    encode_host,
-    encode_request,
-)
-from chicorybridge.fetchers import Client
-from chicorybridge.identities import HostId
-from chicorybridge.services import (
+from chicorybridge.common.addresses import Address
+from chicorybridge.common.identities import HostId
+from chicorybridge.http.fetchers import Client
+from chicorybridge.http.services import (
     AnswerLostError,
     NotSentError,
     Request,
     Response,
 )
-from chicorybridge.stores import (
+from chicorybridge.storage.documents import (
+    decode_hosts,
+    decode_rows,
+    encode_host,
+    encode_request,
+)
+from chicorybridge.storage.stores import (
     GetObject,
     ListedHost,
     ListHosts,
--- a/chicorybridge/documents.py
+++ b/chicorybridge/storage/documents.py
@@ -8,9 +8,9 @@
 from typing import Any
 from urllib.parse import quote, urlencode
 
-from chicorybridge.identities import HostId
-from chicorybridge.services import Request
-from chicorybridge.stores import (
+from chicorybridge.common.identities import HostId
+from chicorybridge.http.services import Request
+from chicorybridge.storage.stores import (
     Condition,
     GetObject,
     HostState,
--- a/chicorybridge/stores.py
+++ b/chicorybridge/storage/stores.py
@@ -9,8 +9,8 @@
 from enum import Enum
 from typing import Any, TypeAlias
 
-from chicorybridge.codecs import wire
-from chicorybridge.identities import Digest, HostId
+from chicorybridge.common.codecs import wire
+from chicorybridge.common.identities import Digest, HostId
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/tests/test_claimants.py
+++ b/chicorybridge/tests/claims/test_claimants.py
@@ -5,17 +5,17 @@
 
 import pytest
 
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_messages import (
     ClaimDecided,
     ClaimRequested,
     ClaimVerdict,
     ClaimWithdrawn,
     EntryId,
 )
-from chicorybridge.claimants import Claimant
-from chicorybridge.clocks import ManualClock
-from chicorybridge.errors import RequestError
-from chicorybridge.identities import Digest, RequestKey
+from chicorybridge.claims.claimants import Claimant
+from chicorybridge.common.clocks import ManualClock
+from chicorybridge.common.errors import RequestError
+from chicorybridge.common.identities import Digest, RequestKey
 
 KEY = RequestKey('k')
 
--- a/chicorybridge/tests/test_claims.py
+++ b/chicorybridge/tests/claims/test_claims.py
@@ -3,7 +3,7 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_messages import (
     AttemptId,
     ClaimDecided,
     ClaimFinished,
@@ -15,16 +15,16 @@
     EntryLost,
     KeptAnswer,
 )
-from chicorybridge.claims import Claims
-from chicorybridge.errors import ErrorCode
-from chicorybridge.identities import (
+from chicorybridge.claims.claims import Claims
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.identities import (
     Digest,
     HostId,
     Incarnation,
     RequestKey,
 )
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.tools.channels import FaultyChannel
+from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.tools.simulations.channels import FaultyChannel
 
 ANSWER = KeptAnswer(status=201, headers=((b'x', b'1'),), body=b'booked')
 FOREIGN = RequestKey('5f0c')
--- a/chicorybridge/tests/test_buckets.py
+++ b/chicorybridge/tests/common/test_buckets.py
@@ -1,7 +1,7 @@
 """Tests of token buckets."""
 
-from chicorybridge.buckets import TokenBucket
-from chicorybridge.clocks import Millis
+from chicorybridge.common.buckets import TokenBucket
+from chicorybridge.common.clocks import Millis
 
 
 def test_bucket_refills_by_the_clock_up_to_its_burst():
--- a/chicorybridge/tests/test_codecs.py
+++ b/chicorybridge/tests/common/test_codecs.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from chicorybridge.codecs import pack, unpack
-from chicorybridge.errors import StreamError
-from chicorybridge.identities import HostId
-from chicorybridge.stores import HostState, ListedHost
+from chicorybridge.common.codecs import pack, unpack
+from chicorybridge.common.errors import StreamError
+from chicorybridge.common.identities import HostId
+from chicorybridge.storage.stores import HostState, ListedHost
 
 
 def test_round_trip_keeps_nested_types():
--- a/chicorybridge/tests/test_errors.py
+++ b/chicorybridge/tests/common/test_errors.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from chicorybridge.errors import ErrorCode, PromiseError, require
+from chicorybridge.common.errors import ErrorCode, PromiseError, require
 
-CATALOGUE = pathlib.Path(__file__).parents[2] / 'docs' / 'errors.md'
+CATALOGUE = pathlib.Path(__file__).parents[3] / 'docs' / 'errors.md'
 ROW = re.compile(r'^\| (CB\d+) \| (\w+) \|', re.MULTILINE)
 
 
--- a/chicorybridge/tests/test_events.py
+++ b/chicorybridge/tests/common/test_events.py
@@ -3,11 +3,11 @@
 import pathlib
 import re
 
-from chicorybridge.clocks import ManualClock
-from chicorybridge.events import Event, EventKind, EventLog
-from chicorybridge.identities import HostId, Incarnation
+from chicorybridge.common.clocks import ManualClock
+from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.identities import HostId, Incarnation
 
-CATALOGUE = pathlib.Path(__file__).parents[2] / 'docs' / 'events.md'
+CATALOGUE = pathlib.Path(__file__).parents[3] / 'docs' / 'events.md'
 ROW = re.compile(r'^\| (\d+) \| (\w+) \|', re.MULTILINE)
 
 
--- a/chicorybridge/tests/test_meters.py
+++ b/chicorybridge/tests/common/test_meters.py
@@ -3,10 +3,10 @@
 import pathlib
 import re
 
-from chicorybridge.attempts import AttemptOutcome
-from chicorybridge.meters import Meters, merge_histograms, summarise
+from chicorybridge.common.meters import Meters, merge_histograms, summarise
+from chicorybridge.routing.attempts import AttemptOutcome
 
-PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'metrics.md'
+PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'metrics.md'
 ROW = re.compile(r'^\| (attempts_\w+) \| count \|', re.MULTILINE)
 
 
--- a/chicorybridge/tests/test_applies.py
+++ b/chicorybridge/tests/configuration/test_applies.py
@@ -5,10 +5,12 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.faults import FaultyTables
-from chicorybridge.heads import HEAD_KEY
-from chicorybridge.identities import HostId
-from chicorybridge.stores import (
+from chicorybridge.common.identities import HostId
+from chicorybridge.configuration.heads import HEAD_KEY
+from chicorybridge.configuration.versions import ApplyProgress, ApplyStage
+from chicorybridge.standins.faults import FaultyTables
+from chicorybridge.standins.tables import MemoryTables
+from chicorybridge.storage.stores import (
     PutObject,
     ReadRows,
     StoreOutcome,
@@ -16,9 +18,7 @@
     StoreRequest,
     Transact,
 )
-from chicorybridge.tables import MemoryTables
-from chicorybridge.tools.fleets import SETTLE_MS, AppliedFleet
-from chicorybridge.versions import ApplyProgress, ApplyStage
+from chicorybridge.tools.simulations.fleets import SETTLE_MS, AppliedFleet
 
 SECOND = HostId('host-0001')
 IN_FORCE_MS = 2000
--- a/chicorybridge/tests/test_deltas.py
+++ b/chicorybridge/tests/configuration/test_deltas.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from chicorybridge.deltas import difference, patched
-from chicorybridge.tools.synthetics import make_small
+from chicorybridge.configuration.deltas import difference, patched
+from chicorybridge.tools.models.synthetics import make_small
 
 
 def test_difference_rebuilds_the_declaration():
--- a/chicorybridge/tests/test_process_settings.py
+++ b/chicorybridge/tests/configuration/test_process_settings.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from chicorybridge.process_settings import (
+from chicorybridge.common.readers import SettingsError
+from chicorybridge.configuration.process_settings import (
     read_control_settings,
     read_entry_settings,
 )
-from chicorybridge.readers import SettingsError
 
 CONTROL = """
 [control]
--- a/chicorybridge/tests/test_rollouts.py
+++ b/chicorybridge/tests/configuration/test_rollouts.py
@@ -3,10 +3,10 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.identities import HostId
-from chicorybridge.stores import HostState
-from chicorybridge.tools.fleets import AppliedFleet
-from chicorybridge.versions import ApplyStage, LagReason
+from chicorybridge.common.identities import HostId
+from chicorybridge.configuration.versions import ApplyStage, LagReason
+from chicorybridge.storage.stores import HostState
+from chicorybridge.tools.simulations.fleets import AppliedFleet
 
 FIRST = HostId('host-0000')
 SECOND = HostId('host-0001')
--- a/chicorybridge/tests/test_sections.py
+++ b/chicorybridge/tests/configuration/test_sections.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from chicorybridge.codecs import unpack
-from chicorybridge.readers import SettingsError
-from chicorybridge.sections import read_declaration
+from chicorybridge.common.codecs import unpack
+from chicorybridge.common.readers import SettingsError
+from chicorybridge.configuration.sections import read_declaration
 
-EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+EXAMPLES = pathlib.Path(__file__).parents[3] / 'examples'
 
 FAULTY = """
 [declaration faulty]
--- a/chicorybridge/tests/test_settings.py
+++ b/chicorybridge/tests/configuration/test_settings.py
@@ -3,10 +3,14 @@
 import pathlib
 import re
 
-from chicorybridge.process_settings import FIELDS_BY_KIND as PROCESS_FIELDS
-from chicorybridge.sections import FIELDS_BY_KIND as DECLARATION_FIELDS
+from chicorybridge.configuration.process_settings import (
+    FIELDS_BY_KIND as PROCESS_FIELDS,
+)
+from chicorybridge.configuration.sections import (
+    FIELDS_BY_KIND as DECLARATION_FIELDS,
+)
 
-PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'settings.md'
+PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'settings.md'
 ROW = re.compile(r'^\| `\[(\w+)[^`]*\]` \| `(\w+)` \|', re.MULTILINE)
 
 
--- a/chicorybridge/tests/test_spreads.py
+++ b/chicorybridge/tests/configuration/test_spreads.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from chicorybridge.identities import HostId
-from chicorybridge.systems import Send
-from chicorybridge.tools.channels import FaultyChannel
-from chicorybridge.tools.fleets import AppliedFleet
-from chicorybridge.versions import BodySent
+from chicorybridge.common.identities import HostId
+from chicorybridge.common.systems import Send
+from chicorybridge.configuration.versions import BodySent
+from chicorybridge.tools.simulations.channels import FaultyChannel
+from chicorybridge.tools.simulations.fleets import AppliedFleet
 
 IN_FORCE_MS = 2000
 LONG_MS = 30_000
--- a/chicorybridge/tests/test_streams.py
+++ b/chicorybridge/tests/control/test_streams.py
@@ -4,9 +4,9 @@
 import msgpack
 import pytest
 
-from chicorybridge.errors import ErrorCode, StreamError
-from chicorybridge.identities import HostId, Incarnation
-from chicorybridge.streams import Identity, MessageStream, Role
+from chicorybridge.common.errors import ErrorCode, StreamError
+from chicorybridge.common.identities import HostId, Incarnation
+from chicorybridge.control.streams import Identity, MessageStream, Role
 
 KEY = b'shared key of the tests'
 
--- a/chicorybridge/tests/test_cases.py
+++ b/chicorybridge/tests/detection/test_cases.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from chicorybridge.cases import Case
-from chicorybridge.clocks import Millis
-from chicorybridge.evidence import Evidence
-from chicorybridge.identities import HostId, TargetId, ZoneId
-from chicorybridge.observations import Tally
-from chicorybridge.thresholds import thresholds_of
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, TargetId, ZoneId
+from chicorybridge.detection.cases import Case
+from chicorybridge.detection.evidence import Evidence
+from chicorybridge.detection.observations import Tally
+from chicorybridge.detection.thresholds import thresholds_of
 
 TARGET = TargetId('target-00')
 NEAR = ZoneId('groningen')
--- a/chicorybridge/tests/test_departures.py
+++ b/chicorybridge/tests/detection/test_departures.py
@@ -3,12 +3,12 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.clocks import Millis
-from chicorybridge.departures import Departures
-from chicorybridge.identities import HostId, RouteId, ServiceId, TargetId
-from chicorybridge.stores import HostState
-from chicorybridge.tools.fleets import Fleet
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, RouteId, ServiceId, TargetId
+from chicorybridge.detection.departures import Departures
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.storage.stores import HostState
+from chicorybridge.tools.simulations.fleets import Fleet
 
 FIRST = HostId('host-0000')
 TARGET = TargetId('target-1')
--- a/chicorybridge/tests/test_ejections.py
+++ b/chicorybridge/tests/detection/test_ejections.py
@@ -2,18 +2,18 @@
 
 import pytest
 
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.clocks import Millis
-from chicorybridge.errors import PromiseError
-from chicorybridge.permit_holdings import Holding
-from chicorybridge.identities import HostId, TargetId, Version
-from chicorybridge.notices import Ejection
-from chicorybridge.tools.mixed_declarations import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import PromiseError
+from chicorybridge.common.identities import HostId, TargetId, Version
+from chicorybridge.detection.notices import Ejection
+from chicorybridge.detection.permit_holdings import Holding
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.tools.models.mixed_declarations import (
     READ_ROUTE,
     SERVICE_ID,
     declare,
 )
-from chicorybridge.tools.judging_fleets import Fleet
+from chicorybridge.tools.simulations.judging_fleets import Fleet
 
 HOSTS = 6
 # Ten targets of six slots with a floor of 0.7 leave three to eject.
--- a/chicorybridge/tests/test_judgements.py
+++ b/chicorybridge/tests/detection/test_judgements.py
@@ -2,14 +2,14 @@
 
 import random
 
-from chicorybridge.checks import CheckRequest
-from chicorybridge.clocks import Millis
-from chicorybridge.detections import Detection
-from chicorybridge.evidence import Evidence, EvidenceReport
-from chicorybridge.freshness import Freshness
-from chicorybridge.identities import HostId, Incarnation, Version, ZoneId
-from chicorybridge.observations import Tally
-from chicorybridge.tools.mixed_declarations import declare
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, Incarnation, Version, ZoneId
+from chicorybridge.detection.checks import CheckRequest
+from chicorybridge.detection.detections import Detection
+from chicorybridge.detection.evidence import Evidence, EvidenceReport
+from chicorybridge.detection.observations import Tally
+from chicorybridge.fleet.freshness import Freshness
+from chicorybridge.tools.models.mixed_declarations import declare
 
 HOSTS = tuple(HostId(f'host-{number}') for number in range(3))
 ZONE = ZoneId('groningen')
--- a/chicorybridge/tests/test_observations.py
+++ b/chicorybridge/tests/detection/test_observations.py
@@ -1,14 +1,14 @@
 """Tests of what entries gather and send."""
 
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import pack, unpack
-from chicorybridge.identities import HostId, TargetId
-from chicorybridge.observations import LARGE_BODY_BYTES, Observer
-from chicorybridge.tools.mixed_declarations import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import pack, unpack
+from chicorybridge.common.identities import HostId, TargetId
+from chicorybridge.detection.observations import LARGE_BODY_BYTES, Observer
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.tools.models.mixed_declarations import (
     READ_ROUTE,
-    UPLOAD_ROUTE,
     SERVICE_ID,
+    UPLOAD_ROUTE,
     declare,
 )
 
--- a/chicorybridge/tests/test_permits.py
+++ b/chicorybridge/tests/detection/test_permits.py
@@ -1,11 +1,11 @@
 """Tests of permits: claims, loans and lapses."""
 
-from chicorybridge.permit_holdings import HoldingTable
-from chicorybridge.identities import HostId, Version
-from chicorybridge.ledgers import budgets_of, ledger_of, row_key_of
-from chicorybridge.stores import ReadRows
-from chicorybridge.tools.mixed_declarations import SERVICE_ID, declare
-from chicorybridge.tools.judging_fleets import Fleet
+from chicorybridge.common.identities import HostId, Version
+from chicorybridge.detection.ledgers import budgets_of, ledger_of, row_key_of
+from chicorybridge.detection.permit_holdings import HoldingTable
+from chicorybridge.storage.stores import ReadRows
+from chicorybridge.tools.models.mixed_declarations import SERVICE_ID, declare
+from chicorybridge.tools.simulations.judging_fleets import Fleet
 
 # Ten targets of six slots with a floor of 0.9 leave one to eject.
 BUDGET = 6
--- a/chicorybridge/tests/test_probes.py
+++ b/chicorybridge/tests/detection/test_probes.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import TargetId
-from chicorybridge.notices import Ejection
-from chicorybridge.probes import PROBE_MS
-from chicorybridge.tools.mixed_declarations import SERVICE_ID, declare
-from chicorybridge.tools.judging_fleets import Fleet
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import TargetId
+from chicorybridge.detection.notices import Ejection
+from chicorybridge.detection.probes import PROBE_MS
+from chicorybridge.tools.models.mixed_declarations import SERVICE_ID, declare
+from chicorybridge.tools.simulations.judging_fleets import Fleet
 
 FIRST = TargetId('target-00')
 SECONDS = 20
--- a/chicorybridge/tests/test_dispatchers.py
+++ b/chicorybridge/tests/entry/test_dispatchers.py
@@ -7,8 +7,8 @@
 import curio
 import pytest
 
-from chicorybridge.clocks import Millis
-from chicorybridge.errors import PromiseError
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import PromiseError
 from chicorybridge.tests.fronts import (
     OK,
     answering,
--- a/chicorybridge/tests/test_entry_processes.py
+++ b/chicorybridge/tests/entry/test_entry_processes.py
@@ -5,11 +5,12 @@
 import curio
 import pytest
 
-from chicorybridge import settings, sockets
-from chicorybridge.clocks import Clock
-from chicorybridge.entry_processes import Entry
-from chicorybridge.identities import HostId, RegionId, ZoneId
-from chicorybridge.process_settings import EntrySettings
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import Clock
+from chicorybridge.common.identities import HostId, RegionId, ZoneId
+from chicorybridge.configuration.process_settings import EntrySettings
+from chicorybridge.entry.entry_processes import Entry
 
 GONE = '127.0.0.1:1'
 
--- a/chicorybridge/tests/test_entry_reports.py
+++ b/chicorybridge/tests/entry/test_entry_reports.py
@@ -3,13 +3,13 @@
 from types import SimpleNamespace
 from typing import Any
 
-from chicorybridge.clocks import ManualClock
-from chicorybridge.entry_messages import EntryReport, MetricsReport
-from chicorybridge.entry_reports import EntryReporter
-from chicorybridge.entry_states import EntryState
-from chicorybridge.errors import ErrorCode
-from chicorybridge.events import EventLog
-from chicorybridge.identities import HostId, Incarnation
+from chicorybridge.common.clocks import ManualClock
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.events import EventLog
+from chicorybridge.common.identities import HostId, Incarnation
+from chicorybridge.entry.entry_messages import EntryReport, MetricsReport
+from chicorybridge.entry.entry_reports import EntryReporter
+from chicorybridge.entry.entry_states import EntryState
 
 
 async def test_refusals_of_a_tick_are_one_event_and_are_counted():
--- a/chicorybridge/tests/test_fanouts.py
+++ b/chicorybridge/tests/fleet/test_fanouts.py
@@ -3,10 +3,15 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.fanouts import chosen_peers
-from chicorybridge.identities import HostId, Incarnation, RegionId, ZoneId
-from chicorybridge.profiles import HostProfile
-from chicorybridge.tools.fleets import Fleet
+from chicorybridge.common.identities import (
+    HostId,
+    Incarnation,
+    RegionId,
+    ZoneId,
+)
+from chicorybridge.fleet.fanouts import chosen_peers
+from chicorybridge.fleet.profiles import HostProfile
+from chicorybridge.tools.simulations.fleets import Fleet
 
 SIZE = 54
 PEERS_AT_FULL_SIZE = 40
--- a/chicorybridge/tests/test_joinings.py
+++ b/chicorybridge/tests/fleet/test_joinings.py
@@ -3,9 +3,9 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.identities import HostId
-from chicorybridge.tools.fleets import SETTLE_MS, AppliedFleet
-from chicorybridge.versions import ApplyStage
+from chicorybridge.common.identities import HostId
+from chicorybridge.configuration.versions import ApplyStage
+from chicorybridge.tools.simulations.fleets import SETTLE_MS, AppliedFleet
 
 FRESH = HostId('host-9999')
 LAST = HostId('host-0007')
--- a/chicorybridge/tests/test_members.py
+++ b/chicorybridge/tests/fleet/test_members.py
@@ -3,9 +3,9 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.identities import HostId
-from chicorybridge.profiles import Reach
-from chicorybridge.tools.fleets import Fleet
+from chicorybridge.common.identities import HostId
+from chicorybridge.fleet.profiles import Reach
+from chicorybridge.tools.simulations.fleets import Fleet
 
 FIRST = HostId('host-0000')
 SECOND = HostId('host-0001')
--- a/chicorybridge/tests/test_rosters.py
+++ b/chicorybridge/tests/fleet/test_rosters.py
@@ -7,9 +7,9 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.identities import NO_VERSION, HostId, RegionId, ZoneId
-from chicorybridge.rosters import Roster, RosterHost, Rosters, entry_list
-from chicorybridge.tools.fleets import AppliedFleet
+from chicorybridge.common.identities import NO_VERSION, HostId, RegionId, ZoneId
+from chicorybridge.fleet.rosters import Roster, RosterHost, Rosters, entry_list
+from chicorybridge.tools.simulations.fleets import AppliedFleet
 
 CALLERS = 4000
 FIRST = HostId('host-0000')
--- a/chicorybridge/tests/fronts.py
+++ b/chicorybridge/tests/fronts.py
@@ -8,20 +8,26 @@
 
 import curio
 
-from chicorybridge import sockets
-from chicorybridge.caller_connections import CallerTable
-from chicorybridge.claim_messages import EntryId
-from chicorybridge.claimants import Claimant
-from chicorybridge.clocks import Clock, Millis
-from chicorybridge.configurations import ActiveConfiguration
-from chicorybridge.connections import TargetConnections
-from chicorybridge.declarations import Declaration, Service
-from chicorybridge.dispatchers import Dispatcher
-from chicorybridge.entry_states import EntryState
-from chicorybridge.identities import Digest, HostId, ServiceId, Version, ZoneId
-from chicorybridge.policies import Policies
-from chicorybridge.routes import RouteTable
-from chicorybridge.tools.declared import ServiceShape, declare
+from chicorybridge.claims.claim_messages import EntryId
+from chicorybridge.claims.claimants import Claimant
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import Clock, Millis
+from chicorybridge.common.identities import (
+    Digest,
+    HostId,
+    ServiceId,
+    Version,
+    ZoneId,
+)
+from chicorybridge.configuration.configurations import ActiveConfiguration
+from chicorybridge.configuration.declarations import Declaration, Service
+from chicorybridge.entry.dispatchers import Dispatcher
+from chicorybridge.entry.entry_states import EntryState
+from chicorybridge.http.caller_connections import CallerTable
+from chicorybridge.http.connections import TargetConnections
+from chicorybridge.routing.policies import Policies
+from chicorybridge.routing.routes import RouteTable
+from chicorybridge.tools.models.declared import ServiceShape, declare
 
 READ_BYTES = 65536
 ZONE = 'noord-1'
--- a/chicorybridge/tests/test_exchanges.py
+++ b/chicorybridge/tests/http/test_exchanges.py
@@ -5,8 +5,8 @@
 import curio
 import pytest
 
-from chicorybridge.caller_exchanges import CallerExchange
-from chicorybridge.clocks import Clock
+from chicorybridge.common.clocks import Clock
+from chicorybridge.http.caller_exchanges import CallerExchange
 
 GET = b'GET / HTTP/1.1\r\nhost: fleet\r\n\r\n'
 EMPTY = b'POST / HTTP/1.1\r\nhost: fleet\r\ncontent-length: 0\r\n\r\n'
--- a/chicorybridge/tests/test_arrivals.py
+++ b/chicorybridge/tests/load/test_arrivals.py
@@ -2,8 +2,8 @@
 
 import random
 
-from chicorybridge.arrivals import draw_arrivals
-from chicorybridge.experiments import CallerGroup, RequestKind
+from chicorybridge.load.arrivals import draw_arrivals
+from chicorybridge.load.experiments import CallerGroup, RequestKind
 
 KINDS = (
     RequestKind(name='read', share=9),
--- a/chicorybridge/tests/test_callers.py
+++ b/chicorybridge/tests/load/test_callers.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from chicorybridge.callers import CallerHost, CallOutcome, judge
-from chicorybridge.clocks import Clock
-from chicorybridge.experiments import CallerGroup, RequestKind, Via
-from chicorybridge.services import Response
+from chicorybridge.common.clocks import Clock
+from chicorybridge.http.services import Response
+from chicorybridge.load.callers import CallerHost, CallOutcome, judge
+from chicorybridge.load.experiments import CallerGroup, RequestKind, Via
 from chicorybridge.tests.serving import serving
 
 ECHO = json.dumps({'request': 'r-1', 'sha256': 'd'}).encode()
--- a/chicorybridge/tests/test_experiment_files.py
+++ b/chicorybridge/tests/load/test_experiment_files.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from chicorybridge.experiment_files import read_experiment
-from chicorybridge.experiments import Via
-from chicorybridge.readers import SettingsError
+from chicorybridge.common.readers import SettingsError
+from chicorybridge.load.experiment_files import read_experiment
+from chicorybridge.load.experiments import Via
 
-FOLDER = pathlib.Path(__file__).parents[2] / 'experiments'
+FOLDER = pathlib.Path(__file__).parents[3] / 'experiments'
 
 GOOD = """
 [experiment small]
--- a/chicorybridge/tests/test_loads.py
+++ b/chicorybridge/tests/load/test_loads.py
@@ -5,9 +5,9 @@
 import pytest
 from cleo.testers.command_tester import CommandTester
 
-from chicorybridge.loads import ReportCommand, RunCommand
+from chicorybridge.load.loads import ReportCommand, RunCommand
 
-EXPERIMENTS = pathlib.Path(__file__).parents[2] / 'experiments'
+EXPERIMENTS = pathlib.Path(__file__).parents[3] / 'experiments'
 MIXED = EXPERIMENTS / 'mixed.ini'
 
 
--- a/chicorybridge/tests/test_recorders.py
+++ b/chicorybridge/tests/load/test_recorders.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from chicorybridge.callers import Call, CallOutcome
-from chicorybridge.experiments import RequestKind
-from chicorybridge.recorders import GroupRecorder
+from chicorybridge.load.callers import Call, CallOutcome
+from chicorybridge.load.experiments import RequestKind
+from chicorybridge.load.recorders import GroupRecorder
 
 
 def _call(*outcomes):
--- a/chicorybridge/tests/test_runs.py
+++ b/chicorybridge/tests/load/test_runs.py
@@ -6,24 +6,24 @@
 
 import pytest
 
-from chicorybridge.clocks import Clock
-from chicorybridge.emulators import TargetEmulator
-from chicorybridge.experiments import (
+from chicorybridge.common.clocks import Clock
+from chicorybridge.load.experiments import (
     CallerGroup,
     Experiment,
     FaultStep,
     Place,
     RequestKind,
 )
-from chicorybridge.impairments import EmulatorKnobs
-from chicorybridge.reports import make_report
-from chicorybridge.results import (
+from chicorybridge.load.reports import make_report
+from chicorybridge.load.results import (
     compare,
     make_result,
     read_result,
     write_result,
 )
-from chicorybridge.runs import Run
+from chicorybridge.load.runs import Run
+from chicorybridge.standins.emulators import TargetEmulator
+from chicorybridge.standins.impairments import EmulatorKnobs
 from chicorybridge.tests.serving import serving
 
 KINDS = (
--- a/chicorybridge/tests/test_verdicts.py
+++ b/chicorybridge/tests/load/test_verdicts.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from chicorybridge.callers import Call, CallOutcome
-from chicorybridge.experiments import RequestKind
-from chicorybridge.verdicts import judge_calls
+from chicorybridge.load.callers import Call, CallOutcome
+from chicorybridge.load.experiments import RequestKind
+from chicorybridge.load.verdicts import judge_calls
 
 KIND = RequestKind(name='accept', method='POST', keyed=True)
 
--- a/chicorybridge/tests/test_choosers.py
+++ b/chicorybridge/tests/routing/test_choosers.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from chicorybridge.attempts import AttemptOutcome
-from chicorybridge.choosers import Chooser
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import ServiceId, TargetId, ZoneId
-from chicorybridge.tools.attempted import attempted
-from chicorybridge.tools.declared import ServiceShape, declare
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.routing.attempts import AttemptOutcome
+from chicorybridge.routing.choosers import Chooser
+from chicorybridge.tools.models.attempted import attempted
+from chicorybridge.tools.models.declared import ServiceShape, declare
 
 SERVICE = ServiceId('quotes')
 ZONE = ZoneId('north-1')
--- a/chicorybridge/tests/test_crossings.py
+++ b/chicorybridge/tests/routing/test_crossings.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from chicorybridge.clocks import Millis
-from chicorybridge.crossings import CrossingGranted, CrossingMeter
-from chicorybridge.identities import ServiceId, TargetId, ZoneId
-from chicorybridge.tools.declared import ServiceShape, declare
-from chicorybridge.tools.upload_models import UploadModel, UploadPlan
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.routing.crossings import CrossingGranted, CrossingMeter
+from chicorybridge.tools.models.declared import ServiceShape, declare
+from chicorybridge.tools.models.upload_models import UploadModel, UploadPlan
 
 SERVICE = ServiceId('quotes')
 NOW = Millis(0)
--- a/chicorybridge/tests/test_grants.py
+++ b/chicorybridge/tests/routing/test_grants.py
@@ -3,12 +3,12 @@
 import random
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.crossings import CrossingGranted, CrossingWanted
-from chicorybridge.grants import Grants, Pool
-from chicorybridge.identities import HostId, RegionId, ServiceId
-from chicorybridge.systems import Send, SendEntries
-from chicorybridge.tools.declared import ServiceShape, declare
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, RegionId, ServiceId
+from chicorybridge.common.systems import Send, SendEntries
+from chicorybridge.routing.crossings import CrossingGranted, CrossingWanted
+from chicorybridge.routing.grants import Grants, Pool
+from chicorybridge.tools.models.declared import ServiceShape, declare
 
 SERVICE = ServiceId('quotes')
 HOSTS = tuple(HostId(f'host-{number}') for number in range(5))
--- a/chicorybridge/tests/test_limits.py
+++ b/chicorybridge/tests/routing/test_limits.py
@@ -2,15 +2,15 @@
 
 import random
 
-from chicorybridge.attempts import AttemptOutcome
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Priority
-from chicorybridge.errors import ErrorCode
-from chicorybridge.identities import ServiceId, TargetId, WorkspaceId
-from chicorybridge.limits import Limiter
-from chicorybridge.subsets import FleetSize
-from chicorybridge.tools.attempted import attempted
-from chicorybridge.tools.declared import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.identities import ServiceId, TargetId, WorkspaceId
+from chicorybridge.configuration.declarations import Priority
+from chicorybridge.routing.attempts import AttemptOutcome
+from chicorybridge.routing.limits import Limiter
+from chicorybridge.routing.subsets import FleetSize
+from chicorybridge.tools.models.attempted import attempted
+from chicorybridge.tools.models.declared import (
     ServiceShape,
     declare,
     sample_workspace,
--- a/chicorybridge/tests/test_outcomes.py
+++ b/chicorybridge/tests/routing/test_outcomes.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from chicorybridge.attempts import AttemptOutcome
-from chicorybridge.outcomes import RequestOutcome, outcome_of
-from chicorybridge.tools.attempted import attempted
+from chicorybridge.routing.attempts import AttemptOutcome
+from chicorybridge.routing.outcomes import RequestOutcome, outcome_of
+from chicorybridge.tools.models.attempted import attempted
 
 SHED = attempted(AttemptOutcome.shed)
 UNREACHABLE = attempted(AttemptOutcome.unreachable, sent_bytes=0)
--- a/chicorybridge/tests/test_quarantines.py
+++ b/chicorybridge/tests/routing/test_quarantines.py
@@ -4,16 +4,20 @@
 
 import pytest
 
-from chicorybridge.attempts import AttemptOutcome
-from chicorybridge.clocks import Millis
-from chicorybridge.events import EventKind
-from chicorybridge.identities import Digest, HostId
-from chicorybridge.quarantines import Quarantine, Quarantines, may_have_crashed
-from chicorybridge.suspects import CrashSuspected, SuspectCleared
-from chicorybridge.systems import Send, SendEntries
-from chicorybridge.tools.attempted import attempted
-from chicorybridge.tools.crash_models import CrashModel, CrashPlan
-from chicorybridge.tools.declared import ServiceShape, declare
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.events import EventKind
+from chicorybridge.common.identities import Digest, HostId
+from chicorybridge.common.systems import Send, SendEntries
+from chicorybridge.routing.attempts import AttemptOutcome
+from chicorybridge.routing.quarantines import (
+    Quarantine,
+    Quarantines,
+    may_have_crashed,
+)
+from chicorybridge.routing.suspects import CrashSuspected, SuspectCleared
+from chicorybridge.tools.models.attempted import attempted
+from chicorybridge.tools.models.crash_models import CrashModel, CrashPlan
+from chicorybridge.tools.models.declared import ServiceShape, declare
 
 NOW = Millis(0)
 DIGEST = Digest('a')
--- a/chicorybridge/tests/test_retries.py
+++ b/chicorybridge/tests/routing/test_retries.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from chicorybridge.attempts import AttemptOutcome
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import ServiceId, TargetId
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.retries import RequestFacts, RetryBudget, RetryPolicy
-from chicorybridge.tools.attempted import attempted
-from chicorybridge.tools.declared import ServiceShape, declare
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import ServiceId, TargetId
+from chicorybridge.routing.attempts import AttemptOutcome
+from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.routing.retries import RequestFacts, RetryBudget, RetryPolicy
+from chicorybridge.tools.models.attempted import attempted
+from chicorybridge.tools.models.declared import ServiceShape, declare
 
 SERVICE = ServiceId('quotes')
 NOW = Millis(1000)
--- a/chicorybridge/tests/test_subsets.py
+++ b/chicorybridge/tests/routing/test_subsets.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from chicorybridge.identities import ZoneId
-from chicorybridge.subsets import FleetSize, share_of, subset_of
-from chicorybridge.tools.declared import ServiceShape, declare
+from chicorybridge.common.identities import ZoneId
+from chicorybridge.routing.subsets import FleetSize, share_of, subset_of
+from chicorybridge.tools.models.declared import ServiceShape, declare
 
 ZONES = tuple(f'{region}-{half}' for region in 'abc' for half in (1, 2))
 
--- a/chicorybridge/tests/test_suspects.py
+++ b/chicorybridge/tests/routing/test_suspects.py
@@ -3,9 +3,9 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import Digest, TargetId
-from chicorybridge.suspects import CrashSuspected, SuspectTable, Victim
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import Digest, TargetId
+from chicorybridge.routing.suspects import CrashSuspected, SuspectTable, Victim
 
 NOW = Millis(1000)
 
--- a/chicorybridge/tests/test_weights.py
+++ b/chicorybridge/tests/routing/test_weights.py
@@ -2,17 +2,17 @@
 
 import pytest
 
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.baselines import UNKNOWN, Residual
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import HostId, TargetId
-from chicorybridge.notices import TargetLimits
-from chicorybridge.tools.mixed_declarations import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, TargetId
+from chicorybridge.detection.baselines import UNKNOWN, Residual
+from chicorybridge.detection.notices import TargetLimits
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.routing.weights import TRICKLE, Weights
+from chicorybridge.tools.models.mixed_declarations import (
     READ_ROUTE,
     SERVICE_ID,
     declare,
 )
-from chicorybridge.weights import TRICKLE, Weights
 
 EVERYONE = tuple(declare(targets=10).targets_by_id)
 HOST = HostId('host-00')
--- a/chicorybridge/tests/serving.py
+++ b/chicorybridge/tests/serving.py
@@ -5,9 +5,9 @@
 
 import curio
 
-from chicorybridge import sockets
-from chicorybridge.addresses import Address
-from chicorybridge.services import Handler, Server
+from chicorybridge.common import sockets
+from chicorybridge.common.addresses import Address
+from chicorybridge.http.services import Handler, Server
 
 STOP_MS = 1000
 
--- a/chicorybridge/tests/test_databases.py
+++ b/chicorybridge/tests/standins/test_databases.py
@@ -1,8 +1,8 @@
 """Tests of tables that a file keeps."""
 
-from chicorybridge.databases import DatabaseTables
-from chicorybridge.identities import Digest
-from chicorybridge.stores import (
+from chicorybridge.common.identities import Digest
+from chicorybridge.standins.databases import DatabaseTables
+from chicorybridge.storage.stores import (
     Condition,
     GetObject,
     PutObject,
--- a/chicorybridge/tests/test_emulators.py
+++ b/chicorybridge/tests/standins/test_emulators.py
@@ -8,12 +8,12 @@
 import curio
 import pytest
 
-from chicorybridge.addresses import Address
-from chicorybridge.clocks import Clock
-from chicorybridge.emulators import COUNTS, KNOBS, TargetEmulator
-from chicorybridge.fetchers import Client
-from chicorybridge.impairments import EmulatorKnobs
-from chicorybridge.services import AnswerLostError, Request
+from chicorybridge.common.addresses import Address
+from chicorybridge.common.clocks import Clock
+from chicorybridge.http.fetchers import Client
+from chicorybridge.http.services import AnswerLostError, Request
+from chicorybridge.standins.emulators import COUNTS, KNOBS, TargetEmulator
+from chicorybridge.standins.impairments import EmulatorKnobs
 from chicorybridge.tests.serving import serving
 
 TIMEOUT_MS = 500
--- a/chicorybridge/tests/test_impairments.py
+++ b/chicorybridge/tests/standins/test_impairments.py
@@ -4,8 +4,13 @@
 
 import pytest
 
-from chicorybridge.clocks import Millis
-from chicorybridge.impairments import EmulatorKnobs, Fault, Impairments, Work
+from chicorybridge.common.clocks import Millis
+from chicorybridge.standins.impairments import (
+    EmulatorKnobs,
+    Fault,
+    Impairments,
+    Work,
+)
 
 WORK = Work(path='/stock/1', body_bytes=0, zone='', source='127.0.0.1')
 
--- a/chicorybridge/tests/test_knobs.py
+++ b/chicorybridge/tests/standins/test_knobs.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from chicorybridge.impairments import EmulatorKnobs
-from chicorybridge.platforms import PlatformKnobs
+from chicorybridge.standins.impairments import EmulatorKnobs
+from chicorybridge.standins.platforms import PlatformKnobs
 
-PAGES = pathlib.Path(__file__).parents[2] / 'docs'
+PAGES = pathlib.Path(__file__).parents[3] / 'docs'
 NAME = re.compile('`([a-z_]+)`')
 
 
--- a/chicorybridge/tests/test_platforms.py
+++ b/chicorybridge/tests/standins/test_platforms.py
@@ -5,15 +5,16 @@
 import json
 import random
 
-from chicorybridge.addresses import Address
-from chicorybridge.clients import PlatformClient
-from chicorybridge.clocks import ManualClock
-from chicorybridge.documents import KNOBS
-from chicorybridge.fetchers import Client
-from chicorybridge.identities import Digest, HostId
-from chicorybridge.platforms import PlatformStandin
-from chicorybridge.services import Request
-from chicorybridge.stores import (
+from chicorybridge.common.addresses import Address
+from chicorybridge.common.clocks import ManualClock
+from chicorybridge.common.identities import Digest, HostId
+from chicorybridge.http.fetchers import Client
+from chicorybridge.http.services import Request
+from chicorybridge.standins.platforms import PlatformStandin
+from chicorybridge.standins.tables import MemoryTables
+from chicorybridge.storage.clients import PlatformClient
+from chicorybridge.storage.documents import KNOBS
+from chicorybridge.storage.stores import (
     Condition,
     GetObject,
     HostState,
@@ -27,7 +28,6 @@
     Transact,
     Write,
 )
-from chicorybridge.tables import MemoryTables
 from chicorybridge.tests.serving import serving
 
 HEAD = RowKey(table='configuration', key='head/1')
--- a/chicorybridge/tests/test_standins.py
+++ b/chicorybridge/tests/standins/test_standins.py
@@ -3,7 +3,7 @@
 import pytest
 from cleo.testers.command_tester import CommandTester
 
-from chicorybridge.standins import PlatformCommand, TargetCommand
+from chicorybridge.standins.standins import PlatformCommand, TargetCommand
 
 
 @pytest.mark.parametrize(
--- a/chicorybridge/tests/test_tables.py
+++ b/chicorybridge/tests/standins/test_tables.py
@@ -1,6 +1,7 @@
 """Tests of tables in memory."""
 
-from chicorybridge.stores import (
+from chicorybridge.standins.tables import MemoryTables
+from chicorybridge.storage.stores import (
     Condition,
     ReadRows,
     RowKey,
@@ -8,7 +9,6 @@
     Transact,
     Write,
 )
-from chicorybridge.tables import MemoryTables
 
 HEAD = RowKey(table='configuration', key='head')
 
--- a/chicorybridge/tests/test_claim_runs.py
+++ b/chicorybridge/tests/tools/test_claim_runs.py
@@ -4,17 +4,17 @@
 
 import pytest
 
-from chicorybridge import claim_ledgers
-from chicorybridge.claim_assignments import Assignment, ClaimAssignments
-from chicorybridge.claim_attempts import ClaimAttempts
-from chicorybridge.claim_messages import ClaimFinished
-from chicorybridge.claim_owners import ClaimOwner
-from chicorybridge.claim_rows import OwnerRow
-from chicorybridge.claim_tables import Asker, Claim, ClaimState
-from chicorybridge.errors import PromiseError
-from chicorybridge.identities import RequestKey
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.tools.claim_runs import ClaimRun, RunPlan
+from chicorybridge.claims.claim_assignments import Assignment, ClaimAssignments
+from chicorybridge.claims.claim_attempts import ClaimAttempts
+from chicorybridge.claims.claim_messages import ClaimFinished
+from chicorybridge.claims.claim_owners import ClaimOwner
+from chicorybridge.claims.claim_rows import OwnerRow
+from chicorybridge.claims.claim_tables import Asker, Claim, ClaimState
+from chicorybridge.claims import claim_ledgers
+from chicorybridge.common.errors import PromiseError
+from chicorybridge.common.identities import RequestKey
+from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.tools.simulations.claim_runs import ClaimRun, RunPlan
 
 BROKEN_SEED = 7
 
--- a/chicorybridge/tests/test_claim_specifications.py
+++ b/chicorybridge/tests/tools/test_claim_specifications.py
@@ -4,11 +4,13 @@
 
 import pytest
 
-from chicorybridge.errors import PromiseError
-from chicorybridge.tools.claim_replays import ClaimReplay
-from chicorybridge.tools.claim_specifications import ClaimSpecification
-from chicorybridge.tools.claim_worlds import Broken
-from chicorybridge.tools.specifications import check
+from chicorybridge.common.errors import PromiseError
+from chicorybridge.tools.specifications.claim_replays import ClaimReplay
+from chicorybridge.tools.specifications.claim_specifications import (
+    ClaimSpecification,
+)
+from chicorybridge.tools.specifications.claim_worlds import Broken
+from chicorybridge.tools.specifications.specifications import check
 
 CONFIGURATIONS = (
     # An issued key, tried through its owner and twice through another.
--- a/chicorybridge/tests/test_configuration_specifications.py
+++ b/chicorybridge/tests/tools/test_configuration_specifications.py
@@ -3,13 +3,15 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.applies import Applies
-from chicorybridge.tools.configuration_runs import ConfigurationRun
-from chicorybridge.tools.configuration_specifications import (
+from chicorybridge.configuration.applies import Applies
+from chicorybridge.tools.simulations.configuration_runs import ConfigurationRun
+from chicorybridge.tools.specifications.configuration_specifications import (
     ConfigurationSpecification,
 )
-from chicorybridge.tools.configuration_worlds import BrokenConfiguration
-from chicorybridge.tools.specifications import check
+from chicorybridge.tools.specifications.configuration_worlds import (
+    BrokenConfiguration,
+)
+from chicorybridge.tools.specifications.specifications import check
 
 # Two operators at once whose writes may stay unanswered.
 RACE = ConfigurationSpecification(hosts=1, bases=(0, 0), starts=0)
--- a/chicorybridge/tests/test_control_costs.py
+++ b/chicorybridge/tests/tools/test_control_costs.py
@@ -2,8 +2,12 @@
 
 import dataclasses
 
-from chicorybridge.tools.control_costs import SMALL, ControlFleet, Load
-from chicorybridge.tools.synthetics import make_declaration
+from chicorybridge.tools.measurements.control_costs import (
+    SMALL,
+    ControlFleet,
+    Load,
+)
+from chicorybridge.tools.models.synthetics import make_declaration
 
 
 def _cost(load):
--- a/chicorybridge/tests/test_detection_runs.py
+++ b/chicorybridge/tests/tools/test_detection_runs.py
@@ -2,8 +2,7 @@
 
 import pytest
 
-from chicorybridge.tools.detection_runs import Setup, Simulation
-from chicorybridge.tools.episodes import (
+from chicorybridge.tools.models.episodes import (
     GRAY,
     await_detection,
     cold_start,
@@ -12,8 +11,9 @@
     slow_pool,
     turn_gray,
 )
-from chicorybridge.tools.policies import PolicyName
-from chicorybridge.tools.service_models import HARD, Condition
+from chicorybridge.tools.models.policies import PolicyName
+from chicorybridge.tools.models.service_models import HARD, Condition
+from chicorybridge.tools.simulations.detection_runs import Setup, Simulation
 
 # Settings of the two first users.
 KENTE = 0.9
--- a/chicorybridge/tests/test_fleetruns.py
+++ b/chicorybridge/tests/tools/test_fleetruns.py
@@ -3,8 +3,8 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.errors import PromiseError
-from chicorybridge.tools.fleetruns import FleetRun
+from chicorybridge.common.errors import PromiseError
+from chicorybridge.tools.simulations.fleetruns import FleetRun
 
 LONG_SEEDS = range(100, 120)
 
--- a/chicorybridge/tests/test_floor_runs.py
+++ b/chicorybridge/tests/tools/test_floor_runs.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from chicorybridge.errors import PromiseError
-from chicorybridge.freshness import Freshness
-from chicorybridge.tools.floor_runs import FloorRun
+from chicorybridge.common.errors import PromiseError
+from chicorybridge.fleet.freshness import Freshness
+from chicorybridge.tools.simulations.floor_runs import FloorRun
 
 MINUTE_MS = 60_000
 
--- a/chicorybridge/tests/test_permit_specifications.py
+++ b/chicorybridge/tests/tools/test_permit_specifications.py
@@ -5,13 +5,15 @@
 
 import pytest
 
-from chicorybridge.permit_holdings import Holding
-from chicorybridge.permits import Permits
-from chicorybridge.stores import StoreOutcome
-from chicorybridge.tools.permit_replays import PermitReplay
-from chicorybridge.tools.permit_specifications import PermitSpecification
-from chicorybridge.tools.permit_worlds import BrokenPermit
-from chicorybridge.tools.specifications import check
+from chicorybridge.detection.permit_holdings import Holding
+from chicorybridge.detection.permits import Permits
+from chicorybridge.storage.stores import StoreOutcome
+from chicorybridge.tools.specifications.permit_replays import PermitReplay
+from chicorybridge.tools.specifications.permit_specifications import (
+    PermitSpecification,
+)
+from chicorybridge.tools.specifications.permit_worlds import BrokenPermit
+from chicorybridge.tools.specifications.specifications import check
 
 # Steps that need time to pass, or a process to end.
 BOUND_BY_TIME = frozenset(
