--- a/chicorybridge/tests/test_slopes.py
+++ b/chicorybridge/tests/tools/test_slopes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from chicorybridge.tools.slopes import fit
+from chicorybridge.tools.measurements.slopes import fit
 
 
 def _fit(*points):
--- a/chicorybridge/tests/test_synthetics.py
+++ b/chicorybridge/tests/tools/test_synthetics.py
@@ -1,7 +1,7 @@
 """Tests of made-up declarations."""
 
-from chicorybridge.sections import read_declaration
-from chicorybridge.tools.synthetics import (
+from chicorybridge.configuration.sections import read_declaration
+from chicorybridge.tools.models.synthetics import (
     Sizes,
     make_declaration,
     write_declaration,
--- /dev/null
+++ b/chicorybridge/tools/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that measure costs, slopes and choices."""
--- a/chicorybridge/tools/capacities.py
+++ b/chicorybridge/tools/measurements/capacities.py
@@ -1,7 +1,9 @@
 """Measure the slopes of docs/CAPACITY.md.
 
-Run `python -m chicorybridge.tools.capacities measure`. Processor times
-depend on the machine and on what else it runs; the rest is exact.
+    python -m chicorybridge.tools.measurements.capacities measure
+
+Processor times depend on the machine and on what else it runs; the rest
+is exact.
 """
 
 import json
@@ -17,16 +19,16 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from chicorybridge.options import number_of, option, refused
-from chicorybridge.results import describe_machine
-from chicorybridge.tools.control_costs import measure_controls
-from chicorybridge.tools.declaration_costs import (
+from chicorybridge.common.options import number_of, option, refused
+from chicorybridge.load.results import describe_machine
+from chicorybridge.tools.measurements.control_costs import measure_controls
+from chicorybridge.tools.measurements.declaration_costs import (
     measure_changes,
     measure_declarations,
 )
-from chicorybridge.tools.message_costs import measure_messages
-from chicorybridge.tools.slopes import Slope
-from chicorybridge.tools.synthetics import Sizes, write_declaration
+from chicorybridge.tools.measurements.message_costs import measure_messages
+from chicorybridge.tools.measurements.slopes import Slope
+from chicorybridge.tools.models.synthetics import Sizes, write_declaration
 
 Measure = Callable[[], Iterable[Slope]]
 
--- a/chicorybridge/tools/choice_measures.py
+++ b/chicorybridge/tools/measurements/choice_measures.py
@@ -1,19 +1,19 @@
 """Measure choice of target, limits, quarantine and bytes across regions.
 
-Run `python -m chicorybridge.tools.choice_measures [--seed N]`.
+Run `python -m chicorybridge.tools.measurements.choice_measures [--seed N]`.
 """
 
 import argparse
 import sys
 from collections.abc import Callable, Sequence
 
-from chicorybridge.clocks import MILLIS_PER_SECOND
-from chicorybridge.declarations import Priority
-from chicorybridge.identities import TargetId
-from chicorybridge.tools.crash_models import CrashModel, CrashPlan
-from chicorybridge.tools.declared import ServiceShape, declare
-from chicorybridge.tools.entry_models import Call
-from chicorybridge.tools.fleet_models import (
+from chicorybridge.common.clocks import MILLIS_PER_SECOND
+from chicorybridge.common.identities import TargetId
+from chicorybridge.configuration.declarations import Priority
+from chicorybridge.tools.models.crash_models import CrashModel, CrashPlan
+from chicorybridge.tools.models.declared import ServiceShape, declare
+from chicorybridge.tools.models.entry_models import Call
+from chicorybridge.tools.models.fleet_models import (
     FleetModel,
     Load,
     Policy,
@@ -21,8 +21,8 @@
     completed,
     percentile,
 )
-from chicorybridge.tools.target_models import Behaviour
-from chicorybridge.tools.upload_models import UploadModel, UploadPlan
+from chicorybridge.tools.models.target_models import Behaviour
+from chicorybridge.tools.models.upload_models import UploadModel, UploadPlan
 
 HOSTS = 40
 # Mean of the log-normal service time: the median of 50 ms times this.
--- a/chicorybridge/tools/claim_costs.py
+++ b/chicorybridge/tools/measurements/claim_costs.py
@@ -1,6 +1,6 @@
 """What a claim costs: requests to the platform, processor time, memory.
 
-python -m chicorybridge.tools.claim_costs run
+python -m chicorybridge.tools.measurements.claim_costs run
 """
 
 import gc
@@ -16,8 +16,7 @@
 from cleo.application import Application
 from cleo.commands.command import Command
 
-from chicorybridge.buckets import TokenBucket
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_messages import (
     AttemptId,
     ClaimDecided,
     ClaimFinished,
@@ -25,15 +24,21 @@
     EntryId,
     KeptAnswer,
 )
-from chicorybridge.claims import Claims
-from chicorybridge.clocks import MILLIS_PER_SECOND, Millis
-from chicorybridge.codecs import pack, unpack
-from chicorybridge.identities import Digest, HostId, Incarnation, RequestKey
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.stores import StoreReply, StoreRequest, Transact
-from chicorybridge.systems import Effect, Send, SendEntries
-from chicorybridge.tables import MemoryTables
-from chicorybridge.tools.channels import FaultyChannel
+from chicorybridge.claims.claims import Claims
+from chicorybridge.common.buckets import TokenBucket
+from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
+from chicorybridge.common.codecs import pack, unpack
+from chicorybridge.common.identities import (
+    Digest,
+    HostId,
+    Incarnation,
+    RequestKey,
+)
+from chicorybridge.common.systems import Effect, Send, SendEntries
+from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.standins.tables import MemoryTables
+from chicorybridge.storage.stores import StoreReply, StoreRequest, Transact
+from chicorybridge.tools.simulations.channels import FaultyChannel
 
 RATES = (1, 10, 100, 1000)
 SECONDS = 20
--- a/chicorybridge/tools/control_costs.py
+++ b/chicorybridge/tools/measurements/control_costs.py
@@ -13,26 +13,30 @@
 from types import MappingProxyType
 from typing import Any
 
-from chicorybridge.clocks import MILLIS_PER_SECOND, NANOS_PER_MILLI, Millis
-from chicorybridge.control_systems import ControlSystems
-from chicorybridge.declarations import Declaration
-from chicorybridge.heads import write_version
-from chicorybridge.identities import (
+from chicorybridge.common.clocks import (
+    MILLIS_PER_SECOND,
+    NANOS_PER_MILLI,
+    Millis,
+)
+from chicorybridge.common.identities import (
     ApplyId,
     HostId,
     Incarnation,
     TargetId,
     Version,
 )
-from chicorybridge.observations import Observations, Tally
-from chicorybridge.profiles import HostProfile
-from chicorybridge.sessions import EntryTable
-from chicorybridge.stores import HostState, ListedHost, PutObject
-from chicorybridge.systems import Effects, System
-from chicorybridge.tools.counting_channels import CountingChannel
-from chicorybridge.tools.slopes import Slope, fit
-from chicorybridge.tools.synthetics import Sizes, make_declaration
-from chicorybridge.versions import HeadVersion
+from chicorybridge.common.systems import Effects, System
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.heads import write_version
+from chicorybridge.configuration.versions import HeadVersion
+from chicorybridge.control.control_systems import ControlSystems
+from chicorybridge.control.sessions import EntryTable
+from chicorybridge.detection.observations import Observations, Tally
+from chicorybridge.fleet.profiles import HostProfile
+from chicorybridge.storage.stores import HostState, ListedHost, PutObject
+from chicorybridge.tools.measurements.slopes import Slope, fit
+from chicorybridge.tools.models.synthetics import Sizes, make_declaration
+from chicorybridge.tools.simulations.counting_channels import CountingChannel
 
 WARM_UP_MS = 6000
 MEASURED_MS = 10_000
--- a/chicorybridge/tools/declaration_costs.py
+++ b/chicorybridge/tools/measurements/declaration_costs.py
@@ -8,12 +8,12 @@
 import tracemalloc
 from collections.abc import Callable, Iterator
 
-from chicorybridge.clocks import NANOS_PER_MILLI
-from chicorybridge.codecs import unpack
-from chicorybridge.declarations import Declaration
-from chicorybridge.deltas import difference, patched
-from chicorybridge.tools.slopes import Slope, fit, measure_each
-from chicorybridge.tools.synthetics import Sizes, make_declaration
+from chicorybridge.common.clocks import NANOS_PER_MILLI
+from chicorybridge.common.codecs import unpack
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.deltas import difference, patched
+from chicorybridge.tools.measurements.slopes import Slope, fit, measure_each
+from chicorybridge.tools.models.synthetics import Sizes, make_declaration
 
 logger = logging.getLogger(__name__)
 
--- a/chicorybridge/tools/demos.py
+++ b/chicorybridge/tools/measurements/demos.py
@@ -11,16 +11,16 @@
 
 import curio
 
-from chicorybridge.addresses import Address, parse_address
-from chicorybridge.clocks import Clock, Millis, as_seconds
-from chicorybridge.declarations import Declaration
-from chicorybridge.fetchers import Client
-from chicorybridge.identities import TargetId
-from chicorybridge.operator_clients import ControlClient, ControlError
-from chicorybridge.operator_commands import operator_token
-from chicorybridge.operator_messages import HostsRequested
-from chicorybridge.sections import read_declaration
-from chicorybridge.services import Request, Response
+from chicorybridge.common.addresses import Address, parse_address
+from chicorybridge.common.clocks import Clock, Millis, as_seconds
+from chicorybridge.common.identities import TargetId
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.sections import read_declaration
+from chicorybridge.control.operator_messages import HostsRequested
+from chicorybridge.http.fetchers import Client
+from chicorybridge.http.services import Request, Response
+from chicorybridge.operators.operator_clients import ControlClient, ControlError
+from chicorybridge.operators.operator_commands import operator_token
 
 CLOCK = Clock()
 TIMEOUT_MS = 10_000
--- a/chicorybridge/tools/detection_trials.py
+++ b/chicorybridge/tools/measurements/detection_trials.py
@@ -1,6 +1,6 @@
 """Measure detection times and false ejections.
 
-    python -m chicorybridge.tools.detection_trials --help
+    python -m chicorybridge.tools.measurements.detection_trials --help
 
 prints one JSON object a line: one for each policy, setting and seed, and
 a summary over the seeds.
@@ -14,10 +14,14 @@
 from collections.abc import Iterable
 from itertools import chain
 
-from chicorybridge.tools.detection_runs import Measures, Setup, Simulation
-from chicorybridge.tools.episodes import GRAY, run_disturbance, run_gray
-from chicorybridge.tools.policies import PolicyName
-from chicorybridge.tools.service_models import HARD, Condition
+from chicorybridge.tools.models.episodes import GRAY, run_disturbance, run_gray
+from chicorybridge.tools.models.policies import PolicyName
+from chicorybridge.tools.models.service_models import HARD, Condition
+from chicorybridge.tools.simulations.detection_runs import (
+    Measures,
+    Setup,
+    Simulation,
+)
 
 WARM_UP_MS = 20_000.0
 QUIET_STEP_MS = 30_000.0
--- a/chicorybridge/tools/fleetcosts.py
+++ b/chicorybridge/tools/measurements/fleetcosts.py
@@ -1,7 +1,8 @@
 """Measure what membership and rollouts cost, and how fast versions spread.
 
-Run `python -m chicorybridge.tools.fleetcosts --sizes 6 20 44`. Hosts are
-the real decision code on the faulty channel, with 12 ms between regions.
+    python -m chicorybridge.tools.measurements.fleetcosts --sizes 6 20 44
+
+Hosts are the real decision code on the faulty channel, with 12 ms between regions.
 Bytes are those of the encoded messages, without framing of streams.
 Processor time includes encoding and decoding and the channel itself.
 """
@@ -13,13 +14,13 @@
 import time
 from typing import Any
 
-from chicorybridge.codecs import pack
-from chicorybridge.errors import require
-from chicorybridge.identities import HostId
-from chicorybridge.systems import Send
-from chicorybridge.tools.channels import FaultyChannel
-from chicorybridge.tools.fleets import AppliedFleet
-from chicorybridge.versions import ApplyStage
+from chicorybridge.common.codecs import pack
+from chicorybridge.common.errors import require
+from chicorybridge.common.identities import HostId
+from chicorybridge.common.systems import Send
+from chicorybridge.configuration.versions import ApplyStage
+from chicorybridge.tools.simulations.channels import FaultyChannel
+from chicorybridge.tools.simulations.fleets import AppliedFleet
 
 QUIET_MS = 30_000
 STEP_MS = 20
--- a/chicorybridge/tools/message_costs.py
+++ b/chicorybridge/tools/measurements/message_costs.py
@@ -3,16 +3,21 @@
 from collections.abc import Iterator
 from typing import Any
 
-from chicorybridge.clocks import Millis
-from chicorybridge.codecs import pack
-from chicorybridge.evidence import CommonView, EvidenceReport
-from chicorybridge.freshness import Stamp
-from chicorybridge.identities import Incarnation, ServiceId, TargetId, ZoneId
-from chicorybridge.notices import Ejection, EjectionNotice
-from chicorybridge.observations import Tally
-from chicorybridge.tools.counting_channels import OVERHEAD_BYTES
-from chicorybridge.tools.slopes import Slope, fit, measure_each
-from chicorybridge.tools.synthetics import Sizes, make_declaration
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.codecs import pack
+from chicorybridge.common.identities import (
+    Incarnation,
+    ServiceId,
+    TargetId,
+    ZoneId,
+)
+from chicorybridge.detection.evidence import CommonView, EvidenceReport
+from chicorybridge.detection.notices import Ejection, EjectionNotice
+from chicorybridge.detection.observations import Tally
+from chicorybridge.fleet.freshness import Stamp
+from chicorybridge.tools.measurements.slopes import Slope, fit, measure_each
+from chicorybridge.tools.models.synthetics import Sizes, make_declaration
+from chicorybridge.tools.simulations.counting_channels import OVERHEAD_BYTES
 
 COUNTS = (1, 2, 4, 8, 16)
 
--- /dev/null
+++ b/chicorybridge/tools/models/__init__.py
@@ -0,0 +1,1 @@
+"""Models of targets, entries and fleets for simulated runs."""
--- a/chicorybridge/tools/attempted.py
+++ b/chicorybridge/tools/models/attempted.py
@@ -2,9 +2,9 @@
 
 from typing import Any
 
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import RouteId, ServiceId, TargetId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import RouteId, ServiceId, TargetId
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 
 
 def attempted(
--- a/chicorybridge/tools/crash_models.py
+++ b/chicorybridge/tools/models/crash_models.py
@@ -4,13 +4,13 @@
 import random
 from collections.abc import Callable
 
-from chicorybridge.declarations import Declaration
-from chicorybridge.identities import Digest, HostId, ServiceId
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.quarantines import Quarantines, Report
-from chicorybridge.tools.channels import FaultyChannel
-from chicorybridge.tools.entry_models import Call
-from chicorybridge.tools.fleet_models import FleetModel, Load, Policy
+from chicorybridge.common.identities import Digest, HostId, ServiceId
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.routing.quarantines import Quarantines, Report
+from chicorybridge.tools.models.entry_models import Call
+from chicorybridge.tools.models.fleet_models import FleetModel, Load, Policy
+from chicorybridge.tools.simulations.channels import FaultyChannel
 
 # How far the hosts and the targets run before they meet again.
 STEP_MS = 1
--- a/chicorybridge/tools/declared.py
+++ b/chicorybridge/tools/models/declared.py
@@ -2,7 +2,16 @@
 
 import dataclasses
 
-from chicorybridge.declarations import (
+from chicorybridge.common.identities import (
+    PoolId,
+    RegionId,
+    RouteId,
+    ServiceId,
+    TargetId,
+    WorkspaceId,
+    ZoneId,
+)
+from chicorybridge.configuration.declarations import (
     Declaration,
     Pool,
     Region,
@@ -12,15 +21,6 @@
     Workspace,
     Zone,
 )
-from chicorybridge.identities import (
-    PoolId,
-    RegionId,
-    RouteId,
-    ServiceId,
-    TargetId,
-    WorkspaceId,
-    ZoneId,
-)
 
 # Four zones in two regions, as both first users have.
 ZONES = ('north-1', 'north-2', 'south-1', 'south-2')
--- a/chicorybridge/tools/entry_models.py
+++ b/chicorybridge/tools/models/entry_models.py
@@ -7,24 +7,28 @@
 from typing import Protocol
 
 from chicorybridge import settings
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.choosers import Chooser
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Declaration, Priority
-from chicorybridge.identities import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import (
     Digest,
     RouteId,
     ServiceId,
     TargetId,
     ZoneId,
 )
-from chicorybridge.limits import Limiter
-from chicorybridge.outcomes import RequestOutcome, outcome_of
-from chicorybridge.quarantines import Quarantine, Report, may_have_crashed
-from chicorybridge.retries import RequestFacts, RetryPolicy
-from chicorybridge.subsets import FleetSize
-from chicorybridge.tools.schedules import Schedule
-from chicorybridge.tools.target_models import Job, Reply, TargetModel
+from chicorybridge.configuration.declarations import Declaration, Priority
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.routing.choosers import Chooser
+from chicorybridge.routing.limits import Limiter
+from chicorybridge.routing.outcomes import RequestOutcome, outcome_of
+from chicorybridge.routing.quarantines import (
+    Quarantine,
+    Report,
+    may_have_crashed,
+)
+from chicorybridge.routing.retries import RequestFacts, RetryPolicy
+from chicorybridge.routing.subsets import FleetSize
+from chicorybridge.tools.models.schedules import Schedule
+from chicorybridge.tools.models.target_models import Job, Reply, TargetModel
 
 # Way there and back, by place: own zone, own region, across regions.
 ROUND_TRIPS_MS = (0.2, 1.0, 24.0)
--- a/chicorybridge/tools/episodes.py
+++ b/chicorybridge/tools/models/episodes.py
@@ -3,10 +3,10 @@
 import math
 from collections.abc import Callable
 
-from chicorybridge.identities import TargetId
-from chicorybridge.tools.detection_runs import Simulation
-from chicorybridge.tools.judging_fleets import Host
-from chicorybridge.tools.service_models import Condition, Work
+from chicorybridge.common.identities import TargetId
+from chicorybridge.tools.models.service_models import Condition, Work
+from chicorybridge.tools.simulations.detection_runs import Simulation
+from chicorybridge.tools.simulations.judging_fleets import Host
 
 # Without new work for so long, a gray target counts as detected.
 QUIET_MS = 2000.0
--- a/chicorybridge/tools/fleet_models.py
+++ b/chicorybridge/tools/models/fleet_models.py
@@ -5,15 +5,15 @@
 import random
 from collections.abc import Callable, Sequence
 
-from chicorybridge.candidates import place_of
-from chicorybridge.clocks import MILLIS_PER_SECOND
-from chicorybridge.declarations import Declaration, Priority
-from chicorybridge.identities import ServiceId, TargetId, ZoneId
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.retries import RetryPolicy
-from chicorybridge.subsets import FleetSize
-from chicorybridge.tools.baselines import LeastInFlight, RoundRobin
-from chicorybridge.tools.entry_models import (
+from chicorybridge.common.clocks import MILLIS_PER_SECOND
+from chicorybridge.common.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.configuration.declarations import Declaration, Priority
+from chicorybridge.routing.candidates import place_of
+from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.routing.retries import RetryPolicy
+from chicorybridge.routing.subsets import FleetSize
+from chicorybridge.tools.models.baselines import LeastInFlight, RoundRobin
+from chicorybridge.tools.models.entry_models import (
     ROUND_TRIPS_MS,
     Call,
     EntryModel,
@@ -21,8 +21,8 @@
     Picker,
     real_entry,
 )
-from chicorybridge.tools.schedules import Schedule
-from chicorybridge.tools.target_models import Behaviour, TargetModel
+from chicorybridge.tools.models.schedules import Schedule
+from chicorybridge.tools.models.target_models import Behaviour, TargetModel
 
 
 class Policy(enum.Enum):
--- a/chicorybridge/tools/keyed_entries.py
+++ b/chicorybridge/tools/models/keyed_entries.py
@@ -12,7 +12,7 @@
 from http import HTTPStatus
 
 from chicorybridge import settings
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_messages import (
     AttemptId,
     ClaimDecided,
     ClaimFinished,
@@ -22,11 +22,11 @@
     EntryId,
     KeptAnswer,
 )
-from chicorybridge.clocks import Millis
-from chicorybridge.errors import require
-from chicorybridge.identities import Digest, HostId, RequestKey
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.request_keys import KeyOwner
+from chicorybridge.claims.request_keys import KeyOwner
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import require
+from chicorybridge.common.identities import Digest, HostId, RequestKey
+from chicorybridge.routing.outcomes import RequestOutcome
 
 RUN_MS = (25, 3000)
 
--- a/chicorybridge/tools/mixed_declarations.py
+++ b/chicorybridge/tools/models/mixed_declarations.py
@@ -1,6 +1,14 @@
 """Small declarations for tests and simulated runs."""
 
-from chicorybridge.declarations import (
+from chicorybridge.common.identities import (
+    PoolId,
+    RegionId,
+    RouteId,
+    ServiceId,
+    TargetId,
+    ZoneId,
+)
+from chicorybridge.configuration.declarations import (
     Declaration,
     Pool,
     Region,
@@ -9,14 +17,6 @@
     Target,
     Zone,
 )
-from chicorybridge.identities import (
-    PoolId,
-    RegionId,
-    RouteId,
-    ServiceId,
-    TargetId,
-    ZoneId,
-)
 
 SERVICE_ID = ServiceId('quote')
 READ_ROUTE = RouteId('read')
--- a/chicorybridge/tools/policies.py
+++ b/chicorybridge/tools/models/policies.py
@@ -4,11 +4,11 @@
 from collections import Counter, deque
 from enum import Enum
 
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import TargetId
-from chicorybridge.tools.mixed_declarations import SERVICE_ID
-from chicorybridge.weights import BAD, Weights
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import TargetId
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.routing.weights import BAD, Weights
+from chicorybridge.tools.models.mixed_declarations import SERVICE_ID
 
 # A plain ejector: failures in a row, and how long a target stays out.
 FAILURES_IN_ROW = 5
--- a/chicorybridge/tools/relays.py
+++ b/chicorybridge/tools/models/relays.py
@@ -1,7 +1,7 @@
 """A bare relay of h11 over curio, the baseline of added latency.
 
 It sends each request to one of its targets over pooled connections, and
-decides nothing. Start it with `python -m chicorybridge.tools.relays`.
+decides nothing. Start it with `python -m chicorybridge.tools.models.relays`.
 """
 
 import random
@@ -14,11 +14,11 @@
 from cleo.io.inputs.option import Option
 
 from chicorybridge import settings
-from chicorybridge.addresses import Address, parse_address
-from chicorybridge.fetchers import Client
-from chicorybridge.options import refused
-from chicorybridge.services import Request, Response, ServerConnection
-from chicorybridge.standins import LISTEN, ServeCommand
+from chicorybridge.common.addresses import Address, parse_address
+from chicorybridge.common.options import refused
+from chicorybridge.http.fetchers import Client
+from chicorybridge.http.services import Request, Response, ServerConnection
+from chicorybridge.standins.standins import LISTEN, ServeCommand
 
 # Fields that belong to one connection only.
 HOP_FIELDS = frozenset(
--- a/chicorybridge/tools/schedules.py
+++ b/chicorybridge/tools/models/schedules.py
@@ -3,7 +3,7 @@
 import heapq
 from collections.abc import Callable
 
-from chicorybridge.clocks import ManualClock, Millis
+from chicorybridge.common.clocks import ManualClock, Millis
 
 Step = Callable[[], None]
 
--- a/chicorybridge/tools/synthetics.py
+++ b/chicorybridge/tools/models/synthetics.py
@@ -4,7 +4,16 @@
 import pathlib
 from collections.abc import Iterator
 
-from chicorybridge.declarations import (
+from chicorybridge.common.identities import (
+    PoolId,
+    RegionId,
+    RouteId,
+    ServiceId,
+    TargetId,
+    WorkspaceId,
+    ZoneId,
+)
+from chicorybridge.configuration.declarations import (
     Declaration,
     Pool,
     Region,
@@ -14,15 +23,6 @@
     Workspace,
     Zone,
 )
-from chicorybridge.identities import (
-    PoolId,
-    RegionId,
-    RouteId,
-    ServiceId,
-    TargetId,
-    WorkspaceId,
-    ZoneId,
-)
 
 # Loopback numbers for targets that nobody connects to.
 PORTS_PER_NUMBER = 50_000
--- a/chicorybridge/tools/target_models.py
+++ b/chicorybridge/tools/models/target_models.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from chicorybridge.tools.schedules import Schedule
+from chicorybridge.tools.models.schedules import Schedule
 
 
 class Reply(enum.Enum):
--- a/chicorybridge/tools/upload_models.py
+++ b/chicorybridge/tools/models/upload_models.py
@@ -3,13 +3,13 @@
 import dataclasses
 import random
 
-from chicorybridge.clocks import MILLIS_PER_SECOND
-from chicorybridge.crossings import CrossingMeter
-from chicorybridge.declarations import Declaration
-from chicorybridge.grants import Grants
-from chicorybridge.identities import HostId, ServiceId
-from chicorybridge.systems import Effect, Send, SendEntries
-from chicorybridge.tools.schedules import Schedule
+from chicorybridge.common.clocks import MILLIS_PER_SECOND
+from chicorybridge.common.identities import HostId, ServiceId
+from chicorybridge.common.systems import Effect, Send, SendEntries
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.routing.crossings import CrossingMeter
+from chicorybridge.routing.grants import Grants
+from chicorybridge.tools.models.schedules import Schedule
 
 CHUNK_BYTES = 65_536
 BITS_PER_BYTE = 8
--- /dev/null
+++ b/chicorybridge/tools/simulations/__init__.py
@@ -0,0 +1,4 @@
+"""Randomised runs of the real decisions under faults.
+
+Start with `fleetruns`.
+"""
--- a/chicorybridge/tools/channels.py
+++ b/chicorybridge/tools/simulations/channels.py
@@ -11,14 +11,21 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
-from chicorybridge.clocks import ManualClock, Millis
-from chicorybridge.codecs import pack, unpack
-from chicorybridge.events import Event
-from chicorybridge.faults import FaultyTables
-from chicorybridge.identities import HostId
+from chicorybridge.common.clocks import ManualClock, Millis
+from chicorybridge.common.codecs import pack, unpack
+from chicorybridge.common.events import Event
+from chicorybridge.common.identities import HostId
+from chicorybridge.common.systems import (
+    Ask,
+    Effect,
+    Emit,
+    Send,
+    SendEntries,
+    System,
+)
 from chicorybridge.settings import TICK_MS
-from chicorybridge.systems import Ask, Effect, Emit, Send, SendEntries, System
-from chicorybridge.tables import MemoryTables
+from chicorybridge.standins.faults import FaultyTables
+from chicorybridge.standins.tables import MemoryTables
 
 Step = Callable[[], None]
 
--- a/chicorybridge/tools/claim_faults.py
+++ b/chicorybridge/tools/simulations/claim_faults.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
-from chicorybridge.identities import HostId
-from chicorybridge.tools.channels import FaultyChannel
-from chicorybridge.tools.claim_fleets import ClaimFleet
+from chicorybridge.common.identities import HostId
+from chicorybridge.tools.simulations.channels import FaultyChannel
+from chicorybridge.tools.simulations.claim_fleets import ClaimFleet
 
 SHORT_MS = (200, 30_000)
 LONG_MS = (60_000, 600_000)
--- a/chicorybridge/tools/claim_fleets.py
+++ b/chicorybridge/tools/simulations/claim_fleets.py
@@ -2,17 +2,17 @@
 
 import random
 
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_messages import (
     ClaimDecided,
     ClaimFinished,
     EntryId,
     EntryLost,
 )
-from chicorybridge.claims import Claims
-from chicorybridge.identities import HostId, Incarnation
+from chicorybridge.claims.claims import Claims
+from chicorybridge.common.identities import HostId, Incarnation
 from chicorybridge.settings import TICK_MS
-from chicorybridge.tools.channels import FaultyChannel
-from chicorybridge.tools.keyed_entries import EntryModel, Runner
+from chicorybridge.tools.models.keyed_entries import EntryModel, Runner
+from chicorybridge.tools.simulations.channels import FaultyChannel
 
 MILLIS_PER_DAY = 86_400_000
 
--- a/chicorybridge/tools/claim_runs.py
+++ b/chicorybridge/tools/simulations/claim_runs.py
@@ -1,7 +1,9 @@
 """Randomised runs of the claims of many hosts under faults.
 
-    python -m chicorybridge.tools.claim_runs run --seed 1 --minutes 60
-    python -m chicorybridge.tools.claim_runs run --outage --minutes 120
+    python -m chicorybridge.tools.simulations.claim_runs \
+        run --seed 1 --minutes 60
+    python -m chicorybridge.tools.simulations.claim_runs \
+        run --outage --minutes 120
 
 Promises are asserted on the way; a broken one ends the run with its seed.
 """
@@ -15,14 +17,14 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from chicorybridge.identities import Digest, HostId, RequestKey
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.request_keys import read_issued
+from chicorybridge.claims.request_keys import read_issued
+from chicorybridge.common.identities import Digest, HostId, RequestKey
+from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.settings import TICK_MS
-from chicorybridge.tools.channels import FaultyChannel
-from chicorybridge.tools.claim_faults import ClaimFaults
-from chicorybridge.tools.claim_fleets import ClaimFleet
-from chicorybridge.tools.keyed_entries import Caller, Runner
+from chicorybridge.tools.models.keyed_entries import Caller, Runner
+from chicorybridge.tools.simulations.channels import FaultyChannel
+from chicorybridge.tools.simulations.claim_faults import ClaimFaults
+from chicorybridge.tools.simulations.claim_fleets import ClaimFleet
 
 MINUTE_MS = 60_000
 SECOND_MS = 1000
--- a/chicorybridge/tools/configuration_runs.py
+++ b/chicorybridge/tools/simulations/configuration_runs.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
-from chicorybridge.events import EventKind
+from chicorybridge.common.events import EventKind
 from chicorybridge.settings import TICK_MS
-from chicorybridge.tools.configuration_observers import ConfigurationObserver
-from chicorybridge.tools.fleets import AppliedFleet, Fleet
+from chicorybridge.tools.simulations.fleets import AppliedFleet, Fleet
+from chicorybridge.tools.specifications.configuration_observers import (
+    ConfigurationObserver,
+)
 
 APPLY_PAUSE_MS = (3000, 20_000)
 FAULT_PAUSE_MS = (2000, 15_000)
--- a/chicorybridge/tools/counting_channels.py
+++ b/chicorybridge/tools/simulations/counting_channels.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
-from chicorybridge.codecs import pack
-from chicorybridge.identities import HostId
-from chicorybridge.systems import Ask, Effect, Send
-from chicorybridge.tools.channels import FaultyChannel
+from chicorybridge.common.codecs import pack
+from chicorybridge.common.identities import HostId
+from chicorybridge.common.systems import Ask, Effect, Send
+from chicorybridge.tools.simulations.channels import FaultyChannel
 
 # A frame's sequence, times and digest, and the headers of TCP and IP.
 OVERHEAD_BYTES = 82
--- a/chicorybridge/tools/detection_runs.py
+++ b/chicorybridge/tools/simulations/detection_runs.py
@@ -10,18 +10,17 @@
 import random
 from collections.abc import Callable
 
-from chicorybridge.attempts import Attempt, AttemptOutcome
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import HostId, RouteId, TargetId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, RouteId, TargetId
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.settings import TICK_MS
-from chicorybridge.tools.mixed_declarations import (
+from chicorybridge.tools.models.mixed_declarations import (
     SERVICE_ID,
     UPLOAD_ROUTE,
     declare,
     region_of,
 )
-from chicorybridge.tools.judging_fleets import Fleet, Host
-from chicorybridge.tools.policies import (
+from chicorybridge.tools.models.policies import (
     ConsecutiveFailures,
     LeastInFlight,
     Policy,
@@ -29,7 +28,7 @@
     PoolMedian,
     Weighted,
 )
-from chicorybridge.tools.service_models import (
+from chicorybridge.tools.models.service_models import (
     READ_MS,
     ROUTES,
     UPLOAD_MS,
@@ -38,6 +37,7 @@
     Served,
     Work,
 )
+from chicorybridge.tools.simulations.judging_fleets import Fleet, Host
 
 UPLOAD_SHARE = 0.1
 UPLOAD_BYTES = 2_000_000
--- a/chicorybridge/tools/fleetfaults.py
+++ b/chicorybridge/tools/simulations/fleetfaults.py
@@ -3,9 +3,9 @@
 import random
 from collections.abc import Callable
 
-from chicorybridge.identities import HostId
-from chicorybridge.stores import HostState
-from chicorybridge.tools.fleets import Fleet
+from chicorybridge.common.identities import HostId
+from chicorybridge.storage.stores import HostState
+from chicorybridge.tools.simulations.fleets import Fleet
 
 ZONES = 4
 HALF = 0.5
--- a/chicorybridge/tools/fleetruns.py
+++ b/chicorybridge/tools/simulations/fleetruns.py
@@ -1,7 +1,8 @@
 """Randomised runs of the real decision code of a fleet under faults.
 
-Run `python -m chicorybridge.tools.fleetruns --help`. A run prints its
-seed; the same seed gives the same run. At each tick the promise on
+    python -m chicorybridge.tools.simulations.fleetruns --help
+
+A run prints its seed; the same seed gives the same run. At each tick the promise on
 configurations is required, and after all faults are gone the fleet must
 agree on the newest version and serve.
 """
@@ -12,12 +13,12 @@
 import sys
 from collections.abc import Callable
 
-from chicorybridge.errors import require
-from chicorybridge.heads import HEAD_KEY
-from chicorybridge.identities import HostId
-from chicorybridge.tools.fleetfaults import FleetFaults
-from chicorybridge.tools.fleets import AppliedFleet
-from chicorybridge.versions import ApplyStage
+from chicorybridge.common.errors import require
+from chicorybridge.common.identities import HostId
+from chicorybridge.configuration.heads import HEAD_KEY
+from chicorybridge.configuration.versions import ApplyStage
+from chicorybridge.tools.simulations.fleetfaults import FleetFaults
+from chicorybridge.tools.simulations.fleets import AppliedFleet
 
 MILLIS_PER_MINUTE = 60_000
 STEP_MS = (200, 8000)
--- a/chicorybridge/tools/fleets.py
+++ b/chicorybridge/tools/simulations/fleets.py
@@ -6,11 +6,10 @@
 from typing import Any
 
 from chicorybridge import settings
-from chicorybridge.applysteps import ENDED
-from chicorybridge.clocks import Millis
-from chicorybridge.errors import require
-from chicorybridge.events import EventKind
-from chicorybridge.identities import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.errors import require
+from chicorybridge.common.events import EventKind
+from chicorybridge.common.identities import (
     ApplyId,
     HostId,
     Incarnation,
@@ -18,19 +17,20 @@
     Version,
     ZoneId,
 )
-from chicorybridge.members import Members
-from chicorybridge.profiles import HostProfile
-from chicorybridge.rollouts import Rollouts
-from chicorybridge.stores import HostState, ListedHost
-from chicorybridge.systems import Effects, System
-from chicorybridge.tools.channels import FaultyChannel
-from chicorybridge.tools.synthetics import make_small
-from chicorybridge.versions import (
+from chicorybridge.common.systems import Effects, System
+from chicorybridge.configuration.applysteps import ENDED
+from chicorybridge.configuration.rollouts import Rollouts
+from chicorybridge.configuration.versions import (
     ApplyProgress,
     ApplyRequested,
     FleetStatus,
     StatusRequested,
 )
+from chicorybridge.fleet.members import Members
+from chicorybridge.fleet.profiles import HostProfile
+from chicorybridge.storage.stores import HostState, ListedHost
+from chicorybridge.tools.models.synthetics import make_small
+from chicorybridge.tools.simulations.channels import FaultyChannel
 
 INCARNATION_BITS = 63
 
--- a/chicorybridge/tools/floor_runs.py
+++ b/chicorybridge/tools/simulations/floor_runs.py
@@ -1,6 +1,7 @@
 """Random faults against the floor: permits, loans and announcements.
 
-    python -m chicorybridge.tools.floor_runs --seeds 1 2 3 --minutes 60
+    python -m chicorybridge.tools.simulations.floor_runs \
+        --seeds 1 2 3 --minutes 60
 
 Hosts with the real code see targets fail at random while links are cut
 one way or both, hosts pause, crash and restart, the store is away or
@@ -12,15 +13,15 @@
 import argparse
 import sys
 
-from chicorybridge.declarations import Declaration
-from chicorybridge.errors import require
-from chicorybridge.identities import TargetId, Version
-from chicorybridge.ledgers import budgets_of
-from chicorybridge.observations import Observations, Tally
+from chicorybridge.common.errors import require
+from chicorybridge.common.identities import TargetId, Version
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.detection.ledgers import budgets_of
+from chicorybridge.detection.observations import Observations, Tally
 from chicorybridge.settings import SLOTS, TICK_MS
-from chicorybridge.tools.mixed_declarations import SERVICE_ID, declare
-from chicorybridge.tools.judging_fleets import Fleet
-from chicorybridge.tools.host_faults import HostFaults
+from chicorybridge.tools.models.mixed_declarations import SERVICE_ID, declare
+from chicorybridge.tools.simulations.host_faults import HostFaults
+from chicorybridge.tools.simulations.judging_fleets import Fleet
 
 HOSTS = 8
 TARGETS = 12
--- a/chicorybridge/tools/host_faults.py
+++ b/chicorybridge/tools/simulations/host_faults.py
@@ -1,10 +1,10 @@
 """Random faults of hosts, links and store in a simulated fleet."""
 
-from chicorybridge.clocks import Millis
-from chicorybridge.freshness import LAPSE_MS
-from chicorybridge.identities import HostId
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId
+from chicorybridge.fleet.freshness import LAPSE_MS
 from chicorybridge.settings import TICK_MS
-from chicorybridge.tools.judging_fleets import Fleet
+from chicorybridge.tools.simulations.judging_fleets import Fleet
 
 # Chances that something happens in a tick.
 PAUSE_CHANCE = 0.004
--- a/chicorybridge/tools/judging_fleets.py
+++ b/chicorybridge/tools/simulations/judging_fleets.py
@@ -3,21 +3,21 @@
 import random
 from collections.abc import Mapping
 
-from chicorybridge.clocks import Millis
-from chicorybridge.declarations import Declaration
-from chicorybridge.detections import Detection
-from chicorybridge.identities import (
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import (
     HostId,
     Incarnation,
     TargetId,
     Version,
     ZoneId,
 )
-from chicorybridge.observations import Observer
+from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.detection.detections import Detection
+from chicorybridge.detection.observations import Observer
+from chicorybridge.routing.weights import Weights
 from chicorybridge.settings import TICK_MS
-from chicorybridge.tools.channels import FaultyChannel
-from chicorybridge.tools.mixed_declarations import ZONES, numbered
-from chicorybridge.weights import Weights
+from chicorybridge.tools.models.mixed_declarations import ZONES, numbered
+from chicorybridge.tools.simulations.channels import FaultyChannel
 
 
 class Host:
--- /dev/null
+++ b/chicorybridge/tools/specifications/__init__.py
@@ -0,0 +1,4 @@
+"""Specifications of the core protocols, for the model checker.
+
+Start with `specifications`.
+"""
--- a/chicorybridge/tools/claim_replays.py
+++ b/chicorybridge/tools/specifications/claim_replays.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 from types import MappingProxyType
 
-from chicorybridge.claim_attempts import ClaimAttempts
-from chicorybridge.claim_messages import (
+from chicorybridge.claims.claim_attempts import ClaimAttempts
+from chicorybridge.claims.claim_messages import (
     AttemptId,
     ClaimDecided,
     ClaimFinished,
@@ -23,23 +23,28 @@
     EntryId,
     EntryLost,
 )
-from chicorybridge.claim_rows import CLAIM_TABLE, OwnerRow
-from chicorybridge.claim_tables import Claim
-from chicorybridge.claims import Claims
-from chicorybridge.clocks import Millis
-from chicorybridge.identities import Digest, HostId, Incarnation, RequestKey
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.request_keys import KeyOwner
-from chicorybridge.stores import ScanRows, StoreOutcome, StoreReply
-from chicorybridge.systems import Ask, Effect, Send, SendEntries
-from chicorybridge.tables import MemoryTables
-from chicorybridge.tools.claim_worlds import (
+from chicorybridge.claims.claim_rows import CLAIM_TABLE, OwnerRow
+from chicorybridge.claims.claim_tables import Claim
+from chicorybridge.claims.claims import Claims
+from chicorybridge.claims.request_keys import KeyOwner
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import (
+    Digest,
+    HostId,
+    Incarnation,
+    RequestKey,
+)
+from chicorybridge.common.systems import Ask, Effect, Send, SendEntries
+from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.standins.tables import MemoryTables
+from chicorybridge.storage.stores import ScanRows, StoreOutcome, StoreReply
+from chicorybridge.tools.specifications.claim_worlds import (
     ClaimWorld,
     LedgerClaim,
     Owner,
     TryState,
 )
-from chicorybridge.tools.specifications import Label
+from chicorybridge.tools.specifications.specifications import Label
 
 # Longer than every limit of time, so that each step comes after it.
 STEP_MS = 10_000_000
--- a/chicorybridge/tools/claim_specifications.py
+++ b/chicorybridge/tools/specifications/claim_specifications.py
@@ -9,16 +9,19 @@
 import dataclasses
 from collections.abc import Iterator
 
-from chicorybridge.claim_tables import ClaimState
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.tools.claim_steps import ClaimSteps
-from chicorybridge.tools.claim_worlds import (
+from chicorybridge.claims.claim_tables import ClaimState
+from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.tools.specifications.claim_steps import ClaimSteps
+from chicorybridge.tools.specifications.claim_worlds import (
     Broken,
     ClaimWorld,
     Owner,
     TryState,
 )
-from chicorybridge.tools.specifications import Label, Specification
+from chicorybridge.tools.specifications.specifications import (
+    Label,
+    Specification,
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/chicorybridge/tools/claim_steps.py
+++ b/chicorybridge/tools/specifications/claim_steps.py
@@ -2,19 +2,19 @@
 
 import dataclasses
 
-from chicorybridge.claim_ledgers import (
+from chicorybridge.claims.claim_ledgers import (
     STATES_BY_OUTCOME,
     UNFINISHED_STATES,
 )
-from chicorybridge.claim_tables import ClaimState
-from chicorybridge.outcomes import RequestOutcome
-from chicorybridge.tools.claim_worlds import (
+from chicorybridge.claims.claim_tables import ClaimState
+from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.tools.specifications.claim_worlds import (
     Broken,
     ClaimWorld,
     LedgerClaim,
     TryState,
 )
-from chicorybridge.tools.specifications import replace_at
+from chicorybridge.tools.specifications.specifications import replace_at
 
 # What a control process forgets when it is replaced.
 FORGOTTEN_STATES = frozenset((TryState.pending, TryState.given_up))
--- a/chicorybridge/tools/claim_worlds.py
+++ b/chicorybridge/tools/specifications/claim_worlds.py
@@ -3,8 +3,8 @@
 import dataclasses
 from enum import Enum
 
-from chicorybridge.claim_tables import ClaimState
-from chicorybridge.tools.specifications import Label, replace_at
+from chicorybridge.claims.claim_tables import ClaimState
+from chicorybridge.tools.specifications.specifications import Label, replace_at
 
 
 class TryState(Enum):
--- a/chicorybridge/tools/configuration_observers.py
+++ b/chicorybridge/tools/specifications/configuration_observers.py
@@ -9,18 +9,18 @@
 import itertools
 from collections.abc import Callable, Iterator
 
-from chicorybridge.heads import TABLE, head_from
-from chicorybridge.identities import HostId, Incarnation
-from chicorybridge.stores import ScanRows
-from chicorybridge.tools.configuration_specifications import (
+from chicorybridge.common.identities import HostId, Incarnation
+from chicorybridge.configuration.heads import TABLE, head_from
+from chicorybridge.storage.stores import ScanRows
+from chicorybridge.tools.simulations.fleets import Fleet
+from chicorybridge.tools.specifications.configuration_specifications import (
     ConfigurationSpecification,
 )
-from chicorybridge.tools.configuration_worlds import (
+from chicorybridge.tools.specifications.configuration_worlds import (
     ApplyState,
     ConfigurationWorld,
 )
-from chicorybridge.tools.fleets import Fleet
-from chicorybridge.tools.specifications import Label
+from chicorybridge.tools.specifications.specifications import Label
 
 STARTS = 1000
 VERSION_PREFIX = 'version/'
--- a/chicorybridge/tools/configuration_specifications.py
+++ b/chicorybridge/tools/specifications/configuration_specifications.py
@@ -9,14 +9,17 @@
 import dataclasses
 from collections.abc import Iterator
 
-from chicorybridge.tools.configuration_worlds import (
+from chicorybridge.tools.specifications.configuration_worlds import (
     ApplyState,
     BrokenConfiguration,
     ConfigurationWorld,
     ConfiguredHost,
     Report,
 )
-from chicorybridge.tools.specifications import Specification, Step
+from chicorybridge.tools.specifications.specifications import (
+    Specification,
+    Step,
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/tools/configuration_worlds.py
+++ b/chicorybridge/tools/specifications/configuration_worlds.py
@@ -3,7 +3,7 @@
 import dataclasses
 from enum import Enum
 
-from chicorybridge.tools.specifications import replace_at
+from chicorybridge.tools.specifications.specifications import replace_at
 
 
 class BrokenConfiguration(Enum):
--- a/chicorybridge/tools/permit_replays.py
+++ b/chicorybridge/tools/specifications/permit_replays.py
@@ -8,17 +8,8 @@
 import itertools
 import random
 
-from chicorybridge.clocks import MILLIS_PER_SECOND, Millis
-from chicorybridge.declarations import (
-    Declaration,
-    Pool,
-    Region,
-    Service,
-    Target,
-    Zone,
-)
-from chicorybridge.freshness import FRESH_MS, Freshness
-from chicorybridge.identities import (
+from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
+from chicorybridge.common.identities import (
     HostId,
     Incarnation,
     PoolId,
@@ -28,15 +19,32 @@
     Version,
     ZoneId,
 )
-from chicorybridge.ledgers import holder_of, ledger_of, row_key_of
-from chicorybridge.loans import Loans, PermitLoan, PermitRequest, PermitReturn
-from chicorybridge.permit_holdings import Holding, HoldingTable
-from chicorybridge.permits import Permits
-from chicorybridge.stores import ReadRows, Row, StoreOutcome, StoreReply
-from chicorybridge.systems import Ask, Send
-from chicorybridge.tables import MemoryTables
-from chicorybridge.tools.permit_worlds import PermitHost, PermitWorld
-from chicorybridge.tools.specifications import Label
+from chicorybridge.common.systems import Ask, Send
+from chicorybridge.configuration.declarations import (
+    Declaration,
+    Pool,
+    Region,
+    Service,
+    Target,
+    Zone,
+)
+from chicorybridge.detection.ledgers import holder_of, ledger_of, row_key_of
+from chicorybridge.detection.loans import (
+    Loans,
+    PermitLoan,
+    PermitRequest,
+    PermitReturn,
+)
+from chicorybridge.detection.permit_holdings import Holding, HoldingTable
+from chicorybridge.detection.permits import Permits
+from chicorybridge.fleet.freshness import FRESH_MS, Freshness
+from chicorybridge.standins.tables import MemoryTables
+from chicorybridge.storage.stores import ReadRows, Row, StoreOutcome, StoreReply
+from chicorybridge.tools.specifications.permit_worlds import (
+    PermitHost,
+    PermitWorld,
+)
+from chicorybridge.tools.specifications.specifications import Label
 
 SERVICE_ID = ServiceId('quotes')
 VERSION = Version(1)
--- a/chicorybridge/tools/permit_specifications.py
+++ b/chicorybridge/tools/specifications/permit_specifications.py
@@ -9,13 +9,16 @@
 import dataclasses
 from collections.abc import Iterator
 
-from chicorybridge.tools.permit_worlds import (
+from chicorybridge.tools.specifications.permit_worlds import (
     BrokenPermit,
     Loan,
     PermitHost,
     PermitWorld,
 )
-from chicorybridge.tools.specifications import Specification, Step
+from chicorybridge.tools.specifications.specifications import (
+    Specification,
+    Step,
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/examples/bench.sh
+++ b/examples/bench.sh
@@ -16,7 +16,7 @@
     start "target-$number" "$bin/chicorybridge-standin" target \
         --listen "127.0.0.1:${base}10$number" --name "quotes-$number"
 done
-start relay "$bin/python" -m chicorybridge.tools.relays relay \
+start relay "$bin/python" -m chicorybridge.tools.models.relays relay \
     --listen "127.0.0.1:${base}401" \
     --target "127.0.0.1:${base}101" --target "127.0.0.1:${base}102" \
     --target "127.0.0.1:${base}103" --target "127.0.0.1:${base}104"
--- a/examples/capacity.sh
+++ b/examples/capacity.sh
@@ -25,7 +25,7 @@
 }
 
 mkdir "$run/first" "$run/second"
-"$bin/python" -m chicorybridge.tools.capacities declare "$run/first/full.ini"
+"$bin/python" -m chicorybridge.tools.measurements.capacities declare "$run/first/full.ini"
 sed 's/^\[service service-0\]$/&\nfloor = 0.6/' "$run/first/full.ini" >"$run/second/full.ini"
 
 start_platform
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -33,7 +33,7 @@
 "$bin/chicorybridge" plan "$here/bureau" | head -n 3
 "$bin/chicorybridge" apply "$here/bureau" --wait-ms 30000
 "$bin/chicorybridge" status
-"$bin/python" -m chicorybridge.tools.demos show --entry 127.0.0.1:20301 \
+"$bin/python" -m chicorybridge.tools.measurements.demos show --entry 127.0.0.1:20301 \
     --declaration "$here/bureau"
 "$bin/chicorybridge" timeline | tail -n 5
 "$bin/chicorybridge" metrics
--- a/examples/processes.sh
+++ b/examples/processes.sh
@@ -76,6 +76,6 @@
 # wait_for_hosts COUNT: until all processes run and the hosts know each other.
 wait_for_hosts() {
     check_started
-    "$bin/python" -m chicorybridge.tools.demos wait \
+    "$bin/python" -m chicorybridge.tools.measurements.demos wait \
         --control "$CHICORYBRIDGE_CONTROL" --hosts "$1"
 }
