Keep word of a removed target that was not known yet

Cause: a removal that came before the entry was forgotten, and an older entry from a slower reader brought the target back.

--- a/chicorybridge/fleet/directories.py
+++ b/chicorybridge/fleet/directories.py
@@ -137,9 +137,13 @@
 
     def _remove(self, target_id: TargetId, store_version: int) -> bool:
         known = self.entries_by_id.get(target_id)
-        if known is None or known.row_version > store_version:
+        if known is not None and known.row_version > store_version:
+            return False
+        # Kept also for an unknown target: an older entry may come later.
+        gone_at = self._removed_at_by_id.get(target_id, -1)
+        self._removed_at_by_id[target_id] = max(gone_at, store_version)
+        if known is None:
             return False
         self.entries_by_id.pop(target_id)
-        self._removed_at_by_id[target_id] = store_version
         self._digest = None
         return True
--- /dev/null
+++ b/chicorybridge/tests/fleet/test_watches.py
@@ -0,0 +1,83 @@
+"""When hosts read the store, and removals after an outage of it."""
+
+import random
+
+from chicorybridge import settings
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import TargetId, Version
+from chicorybridge.fleet.directories import TargetsChanged
+from chicorybridge.fleet.watches import (
+    ReadSchedule,
+    RemovalDelay,
+    StoreMark,
+)
+
+ONE = TargetId('i-1')
+START = Millis(1_000_000)
+
+
+def _schedule() -> ReadSchedule:
+    schedule = ReadSchedule(rng=random.Random(1))
+    schedule.succeeded(started_at=START)
+    return schedule
+
+
+def test_first_host_reads_at_every_interval():
+    schedule = _schedule()
+    due_at = Millis(START + settings.READ_INTERVAL_MS)
+    assert not schedule.is_due(rank=0, now=Millis(due_at - 1))
+    assert schedule.is_due(rank=0, now=due_at)
+
+
+def test_others_take_over_one_after_the_other():
+    schedule = _schedule()
+    late = Millis(START + settings.READ_STALE_MS + settings.READ_RANK_MS)
+    assert schedule.is_due(rank=1, now=late)
+    assert not schedule.is_due(rank=2, now=late)
+
+
+def test_others_wait_while_they_are_told():
+    schedule = _schedule()
+    now = Millis(START + settings.READ_STALE_MS)
+    mark = StoreMark(
+        store_version=1,
+        targets_digest=0,
+        configuration_version=Version(1),
+        age_ms=100,
+    )
+    schedule.told(mark, now=now)
+    assert schedule.age_ms(now=now) == 100
+    assert not schedule.is_due(rank=6, now=Millis(now + 1000))
+
+
+def test_failures_make_reads_rarer():
+    schedule = _schedule()
+    now = Millis(START + 10_000)
+    pauses = []
+    for _ in range(4):
+        schedule.failed(now=now)
+        began = now
+        while not schedule.is_due(rank=0, now=now):
+            now = Millis(now + 10)
+        pauses.append(now - began)
+    assert pauses[0] < pauses[-1]
+
+
+def _removed(version: int) -> TargetsChanged:
+    return TargetsChanged(store_version=version, removed=(ONE,))
+
+
+def test_removal_holds_at_once_while_the_store_works():
+    delay = RemovalDelay()
+    delay.succeeded(now=START)
+    assert delay.sift(_removed(5), now=START).removed == (ONE,)
+
+
+def test_removal_waits_after_an_outage_until_the_target_may_be_back():
+    delay = RemovalDelay()
+    delay.failed()
+    delay.succeeded(now=START)
+    assert not delay.sift(_removed(5), now=START).removed
+    later = Millis(START + settings.LAPSED_BACK_MS)
+    nothing = TargetsChanged(store_version=6)
+    assert delay.sift(nothing, now=later).removed == (ONE,)
--- /dev/null
+++ b/chicorybridge/tests/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the process of a host, against stand-ins on loopback."""
--- /dev/null
+++ b/chicorybridge/tests/routing/test_reputations.py
@@ -0,0 +1,68 @@
+"""What signs of all hosts say of a target."""
+
+import pytest
+
+from chicorybridge import settings
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import HostId, TargetId
+from chicorybridge.routing.reputations import (
+    ReputationTable,
+    Sign,
+    TargetSeen,
+)
+
+ONE = TargetId('i-1')
+PEER = HostId('edge-2')
+START = Millis(1000)
+
+
+def _seen(sign: Sign, latency_ms: int = 0) -> TargetSeen:
+    return TargetSeen(target_id=ONE, sign=sign, latency_ms=latency_ms)
+
+
+def test_one_break_seen_anywhere_makes_a_target_doubtful():
+    table = ReputationTable()
+    table.hear(_seen(Sign.answered), PEER, now=START)
+    assert table.of(ONE).sound_at(START) == pytest.approx(0.92, abs=0.03)
+    table.hear(_seen(Sign.broke), PEER, now=START)
+    assert table.of(ONE).sound_at(START) == pytest.approx(0, abs=0.1)
+
+
+def test_error_of_the_target_weighs_less_than_a_break():
+    broken, failed = ReputationTable(), ReputationTable()
+    broken.see(_seen(Sign.broke), now=START)
+    failed.see(_seen(Sign.failed), now=START)
+    assert broken.of(ONE).sound_at(START) < failed.of(ONE).sound_at(START)
+
+
+def test_old_news_loses_its_weight():
+    table = ReputationTable()
+    table.see(_seen(Sign.broke), now=START)
+    later = Millis(START + settings.GRAY_MEMORY_MS * 10)
+    assert table.of(ONE).sound_at(later) == pytest.approx(
+        settings.SOUND_SHARE, abs=0.01
+    )
+
+
+def test_own_failure_to_connect_says_nothing_of_the_target():
+    table = ReputationTable()
+    before = table.of(ONE).sound_at(START)
+    table.see(_seen(Sign.unreachable), now=START)
+    assert table.of(ONE).sound_at(START) == before
+    assert table.of(ONE).unreachable_until > START
+
+
+def test_load_is_what_ended_lately_times_how_long_it_took():
+    table = ReputationTable()
+    for _ in range(6):
+        table.hear(_seen(Sign.answered, 500), PEER, now=START)
+    assert table.of(ONE).load_at(START) == 6 * 500 / settings.LOAD_WINDOW_MS
+    later = Millis(START + settings.LOAD_WINDOW_MS + 1)
+    assert table.of(ONE).load_at(later) == 0
+
+
+def test_attempts_under_way_outlive_a_restart_of_the_target():
+    table = ReputationTable()
+    table.of(ONE).in_flight = 2
+    table.forget(ONE)
+    assert table.of(ONE).in_flight == 2
--- a/chicorybridge/tools/measurements/fleetcosts.py
+++ b/chicorybridge/tools/measurements/fleetcosts.py
@@ -1,8 +1,9 @@
 """Measure what membership and rollouts cost, and how fast versions spread.
 
-    python -m chicorybridge.tools.measurements.fleetcosts --sizes 6 20 44
+python -m chicorybridge.tools.measurements.fleetcosts --sizes 6 20 44
 
-Hosts are the real decision code on the faulty channel, with 12 ms between regions.
+Hosts are the real decision code on the faulty channel, with 12 ms between
+regions.
 Bytes are those of the encoded messages, without framing of streams.
 Processor time includes encoding and decoding and the channel itself.
 """
--- a/chicorybridge/tools/simulations/fleetruns.py
+++ b/chicorybridge/tools/simulations/fleetruns.py
@@ -1,8 +1,9 @@
 """Randomised runs of the real decision code of a fleet under faults.
 
-    python -m chicorybridge.tools.simulations.fleetruns --help
+python -m chicorybridge.tools.simulations.fleetruns --help
 
-A run prints its seed; the same seed gives the same run. At each tick the promise on
+A run prints its seed; the same seed gives the same run. At each tick the
+promise on
 configurations is required, and after all faults are gone the fleet must
 agree on the newest version and serve.
 """
