Write structured logs to standard output and serve metrics

One JSON line for each attempt, refusal, end of a request and change of belief, through python-json-logger; above 30 KB/s or with nobody reading, lines are dropped and counted by kind.

--- a/chicorybridge/common/binaries.py
+++ b/chicorybridge/common/binaries.py
@@ -14,6 +14,7 @@
 from chicorybridge.common.collectors import freeze_collector
 from chicorybridge.common.errors import ChicorybridgeError, PromiseError
 from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.log_streams import LineFormatter
 from chicorybridge.common.options import option
 from chicorybridge.common.processes import StopSignals
 
@@ -42,9 +43,7 @@
 
     def handle(self) -> int:
         """Run until stopped; return 1 after a coded error."""
-        logging.basicConfig(
-            level=logging.INFO, stream=sys.stderr, format='%(message)s'
-        )
+        self.set_up_logs()
         try:
             self.run_process(pathlib.Path(self.option('settings') or ''))
         except curio.TaskError as error:
@@ -55,6 +54,12 @@
             return 1
         return 0
 
+    def set_up_logs(self) -> None:
+        """Write events and messages as JSON lines on standard error."""
+        handler = logging.StreamHandler(sys.stderr)
+        handler.setFormatter(LineFormatter())
+        logging.basicConfig(level=logging.INFO, handlers=[handler])
+
     def run_process(self, path: pathlib.Path) -> None:
         """Read the settings and run; raise coded errors."""
         raise NotImplementedError
--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -1,7 +1,6 @@
 """Numbered events; `docs/events.md` is their catalogue."""
 
 import dataclasses
-import json
 import logging
 from collections import deque
 from enum import Enum
@@ -25,6 +24,7 @@
     process_stopped = 102
     process_failed = 103
     settings_reloaded = 104
+    log_lines_dropped = 105
 
     # 200: configuration.
     configuration_received = 200
@@ -52,6 +52,8 @@
     request_retried = 501
     answer_aborted = 502
     attempt_ended = 504
+    request_ended = 505
+    caller_gone = 506
     request_quarantined = 503
     claim_decided = 510
 
@@ -115,7 +117,7 @@
         }
         self._ring.append(record)
         self._fresh.append(record)
-        logger.info(json.dumps(record, default=str))
+        logger.info(record)
 
     def recent(self) -> tuple[dict[str, Any], ...]:
         """Return the events kept, oldest first."""
--- a/chicorybridge/common/meters.py
+++ b/chicorybridge/common/meters.py
@@ -33,6 +33,10 @@
             self._histograms_by_name[name] = histogram
         histogram.record_value(max(1, int(elapsed_ms * MICROS_PER_MILLI)))
 
+    def histograms(self) -> Iterable[tuple[str, HdrHistogram]]:
+        """Return the histograms by name."""
+        return self._histograms_by_name.items()
+
     def encoded(self) -> dict[str, bytes]:
         """Return the histograms, encoded by name."""
         return {
--- a/chicorybridge/hosts/__main__.py
+++ b/chicorybridge/hosts/__main__.py
@@ -1,5 +1,6 @@
 """The binary chicorybridge-host: the process of a host on the platform."""
 
+import logging
 import os
 import pathlib
 import random
@@ -11,6 +12,7 @@
 from chicorybridge.common.binaries import ProcessCommand, run_application, serve
 from chicorybridge.common.clocks import Clock
 from chicorybridge.common.collectors import freeze_collector
+from chicorybridge.common.log_streams import BoundedHandler
 from chicorybridge.common.processes import ReloadSignals
 from chicorybridge.hosts.processes import Host
 from chicorybridge.hosts.settings_files import HostSettings, read_host_settings
@@ -25,15 +27,24 @@
     name = 'host'
     description = 'Take requests of callers and forward them to targets'
 
+    def set_up_logs(self) -> None:
+        """Write events and messages as JSON lines on standard output."""
+        self._logs = BoundedHandler(
+            descriptor=sys.stdout.fileno(), clock=Clock()
+        )
+        logging.basicConfig(level=logging.INFO, handlers=[self._logs])
+
     def run_process(self, path: pathlib.Path) -> None:
         """Read the settings and run; raise coded errors."""
         if not self.option('settings'):
             path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
-        curio.run(_run, read_host_settings(path))
+        curio.run(_run, read_host_settings(path), self._logs)
 
 
-async def _run(given: HostSettings) -> None:
-    host = Host(given=given, clock=Clock(), rng=random.SystemRandom())
+async def _run(given: HostSettings, logs: BoundedHandler) -> None:
+    host = Host(
+        given=given, clock=Clock(), rng=random.SystemRandom(), logs=logs
+    )
     signals = ReloadSignals(reload=lambda: None)
     listener = sockets.listen(given.front)
     freeze_collector()
--- a/chicorybridge/hosts/assemblies.py
+++ b/chicorybridge/hosts/assemblies.py
@@ -6,6 +6,7 @@
 from chicorybridge.common.events import EventLog
 from chicorybridge.hosts.dispatchers import HostDispatcher
 from chicorybridge.hosts.knowledge import HostKnowledge
+from chicorybridge.hosts.metrics import HostMetrics
 from chicorybridge.hosts.policies import HostPolicies, Report
 from chicorybridge.hosts.request_logs import RequestLog
 from chicorybridge.hosts.settings_files import HostSettings
@@ -24,6 +25,7 @@
     knowledge: HostKnowledge,
     connections: TargetConnections,
     report: Report,
+    metrics: HostMetrics,
 ) -> HostDispatcher:
     """Return the dispatcher of a host that speaks the platform's dialect."""
     selector = Selector(
@@ -47,6 +49,9 @@
         policies=policies,
         connections=connections,
         request_log=RequestLog(
-            log=log, state=knowledge.state, dialect=PLATFORM
+            log=log,
+            state=knowledge.state,
+            dialect=PLATFORM,
+            metrics=metrics,
         ),
     )
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -1,5 +1,7 @@
 """What a host process does with one request of a caller."""
 
+from http import HTTPStatus
+
 import curio
 
 from chicorybridge import settings
@@ -66,10 +68,12 @@
         self.calls_by_number[number] = call
         exchange.abandonable = call.idempotent
         self._policies.admit(call)
+        status: int | None = None
         try:
-            await self._run(call)
+            status = await self._run(call)
         finally:
             self.calls_by_number.pop(number)
+            self._tell_end(call, status)
 
     async def refuse(
         self,
@@ -97,7 +101,15 @@
         answer = WholeAnswer(status=status, headers=headers, body=body)
         await self._send(exchange, answer)
 
-    async def _run(self, call: Call) -> None:
+    def _tell_end(self, call: Call, status: int | None) -> None:
+        now = self._clock.now()
+        if status is None:
+            self._request_log.abandoned(call, now=now)
+            return
+        self._request_log.ended(call, status=status, now=now)
+
+    async def _run(self, call: Call) -> int:
+        """Answer a call and return the status that its caller got."""
         try:
             answer = await self._forward(call)
         except RequestError as error:
@@ -107,9 +119,11 @@
                     code=error.code, detail=error.detail
                 ) from error
             await self.refuse(call.exchange, error, call.outcome, call.head)
-            return
-        if answer is not None:
-            await self._send(call.exchange, answer)
+            return status_of(error.code)
+        if answer is None:
+            return HTTPStatus.OK
+        await self._send(call.exchange, answer)
+        return answer.status
 
     async def _send(
         self, exchange: CallerExchange, answer: WholeAnswer
--- a/chicorybridge/hosts/processes.py
+++ b/chicorybridge/hosts/processes.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, Protocol
 
 import curio
 
@@ -11,6 +11,7 @@
 from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.identities import HostId, draw_incarnation
+from chicorybridge.common.log_streams import BoundedHandler
 from chicorybridge.common.tasks import run_all
 from chicorybridge.fleet.channels import Channel
 from chicorybridge.fleet.sightings import HostProfile, Sightings
@@ -18,25 +19,41 @@
 from chicorybridge.hosts.assemblies import build_dispatcher
 from chicorybridge.hosts.directories import AddressDirectory
 from chicorybridge.hosts.knowledge import HostKnowledge
+from chicorybridge.hosts.metrics import HostMetrics, MetricsDesk
 from chicorybridge.hosts.settings_files import HostSettings
 from chicorybridge.hosts.states import HostDuty, HostState
 from chicorybridge.hosts.store_readers import StoreReader
 from chicorybridge.http.caller_connections import CallerTable
 from chicorybridge.http.connections import TargetConnections
-from chicorybridge.http.services import Server
+from chicorybridge.http.services import Request, Server, ServerConnection
 from chicorybridge.platform.desks import ReadinessDesk, ResolveDesk
 from chicorybridge.platform.stores import Store
 from chicorybridge.platform.watchers import PlatformWatcher
 from chicorybridge.routing.reputations import TargetSeen
 
 
+class Desk(Protocol):
+    """What answers the calls on one of the small addresses."""
+
+    async def answer(
+        self, connection: ServerConnection, request: Request
+    ) -> None:
+        """Answer one call."""
+
+
 class Host:
     """All parts of a host process, joined."""
 
     def __init__(
-        self, *, given: HostSettings, clock: Clock, rng: random.Random
+        self,
+        *,
+        given: HostSettings,
+        clock: Clock,
+        rng: random.Random,
+        logs: BoundedHandler,
     ) -> None:
         """Build the parts; `run` starts them."""
+        self._logs = logs
         self._given = given
         self._clock = clock
         self._rng = rng
@@ -71,6 +88,7 @@
             watcher=PlatformWatcher(store=Store(address=given.store)),
             tell=self._tell_near,
         )
+        self.metrics = HostMetrics(gauges=self._gauges)
         self._connections = TargetConnections(clock=clock, unframed=True)
         self._dispatcher = build_dispatcher(
             given=given,
@@ -80,6 +98,7 @@
             knowledge=self.knowledge,
             connections=self._connections,
             report=self._report,
+            metrics=self.metrics,
         )
         self.callers = CallerTable(
             clock=clock,
@@ -107,6 +126,7 @@
             self.callers.run(listener),
             _serve(self._given.readiness, readiness),
             _serve(self._given.directory, resolve),
+            _serve(self._given.metrics, MetricsDesk(text=self.metrics.text)),
             self._channel.run(),
             snapshots.run(sockets.listen(self._given.fleet)),
             self._tick_forever(),
@@ -168,6 +188,8 @@
         if now - self._beat_at >= settings.BEAT_MS:
             self._beat_at = now
             self._beat()
+            self._tell_dropped()
+        self._logs.flush()
 
     def _beat(self) -> None:
         profile = self._profile()
@@ -184,6 +206,30 @@
             _fleet_addresses(self.knowledge.sightings.profiles()),
         )
 
+    def _gauges(self) -> dict[str, float]:
+        now = self._clock.now()
+        return {
+            'configuration_version': self.state.version,
+            'store_age_seconds': as_seconds(
+                self.knowledge.schedule.age_ms(now=now)
+            ),
+            'targets': len(self.knowledge.directory.entries_by_id),
+            'hosts_heard': len(self.knowledge.sightings.profiles()),
+            'requests_in_flight': len(self._dispatcher.calls_by_number),
+            'callers_connected': len(self.callers),
+            'store_calls': self._reader.calls,
+            'datagrams_unsent': self._channel.unsent,
+        }
+
+    def _tell_dropped(self) -> None:
+        dropped = self._logs.take_dropped()
+        if not dropped:
+            return
+        for kind, count in dropped.items():
+            self.metrics.count('log_lines_dropped', kind, by=count)
+        event = Event(kind=EventKind.log_lines_dropped, facts=dropped)
+        self.log.emit(event)
+
     def _report(self, seen: TargetSeen) -> None:
         """Take in what a request showed, and tell the region."""
         self.knowledge.reputations.see(seen, now=self._clock.now())
@@ -208,7 +254,7 @@
         )
 
 
-async def _serve(address: str, desk: ReadinessDesk | ResolveDesk) -> None:
+async def _serve(address: str, desk: Desk) -> None:
     listener = sockets.listen(address)
     await Server(listener=listener, handler=desk.answer).run()
 
--- a/chicorybridge/hosts/request_logs.py
+++ b/chicorybridge/hosts/request_logs.py
@@ -1,9 +1,11 @@
 """Lines of the log that tell the story of one request."""
 
 from chicorybridge import settings
+from chicorybridge.common.clocks import Millis
 from chicorybridge.common.errors import RequestError
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.entry.calls import Call
+from chicorybridge.hosts.metrics import HostMetrics
 from chicorybridge.hosts.states import HostState
 from chicorybridge.http.dialects import Dialect
 from chicorybridge.http.exchanges import Head
@@ -16,9 +18,15 @@
     """Write what was decided on requests, and on what grounds."""
 
     def __init__(
-        self, *, log: EventLog, state: HostState, dialect: Dialect
+        self,
+        *,
+        log: EventLog,
+        state: HostState,
+        dialect: Dialect,
+        metrics: HostMetrics,
     ) -> None:
         """Write to `log`, with ids as `dialect` names them."""
+        self._metrics = metrics
         self._log = log
         self._state = state
         self._dialect = dialect
@@ -38,6 +46,7 @@
         status: int,
     ) -> None:
         """Tell of a request that was answered by the host itself."""
+        self._metrics.count('refusals', error.code.name)
         facts = {
             'request': self.request_id(head),
             'code': error.code.value,
@@ -50,6 +59,7 @@
 
     def attempted(self, call: Call, attempt: Attempt, option: Option) -> None:
         """Tell of an attempt, and of what led to its target."""
+        self._metrics.count('attempts', attempt.outcome.value)
         facts = {
             'request': self.request_id(call.head),
             'route': call.route.route_id,
@@ -68,6 +78,31 @@
         }
         self._log.emit(Event(kind=EventKind.attempt_ended, facts=facts))
 
+    def ended(self, call: Call, *, status: int, now: Millis) -> None:
+        """Tell what a request came to, whoever answered it."""
+        elapsed_ms = now - call.started_at
+        self._metrics.count('requests', str(status))
+        self._metrics.time(call.service.service_id, elapsed_ms)
+        facts = {
+            'request': self.request_id(call.head),
+            'status': status,
+            'outcome': call.outcome.value,
+            'attempts': len(call.attempts),
+            'elapsed_ms': round(elapsed_ms, 1),
+            'left_ms': round(call.deadline_at - now),
+        }
+        self._log.emit(Event(kind=EventKind.request_ended, facts=facts))
+
+    def abandoned(self, call: Call, *, now: Millis) -> None:
+        """Tell of a caller that left before its answer."""
+        self._metrics.count('requests', 'caller_gone')
+        facts = {
+            'request': self.request_id(call.head),
+            'outcome': call.outcome.value,
+            'elapsed_ms': round(now - call.started_at, 1),
+        }
+        self._log.emit(Event(kind=EventKind.caller_gone, facts=facts))
+
 
 def _rounded(age_ms: float) -> int | None:
     # A target that was never seen has no age.
--- a/chicorybridge/hosts/settings_files.py
+++ b/chicorybridge/hosts/settings_files.py
@@ -73,7 +73,7 @@
         'fleet_ports': PortsField(required=True),
         'seeds': AddressesField(),
         'store': AddressField(required=True),
-        'metrics_port': Field(),
+        'metrics': AddressField(required=True),
     }
 )
 
@@ -110,6 +110,7 @@
     front: str
     readiness: str
     directory: str
+    metrics: str
     fleet_port: int
     seeds: tuple[str, ...]
     store: str
@@ -172,6 +173,7 @@
         front=values_by_key['front'],
         readiness=values_by_key['readiness'],
         directory=values_by_key['directory'],
+        metrics=values_by_key['metrics'],
         fleet_port=fleet_port,
         # The ports between hosts are the same on all of them.
         seeds=tuple(
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -21,6 +21,10 @@
 class Watcher(Protocol):
     """What reads the store; every method raises coded errors."""
 
+    @property
+    def calls(self) -> int:
+        """Return how often the store was called."""
+
     async def read_configuration(self) -> HostConfiguration | None:
         """Return the configuration if it changed."""
 
@@ -55,6 +59,11 @@
         self._delay = RemovalDelay()
         self._failing = False
 
+    @property
+    def calls(self) -> int:
+        """Return how often the store was called."""
+        return self._watcher.calls
+
     async def run(self) -> None:
         """Read whenever it is due, until cancelled."""
         while True:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -336,3 +336,9 @@
 # Bodies and answers up to this size are kept whole, to be sent again; a
 # host has memory for some hundred of them.
 HOST_BUFFER_BYTES = 512 * 1024
+
+# Logs of a host: what its operators keep of it, a burst, and the lines that
+# wait while nobody reads.
+LOG_BYTES_PER_SECOND = 30_000.0
+LOG_BURST_SECONDS = 4.0
+LOG_BUFFER_BYTES = 256 * 1024
--- a/chicorybridge/tests/tools/test_claim_runs.py
+++ b/chicorybridge/tests/tools/test_claim_runs.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from chicorybridge.claims import claim_ledgers
 from chicorybridge.claims.claim_assignments import Assignment, ClaimAssignments
 from chicorybridge.claims.claim_attempts import ClaimAttempts
 from chicorybridge.claims.claim_messages import ClaimFinished
 from chicorybridge.claims.claim_owners import ClaimOwner
 from chicorybridge.claims.claim_rows import OwnerRow
 from chicorybridge.claims.claim_tables import Asker, Claim, ClaimState
-from chicorybridge.claims import claim_ledgers
 from chicorybridge.common.errors import PromiseError
 from chicorybridge.common.identities import RequestKey
 from chicorybridge.routing.outcomes import RequestOutcome
