Replace a target's 408, 421 or 429 after a run by a failure of our own

Cause: these statuses promise the caller that nothing ran; an answer with one of them below 500 counted as answered and went through.

--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -24,7 +24,7 @@
 from chicorybridge.http.dialects import Dialect
 from chicorybridge.http.exchanges import Head
 from chicorybridge.http.problems import problem_body, problem_headers, status_of
-from chicorybridge.routing.attempts import AttemptOutcome
+from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.routing.selections import Option
 
@@ -149,7 +149,7 @@
             if call.committed:
                 check_relayed(attempt)
                 return None
-            if attempt.outcome is AttemptOutcome.answered:
+            if _is_final(forward, attempt):
                 return forward.answer
             if not self._policies.may_retry(call):
                 return _last_answer(call, forward)
@@ -205,6 +205,14 @@
         self._request_log.attempted(call, attempt, option)
 
 
+def _is_final(forward: Forward, attempt: Attempt) -> bool:
+    """Return whether a target answered with what the caller may be told."""
+    if attempt.outcome is not AttemptOutcome.answered:
+        return False
+    answer = forward.answer
+    return answer is not None and answer.status not in PROMISING_STATUSES
+
+
 def _last_answer(call: Call, forward: Forward) -> WholeAnswer:
     """Return the target's own answer, or raise what the caller is told."""
     attempt = call.attempts[-1]
--- a/chicorybridge/http/fetchers.py
+++ b/chicorybridge/http/fetchers.py
@@ -69,7 +69,9 @@
         return False
 
     def _encode(self, request: Request, *, host: str) -> bytes:
-        headers = [('Host', host), *request.headers_by_name.items()]
+        headers = list(request.headers_by_name.items())
+        if 'Host' not in request.headers_by_name:
+            headers.insert(0, ('Host', host))
         if request.body or request.method in BODY_METHODS:
             headers.append(('Content-Length', str(len(request.body))))
         head = h11.Request(
--- /dev/null
+++ b/chicorybridge/tests/hosts/deployments.py
@@ -0,0 +1,234 @@
+"""A small deployment on loopback: a store, targets and one host process."""
+
+import contextlib
+import dataclasses
+import functools
+import random
+from collections.abc import AsyncIterator
+
+import curio
+
+from chicorybridge.common import sockets
+from chicorybridge.common.addresses import parse_address
+from chicorybridge.common.clocks import Clock
+from chicorybridge.common.identities import HostId, RegionId, ZoneId
+from chicorybridge.common.log_streams import BoundedHandler
+from chicorybridge.hosts.processes import Host
+from chicorybridge.hosts.settings_files import HostBounds, HostSettings
+from chicorybridge.http.fetchers import Client
+from chicorybridge.http.services import (
+    Request,
+    Response,
+    Server,
+    ServerConnection,
+)
+from chicorybridge.routing.allowances import RetryBound
+from chicorybridge.tests.platform.row_stores import RowStore
+from chicorybridge.tests.platform.rows import (
+    configuration_row,
+    route,
+    server_row,
+)
+
+ZONE = 'groningen'
+FETCH_MS = 5000
+
+
+@dataclasses.dataclass(kw_only=True)
+class Origin:
+    """A server with the headers of the platform; it fails as it is told."""
+
+    target_id: str
+    address: str = ''
+    runs: int = 0
+    # Resets connections in place of answers, after having run.
+    resetting: bool = False
+    # Refuses requests without running them.
+    full: bool = False
+    status: int = 200
+    signed: bool = True
+    work_s: float = 0
+    asked: list[Request] = dataclasses.field(default_factory=list)
+
+    async def answer(
+        self, connection: ServerConnection, request: Request
+    ) -> None:
+        """Answer one request."""
+        await connection.read_body()
+        self.asked.append(request)
+        request_id = request.headers_by_name['x-request-id']
+        headers = {'X-Request-Id': request_id}
+        expected = request.headers_by_name['x-expect-instance']
+        if expected != self.target_id:
+            await connection.respond(Response(status=421))
+            return
+        if self.full:
+            headers['X-Not-Executed'] = '1'
+            await connection.respond(
+                Response(status=503, headers_by_name=headers)
+            )
+            return
+        self.runs += 1
+        await curio.sleep(self.work_s)
+        if self.resetting:
+            await connection.close()
+            return
+        if self.signed:
+            headers['X-Server-Signature'] = self.target_id
+        body = self.target_id.encode()
+        await connection.respond(
+            Response(status=self.status, headers_by_name=headers, body=body)
+        )
+
+
+@dataclasses.dataclass(kw_only=True)
+class Deployment:
+    """What a test talks to."""
+
+    store: RowStore
+    origins: dict[str, Origin]
+    host: Host
+    front: str
+    settings: HostSettings
+    client: Client = dataclasses.field(default_factory=Client)
+
+    async def send(
+        self, path: str, *, method: str = 'GET', request_id: str = 'r'
+    ) -> Response:
+        """Send a request as a caller does and return its answer."""
+        request = Request(
+            method=method,
+            path=path,
+            headers_by_name={
+                'Host': 'quotes.example',
+                'X-Request-Id': request_id,
+                'X-Deadline-Ms': '4000',
+            },
+        )
+        return await self.client.fetch(
+            parse_address(self.front), request, timeout_ms=FETCH_MS
+        )
+
+    async def call(self, address: str, path: str) -> Response:
+        """Make a call of the platform."""
+        request = Request(method='GET', path=path)
+        return await self.client.fetch(
+            parse_address(address), request, timeout_ms=FETCH_MS
+        )
+
+
+@contextlib.asynccontextmanager
+async def deployed(
+    *origins: Origin, ready: bool = True
+) -> AsyncIterator[Deployment]:
+    """Run a store, `origins` and a host until the block ends."""
+    store = RowStore()
+    tasks = curio.TaskGroup()
+    store_address = await _serve(tasks, store.answer)
+    for placed in origins:
+        await _register(store, tasks, placed)
+    if ready:
+        store.put('op', 'config', configuration_row(*_routes()))
+    listener = sockets.listen('127.0.0.1:0')
+    given = _settings(store_address)
+    host = Host(
+        given=dataclasses.replace(given, front=sockets.bound_address(listener)),
+        clock=Clock(),
+        rng=random.Random(1),
+        logs=BoundedHandler(descriptor=1, clock=Clock(), bytes_per_second=0),
+    )
+    running = await curio.spawn(host.run, listener)
+    deployment = Deployment(
+        store=store,
+        origins={origin.target_id: origin for origin in origins},
+        host=host,
+        front=sockets.bound_address(listener),
+        settings=given,
+    )
+    try:
+        if ready:
+            await until(lambda: host.state.ready)
+            await until(
+                lambda: (
+                    len(host.knowledge.directory.entries_by_id) == len(origins)
+                )
+            )
+        yield deployment
+    finally:
+        await running.cancel()
+        await tasks.cancel_remaining()
+
+
+def on_curio(test):
+    """Run a test that is a coroutine function; a decorator."""
+
+    @functools.wraps(test)
+    def run(**given):  # noqa: WPS430
+        curio.run(functools.partial(test, **given))
+
+    return run
+
+
+async def until(holds, *, within_s: float = 5) -> None:
+    """Wait until a condition holds; raise `curio.TaskTimeout`."""
+    async with curio.timeout_after(within_s):
+        while not holds():
+            await curio.sleep(0.01)
+
+
+async def _register(
+    store: RowStore, tasks: curio.TaskGroup, origin: Origin
+) -> None:
+    origin.address = await _serve(tasks, origin.answer)
+    entry = server_row(address=origin.address, zone=ZONE)
+    store.put('servers', origin.target_id, entry)
+
+
+async def _serve(tasks: curio.TaskGroup, handler) -> str:
+    listener = sockets.listen('127.0.0.1:0')
+    server = Server(listener=listener, handler=handler)
+    await tasks.spawn(server.run)
+    return sockets.bound_address(listener)
+
+
+def _routes():
+    return (
+        route(),
+        route(
+            name='r-2',
+            prefix='/accept/',
+            route_type='non_idempotent',
+            timeout_s=1,
+        ),
+    )
+
+
+def _settings(store_address: str) -> HostSettings:
+    ports = [_free_port() for _ in range(4)]
+    readiness, directory, metrics, fleet = ports
+    return HostSettings(
+        host_id=HostId('edge-groningen-1'),
+        ip_number='127.0.0.1',
+        zone_id=ZoneId(ZONE),
+        region_id=RegionId('noord'),
+        front='',
+        readiness=f'127.0.0.1:{readiness}',
+        directory=f'127.0.0.1:{directory}',
+        metrics=f'127.0.0.1:{metrics}',
+        fleet_port=fleet,
+        seeds=(),
+        store=store_address,
+        regions_by_zone={ZoneId(ZONE): RegionId('noord')},
+        bounds=HostBounds(
+            grace_ms=2000,
+            ttl_ms=1000,
+            retries=RetryBound(ratio=0.2, slack=20, window_ms=10_000),
+        ),
+    )
+
+
+def _free_port() -> int:
+    listener = sockets.listen('127.0.0.1:0')
+    port = listener.getsockname()[1]
+    listener._socket.close()
+    return port
