Refuse requests that crash targets, and take over changed settings

A target that breaks off a request is asked for a connection; only if it takes none is the request under suspicion, told to all hosts and refused after the known number of victims. A gray target that resets is not mistaken for a crashed one. Settings are read again on SIGHUP and every two seconds; a file that can't be read changes nothing.

Tests on loopback: six targets and one crashing request, at most three crash, another request is served; five resets blame nobody.

--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -54,6 +54,7 @@
     attempt_ended = 504
     request_ended = 505
     caller_gone = 506
+    crash_suspected = 507
     request_quarantined = 503
     claim_decided = 510
 
--- a/chicorybridge/common/sockets.py
+++ b/chicorybridge/common/sockets.py
@@ -41,6 +41,15 @@
     return join_address(listener.getsockname())
 
 
+def peer_host(sock: curio.io.Socket) -> str:
+    """Return the IP number of the other end, empty if it has gone."""
+    try:
+        return sock.getpeername()[0]
+    except OSError:
+        # Reset between its arrival and now; reading tells.
+        return ''
+
+
 async def connect(address: str) -> curio.io.Socket:
     """Open a connection to IP:PORT; raise `OSError` if it fails."""
     host, port = split_address(address)
--- a/chicorybridge/entry/calls.py
+++ b/chicorybridge/entry/calls.py
@@ -40,6 +40,8 @@
     key: RequestKey | None = None
     # Whether the claim of the key was granted to this request.
     claimed: bool = False
+    # The caller's IP number, where it tells callers apart.
+    caller: str = ''
     dialect: Dialect = OWN
     # Whether a part of an answer went to the caller.
     committed: bool = False
@@ -71,4 +73,7 @@
             digest = self.head.header(DIGEST_HEADER) or b''
             body = b'%d %s' % (self.head.length or 0, digest)
         workspace = (self.workspace_id or '').encode()
-        return fingerprint((self.head.method, self.head.path, workspace, body))
+        caller = self.caller.encode()
+        return fingerprint(
+            (self.head.method, self.head.path, workspace, caller, body)
+        )
--- a/chicorybridge/fleet/channels.py
+++ b/chicorybridge/fleet/channels.py
@@ -3,7 +3,7 @@
 import dataclasses
 import logging
 import socket
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import curio
@@ -16,7 +16,7 @@
 
 logger = logging.getLogger(__name__)
 
-Take = Callable[[Any, HostId], Awaitable[None]]
+Take = Callable[[Any, HostId], None]
 
 
 @wire
@@ -62,9 +62,9 @@
                 # An earlier datagram met a port where nothing listens.
                 logger.debug('datagram came back: %s', error)
                 continue
-            await self._handle(body, source)
+            self._handle(body, source)
 
-    async def _handle(self, body: bytes, source: Any) -> None:
+    def _handle(self, body: bytes, source: Any) -> None:
         try:
             datagram = unpack(body)
         except ChicorybridgeError as error:
@@ -73,4 +73,4 @@
         if not isinstance(datagram, Datagram):
             logger.warning('datagram of %s dropped: no message', source)
             return
-        await self._take(datagram.message, datagram.sender)
+        self._take(datagram.message, datagram.sender)
--- a/chicorybridge/hosts/__main__.py
+++ b/chicorybridge/hosts/__main__.py
@@ -8,14 +8,18 @@
 
 import curio
 
+from chicorybridge import settings
 from chicorybridge.common import sockets
 from chicorybridge.common.binaries import ProcessCommand, run_application, serve
-from chicorybridge.common.clocks import Clock
+from chicorybridge.common.clocks import Clock, as_seconds
 from chicorybridge.common.collectors import freeze_collector
+from chicorybridge.common.errors import ChicorybridgeError
 from chicorybridge.common.log_streams import BoundedHandler
 from chicorybridge.common.processes import ReloadSignals
 from chicorybridge.hosts.processes import Host
-from chicorybridge.hosts.settings_files import HostSettings, read_host_settings
+from chicorybridge.hosts.settings_files import read_host_settings
+
+logger = logging.getLogger(__name__)
 
 # Names the settings file where no option does.
 SETTINGS_VARIABLE = 'CHICORYBRIDGE_BOOT'
@@ -38,19 +42,37 @@
         """Read the settings and run; raise coded errors."""
         if not self.option('settings'):
             path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
-        curio.run(_run, read_host_settings(path), self._logs)
+        curio.run(_run, path, self._logs)
 
 
-async def _run(given: HostSettings, logs: BoundedHandler) -> None:
+async def _run(path: pathlib.Path, logs: BoundedHandler) -> None:
+    given = read_host_settings(path)
     host = Host(
         given=given, clock=Clock(), rng=random.SystemRandom(), logs=logs
     )
-    signals = ReloadSignals(reload=lambda: None)
+    signals = ReloadSignals(reload=lambda: _reload(host, path))
     listener = sockets.listen(given.front)
     freeze_collector()
+    await curio.spawn(_follow, host, path, daemon=True)
     await serve(host, listener, signals)
 
 
+async def _follow(host: Host, path: pathlib.Path) -> None:
+    """Take over changes of the settings file that no signal tells."""
+    while True:
+        await curio.sleep(as_seconds(settings.SETTINGS_CHECK_MS))
+        _reload(host, path)
+
+
+def _reload(host: Host, path: pathlib.Path) -> None:
+    try:
+        given = read_host_settings(path)
+    except ChicorybridgeError as error:
+        logger.warning('settings stay as they were: %s', error)
+        return
+    host.reload(given)
+
+
 def main() -> int:
     """Run the binary and return its exit status."""
     return run_application('chicorybridge-host', HostCommand())
--- a/chicorybridge/hosts/assemblies.py
+++ b/chicorybridge/hosts/assemblies.py
@@ -1,9 +1,13 @@
 """Joins the decisions of a host and the dispatcher that asks them."""
 
+import dataclasses
 import random
+from collections.abc import Callable
+from typing import Any
 
 from chicorybridge.common.clocks import Clock
 from chicorybridge.common.events import EventLog
+from chicorybridge.hosts.crash_checks import CrashChecks
 from chicorybridge.hosts.dispatchers import HostDispatcher
 from chicorybridge.hosts.knowledge import HostKnowledge
 from chicorybridge.hosts.metrics import HostMetrics
@@ -16,6 +20,14 @@
 from chicorybridge.routing.selections import Selector
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Outlets:
+    """Where decisions are told: signs to the region, reports to all."""
+
+    report: Report
+    tell_all: Callable[[Any], None]
+
+
 def build_dispatcher(
     *,
     given: HostSettings,
@@ -24,8 +36,8 @@
     log: EventLog,
     knowledge: HostKnowledge,
     connections: TargetConnections,
-    report: Report,
     metrics: HostMetrics,
+    outlets: Outlets,
 ) -> HostDispatcher:
     """Return the dispatcher of a host that speaks the platform's dialect."""
     selector = Selector(
@@ -40,7 +52,7 @@
         selector=selector,
         allowances=RetryAllowances(bound=given.bounds.retries),
         hosts=lambda: len(knowledge.sightings.profiles()) + 1,
-        report=report,
+        report=outlets.report,
     )
     return HostDispatcher(
         clock=clock,
@@ -54,4 +66,10 @@
             dialect=PLATFORM,
             metrics=metrics,
         ),
+        crashes=CrashChecks(
+            clock=clock,
+            log=log,
+            quarantine=knowledge.quarantine,
+            tell=outlets.tell_all,
+        ),
     )
--- /dev/null
+++ b/chicorybridge/hosts/crash_checks.py
@@ -0,0 +1,78 @@
+"""Requests that crash targets: found out, told to all hosts, refused."""
+
+from collections.abc import Callable
+
+import curio
+
+from chicorybridge import settings
+from chicorybridge.common import sockets
+from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.entry.calls import Call
+from chicorybridge.routing.attempts import Attempt
+from chicorybridge.routing.outcomes import COMPLETE_OUTCOMES
+from chicorybridge.routing.quarantines import (
+    Quarantine,
+    Report,
+    may_have_crashed,
+)
+
+
+class CrashChecks:
+    """Tell crashed targets from gray ones, and keep who crashed them.
+
+    A gray target resets connections and takes new ones; a crashed one
+    takes none. Only then is the request under suspicion.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        log: EventLog,
+        quarantine: Quarantine,
+        tell: Callable[[Report], None],
+    ) -> None:
+        """Pass what is found out to `tell`, which sends it to all hosts."""
+        self._clock = clock
+        self._log = log
+        self._quarantine = quarantine
+        self._tell = tell
+
+    def refuses(self, call: Call) -> bool:
+        """Return whether a request must not reach another target."""
+        if not self._quarantine.knows(call):
+            return False
+        return self._quarantine.refuses(call.digest, now=self._clock.now())
+
+    async def ended(self, call: Call, attempt: Attempt, address: str) -> None:
+        """Learn from an attempt at the target at IP:PORT."""
+        if may_have_crashed(attempt):
+            await curio.spawn(self._check, call, attempt, address, daemon=True)
+        elif attempt.outcome in COMPLETE_OUTCOMES:
+            if self._quarantine.knows(call):
+                self._report(call, attempt)
+
+    async def _check(self, call: Call, attempt: Attempt, address: str) -> None:
+        if await _takes_connections(address):
+            return
+        self._report(call, attempt)
+        facts = {'digest': call.digest, 'target': attempt.target_id}
+        self._log.emit(Event(kind=EventKind.crash_suspected, facts=facts))
+
+    def _report(self, call: Call, attempt: Attempt) -> None:
+        report = self._quarantine.attempt_ended(
+            call.digest, attempt, now=self._clock.now()
+        )
+        if report is not None:
+            self._tell(report)
+
+
+async def _takes_connections(address: str) -> bool:
+    try:
+        async with curio.timeout_after(as_seconds(settings.HOST_CONNECT_MS)):
+            sock = await sockets.connect(address)
+    except (OSError, curio.TaskTimeout):
+        return False
+    await sock.close()
+    return True
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -13,6 +13,7 @@
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.forwards import Forward
 from chicorybridge.entry.refusals import RefusalError, check_relayed
+from chicorybridge.hosts.crash_checks import CrashChecks
 from chicorybridge.hosts.policies import HostPolicies
 from chicorybridge.hosts.readers import RequestReader
 from chicorybridge.hosts.request_logs import RequestLog
@@ -24,6 +25,7 @@
 from chicorybridge.http.dialects import Dialect
 from chicorybridge.http.exchanges import Head
 from chicorybridge.http.problems import problem_body, problem_headers, status_of
+from chicorybridge.routing.allowances import RetryBound
 from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.routing.selections import Option
@@ -44,6 +46,7 @@
         policies: HostPolicies,
         connections: TargetConnections,
         request_log: RequestLog,
+        crashes: CrashChecks,
     ) -> None:
         """Join the parts; `dialect` names the headers."""
         self.calls_by_number: dict[int, Call] = {}
@@ -53,6 +56,7 @@
         self._policies = policies
         self._connections = connections
         self._request_log = request_log
+        self._crashes = crashes
         self._serial = 0
         self._reader = RequestReader(clock=clock, state=state, dialect=dialect)
 
@@ -75,6 +79,10 @@
             self.calls_by_number.pop(number)
             self._tell_end(call, status)
 
+    def rebound(self, bound: RetryBound) -> None:
+        """Take over another bound on retries."""
+        self._policies.rebound(bound)
+
     async def refuse(
         self,
         exchange: CallerExchange,
@@ -142,10 +150,12 @@
                 raise CallerError(
                     code=ErrorCode.stream_closed, detail='the caller has gone'
                 )
+            self._check_crashes(call)
             option = self._policies.choose(call)
             forward = self._prepare(call, option)
             await self._attempt(call, forward, option)
             attempt = call.attempts[-1]
+            await self._crashes.ended(call, attempt, forward.target.address)
             if call.committed:
                 check_relayed(attempt)
                 return None
@@ -154,6 +164,15 @@
             if not self._policies.may_retry(call):
                 return _last_answer(call, forward)
 
+    def _check_crashes(self, call: Call) -> None:
+        if self._crashes.refuses(call):
+            raise RefusalError(
+                code=ErrorCode.request_quarantined,
+                detail='targets died when they ran this request',
+                outcome=call.outcome,
+                retry_after_ms=settings.QUARANTINE_RETRY_MS,
+            )
+
     def _prepare(self, call: Call, option: Option) -> Forward:
         entry = option.entry
         target = Target(
--- /dev/null
+++ b/chicorybridge/hosts/gauges.py
@@ -0,0 +1,46 @@
+"""Levels of a host at a moment, for its metrics."""
+
+from collections.abc import Mapping
+
+from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.fleet.channels import Channel
+from chicorybridge.hosts.dispatchers import HostDispatcher
+from chicorybridge.hosts.knowledge import HostKnowledge
+from chicorybridge.hosts.store_readers import StoreReader
+from chicorybridge.http.caller_connections import CallerTable
+
+
+class HostGauges:
+    """Read the levels off the parts of a host."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        knowledge: HostKnowledge,
+        dispatcher: HostDispatcher,
+        callers: CallerTable,
+        reader: StoreReader,
+        channel: Channel,
+    ) -> None:
+        """Keep the parts."""
+        self._clock = clock
+        self._knowledge = knowledge
+        self._dispatcher = dispatcher
+        self._callers = callers
+        self._reader = reader
+        self._channel = channel
+
+    def __call__(self) -> Mapping[str, float]:
+        """Return the levels by name; `docs/metrics.md` lists them."""
+        age_ms = self._knowledge.schedule.age_ms(now=self._clock.now())
+        return {
+            'configuration_version': self._knowledge.state.version,
+            'store_age_seconds': as_seconds(age_ms),
+            'targets': len(self._knowledge.directory.entries_by_id),
+            'hosts_heard': len(self._knowledge.sightings.profiles()),
+            'requests_in_flight': len(self._dispatcher.calls_by_number),
+            'callers_connected': len(self._callers),
+            'store_calls': self._reader.calls,
+            'datagrams_unsent': self._channel.unsent,
+        }
--- a/chicorybridge/hosts/knowledge.py
+++ b/chicorybridge/hosts/knowledge.py
@@ -13,7 +13,9 @@
 from chicorybridge.fleet.snapshots import Snapshot
 from chicorybridge.fleet.watches import ReadSchedule, StoreMark
 from chicorybridge.hosts.states import HostState
+from chicorybridge.routing.quarantines import Quarantine, Report
 from chicorybridge.routing.reputations import ReputationTable, TargetSeen
+from chicorybridge.routing.suspects import CrashSuspected, SuspectCleared
 
 
 class HostKnowledge:
@@ -36,6 +38,7 @@
         self.directory = TargetDirectory()
         self.reputations = ReputationTable()
         self.schedule = ReadSchedule(rng=rng)
+        self.quarantine = Quarantine()
         # Hosts that know more, by their address, to be asked for it.
         self.ahead: list[str] = []
 
@@ -150,6 +153,13 @@
     ) -> None:
         self.reputations.hear(message, sender, now=now)
 
+    @_take.register(CrashSuspected)
+    @_take.register(SuspectCleared)
+    def _take_suspect(
+        self, message: Report, sender: HostId, now: Millis
+    ) -> None:
+        self.quarantine.receive(message, now=now)
+
     @_take.register
     def _take_targets(
         self, message: TargetsChanged, sender: HostId, now: Millis
--- a/chicorybridge/hosts/metrics.py
+++ b/chicorybridge/hosts/metrics.py
@@ -44,14 +44,18 @@
 class HostMetrics(Collector):
     """Count what requests came to, and tell it with ages and queues."""
 
-    def __init__(self, *, gauges: Gauges) -> None:
-        """Ask `gauges` at each scrape."""
+    def __init__(self) -> None:
+        """Start with nothing counted."""
         self._counts: Counter[tuple[str, str]] = Counter()
         self._meters = Meters()
-        self._gauges = gauges
+        self._gauges: Gauges = dict
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
+    def watch(self, gauges: Gauges) -> None:
+        """Ask `gauges` at each scrape."""
+        self._gauges = gauges
+
     def count(self, name: str, label: str, by: int = 1) -> None:
         """Add to a counter of `COUNTERS`."""
         self._counts[name, label] += by
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -9,7 +9,7 @@
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.forwards import Patience
 from chicorybridge.entry.refusals import RefusalError
-from chicorybridge.routing.allowances import RetryAllowances
+from chicorybridge.routing.allowances import RetryAllowances, RetryBound
 from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.routing.outcomes import was_not_run
 from chicorybridge.routing.reputations import Sign, TargetSeen
@@ -41,6 +41,10 @@
         self._hosts = hosts
         self._report = report
 
+    def rebound(self, bound: RetryBound) -> None:
+        """Take over another bound on retries."""
+        self._allowances.rebound(bound)
+
     def admit(self, call: Call) -> None:
         """Count a request that is about to be sent."""
         allowance = self._allowances.of(call.service.service_id)
--- a/chicorybridge/hosts/request_logs.py
+++ b/chicorybridge/hosts/request_logs.py
@@ -62,6 +62,7 @@
         self._metrics.count('attempts', attempt.outcome.value)
         facts = {
             'request': self.request_id(call.head),
+            'caller': call.caller,
             'route': call.route.route_id,
             'service': call.service.service_id,
             'idempotent': call.idempotent,
--- a/chicorybridge/http/caller_exchanges.py
+++ b/chicorybridge/http/caller_exchanges.py
@@ -7,6 +7,7 @@
 import h11
 
 from chicorybridge import settings
+from chicorybridge.common import sockets
 from chicorybridge.common.clocks import Clock, Millis
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.http.exchanges import (
@@ -44,6 +45,7 @@
         # Whether the request under way ends when its caller goes away.
         self.abandonable = True
         self._raw_head = b''
+        self.caller = sockets.peer_host(sock)
 
     async def next_request(self) -> Head | None:
         """Return the next request, or `None` when the caller is done."""
--- a/chicorybridge/platform/desks.py
+++ b/chicorybridge/platform/desks.py
@@ -37,7 +37,9 @@
 class ResolveDesk:
     """Tell callers which addresses to use, and for how long."""
 
-    def __init__(self, *, addresses: Addresses, ttl_ms: float) -> None:
+    def __init__(
+        self, *, addresses: Addresses, ttl_ms: Callable[[], float]
+    ) -> None:
         """Ask `addresses` for those of a zone."""
         self._addresses = addresses
         self._ttl_ms = ttl_ms
@@ -57,6 +59,6 @@
             response = Response(
                 status=HTTPStatus.OK,
                 headers_by_name={'Content-Type': 'application/json'},
-                body=encode_addresses(addresses, ttl_ms=self._ttl_ms),
+                body=encode_addresses(addresses, ttl_ms=self._ttl_ms()),
             )
         await connection.respond(response)
--- a/chicorybridge/routing/allowances.py
+++ b/chicorybridge/routing/allowances.py
@@ -24,7 +24,7 @@
 
     def __init__(self, *, bound: RetryBound) -> None:
         """Start without requests."""
-        self._bound = bound
+        self.bound = bound
         self._requested_at: deque[Millis] = deque()
         self._retried_at: deque[Millis] = deque()
 
@@ -34,12 +34,12 @@
 
     def take(self, *, hosts: int, now: Millis) -> bool:
         """Count a retry and return true if it is within the share."""
-        horizon = now - self._bound.window_ms
+        horizon = now - self.bound.window_ms
         for times in (self._requested_at, self._retried_at):
             while times and times[0] < horizon:
                 times.popleft()
-        allowed = self._bound.ratio * len(self._requested_at)
-        allowed += self._bound.slack / max(1, hosts)
+        allowed = self.bound.ratio * len(self._requested_at)
+        allowed += self.bound.slack / max(1, hosts)
         if len(self._retried_at) + 1 > allowed:
             return False
         self._retried_at.append(now)
@@ -54,6 +54,12 @@
         self._bound = bound
         self._allowances_by_id: dict[ServiceId, RetryAllowance] = {}
 
+    def rebound(self, bound: RetryBound) -> None:
+        """Take over another bound; what was counted stays."""
+        self._bound = bound
+        for allowance in self._allowances_by_id.values():
+            allowance.bound = bound
+
     def of(self, service_id: ServiceId) -> RetryAllowance:
         """Return the allowance of a service."""
         known = self._allowances_by_id.get(service_id)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -342,3 +342,7 @@
 LOG_BYTES_PER_SECOND = 30_000.0
 LOG_BURST_SECONDS = 4.0
 LOG_BUFFER_BYTES = 256 * 1024
+# A request that crashes targets is refused for long; its caller is told so.
+QUARANTINE_RETRY_MS = 30_000.0
+# The settings file may change without a signal.
+SETTINGS_CHECK_MS = 2000.0
--- a/chicorybridge/tests/hosts/deployments.py
+++ b/chicorybridge/tests/hosts/deployments.py
@@ -48,6 +48,11 @@
     status: int = 200
     signed: bool = True
     work_s: float = 0
+    # Stops listening for good when it runs a request with this path.
+    crashing_path: str = ''
+    crashed: bool = False
+    listener: curio.io.Socket | None = None
+    serving: curio.Task | None = None
     asked: list[Request] = dataclasses.field(default_factory=list)
 
     async def answer(
@@ -69,6 +74,9 @@
             )
             return
         self.runs += 1
+        if request.path == self.crashing_path:
+            await self._crash(connection)
+            return
         await curio.sleep(self.work_s)
         if self.resetting:
             await connection.close()
@@ -80,6 +88,14 @@
             Response(status=self.status, headers_by_name=headers, body=body)
         )
 
+    async def _crash(self, connection: ServerConnection) -> None:
+        self.crashed = True
+        if self.serving is not None:
+            await self.serving.cancel()
+        if self.listener is not None:
+            await self.listener.close()
+        await connection.close()
+
 
 @dataclasses.dataclass(kw_only=True)
 class Deployment:
@@ -124,7 +140,9 @@
     """Run a store, `origins` and a host until the block ends."""
     store = RowStore()
     tasks = curio.TaskGroup()
-    store_address = await _serve(tasks, store.answer)
+    store_listener = sockets.listen('127.0.0.1:0')
+    store_address = sockets.bound_address(store_listener)
+    await tasks.spawn(Server(listener=store_listener, handler=store.answer).run)
     for placed in origins:
         await _register(store, tasks, placed)
     if ready:
@@ -179,18 +197,14 @@
 async def _register(
     store: RowStore, tasks: curio.TaskGroup, origin: Origin
 ) -> None:
-    origin.address = await _serve(tasks, origin.answer)
+    origin.listener = sockets.listen('127.0.0.1:0')
+    origin.address = sockets.bound_address(origin.listener)
+    server = Server(listener=origin.listener, handler=origin.answer)
+    origin.serving = await tasks.spawn(server.run)
     entry = server_row(address=origin.address, zone=ZONE)
     store.put('servers', origin.target_id, entry)
 
 
-async def _serve(tasks: curio.TaskGroup, handler) -> str:
-    listener = sockets.listen('127.0.0.1:0')
-    server = Server(listener=listener, handler=handler)
-    await tasks.spawn(server.run)
-    return sockets.bound_address(listener)
-
-
 def _routes():
     return (
         route(),
--- a/chicorybridge/tests/hosts/test_processes.py
+++ b/chicorybridge/tests/hosts/test_processes.py
@@ -215,3 +215,39 @@
         answer, ready = answer, ready
     assert (answer.status, ready.status) == (200, 503)
     assert answer.headers_by_name['connection'] == 'close'
+
+
+@on_curio
+async def test_request_that_crashes_targets_is_refused_after_few():
+    origins = [Origin(target_id=f'i-{serial}') for serial in range(6)]
+    async with deployed(*origins) as deployment:
+        for origin in origins:
+            origin.crashing_path = '/accept/bad'
+        statuses = []
+        for serial in range(6):
+            response = await deployment.send(
+                '/accept/bad', method='POST', request_id=f'r{serial}'
+            )
+            statuses.append(response.status)
+            await curio.sleep(0.2)
+        other = await deployment.send('/accept/good', method='POST')
+    assert statuses[-1] == HTTPStatus.SERVICE_UNAVAILABLE
+    assert sum(origin.runs for origin in origins if origin.crashed) <= 3
+    assert other.status == HTTPStatus.OK
+
+
+@on_curio
+async def test_request_at_a_target_that_resets_is_not_to_blame():
+    first, second = _origins()
+    first.resetting = True
+    second.resetting = True
+    async with deployed(first, second) as deployment:
+        for serial in range(5):
+            await deployment.send(
+                '/accept/7', method='POST', request_id=f'r{serial}'
+            )
+            await curio.sleep(0.1)
+        first.resetting = False
+        second.resetting = False
+        response = await deployment.send('/accept/7', method='POST')
+    assert response.status == HTTPStatus.OK
--- /dev/null
+++ b/chicorybridge/tests/hosts/test_settings_files.py
@@ -0,0 +1,72 @@
+"""Settings of a host process, from the template that the platform fills."""
+
+import pathlib
+
+import pytest
+
+from chicorybridge.common.identities import ZoneId
+from chicorybridge.common.readers import SettingsError
+from chicorybridge.hosts.settings_files import read_host_settings
+
+WHOLE = """
+[host]
+host = edge-groningen-1
+ip = 10.1.0.35
+zone = groningen
+region = noord
+front = 10.1.0.35:8144
+readiness = 10.1.0.35:8140
+directory = 10.1.0.35:8143
+metrics = 10.1.0.35:9464
+fleet_ports = 7660,7675
+seeds = 10.1.0.35:8146,10.2.0.28:8146
+store = 10.200.1.7:8142
+
+[zones]
+groningen = noord
+eindhoven = zuid
+
+[bounds]
+grace_s = 6
+ttl_s = 5
+retry_ratio = 0.2
+retry_slack = 62
+retry_window_s = 10
+"""
+
+
+def _write(folder: pathlib.Path, text: str) -> pathlib.Path:
+    path = folder / 'host.ini'
+    path.write_text(text)
+    return path
+
+
+def test_whole_file_is_read(tmp_path):
+    given = read_host_settings(_write(tmp_path, WHOLE))
+    assert given.fleet == '10.1.0.35:7660'
+    assert given.seeds == ('10.1.0.35:7660', '10.2.0.28:7660')
+    assert given.regions_by_zone[ZoneId('eindhoven')] == 'zuid'
+    assert (given.bounds.grace_ms, given.bounds.ttl_ms) == (6000, 2000)
+
+
+def test_seeds_may_be_none(tmp_path):
+    text = WHOLE.replace('10.1.0.35:8146,10.2.0.28:8146', '')
+    assert not read_host_settings(_write(tmp_path, text)).seeds
+
+
+@pytest.mark.parametrize(
+    ('line', 'code'),
+    [
+        ('store = 10.200.1.7:8142', 'CB1002'),
+        ('grace_s = 6', 'CB1002'),
+        ('host = edge-groningen-1', 'CB1002'),
+    ],
+)
+def test_file_without_what_is_needed_is_refused(tmp_path, line, code):
+    with pytest.raises(SettingsError, match=code):
+        read_host_settings(_write(tmp_path, WHOLE.replace(line, '')))
+
+
+def test_file_that_is_missing_is_refused(tmp_path):
+    with pytest.raises(SettingsError, match='CB1007'):
+        read_host_settings(tmp_path / 'none.ini')
