--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -208,7 +208,8 @@
 
     async def _watch_stall(self, call: Call, forward: Forward) -> None:
         aim_ms = call.route.target_latency_ms or settings.STALL_MS
-        await curio.sleep(as_seconds(aim_ms * settings.STALL_SHARE))
+        slow_ms = max(self._policies.slow_ms(call), aim_ms)
+        await curio.sleep(as_seconds(slow_ms))
         self._policies.stalled(forward.target.target_id)
 
     def _learn(
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -74,7 +74,10 @@
         attempt_ms = call.deadline_at - self._clock.now()
         if _is_repeatable(call) and _runs(call) + 1 < call.route.attempts:
             aim_ms = call.route.target_latency_ms or attempt_ms
-            attempt_ms = min(attempt_ms, aim_ms * settings.HEDGE_SHARE)
+            slow_ms = self.slow_ms(call)
+            attempt_ms = min(
+                attempt_ms, max(slow_ms, aim_ms * settings.HEDGE_SHARE)
+            )
         return Patience(
             attempt_ms=attempt_ms,
             connect_ms=settings.HOST_CONNECT_MS,
@@ -82,6 +85,19 @@
             buffer_bytes=settings.HOST_BUFFER_BYTES,
         )
 
+    def slow_ms(self, call: Call) -> float:
+        """Return the time after which an answer is unusually late.
+
+        It follows what requests of the service take under the load of
+        now, so that a service that is slow as a whole is not asked twice.
+        """
+        usual_ms = self._selector.usual_ms(
+            call.service.service_id, now=self._clock.now()
+        )
+        if usual_ms is None:
+            return call.route.target_latency_ms or settings.STALL_MS
+        return usual_ms * settings.SLOW_FACTOR
+
     def started(self, target_id: TargetId) -> None:
         """Count an attempt that begins."""
         self._selector.started(target_id)
--- a/chicorybridge/hosts/processes.py
+++ b/chicorybridge/hosts/processes.py
@@ -28,8 +28,7 @@
 from chicorybridge.hosts.voices import Voice
 from chicorybridge.http.caller_connections import CallerTable
 from chicorybridge.http.connections import TargetConnections
-from chicorybridge.platform.stores import Store
-from chicorybridge.platform.watchers import PlatformWatcher
+from chicorybridge.platform.watchers import open_watcher
 from chicorybridge.routing.reputations import TargetSeen
 
 
@@ -84,7 +83,7 @@
             clock=clock,
             log=self.log,
             knowledge=self.knowledge,
-            watcher=PlatformWatcher(store=Store(address=given.store)),
+            watcher=open_watcher(given.store),
             tell=self._voice.tell_near,
         )
         self.metrics = HostMetrics()
--- a/chicorybridge/platform/watchers.py
+++ b/chicorybridge/platform/watchers.py
@@ -62,6 +62,11 @@
     return dataclasses.replace(rows, rows=tuple(rows_by_key.values()))
 
 
+def open_watcher(address: str) -> 'PlatformWatcher':
+    """Return a watcher of the store at IP:PORT."""
+    return PlatformWatcher(store=Store(address=address))
+
+
 class PlatformWatcher:
     """Read configuration, targets and hosts; raise `StoreError`."""
 
--- a/chicorybridge/routing/reputations.py
+++ b/chicorybridge/routing/reputations.py
@@ -103,11 +103,15 @@
 
         By Little's law: what ended lately, times how long it took.
         """
+        busy_ms = sum(self.latencies_at(now))
+        return max(self.in_flight, busy_ms / settings.LOAD_WINDOW_MS)
+
+    def latencies_at(self, now: Millis) -> list[float]:
+        """Return how long the requests took that ended lately, in ms."""
         horizon = now - settings.LOAD_WINDOW_MS
         while self.served and self.served[0][0] < horizon:
             self.served.popleft()
-        busy_ms = sum(latency for _, latency in self.served)
-        return max(self.in_flight, busy_ms / settings.LOAD_WINDOW_MS)
+        return [latency for _, latency in self.served]
 
 
 class ReputationTable:
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import random
+import statistics
 from collections.abc import Collection, Mapping, Sequence
 from enum import Enum
 
@@ -84,6 +85,20 @@
                 return found
         return self._safest(options)
 
+    def usual_ms(self, service_id: ServiceId, *, now: Millis) -> float | None:
+        """Return the mean latency at all targets of a service lately.
+
+        It rises with the load; `None` if nothing ended lately.
+        """
+        latencies = [
+            latency
+            for entry in self._directory.of_service(service_id)
+            for latency in self._reputations.of(entry.target_id).latencies_at(
+                now
+            )
+        ]
+        return statistics.fmean(latencies) if latencies else None
+
     def started(self, target_id: TargetId) -> None:
         """Count an attempt of this host that begins."""
         self._reputations.of(target_id).in_flight += 1
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -314,10 +314,12 @@
 HOST_IDLE_MS = 5000.0
 # Attempts of one request, those included that reached no target.
 HOST_TRIES = 6
-# Shares of a route's target latency: when a repeatable request is tried
-# elsewhere, and when others are told that a target is slow.
+# A repeatable request is tried elsewhere after this share of its route's
+# target latency at the earliest, and only once it takes this many times
+# what requests of the service take: one in fifty does when nothing is wrong.
 HEDGE_SHARE = 0.6
-STALL_SHARE = 1.0
+SLOW_FACTOR = 3.0
+# Target latency of a route that names none.
 STALL_MS = 1500.0
 
 # Addresses that callers are told: how long they count, and how many of a
--- a/chicorybridge/tests/hosts/test_processes.py
+++ b/chicorybridge/tests/hosts/test_processes.py
@@ -251,3 +251,17 @@
         second.resetting = False
         response = await deployment.send('/accept/7', method='POST')
     assert response.status == HTTPStatus.OK
+
+
+@on_curio
+async def test_slow_service_is_not_asked_twice():
+    first = Origin(target_id='i-1', work_s=0.8)
+    second = Origin(target_id='i-2', work_s=0.8)
+    async with deployed(first, second) as deployment:
+        # Both answers take longer than the share of the target latency.
+        await deployment.send('/lookup/7', request_id='r1')
+        first.runs = 0
+        second.runs = 0
+        response = await deployment.send('/lookup/7', request_id='r2')
+    assert response.status == HTTPStatus.OK
+    assert first.runs + second.runs == 1
