--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -59,6 +59,7 @@
             call.service.service_id,
             manner,
             excluded=frozenset(one.target_id for one in call.attempts),
+            body_bytes=call.body_bytes,
             now=self._clock.now(),
         )
         if option is None:
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -8,7 +8,7 @@
 import dataclasses
 import random
 import statistics
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from enum import Enum
 
 from chicorybridge import settings
@@ -23,6 +23,9 @@
 from chicorybridge.routing.reputations import Reputation, ReputationTable
 
 
+BYTES_PER_KILOBYTE = 1000
+
+
 class Manner(Enum):
     """How a target is chosen."""
 
@@ -55,8 +58,13 @@
         zone_id: ZoneId,
         regions_by_zone: Mapping[ZoneId, RegionId],
         rng: random.Random,
+        has_idle: Callable[[str], bool],
     ) -> None:
-        """Choose among the entries of `directory`."""
+        """Choose among the entries of `directory`.
+
+        `has_idle` tells whether a connection to an address waits for use.
+        """
+        self._has_idle = has_idle
         self._directory = directory
         self._reputations = reputations
         self._zone_id = zone_id
@@ -69,11 +77,15 @@
         manner: Manner,
         *,
         excluded: Collection[TargetId],
+        body_bytes: int = 0,
         now: Millis,
     ) -> Option | None:
-        """Return the target of the next attempt, `None` without any."""
+        """Return the target of the next attempt, `None` without any.
+
+        `body_bytes` would cross to another region with the request.
+        """
         options = [
-            self._option(entry, now)
+            self._option(entry, body_bytes, now)
             for entry in self._directory.of_service(service_id)
             if not entry.leaving and entry.target_id not in excluded
         ]
@@ -113,7 +125,7 @@
         near = [
             option
             for option in options
-            if option.loss <= least + settings.CHOICE_MARGIN
+            if option.loss < least + settings.CHOICE_MARGIN
         ]
         return self._rng.choice(near)
 
@@ -132,13 +144,17 @@
         ranked = sorted(worth, key=lambda option: -option.age_ms)
         return self._rng.choice(ranked[: settings.EXPLORED_CHOICES])
 
-    def _option(self, entry: TargetEntry, now: Millis) -> Option:
+    def _option(
+        self, entry: TargetEntry, body_bytes: int, now: Millis
+    ) -> Option:
         reputation = self._reputations.of(entry.target_id)
         soundness = reputation.sound_at(now)
         load = reputation.load_at(now) / max(1, entry.slots)
         loss = 1 - soundness
-        loss += self._place_loss(entry) + _load_loss(load)
+        loss += self._place_loss(entry, body_bytes) + _load_loss(load)
         loss += _pause_loss(reputation, now)
+        if not self._has_idle(entry.address):
+            loss += settings.NEW_CONNECTION_LOSS
         if entry.warming:
             loss += settings.WARMING_LOSS
         return Option(
@@ -149,13 +165,14 @@
             age_ms=now - reputation.seen_at,
         )
 
-    def _place_loss(self, entry: TargetEntry) -> float:
+    def _place_loss(self, entry: TargetEntry, body_bytes: int) -> float:
         if entry.zone_id == self._zone_id:
             return 0
         own = self._regions_by_zone.get(self._zone_id)
         if self._regions_by_zone.get(entry.zone_id) == own:
             return settings.OTHER_ZONE_LOSS
-        return settings.OTHER_REGION_LOSS
+        crossing = body_bytes / BYTES_PER_KILOBYTE
+        return settings.OTHER_REGION_LOSS + crossing * settings.CROSSING_LOSS
 
 
 def _load_loss(load: float) -> float:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -273,10 +273,15 @@
 LOAD_CALM = 0.5
 LOAD_LOSS = 0.4
 OTHER_ZONE_LOSS = 0.005
-OTHER_REGION_LOSS = 0.1
+# Bytes between regions are paid by volume: an answer of some kilobytes, and
+# each kilobyte of the request, against the worth of a request.
+OTHER_REGION_LOSS = 0.15
+CROSSING_LOSS = 0.02
 UNREACHABLE_LOSS = 2.0
 REJECTED_LOSS = 0.5
 WARMING_LOSS = 0.05
+# A new connection is paid for, and may take a slot for a moment.
+NEW_CONNECTION_LOSS = 0.03
 # Targets worth a look by requests that can be tried again.
 EXPLORED_SOUNDNESS = 0.25
 EXPLORED_LOSS = 1.0
