Explain a request from logs, and doubt a target that rejects

chicorybridge explain ID FILES prints the records of a request in order, after what its hosts learned of its targets in the 3 s before.

--- a/chicorybridge/common/errors.py
+++ b/chicorybridge/common/errors.py
@@ -46,6 +46,8 @@
     apply_conflict = 'CB5001'
     apply_rejected = 'CB5002'
     control_unreachable = 'CB5003'
+    request_unknown = 'CB5004'
+    log_unreadable = 'CB5005'
 
     # Promises asserted inside the program.
     promise_broken = 'CB9001'
--- a/chicorybridge/operators/commands.py
+++ b/chicorybridge/operators/commands.py
@@ -28,6 +28,7 @@
 from chicorybridge.entry.entry_messages import MetricsReport
 from chicorybridge.fleet.drains import DrainRequested
 from chicorybridge.operators.apply_commands import ApplyCommand
+from chicorybridge.operators.explain_commands import ExplainCommand
 from chicorybridge.operators.operator_commands import (
     EXIT_DONE,
     EXIT_WAITING,
@@ -205,6 +206,7 @@
     application.add(TimelineCommand())
     application.add(MetricsCommand())
     application.add(DrainCommand())
+    application.add(ExplainCommand())
     return application.run()
 
 
--- a/chicorybridge/routing/reputations.py
+++ b/chicorybridge/routing/reputations.py
@@ -43,6 +43,7 @@
         Sign.failed: (settings.SOUND_ERRORS, settings.GRAY_FAILURES),
         Sign.broke: (settings.SOUND_BREAKS, settings.GRAY_FAILURES),
         Sign.stalled: (settings.SOUND_STALLS, settings.GRAY_FAILURES),
+        Sign.rejected: (settings.SOUND_REJECTIONS, settings.GRAY_REJECTIONS),
     }
 )
 
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -22,7 +22,6 @@
 from chicorybridge.fleet.directories import TargetDirectory, TargetEntry
 from chicorybridge.routing.reputations import Reputation, ReputationTable
 
-
 BYTES_PER_KILOBYTE = 1000
 
 
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -257,6 +257,9 @@
 SOUND_ERRORS = 0.012
 SOUND_BREAKS = 0.004
 SOUND_STALLS = 0.03
+# A full target rejects, and so do targets whose spell is to shed.
+SOUND_REJECTIONS = 0.05
+GRAY_REJECTIONS = 0.5
 SOUND_LEAST = 0.01
 SOUND_MOST = 0.995
 # Time over which requests of all hosts at a target are counted.
@@ -353,3 +356,5 @@
 QUARANTINE_RETRY_MS = 30_000.0
 # The settings file may change without a signal.
 SETTINGS_CHECK_MS = 2000.0
+# What a host learned of a target this long before a request explains it.
+EXPLAINED_MS = 3000
--- a/chicorybridge/tests/routing/test_reputations.py
+++ b/chicorybridge/tests/routing/test_reputations.py
@@ -66,3 +66,11 @@
     table.of(ONE).in_flight = 2
     table.forget(ONE)
     assert table.of(ONE).in_flight == 2
+
+
+def test_rejection_makes_a_target_less_likely_to_be_chosen():
+    table = ReputationTable()
+    table.see(_seen(Sign.answered), now=START)
+    before = table.of(ONE).sound_at(START)
+    table.hear(_seen(Sign.rejected), PEER, now=START)
+    assert before - table.of(ONE).sound_at(START) > settings.CHOICE_MARGIN
