--- a/chicorybridge/claims/claim_attempts.py
+++ b/chicorybridge/claims/claim_attempts.py
@@ -22,7 +22,7 @@
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.errors import require
 from chicorybridge.common.identities import RequestKey
-from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.common.outcomes import RequestOutcome
 
 # Share of its age that a report waits before it is repeated.
 REPORT_BACKOFF = 0.5
--- a/chicorybridge/claims/claim_messages.py
+++ b/chicorybridge/claims/claim_messages.py
@@ -13,7 +13,7 @@
 from chicorybridge.common.codecs import wire
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.common.identities import Digest, RequestKey
-from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.common.outcomes import RequestOutcome
 
 # Names one try of a request; unique over all entry processes and starts.
 AttemptId = NewType('AttemptId', str)
--- a/chicorybridge/claims/claimants.py
+++ b/chicorybridge/claims/claimants.py
@@ -19,9 +19,9 @@
 from chicorybridge.common.clocks import Clock, as_seconds
 from chicorybridge.common.errors import ErrorCode, RequestError
 from chicorybridge.common.identities import RequestKey
+from chicorybridge.common.outcomes import RequestOutcome
+from chicorybridge.entry.answers import WholeAnswer
 from chicorybridge.entry.calls import Call
-from chicorybridge.http.answers import WholeAnswer
-from chicorybridge.routing.outcomes import RequestOutcome
 
 ATTEMPT_BITS = 64
 
--- a/chicorybridge/claims/claims.py
+++ b/chicorybridge/claims/claims.py
@@ -28,8 +28,8 @@
 from chicorybridge.claims.request_keys import KeyOwner, read_issued
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import HostId, Incarnation
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.common.systems import Effect, Send
-from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.storage.stores import StoreReply
 
 
--- a/chicorybridge/routing/outcomes.py
+++ b/chicorybridge/common/outcomes.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from enum import Enum
 
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 
 # Attempts that brought a whole answer of a target.
 COMPLETE_OUTCOMES = frozenset((AttemptOutcome.answered, AttemptOutcome.failed))
--- a/chicorybridge/control/control_processes.py
+++ b/chicorybridge/control/control_processes.py
@@ -21,10 +21,10 @@
 from chicorybridge.control.operator_desks import OperatorDesk
 from chicorybridge.control.peer_links import PeerLinks
 from chicorybridge.control.platform_desks import PlatformDesk
+from chicorybridge.control.probers import Prober
 from chicorybridge.control.sessions import EntryTable
 from chicorybridge.control.stream_servers import StreamServer
 from chicorybridge.control.streams import Identity, Role
-from chicorybridge.detection.probers import Prober
 from chicorybridge.fleet.drains import DrainState
 from chicorybridge.fleet.profiles import HostProfile
 from chicorybridge.storage.clients import PlatformClient
--- a/chicorybridge/detection/departures.py
+++ b/chicorybridge/detection/departures.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.codecs import wire
 from chicorybridge.common.events import Event, EventKind
@@ -20,7 +21,6 @@
 from chicorybridge.fleet.hearings import HOSTS_TOKEN
 from chicorybridge.fleet.links import NEVER
 from chicorybridge.fleet.members import Members
-from chicorybridge.routing.attempts import Attempt
 from chicorybridge.storage.stores import HostState, StoreOutcome, StoreReply
 
 
--- a/chicorybridge/detection/observations.py
+++ b/chicorybridge/detection/observations.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.codecs import wire
 from chicorybridge.common.identities import (
@@ -19,7 +20,6 @@
     Residual,
     WorkKind,
 )
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 
 # Request bodies from this size are counted apart from small ones.
 LARGE_BODY_BYTES = 65_536
--- a/chicorybridge/http/answers.py
+++ b/chicorybridge/entry/answers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from chicorybridge.common.attempts import AttemptOutcome
 from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
 from chicorybridge.common.identities import TargetId
 from chicorybridge.entry.calls import Call
@@ -14,7 +15,6 @@
     forwarded,
 )
 from chicorybridge.http.problems import OUTCOME, RETRY_AFTER, VERSION
-from chicorybridge.routing.attempts import AttemptOutcome
 
 COMPLETE = b'complete'
 FAILURE_STATUS = 300
--- a/chicorybridge/entry/calls.py
+++ b/chicorybridge/entry/calls.py
@@ -3,8 +3,10 @@
 import dataclasses
 
 from chicorybridge.claims.request_keys import fingerprint
+from chicorybridge.common.attempts import Attempt
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import Digest, RequestKey, WorkspaceId
+from chicorybridge.common.outcomes import RequestOutcome, outcome_of
 from chicorybridge.configuration.configurations import ActiveConfiguration
 from chicorybridge.configuration.declarations import Route, Service
 from chicorybridge.fleet.configurations import HostConfiguration
@@ -12,8 +14,6 @@
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.dialects import OWN, Dialect
 from chicorybridge.http.exchanges import Head
-from chicorybridge.routing.attempts import Attempt
-from chicorybridge.routing.outcomes import RequestOutcome, outcome_of
 
 WORKSPACE_HEADER = b'chicorybridge-workspace'
 DIGEST_HEADER = b'content-digest'
--- a/chicorybridge/entry/dispatchers.py
+++ b/chicorybridge/entry/dispatchers.py
@@ -7,11 +7,17 @@
 from chicorybridge import settings
 from chicorybridge.claims.claim_messages import ClaimDecided, ClaimVerdict
 from chicorybridge.claims.claimants import Claimant, Post
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Clock, as_seconds
 from chicorybridge.common.errors import ErrorCode, RequestError, require
 from chicorybridge.common.identities import (
     RequestKey,
 )
+from chicorybridge.common.outcomes import (
+    COMPLETE_OUTCOMES,
+    RequestOutcome,
+)
+from chicorybridge.entry.answers import WholeAnswer
 from chicorybridge.entry.call_readers import CallReader
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.entry_states import Duty, EntryState
@@ -23,7 +29,6 @@
     outcome_unsent,
     repeated_answer,
 )
-from chicorybridge.http.answers import WholeAnswer
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.connections import TargetConnections
@@ -35,11 +40,6 @@
     problem_headers,
     status_of,
 )
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
-from chicorybridge.routing.outcomes import (
-    COMPLETE_OUTCOMES,
-    RequestOutcome,
-)
 from chicorybridge.routing.policies import Policies
 from chicorybridge.routing.quarantines import may_have_crashed
 from chicorybridge.routing.retries import RequestFacts
--- a/chicorybridge/entry/entry_reports.py
+++ b/chicorybridge/entry/entry_reports.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import AttemptOutcome
 from chicorybridge.common.clocks import Clock, Millis
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.common.events import Event, EventKind, EventLog
@@ -17,7 +18,6 @@
     MetricsReport,
 )
 from chicorybridge.entry.entry_states import EntryState
-from chicorybridge.routing.attempts import AttemptOutcome
 
 
 class EntryReporter:
--- a/chicorybridge/entry/forwards.py
+++ b/chicorybridge/entry/forwards.py
@@ -7,11 +7,11 @@
 import curio
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Clock, as_seconds
 from chicorybridge.common.errors import ChicorybridgeError, RequestError
 from chicorybridge.configuration.declarations import Target
-from chicorybridge.entry.calls import Call
-from chicorybridge.http.answers import (
+from chicorybridge.entry.answers import (
     WholeAnswer,
     answer_headers,
     is_genuine,
@@ -20,11 +20,11 @@
     retry_after_ms,
     whole_answer,
 )
+from chicorybridge.entry.calls import Call
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.connections import TargetConnections
 from chicorybridge.http.exchanges import CHUNKED, ExchangeError, Head, refused
 from chicorybridge.http.target_exchanges import TargetExchange
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/entry/refusals.py
+++ b/chicorybridge/entry/refusals.py
@@ -1,11 +1,11 @@
 """Refusals of requests, and what callers are told by them."""
 
 from chicorybridge.claims.claim_messages import ClaimDecided
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.errors import ErrorCode, RequestError
-from chicorybridge.http.answers import WholeAnswer
+from chicorybridge.common.outcomes import COMPLETE_OUTCOMES, RequestOutcome
+from chicorybridge.entry.answers import WholeAnswer
 from chicorybridge.http.exchanges import Head
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
-from chicorybridge.routing.outcomes import COMPLETE_OUTCOMES, RequestOutcome
 from chicorybridge.routing.routes import KEY_HEADER
 
 
--- a/chicorybridge/hosts/crash_checks.py
+++ b/chicorybridge/hosts/crash_checks.py
@@ -6,11 +6,11 @@
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
+from chicorybridge.common.attempts import Attempt
 from chicorybridge.common.clocks import Clock, as_seconds
 from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.outcomes import COMPLETE_OUTCOMES
 from chicorybridge.entry.calls import Call
-from chicorybridge.routing.attempts import Attempt
-from chicorybridge.routing.outcomes import COMPLETE_OUTCOMES
 from chicorybridge.routing.quarantines import (
     Quarantine,
     Report,
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -6,10 +6,13 @@
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Clock, as_seconds
 from chicorybridge.common.errors import ErrorCode, RequestError, require
 from chicorybridge.common.identities import PoolId
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.configuration.declarations import Target
+from chicorybridge.entry.answers import WholeAnswer
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.forwards import Forward
 from chicorybridge.entry.refusals import RefusalError, check_relayed
@@ -18,7 +21,6 @@
 from chicorybridge.hosts.readers import RequestReader
 from chicorybridge.hosts.request_logs import RequestLog
 from chicorybridge.hosts.states import HostDuty, HostState
-from chicorybridge.http.answers import WholeAnswer
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.connections import TargetConnections
@@ -26,8 +28,6 @@
 from chicorybridge.http.exchanges import Head
 from chicorybridge.http.problems import problem_body, problem_headers, status_of
 from chicorybridge.routing.allowances import RetryBound
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
-from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.routing.selections import Option
 
 # Statuses that promise the caller that its request did not run.
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -3,15 +3,15 @@
 from collections.abc import Callable
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Clock
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.common.identities import TargetId
+from chicorybridge.common.outcomes import was_not_run
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.forwards import Patience
 from chicorybridge.entry.refusals import RefusalError
 from chicorybridge.routing.allowances import RetryAllowances, RetryBound
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
-from chicorybridge.routing.outcomes import was_not_run
 from chicorybridge.routing.reputations import Sign, TargetSeen
 from chicorybridge.routing.selections import Manner, Option, Selector
 
--- a/chicorybridge/hosts/request_logs.py
+++ b/chicorybridge/hosts/request_logs.py
@@ -1,16 +1,16 @@
 """Lines of the log that tell the story of one request."""
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.errors import RequestError
 from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.entry.calls import Call
 from chicorybridge.hosts.metrics import HostMetrics
 from chicorybridge.hosts.states import HostState
 from chicorybridge.http.dialects import Dialect
 from chicorybridge.http.exchanges import Head
-from chicorybridge.routing.attempts import Attempt
-from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.routing.selections import Option
 
 
--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -11,11 +11,11 @@
 from chicorybridge.common import sockets
 from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.common.errors import ErrorCode, RequestError
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.caller_limits import CallerLimits
 from chicorybridge.http.exchanges import ExchangeError, Head
-from chicorybridge.routing.outcomes import RequestOutcome
 
 OwnAnswer = Callable[[CallerExchange, Head], Awaitable[bool]]
 
--- a/chicorybridge/routing/candidates.py
+++ b/chicorybridge/routing/candidates.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterator
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import TargetId, ZoneId
 from chicorybridge.configuration.declarations import Declaration
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 
 # Factors on the cost of a target in the own zone, own region and across.
 PLACE_COSTS = (1.0, settings.REGION_COST, settings.ACROSS_COST)
--- a/chicorybridge/routing/choosers.py
+++ b/chicorybridge/routing/choosers.py
@@ -13,10 +13,10 @@
 import xxhash
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import Digest, ServiceId, TargetId, ZoneId
 from chicorybridge.configuration.declarations import Declaration, Target
-from chicorybridge.routing.attempts import Attempt
 from chicorybridge.routing.candidates import (
     ACROSS,
     PLACE_COSTS,
--- a/chicorybridge/routing/latencies.py
+++ b/chicorybridge/routing/latencies.py
@@ -3,9 +3,9 @@
 import math
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
 from chicorybridge.common.identities import RouteId, TargetId
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 
 # Bounds of one sample, so that a single odd request does not decide.
 SAMPLE_LEAST = 0.1
--- a/chicorybridge/routing/leavings.py
+++ b/chicorybridge/routing/leavings.py
@@ -1,9 +1,9 @@
 """Targets that are leaving, as one entry process knows them."""
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import TargetId
-from chicorybridge.routing.attempts import Attempt
 
 
 class LeavingTargets:
--- a/chicorybridge/routing/limits.py
+++ b/chicorybridge/routing/limits.py
@@ -4,13 +4,13 @@
 import random
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.buckets import TokenBucket
 from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.common.identities import ServiceId, TargetId, WorkspaceId
 from chicorybridge.configuration.declarations import Declaration, Priority
 from chicorybridge.routing.admissions import ServiceAdmission, Signals
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.routing.subsets import (
     FleetSize,
     TargetShare,
--- a/chicorybridge/routing/policies.py
+++ b/chicorybridge/routing/policies.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Sequence
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import (
     HostId,
@@ -19,7 +20,6 @@
 from chicorybridge.detection.notices import TargetLimits
 from chicorybridge.detection.observations import Observer
 from chicorybridge.entry.calls import Call
-from chicorybridge.routing.attempts import Attempt
 from chicorybridge.routing.choosers import Chooser
 from chicorybridge.routing.crossings import CrossingMeter
 from chicorybridge.routing.leavings import LeavingTargets
--- a/chicorybridge/routing/quarantines.py
+++ b/chicorybridge/routing/quarantines.py
@@ -12,9 +12,11 @@
 from typing import Any, Protocol, TypeAlias
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.events import Event, EventKind
 from chicorybridge.common.identities import Digest, HostId
+from chicorybridge.common.outcomes import COMPLETE_OUTCOMES
 from chicorybridge.common.systems import (
     Effect,
     Effects,
@@ -23,8 +25,6 @@
     SendEntries,
     System,
 )
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
-from chicorybridge.routing.outcomes import COMPLETE_OUTCOMES
 from chicorybridge.routing.suspects import (
     CrashSuspected,
     SuspectCleared,
--- a/chicorybridge/routing/retries.py
+++ b/chicorybridge/routing/retries.py
@@ -5,15 +5,15 @@
 from collections.abc import Sequence
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import ServiceId, TargetId
-from chicorybridge.configuration.declarations import Declaration
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
-from chicorybridge.routing.outcomes import (
+from chicorybridge.common.outcomes import (
     RequestOutcome,
     outcome_of,
     was_not_run,
 )
+from chicorybridge.configuration.declarations import Declaration
 
 # Outcomes after which another target may do better.
 RETRIED_OUTCOMES = frozenset(
--- a/chicorybridge/routing/weights.py
+++ b/chicorybridge/routing/weights.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.errors import require
 from chicorybridge.common.identities import HostId, ServiceId, TargetId
@@ -16,7 +17,6 @@
 from chicorybridge.detection.baselines import Residual
 from chicorybridge.detection.checks import TargetCheck
 from chicorybridge.detection.notices import TargetLimits
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 
 # Share of its normal work that a target in doubt still gets.
 TRICKLE = 0.02
--- a/chicorybridge/tests/claims/test_claims.py
+++ b/chicorybridge/tests/claims/test_claims.py
@@ -23,7 +23,7 @@
     Incarnation,
     RequestKey,
 )
-from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.tools.simulations.channels import FaultyChannel
 
 ANSWER = KeptAnswer(status=201, headers=((b'x', b'1'),), body=b'booked')
--- a/chicorybridge/tests/common/test_meters.py
+++ b/chicorybridge/tests/common/test_meters.py
@@ -3,8 +3,8 @@
 import pathlib
 import re
 
+from chicorybridge.common.attempts import AttemptOutcome
 from chicorybridge.common.meters import Meters, merge_histograms, summarise
-from chicorybridge.routing.attempts import AttemptOutcome
 
 PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'metrics.md'
 ROW = re.compile(r'^\| (attempts_\w+) \| count \|', re.MULTILINE)
--- a/chicorybridge/tests/routing/test_outcomes.py
+++ b/chicorybridge/tests/common/test_outcomes.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from chicorybridge.routing.attempts import AttemptOutcome
-from chicorybridge.routing.outcomes import RequestOutcome, outcome_of
+from chicorybridge.common.attempts import AttemptOutcome
+from chicorybridge.common.outcomes import RequestOutcome, outcome_of
 from chicorybridge.tools.models.attempted import attempted
 
 SHED = attempted(AttemptOutcome.shed)
--- a/chicorybridge/tests/configuration/test_settings.py
+++ b/chicorybridge/tests/configuration/test_settings.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import re
+from types import MappingProxyType
 
 from chicorybridge.configuration.process_settings import (
     FIELDS_BY_KIND as PROCESS_FIELDS,
@@ -9,6 +10,16 @@
 from chicorybridge.configuration.sections import (
     FIELDS_BY_KIND as DECLARATION_FIELDS,
 )
+from chicorybridge.hosts.settings_files import (
+    BOUND_FIELDS,
+    BOUNDS,
+    HOST,
+    HOST_FIELDS,
+)
+
+HOST_FIELDS_BY_TITLE = MappingProxyType(
+    {HOST: HOST_FIELDS, BOUNDS: BOUND_FIELDS}
+)
 
 PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'settings.md'
 ROW = re.compile(r'^\| `\[(\w+)[^`]*\]` \| `(\w+)` \|', re.MULTILINE)
@@ -16,6 +27,6 @@
 
 def test_page_lists_every_key_and_no_other():
     """The page and the code name the same keys of the same sections."""
-    known = {**DECLARATION_FIELDS, **PROCESS_FIELDS}
+    known = {**DECLARATION_FIELDS, **PROCESS_FIELDS, **HOST_FIELDS_BY_TITLE}
     expected = {(kind, key) for kind, keys in known.items() for key in keys}
     assert set(ROW.findall(PAGE.read_text())) == expected
--- a/chicorybridge/tests/detection/test_departures.py
+++ b/chicorybridge/tests/detection/test_departures.py
@@ -3,10 +3,10 @@
 import pytest
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import HostId, RouteId, ServiceId, TargetId
 from chicorybridge.detection.departures import Departures
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.storage.stores import HostState
 from chicorybridge.tools.simulations.fleets import Fleet
 
--- a/chicorybridge/tests/detection/test_ejections.py
+++ b/chicorybridge/tests/detection/test_ejections.py
@@ -2,12 +2,12 @@
 
 import pytest
 
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.errors import PromiseError
 from chicorybridge.common.identities import HostId, TargetId, Version
 from chicorybridge.detection.notices import Ejection
 from chicorybridge.detection.permit_holdings import Holding
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.tools.models.mixed_declarations import (
     READ_ROUTE,
     SERVICE_ID,
--- a/chicorybridge/tests/detection/test_observations.py
+++ b/chicorybridge/tests/detection/test_observations.py
@@ -1,10 +1,10 @@
 """Tests of what entries gather and send."""
 
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.codecs import pack, unpack
 from chicorybridge.common.identities import HostId, TargetId
 from chicorybridge.detection.observations import LARGE_BODY_BYTES, Observer
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.tools.models.mixed_declarations import (
     READ_ROUTE,
     SERVICE_ID,
--- a/chicorybridge/tests/routing/test_choosers.py
+++ b/chicorybridge/tests/routing/test_choosers.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from chicorybridge.common.attempts import AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import ServiceId, TargetId, ZoneId
-from chicorybridge.routing.attempts import AttemptOutcome
 from chicorybridge.routing.choosers import Chooser
 from chicorybridge.tools.models.attempted import attempted
 from chicorybridge.tools.models.declared import ServiceShape, declare
--- a/chicorybridge/tests/routing/test_limits.py
+++ b/chicorybridge/tests/routing/test_limits.py
@@ -2,11 +2,11 @@
 
 import random
 
+from chicorybridge.common.attempts import AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.common.identities import ServiceId, TargetId, WorkspaceId
 from chicorybridge.configuration.declarations import Priority
-from chicorybridge.routing.attempts import AttemptOutcome
 from chicorybridge.routing.limits import Limiter
 from chicorybridge.routing.subsets import FleetSize
 from chicorybridge.tools.models.attempted import attempted
--- a/chicorybridge/tests/routing/test_quarantines.py
+++ b/chicorybridge/tests/routing/test_quarantines.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from chicorybridge.common.attempts import AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.events import EventKind
 from chicorybridge.common.identities import Digest, HostId
 from chicorybridge.common.systems import Send, SendEntries
-from chicorybridge.routing.attempts import AttemptOutcome
 from chicorybridge.routing.quarantines import (
     Quarantine,
     Quarantines,
--- a/chicorybridge/tests/routing/test_retries.py
+++ b/chicorybridge/tests/routing/test_retries.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from chicorybridge.common.attempts import AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import ServiceId, TargetId
-from chicorybridge.routing.attempts import AttemptOutcome
-from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.routing.retries import RequestFacts, RetryBudget, RetryPolicy
 from chicorybridge.tools.models.attempted import attempted
 from chicorybridge.tools.models.declared import ServiceShape, declare
--- a/chicorybridge/tests/routing/test_weights.py
+++ b/chicorybridge/tests/routing/test_weights.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import HostId, TargetId
 from chicorybridge.detection.baselines import UNKNOWN, Residual
 from chicorybridge.detection.notices import TargetLimits
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.routing.weights import TRICKLE, Weights
 from chicorybridge.tools.models.mixed_declarations import (
     READ_ROUTE,
--- a/chicorybridge/tests/tools/test_claim_runs.py
+++ b/chicorybridge/tests/tools/test_claim_runs.py
@@ -13,7 +13,7 @@
 from chicorybridge.claims.claim_tables import Asker, Claim, ClaimState
 from chicorybridge.common.errors import PromiseError
 from chicorybridge.common.identities import RequestKey
-from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.tools.simulations.claim_runs import ClaimRun, RunPlan
 
 BROKEN_SEED = 7
--- a/chicorybridge/tools/measurements/claim_costs.py
+++ b/chicorybridge/tools/measurements/claim_costs.py
@@ -34,8 +34,8 @@
     Incarnation,
     RequestKey,
 )
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.common.systems import Effect, Send, SendEntries
-from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.standins.tables import MemoryTables
 from chicorybridge.storage.stores import StoreReply, StoreRequest, Transact
 from chicorybridge.tools.simulations.channels import FaultyChannel
--- a/chicorybridge/tools/models/attempted.py
+++ b/chicorybridge/tools/models/attempted.py
@@ -2,9 +2,9 @@
 
 from typing import Any
 
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import RouteId, ServiceId, TargetId
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 
 
 def attempted(
--- a/chicorybridge/tools/models/baselines.py
+++ b/chicorybridge/tools/models/baselines.py
@@ -3,10 +3,10 @@
 import random
 from collections.abc import Collection
 
+from chicorybridge.common.attempts import Attempt
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import ServiceId, TargetId
 from chicorybridge.configuration.declarations import Declaration
-from chicorybridge.routing.attempts import Attempt
 
 
 class RoundRobin:
--- a/chicorybridge/tools/models/crash_models.py
+++ b/chicorybridge/tools/models/crash_models.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from chicorybridge.common.identities import Digest, HostId, ServiceId
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.configuration.declarations import Declaration
-from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.routing.quarantines import Quarantines, Report
 from chicorybridge.tools.models.entry_models import Call
 from chicorybridge.tools.models.fleet_models import FleetModel, Load, Policy
--- a/chicorybridge/tools/models/entry_models.py
+++ b/chicorybridge/tools/models/entry_models.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from chicorybridge import settings
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import (
     Digest,
@@ -15,11 +16,10 @@
     TargetId,
     ZoneId,
 )
+from chicorybridge.common.outcomes import RequestOutcome, outcome_of
 from chicorybridge.configuration.declarations import Declaration, Priority
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.routing.choosers import Chooser
 from chicorybridge.routing.limits import Limiter
-from chicorybridge.routing.outcomes import RequestOutcome, outcome_of
 from chicorybridge.routing.quarantines import (
     Quarantine,
     Report,
--- a/chicorybridge/tools/models/fleet_models.py
+++ b/chicorybridge/tools/models/fleet_models.py
@@ -7,9 +7,9 @@
 
 from chicorybridge.common.clocks import MILLIS_PER_SECOND
 from chicorybridge.common.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.configuration.declarations import Declaration, Priority
 from chicorybridge.routing.candidates import place_of
-from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.routing.retries import RetryPolicy
 from chicorybridge.routing.subsets import FleetSize
 from chicorybridge.tools.models.baselines import LeastInFlight, RoundRobin
--- a/chicorybridge/tools/models/keyed_entries.py
+++ b/chicorybridge/tools/models/keyed_entries.py
@@ -26,7 +26,7 @@
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.errors import require
 from chicorybridge.common.identities import Digest, HostId, RequestKey
-from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.common.outcomes import RequestOutcome
 
 RUN_MS = (25, 3000)
 
--- a/chicorybridge/tools/models/policies.py
+++ b/chicorybridge/tools/models/policies.py
@@ -4,9 +4,9 @@
 from collections import Counter, deque
 from enum import Enum
 
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import TargetId
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.routing.weights import BAD, Weights
 from chicorybridge.tools.models.mixed_declarations import SERVICE_ID
 
--- a/chicorybridge/tools/models/service_models.py
+++ b/chicorybridge/tools/models/service_models.py
@@ -7,8 +7,8 @@
 import types
 from enum import Enum
 
+from chicorybridge.common.attempts import AttemptOutcome
 from chicorybridge.common.identities import ZoneId
-from chicorybridge.routing.attempts import AttemptOutcome
 
 # Median service times on the newest hardware, and their spread as the
 # standard deviation of the logarithm.
--- a/chicorybridge/tools/simulations/claim_runs.py
+++ b/chicorybridge/tools/simulations/claim_runs.py
@@ -19,7 +19,7 @@
 
 from chicorybridge.claims.request_keys import read_issued
 from chicorybridge.common.identities import Digest, HostId, RequestKey
-from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.settings import TICK_MS
 from chicorybridge.tools.models.keyed_entries import Caller, Runner
 from chicorybridge.tools.simulations.channels import FaultyChannel
--- a/chicorybridge/tools/simulations/detection_runs.py
+++ b/chicorybridge/tools/simulations/detection_runs.py
@@ -10,9 +10,9 @@
 import random
 from collections.abc import Callable
 
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import HostId, RouteId, TargetId
-from chicorybridge.routing.attempts import Attempt, AttemptOutcome
 from chicorybridge.settings import TICK_MS
 from chicorybridge.tools.models.mixed_declarations import (
     SERVICE_ID,
--- a/chicorybridge/tools/specifications/claim_replays.py
+++ b/chicorybridge/tools/specifications/claim_replays.py
@@ -34,8 +34,8 @@
     Incarnation,
     RequestKey,
 )
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.common.systems import Ask, Effect, Send, SendEntries
-from chicorybridge.routing.outcomes import RequestOutcome
 from chicorybridge.standins.tables import MemoryTables
 from chicorybridge.storage.stores import ScanRows, StoreOutcome, StoreReply
 from chicorybridge.tools.specifications.claim_worlds import (
--- a/chicorybridge/tools/specifications/claim_specifications.py
+++ b/chicorybridge/tools/specifications/claim_specifications.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 
 from chicorybridge.claims.claim_tables import ClaimState
-from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.tools.specifications.claim_steps import ClaimSteps
 from chicorybridge.tools.specifications.claim_worlds import (
     Broken,
--- a/chicorybridge/tools/specifications/claim_steps.py
+++ b/chicorybridge/tools/specifications/claim_steps.py
@@ -7,7 +7,7 @@
     UNFINISHED_STATES,
 )
 from chicorybridge.claims.claim_tables import ClaimState
-from chicorybridge.routing.outcomes import RequestOutcome
+from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.tools.specifications.claim_worlds import (
     Broken,
     ClaimWorld,
