--- a/chicorybridge/fleet/sightings.py
+++ b/chicorybridge/fleet/sightings.py
@@ -18,7 +18,7 @@
 
 @wire
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HostProfile:
+class FleetMember:
     """What a host says of itself; addresses are IP:PORT.
 
     `front` takes callers; `fleet` takes datagrams and streams of other
@@ -38,7 +38,7 @@
 class Sighting:
     """A host and when it was heard last."""
 
-    profile: HostProfile
+    profile: FleetMember
     heard_at: Millis
 
 
@@ -58,7 +58,7 @@
         self._regions_by_zone = regions_by_zone
         self._sightings_by_id: dict[HostId, Sighting] = {}
 
-    def hear(self, profile: HostProfile, *, now: Millis) -> bool:
+    def hear(self, profile: FleetMember, *, now: Millis) -> bool:
         """Take in what a host says of itself; return whether it is new."""
         if profile.host_id == self._host_id:
             return False
@@ -79,14 +79,14 @@
         return True
 
     def introduce(
-        self, profiles: Iterable[HostProfile], *, now: Millis
+        self, profiles: Iterable[FleetMember], *, now: Millis
     ) -> None:
         """Take in hosts that others know; their own word goes before."""
         for profile in profiles:
             if profile.host_id not in self._sightings_by_id:
                 self.hear(profile, now=now)
 
-    def expire(self, *, now: Millis) -> tuple[HostProfile, ...]:
+    def expire(self, *, now: Millis) -> tuple[FleetMember, ...]:
         """Forget and return the hosts that fell silent."""
         silent = [
             sighting.profile
@@ -97,25 +97,25 @@
             self._sightings_by_id.pop(profile.host_id)
         return tuple(silent)
 
-    def profiles(self) -> tuple[HostProfile, ...]:
+    def profiles(self) -> tuple[FleetMember, ...]:
         """Return all hosts that were heard lately."""
         return tuple(
             sighting.profile for sighting in self._sightings_by_id.values()
         )
 
-    def near(self) -> tuple[HostProfile, ...]:
+    def near(self) -> tuple[FleetMember, ...]:
         """Return the hosts of the own region."""
         return tuple(
             profile for profile in self.profiles() if self.is_near(profile)
         )
 
-    def far(self) -> tuple[HostProfile, ...]:
+    def far(self) -> tuple[FleetMember, ...]:
         """Return the hosts of other regions."""
         return tuple(
             profile for profile in self.profiles() if not self.is_near(profile)
         )
 
-    def is_near(self, profile: HostProfile) -> bool:
+    def is_near(self, profile: FleetMember) -> bool:
         """Return whether a host is in the own region."""
         own = self._regions_by_zone.get(self._zone_id)
         return self._regions_by_zone.get(profile.zone_id) == own
@@ -133,13 +133,13 @@
             if profile.serving
         )
 
-    def _silence_ms(self, profile: HostProfile) -> float:
+    def _silence_ms(self, profile: FleetMember) -> float:
         if self.is_near(profile):
             return settings.HOST_SILENCE_MS
         return settings.FAR_HOST_SILENCE_MS
 
 
-def _precedes(profile: HostProfile, known: HostProfile) -> bool:
+def _precedes(profile: FleetMember, known: FleetMember) -> bool:
     """Return whether a profile is older than the one known."""
     if profile.incarnation != known.incarnation:
         # A host that has started anew; datagrams seldom arrive so late.
--- a/chicorybridge/fleet/snapshots.py
+++ b/chicorybridge/fleet/snapshots.py
@@ -14,7 +14,7 @@
 from chicorybridge.common.errors import ChicorybridgeError
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.fleet.directories import TargetsChanged
-from chicorybridge.fleet.sightings import HostProfile
+from chicorybridge.fleet.sightings import FleetMember
 
 logger = logging.getLogger(__name__)
 
@@ -29,7 +29,7 @@
 
     configuration: HostConfiguration | None
     targets: TargetsChanged
-    hosts: tuple[HostProfile, ...]
+    hosts: tuple[FleetMember, ...]
     age_ms: float
 
 
--- a/chicorybridge/hosts/knowledge.py
+++ b/chicorybridge/hosts/knowledge.py
@@ -9,7 +9,7 @@
 from chicorybridge.common.identities import HostId
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.fleet.directories import TargetDirectory, TargetsChanged
-from chicorybridge.fleet.sightings import HostProfile, Sightings
+from chicorybridge.fleet.sightings import FleetMember, Sightings
 from chicorybridge.fleet.snapshots import Snapshot
 from chicorybridge.fleet.watches import ReadSchedule, StoreMark
 from chicorybridge.hosts.states import HostState
@@ -137,7 +137,7 @@
 
     @_take.register
     def _take_profile(
-        self, message: HostProfile, sender: HostId, now: Millis
+        self, message: FleetMember, sender: HostId, now: Millis
     ) -> None:
         if self.sightings.hear(message, now=now):
             self._emit(
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -11,7 +11,7 @@
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.fleet.directories import TargetsChanged
-from chicorybridge.fleet.sightings import HostProfile
+from chicorybridge.fleet.sightings import FleetMember
 from chicorybridge.fleet.watches import RemovalDelay
 from chicorybridge.hosts.knowledge import HostKnowledge
 
@@ -31,10 +31,10 @@
     async def read_targets(self) -> TargetsChanged:
         """Return the targets that changed."""
 
-    async def read_hosts(self) -> tuple[HostProfile, ...]:
+    async def read_hosts(self) -> tuple[FleetMember, ...]:
         """Return the hosts that wrote where they are."""
 
-    async def write_host(self, profile: HostProfile) -> None:
+    async def write_host(self, profile: FleetMember) -> None:
         """Write where this host is."""
 
 
@@ -73,14 +73,14 @@
                 await self._read(rank)
             await curio.sleep(as_seconds(settings.READ_CHECK_MS))
 
-    async def join(self, profile: HostProfile) -> None:
+    async def join(self, profile: FleetMember) -> None:
         """Write where this host is and learn where the others are."""
         profiles = await self._try(self._meet(profile))
         if profiles:
             now = self._clock.now()
             self._knowledge.sightings.introduce(profiles, now=now)
 
-    async def _meet(self, profile: HostProfile) -> tuple[HostProfile, ...]:
+    async def _meet(self, profile: FleetMember) -> tuple[FleetMember, ...]:
         await self._watcher.write_host(profile)
         return await self._watcher.read_hosts()
 
--- a/chicorybridge/hosts/voices.py
+++ b/chicorybridge/hosts/voices.py
@@ -8,7 +8,7 @@
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import Incarnation
 from chicorybridge.fleet.channels import Channel
-from chicorybridge.fleet.sightings import HostProfile, Sightings
+from chicorybridge.fleet.sightings import FleetMember, Sightings
 from chicorybridge.hosts.settings_files import HostSettings
 from chicorybridge.hosts.states import HostState
 
@@ -36,9 +36,9 @@
         self._serial = 0
         self._beat_at = Millis(0)
 
-    def profile(self) -> HostProfile:
+    def profile(self) -> FleetMember:
         """Return what the host says of itself now."""
-        return HostProfile(
+        return FleetMember(
             host_id=self._given.host_id,
             zone_id=self._given.zone_id,
             incarnation=self._incarnation,
@@ -79,5 +79,5 @@
         self._channel.send(message, _fleet_addresses(near))
 
 
-def _fleet_addresses(profiles: Iterable[HostProfile]) -> list[str]:
+def _fleet_addresses(profiles: Iterable[FleetMember]) -> list[str]:
     return [profile.fleet for profile in profiles]
--- a/chicorybridge/platform/watchers.py
+++ b/chicorybridge/platform/watchers.py
@@ -8,7 +8,7 @@
 from chicorybridge.common.identities import TargetId
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.fleet.directories import TargetEntry, TargetsChanged
-from chicorybridge.fleet.sightings import HostProfile
+from chicorybridge.fleet.sightings import FleetMember
 from chicorybridge.platform.formats import (
     FormatError,
     StoredRows,
@@ -122,7 +122,7 @@
             removed=tuple(removed),
         )
 
-    async def read_hosts(self) -> tuple[HostProfile, ...]:
+    async def read_hosts(self) -> tuple[FleetMember, ...]:
         """Return the hosts that wrote where they are."""
         rows = await self._store.read(HOST_TABLE)
         profiles = []
@@ -132,11 +132,11 @@
             except ChicorybridgeError as error:
                 self._report(row.key, error)
                 continue
-            if isinstance(profile, HostProfile):
+            if isinstance(profile, FleetMember):
                 profiles.append(profile)
         return tuple(profiles)
 
-    async def write_host(self, profile: HostProfile) -> None:
+    async def write_host(self, profile: FleetMember) -> None:
         """Write where this host is, for hosts that start later."""
         await self._store.put(
             table=HOST_TABLE, key=profile.host_id, body=pack(profile)
