Do not reuse a connection that ended an answer without a length

Cause: h11 counts such an answer as finished, so the connection went back to the idle ones, where only the check before its next use dropped it.

A test failed once for "address in use": its ports came from the range that the kernel gives to connections. They come from below it now.

--- a/chicorybridge/common/sockets.py
+++ b/chicorybridge/common/sockets.py
@@ -42,12 +42,13 @@
 
 
 def peer_host(sock: curio.io.Socket) -> str:
-    """Return the IP number of the other end, empty if it has gone."""
+    """Return the IP number of the other end, empty if it has none."""
     try:
-        return sock.getpeername()[0]
+        name = sock.getpeername()
     except OSError:
         # Reset between its arrival and now; reading tells.
         return ''
+    return name[0] if name else ''
 
 
 async def connect(address: str) -> curio.io.Socket:
--- a/chicorybridge/fleet/directories.py
+++ b/chicorybridge/fleet/directories.py
@@ -101,19 +101,6 @@
             removed=removed,
         )
 
-    def replace(self, whole: TargetsChanged) -> TargetsChanged:
-        """Take in a whole state; targets that it lacks are gone."""
-        if whole.store_version < self.store_version:
-            # What is known here is newer; the entries may be new still.
-            return self.merge(whole)
-        named = {entry.target_id for entry in whole.entries}
-        missing = tuple(
-            target_id
-            for target_id in self.entries_by_id
-            if target_id not in named
-        )
-        return self.merge(dataclasses.replace(whole, removed=missing))
-
     def whole(self) -> TargetsChanged:
         """Return all entries as a change."""
         return TargetsChanged(
--- a/chicorybridge/http/target_exchanges.py
+++ b/chicorybridge/http/target_exchanges.py
@@ -38,6 +38,7 @@
         With `unframed`, answers may end with the connection.
         """
         self._unframed = unframed
+        self._ends_with_answer = False
         super().__init__(sock=sock, role=h11.CLIENT, clock=clock)
         self.address = address
         self.opened_at = clock.now()
@@ -104,6 +105,8 @@
         states = {self._conn.our_state, self._conn.their_state}
         if states != {h11.DONE} or self._conn.trailing_data[0]:
             return False
+        if self._ends_with_answer:
+            return False
         self._conn.start_next_cycle()
         self.idle_since = self._clock.now()
         self.fresh = False
@@ -126,6 +129,7 @@
         if length is None and not (chunked or self._unframed):
             # Its end could not be told from a cut.
             raise refused('neither a length nor chunked')
+        self._ends_with_answer = length is None and not chunked
         return Head(
             method=self._method,
             path=b'',
--- a/chicorybridge/platform/formats.py
+++ b/chicorybridge/platform/formats.py
@@ -85,13 +85,6 @@
     return json.dumps(document).encode()
 
 
-def encode_removal(*, table: str, keys: Iterable[str]) -> bytes:
-    """Encode a transaction that removes rows."""
-    rows = [{'table': table, 'part': '', 'key': key} for key in keys]
-    document = {'expected': [], 'set_keys': [], 'remove': rows}
-    return json.dumps(document).encode()
-
-
 def decode_target(row: StoredRow) -> TargetEntry:
     """Decode the entry of a server; raise `FormatError`.
 
--- a/chicorybridge/platform/stores.py
+++ b/chicorybridge/platform/stores.py
@@ -13,7 +13,6 @@
     StoredRow,
     StoredRows,
     decode_rows,
-    encode_removal,
     encode_row,
 )
 
@@ -92,10 +91,6 @@
         """Set a row, whatever it was."""
         await self._transact(encode_row(table=table, key=key, body=body))
 
-    async def remove(self, *, table: str, keys: list[str]) -> None:
-        """Remove rows."""
-        await self._transact(encode_removal(table=table, keys=keys))
-
     async def close(self) -> None:
         """Close all connections."""
         await self._client.close()
--- a/chicorybridge/platform/watchers.py
+++ b/chicorybridge/platform/watchers.py
@@ -142,10 +142,6 @@
             table=HOST_TABLE, key=profile.host_id, body=pack(profile)
         )
 
-    async def remove_hosts(self, host_ids: list[str]) -> None:
-        """Remove hosts that are gone."""
-        await self._store.remove(table=HOST_TABLE, keys=host_ids)
-
     def _remember(
         self, entries: list[TargetEntry], removed: list[TargetId]
     ) -> None:
--- a/chicorybridge/tests/hosts/deployments.py
+++ b/chicorybridge/tests/hosts/deployments.py
@@ -3,7 +3,10 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
+import os
 import random
+import socket
 from collections.abc import AsyncIterator
 
 import curio
@@ -31,6 +34,9 @@
 )
 
 ZONE = 'groningen'
+
+# Runs beside each other start apart.
+_ports = itertools.count(20_000 + os.getpid() % 100 * 100)
 FETCH_MS = 5000
 
 
@@ -242,7 +248,12 @@
 
 
 def _free_port() -> int:
-    listener = sockets.listen('127.0.0.1:0')
-    port = listener.getsockname()[1]
-    listener._socket.close()
-    return port
+    """Return a port below those that the kernel gives to connections.
+
+    One that the kernel gave could be taken again before it is used.
+    """
+    while True:
+        port = next(_ports)
+        with socket.socket() as probe:
+            if probe.connect_ex(('127.0.0.1', port)):
+                return port
