--- a/chicorybridge/hosts/knowledge.py
+++ b/chicorybridge/hosts/knowledge.py
@@ -151,7 +151,7 @@
     def _take_seen(
         self, message: TargetSeen, sender: HostId, now: Millis
     ) -> None:
-        self.reputations.hear(message, sender, now=now)
+        self.reputations.hear(message, now=now)
 
     @_take.register(CrashSuspected)
     @_take.register(SuspectCleared)
--- a/chicorybridge/routing/reputations.py
+++ b/chicorybridge/routing/reputations.py
@@ -16,7 +16,7 @@
 from chicorybridge import settings
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.codecs import wire
-from chicorybridge.common.identities import HostId, TargetId
+from chicorybridge.common.identities import TargetId
 
 
 @wire
@@ -53,14 +53,12 @@
 class TargetSeen:
     """Tell other hosts how a request fared at a target.
 
-    `latency_ms` is the time to the whole answer, 0 without one;
-    `in_flight` what the sender has at the target besides.
+    `latency_ms` is the time to the whole answer, 0 without one.
     """
 
     target_id: TargetId
     sign: Sign
     latency_ms: int = 0
-    in_flight: int = 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -137,7 +135,7 @@
             # Attempts under way still have to be counted off.
             self.of(target_id).in_flight = known.in_flight
 
-    def hear(self, seen: TargetSeen, sender: HostId, *, now: Millis) -> None:
+    def hear(self, seen: TargetSeen, *, now: Millis) -> None:
         """Take in what another host saw."""
         reputation = self.of(seen.target_id)
         reputation.observe(seen.sign, now)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -250,7 +250,7 @@
 # (seconds, a third of the targets at a time).
 SOUND_SHARE = 0.7
 GRAY_MEMORY_MS = 2000.0
-# Likelihood of each sign. Sound targets fail about one request in eighty.
+# Likelihood of each sign of a sound and of a gray target. Sound ones fail about one request in eighty.
 SOUND_ANSWERS = 0.985
 GRAY_ANSWERS = 0.2
 GRAY_FAILURES = 0.8
@@ -291,7 +291,7 @@
 EXPLORED_CHOICES = 3
 
 # Hosts on the platform. Beats go to the region each interval; a host that
-# is silent for over two of them is lost. Far hosts are heard by turns.
+# is silent for three of them is lost. Far hosts are heard by turns.
 BEAT_MS = 1000.0
 HOST_SILENCE_MS = 3500.0
 FAR_HOST_SILENCE_MS = 30_000.0
--- a/chicorybridge/tests/routing/test_reputations.py
+++ b/chicorybridge/tests/routing/test_reputations.py
@@ -4,7 +4,7 @@
 
 from chicorybridge import settings
 from chicorybridge.common.clocks import Millis
-from chicorybridge.common.identities import HostId, TargetId
+from chicorybridge.common.identities import TargetId
 from chicorybridge.routing.reputations import (
     ReputationTable,
     Sign,
@@ -12,7 +12,6 @@
 )
 
 ONE = TargetId('i-1')
-PEER = HostId('edge-2')
 START = Millis(1000)
 
 
@@ -22,9 +21,9 @@
 
 def test_one_break_seen_anywhere_makes_a_target_doubtful():
     table = ReputationTable()
-    table.hear(_seen(Sign.answered), PEER, now=START)
+    table.hear(_seen(Sign.answered), now=START)
     assert table.of(ONE).sound_at(START) == pytest.approx(0.92, abs=0.03)
-    table.hear(_seen(Sign.broke), PEER, now=START)
+    table.hear(_seen(Sign.broke), now=START)
     assert table.of(ONE).sound_at(START) == pytest.approx(0, abs=0.1)
 
 
@@ -55,7 +54,7 @@
 def test_load_is_what_ended_lately_times_how_long_it_took():
     table = ReputationTable()
     for _ in range(6):
-        table.hear(_seen(Sign.answered, 500), PEER, now=START)
+        table.hear(_seen(Sign.answered, 500), now=START)
     assert table.of(ONE).load_at(START) == 6 * 500 / settings.LOAD_WINDOW_MS
     later = Millis(START + settings.LOAD_WINDOW_MS + 1)
     assert table.of(ONE).load_at(later) == 0
@@ -72,5 +71,5 @@
     table = ReputationTable()
     table.see(_seen(Sign.answered), now=START)
     before = table.of(ONE).sound_at(START)
-    table.hear(_seen(Sign.rejected), PEER, now=START)
+    table.hear(_seen(Sign.rejected), now=START)
     assert before - table.of(ONE).sound_at(START) > settings.CHOICE_MARGIN
