--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -250,7 +250,8 @@
 # (seconds, a third of the targets at a time).
 SOUND_SHARE = 0.7
 GRAY_MEMORY_MS = 2000.0
-# Likelihood of each sign of a sound and of a gray target. Sound ones fail about one request in eighty.
+# Likelihood of each sign of a sound and of a gray target. Sound ones fail
+# about one request in eighty.
 SOUND_ANSWERS = 0.985
 GRAY_ANSWERS = 0.2
 GRAY_FAILURES = 0.8
