Let the directory say what a whole state changes

Cause: the rule that targets missing from a whole state are gone stood in the knowledge of a host, beside the merging of entries that it belongs to. Behaviour stays; two tests of newer and older states come along. Checked: format, flake8, mypy and 116 tests of fleet, hosts and common.

--- a/chicorybridge/fleet/directories.py
+++ b/chicorybridge/fleet/directories.py
@@ -101,6 +101,17 @@
             removed=removed,
         )
 
+    def change_to(self, whole: TargetsChanged) -> TargetsChanged:
+        """Return the change that a whole state makes here.
+
+        Targets that it lacks are gone, unless what is known here is newer.
+        """
+        if whole.store_version < self.store_version:
+            return whole
+        named = {entry.target_id for entry in whole.entries}
+        missing = tuple(set(self.entries_by_id) - named)
+        return dataclasses.replace(whole, removed=missing)
+
     def whole(self) -> TargetsChanged:
         """Return all entries as a change."""
         return TargetsChanged(
--- a/chicorybridge/hosts/knowledge.py
+++ b/chicorybridge/hosts/knowledge.py
@@ -103,16 +103,8 @@
         """Take in what another host knows."""
         now = self._clock.now()
         self.sightings.introduce(snapshot.hosts, now=now)
-        whole = snapshot.targets
-        named = {entry.target_id for entry in whole.entries}
-        if whole.store_version >= self.directory.store_version:
-            missing = tuple(set(self.directory.entries_by_id) - named)
-            whole = TargetsChanged(
-                store_version=whole.store_version,
-                entries=whole.entries,
-                removed=missing,
-            )
-        self.change_targets(whole, source=source)
+        change = self.directory.change_to(snapshot.targets)
+        self.change_targets(change, source=source)
         if snapshot.configuration is not None:
             self.adopt(snapshot.configuration, source=source)
 
--- a/chicorybridge/tests/fleet/test_directories.py
+++ b/chicorybridge/tests/fleet/test_directories.py
@@ -77,3 +77,17 @@
     first.merge(_change(3, _entry(3)))
     second.merge(_change(6, _entry(6)))
     assert first.digest == second.digest
+
+
+def test_target_that_a_newer_whole_state_lacks_is_gone():
+    directory = TargetDirectory()
+    directory.merge(CHANGES[0])
+    directory.merge(directory.change_to(_change(9)))
+    assert not directory.entries_by_id
+
+
+def test_target_that_an_older_whole_state_lacks_stays():
+    directory = TargetDirectory()
+    directory.merge(CHANGES[1])
+    directory.merge(directory.change_to(_change(4)))
+    assert ONE in directory.entries_by_id
