--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -1,5 +1,6 @@
 """The decisions on one request: its next target, its patience, its retries."""
 
+import dataclasses
 from collections.abc import Callable
 
 from chicorybridge import settings
@@ -17,6 +18,14 @@
 from chicorybridge.routing.selections import Manner, Option, Selector
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UsualLatency:
+    """What requests of a service took, as of `at`."""
+
+    at: Millis
+    usual_ms: float
+
+
 class HostPolicies:
     """Choose targets for calls, and learn from how they fared."""
 
@@ -39,6 +48,8 @@
         self._allowances = allowances
         self._hosts = hosts
         self.reporter = reporter
+        self._repeatable_at_by_id: dict[ServiceId, Millis] = {}
+        self._usual_by_id: dict[ServiceId, UsualLatency] = {}
 
     def rebound(self, bound: RetryBound) -> None:
         """Take over another bound on retries."""
@@ -47,22 +58,22 @@
     def admit(self, call: Call) -> None:
         """Count a request that is about to be sent."""
         allowance = self._allowances.of(call.service.service_id)
-        allowance.request(now=self._clock.now())
+        now = self._clock.now()
+        allowance.request(now=now)
+        if _is_repeatable(call):
+            self._repeatable_at_by_id[call.service.service_id] = now
 
     def choose(self, call: Call) -> Option | None:
         """Return the next target, `None` while waiting is better.
 
         Raise `RefusalError` if no target is left to wait for.
         """
-        manner = Manner.safest
-        if not call.attempts and _is_repeatable(call):
-            manner = Manner.exploring
         now = self._clock.now()
         service_id = call.service.service_id
         excluded = frozenset(one.target_id for one in call.attempts)
         option = self._selector.choose(
             service_id,
-            manner,
+            self._manner(call, now),
             excluded=excluded,
             body_bytes=call.body_bytes,
             patience=_wait_patience(call, now),
@@ -108,7 +119,12 @@
     def usual_ms(self, service_id: ServiceId) -> float:
         """Return what requests of a service take now, 0 if none ended."""
         now = self._clock.now()
-        return self._selector.usual_ms(service_id, now=now) or 0
+        known = self._usual_by_id.get(service_id)
+        if known is not None and now - known.at < settings.USUAL_KEPT_MS:
+            return known.usual_ms
+        usual_ms = self._selector.usual_ms(service_id, now=now) or 0
+        self._usual_by_id[service_id] = UsualLatency(at=now, usual_ms=usual_ms)
+        return usual_ms
 
     def finished(self, attempt: Attempt) -> None:
         """Learn from an attempt that ended."""
@@ -150,6 +166,14 @@
         allowance = self._allowances.of(call.service.service_id)
         return allowance.take(hosts=self._hosts(), now=now)
 
+    def _manner(self, call: Call, now: Millis) -> Manner:
+        if _is_repeatable(call):
+            return Manner.safest if call.attempts else Manner.exploring
+        last = self._repeatable_at_by_id.get(call.service.service_id)
+        if last is None or now - last > settings.REPEATABLE_MEMORY_MS:
+            return Manner.returning
+        return Manner.safest
+
 
 def _wait_patience(call: Call, now: Millis) -> float:
     """Return how much worse than the best a target may be by now."""
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -40,6 +40,9 @@
     safest = 'safest'
     # The one that was not seen for longest, within reason.
     exploring = 'exploring'
+    # The most likely to answer, but seldom one that should be sound again:
+    # for services whose requests all may run once.
+    returning = 'returning'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -107,13 +110,12 @@
         ]
         if not free:
             return None
-        if manner is Manner.exploring:
-            found = self._least_seen(free)
-            if found is not None:
-                return found
+        found = self._least_seen(free, manner)
+        if found is not None:
+            return found
         least = min(option.idle_loss for option in options)
-        found = self._safest(free)
-        return found if found.loss <= least + patience else None
+        safest = self._safest(free)
+        return safest if safest.loss <= least + patience else None
 
     def has_targets(
         self, service_id: ServiceId, *, excluded: Collection[TargetId]
@@ -164,15 +166,19 @@
         ]
         return self._rng.choice(near)
 
-    def _least_seen(self, options: Sequence[Option]) -> Option | None:
+    def _least_seen(
+        self, options: Sequence[Option], manner: Manner
+    ) -> Option | None:
         """Return a near target worth a look, `None` if there is none."""
+        if manner is Manner.safest:
+            return None
+        is_due = _is_due if manner is Manner.exploring else _is_back
         region_id = self._regions_by_zone.get(self._zone_id)
         worth = [
             option
             for option in options
             if self._regions_by_zone.get(option.entry.zone_id) == region_id
-            and option.loss < settings.EXPLORED_LOSS
-            and option.age_ms >= _look_ms(option)
+            and is_due(option)
         ]
         if not worth:
             return None
@@ -213,11 +219,19 @@
         return settings.OTHER_REGION_LOSS + kilobytes * settings.CROSSING_LOSS
 
 
-def _look_ms(option: Option) -> float:
-    """Return the age of what is known above which a look is due."""
+def _is_due(option: Option) -> bool:
+    """Return whether a request that can be tried again should look."""
+    look_ms = settings.EXPLORED_AGE_MS
     if option.soundness < settings.EXPLORED_SOUNDNESS:
-        return settings.EXPLORED_GRAY_AGE_MS
-    return settings.EXPLORED_AGE_MS
+        look_ms = settings.EXPLORED_GRAY_AGE_MS
+    return option.age_ms >= look_ms and option.loss < settings.EXPLORED_LOSS
+
+
+def _is_back(option: Option) -> bool:
+    """Return whether a target has most likely become sound again."""
+    if option.age_ms < settings.RETURNING_AGE_MS:
+        return False
+    return option.loss < settings.RETURNING_LOSS
 
 
 def _load_loss(load: float) -> float:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -263,8 +263,10 @@
 GRAY_REJECTIONS = 0.5
 SOUND_LEAST = 0.01
 SOUND_MOST = 0.995
-# Time over which requests that ended tell the usual latency of a service.
+# Time over which requests that ended tell the usual latency of a service,
+# and how long the mean is kept.
 LATENCY_WINDOW_MS = 1500.0
+USUAL_KEPT_MS = 100.0
 # A host whose last report is older than two beats and a margin has no
 # requests under way that count.
 WORKLOAD_SILENCE_MS = 2500.0
@@ -299,6 +301,12 @@
 # that is most likely gray gets one about each second.
 EXPLORED_AGE_MS = 200.0
 EXPLORED_GRAY_AGE_MS = 800.0
+# A service had no request that can be tried again for this long: its targets
+# come back by requests that may run once, each second at the most, when the
+# loss expected there is near that of a target never seen.
+REPEATABLE_MEMORY_MS = 10_000.0
+RETURNING_AGE_MS = 1000.0
+RETURNING_LOSS = 0.5
 
 # A target has room up to one request beyond its slots, which keeps it busy
 # while word of a free slot travels.
@@ -319,8 +327,10 @@
 QUEUE_LOOK_LEAST_MS = 10.0
 QUEUE_LOOK_MOST_MS = 30.0
 # A request is refused when less than this many times the usual latency is
-# left: most that would start then would not end in time.
+# left: most that would start then would not end in time. One whose caller
+# could still be served elsewhere, or later, is told so at half of its time.
 QUEUE_RUN_FACTOR = 1.5
+QUEUE_WAIT_SHARE = 0.5
 # Time in which a queue that stands is worked off.
 OVERLOADED_RETRY_MS = 1000.0
 
--- a/chicorybridge/tests/routing/test_selections.py
+++ b/chicorybridge/tests/routing/test_selections.py
@@ -197,3 +197,12 @@
     scene.see('b', Sign.answered)
     scene.idle.add('b')
     assert set(scene.draw(Manner.exploring)) == {'b'}
+
+
+def test_service_without_repeatable_work_tries_targets_that_are_back(scene):
+    scene.add('a', 'groningen')
+    scene.add('b', 'groningen')
+    scene.see('a', Sign.answered)
+    assert set(scene.draw(Manner.returning)) == {'b'}
+    scene.see('b', Sign.broke)
+    assert set(scene.draw(Manner.returning)) == {'a'}
