Work out reads of the store from the bounds

Intervals of reads were constants that fit bounds of 2 s. They are shares of the time within which a configuration or a leaving target has to be known, which the settings file gives; a deployment with 3 s reads less. The times for 2 s are what they were.

--- a/chicorybridge/fleet/watches.py
+++ b/chicorybridge/fleet/watches.py
@@ -31,8 +31,17 @@
     host takes over and not all at once.
     """
 
-    def __init__(self, *, rng: random.Random) -> None:
-        """Start with nothing read."""
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        known_within_ms: float = settings.KNOWN_WITHIN_MS,
+    ) -> None:
+        """Start with nothing read.
+
+        All hosts are to know of a change `known_within_ms` after it.
+        """
+        self.known_within_ms = known_within_ms
         self._rng = rng
         self.read_at = Millis(-settings.STALE_LONG_MS)
         self._paused_until = Millis(0)
@@ -46,10 +55,11 @@
         """Return whether this host should read the store now."""
         if now < self._paused_until:
             return False
-        if not rank:
-            return self.age_ms(now=now) >= settings.READ_INTERVAL_MS
-        step = min(rank, settings.READ_RANKS) * settings.READ_RANK_MS
-        return self.age_ms(now=now) >= settings.READ_STALE_MS + step
+        share = settings.READ_INTERVAL_SHARE
+        if rank:
+            step = min(rank, settings.READ_RANKS) * settings.READ_RANK_SHARE
+            share = settings.READ_STALE_SHARE + step
+        return self.age_ms(now=now) >= self.known_within_ms * share
 
     def told(self, mark: StoreMark, *, now: Millis) -> None:
         """Note that another host has read the store."""
--- a/chicorybridge/hosts/processes.py
+++ b/chicorybridge/hosts/processes.py
@@ -65,6 +65,7 @@
                 regions_by_zone=given.regions_by_zone,
             ),
         )
+        self.knowledge.schedule.known_within_ms = given.bounds.known_within_ms
         self._channel = Channel(
             host_id=given.host_id,
             address=given.fleet,
@@ -156,6 +157,7 @@
             self._given, bounds=given.bounds, seeds=given.seeds
         )
         self.dispatcher.rebound(given.bounds.retries)
+        self.knowledge.schedule.known_within_ms = given.bounds.known_within_ms
         event = Event(
             kind=EventKind.settings_reloaded, facts={'changed': changed}
         )
--- a/chicorybridge/hosts/settings_files.py
+++ b/chicorybridge/hosts/settings_files.py
@@ -83,6 +83,8 @@
     {
         'grace_s': SECONDS,
         'ttl_s': SECONDS,
+        'config_apply_s': SECONDS,
+        'drain_s': SECONDS,
         'retry_ratio': SECONDS,
         'retry_slack': SECONDS,
         'retry_window_s': SECONDS,
@@ -96,6 +98,8 @@
 
     grace_ms: float
     ttl_ms: float
+    # Within this time each host knows of a change of the store.
+    known_within_ms: float
     retries: RetryBound
 
 
@@ -188,9 +192,14 @@
 
 def _bounds(values_by_key: dict[str, Any]) -> HostBounds:
     ttl_ms = values_by_key['ttl_s'] * MILLIS_PER_SECOND
+    # A configuration and a target that leaves come the same way.
+    known_within_s = min(
+        values_by_key['config_apply_s'], values_by_key['drain_s']
+    )
     return HostBounds(
         grace_ms=values_by_key['grace_s'] * MILLIS_PER_SECOND,
         ttl_ms=min(ttl_ms, settings.DIRECTORY_TTL_MS),
+        known_within_ms=known_within_s * MILLIS_PER_SECOND,
         retries=RetryBound(
             ratio=values_by_key['retry_ratio'],
             slack=values_by_key['retry_slack'],
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -342,10 +342,12 @@
 DATAGRAM_BYTES = 65_535
 SNAPSHOT_MS = 1500.0
 # Reads of the platform's store by the first host of a region, and when
-# the next ones take over; all within the bound on a target that leaves.
-READ_INTERVAL_MS = 500.0
-READ_STALE_MS = 900.0
-READ_RANK_MS = 120.0
+# the next ones take over, as shares of the time within which all hosts are to
+# know of a change. A read, its repeat and the word of it fit in what is left.
+KNOWN_WITHIN_MS = 2000.0
+READ_INTERVAL_SHARE = 0.25
+READ_STALE_SHARE = 0.45
+READ_RANK_SHARE = 0.06
 READ_RANKS = 6
 READ_BACKOFF_MS = 300.0
 READ_BACKOFF_TURNS = 3
--- a/chicorybridge/tests/fleet/test_watches.py
+++ b/chicorybridge/tests/fleet/test_watches.py
@@ -14,31 +14,33 @@
 
 ONE = TargetId('i-1')
 START = Millis(1_000_000)
+WITHIN_MS = 3000
 
 
 def _schedule() -> ReadSchedule:
-    schedule = ReadSchedule(rng=random.Random(1))
+    schedule = ReadSchedule(rng=random.Random(1), known_within_ms=WITHIN_MS)
     schedule.succeeded(started_at=START)
     return schedule
 
 
 def test_first_host_reads_at_every_interval():
     schedule = _schedule()
-    due_at = Millis(START + settings.READ_INTERVAL_MS)
+    due_at = Millis(START + WITHIN_MS * settings.READ_INTERVAL_SHARE)
     assert not schedule.is_due(rank=0, now=Millis(due_at - 1))
     assert schedule.is_due(rank=0, now=due_at)
 
 
 def test_others_take_over_one_after_the_other():
     schedule = _schedule()
-    late = Millis(START + settings.READ_STALE_MS + settings.READ_RANK_MS)
+    share = settings.READ_STALE_SHARE + settings.READ_RANK_SHARE
+    late = Millis(START + WITHIN_MS * share)
     assert schedule.is_due(rank=1, now=late)
     assert not schedule.is_due(rank=2, now=late)
 
 
 def test_others_wait_while_they_are_told():
     schedule = _schedule()
-    now = Millis(START + settings.READ_STALE_MS)
+    now = Millis(START + WITHIN_MS * settings.READ_STALE_SHARE)
     mark = StoreMark(
         store_version=1,
         targets_digest=0,
--- a/chicorybridge/tests/hosts/deployments.py
+++ b/chicorybridge/tests/hosts/deployments.py
@@ -251,6 +251,7 @@
         bounds=HostBounds(
             grace_ms=2000,
             ttl_ms=1000,
+            known_within_ms=2000,
             retries=RetryBound(ratio=0.2, slack=20, window_ms=10_000),
         ),
     )
--- a/chicorybridge/tests/hosts/test_settings_files.py
+++ b/chicorybridge/tests/hosts/test_settings_files.py
@@ -29,6 +29,8 @@
 [bounds]
 grace_s = 6
 ttl_s = 5
+config_apply_s = 3
+drain_s = 2
 retry_ratio = 0.2
 retry_slack = 62
 retry_window_s = 10
@@ -47,6 +49,7 @@
     assert given.seeds == ('10.1.0.35:7660', '10.2.0.28:7660')
     assert given.regions_by_zone[ZoneId('eindhoven')] == 'zuid'
     assert (given.bounds.grace_ms, given.bounds.ttl_ms) == (6000, 2000)
+    assert given.bounds.known_within_ms == 2000
 
 
 def test_seeds_may_be_none(tmp_path):
