Look at gray targets one request at a time, forget silent hosts sooner

Requests of a killed host counted at their targets for 2.5 s.

Loops that looked for work each 30 and 50 ms look each 100 ms.

--- a/chicorybridge/hosts/processes.py
+++ b/chicorybridge/hosts/processes.py
@@ -217,9 +217,9 @@
         beating = self._voice.beat(now=now)
         if beating:
             self._tell_dropped()
-            self.knowledge.workloads.expire(now=now)
-            self.dispatcher.reporter.repeat()
             self.knowledge.quarantine.tick(now=now)
+        self.knowledge.workloads.expire(now=now)
+        self.dispatcher.reporter.repeat()
         self._sum_up(far=beating)
         self._logs.flush()
 
@@ -234,9 +234,11 @@
 
     def _sum_up(self, *, far: bool) -> None:
         """Tell other zones what this one does, if this host is to."""
-        workload = self.knowledge.workloads.sum_up(now=self._clock.now())
+        workloads = self.knowledge.workloads
         if self.knowledge.sightings.zone_rank():
+            workloads.discard_answers()
             return
+        workload = workloads.sum_up(now=self._clock.now())
         self._voice.tell_other_zones(workload)
         if far:
             self._voice.tell_far(dataclasses.replace(workload, seen=()))
--- a/chicorybridge/hosts/reports.py
+++ b/chicorybridge/hosts/reports.py
@@ -59,10 +59,12 @@
                 self._voice.tell_other_zones(one)
 
     def repeat(self) -> None:
-        """Tell the zone what it was not told lately; run at each beat.
+        """Tell the zone again what is under way; run each tick.
 
-        Others count the host as silent otherwise.
+        Others count the host as idle if they hear nothing of it.
         """
-        if self._clock.now() - self._told_at >= settings.BEAT_MS:
+        if self._knowledge.workloads.is_idle:
+            return
+        if self._clock.now() - self._told_at >= settings.WORKLOAD_REPEAT_MS:
             self._changed = True
             self.flush()
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -223,6 +223,9 @@
     """Return whether a request that can be tried again should look."""
     look_ms = settings.EXPLORED_AGE_MS
     if option.soundness < settings.EXPLORED_SOUNDNESS:
+        if option.load:
+            # Another request is looking already.
+            return False
         look_ms = settings.EXPLORED_GRAY_AGE_MS
     return option.age_ms >= look_ms and option.loss < settings.EXPLORED_LOSS
 
--- a/chicorybridge/routing/workloads.py
+++ b/chicorybridge/routing/workloads.py
@@ -59,8 +59,9 @@
 class HeardWorkloads:
     """The last reports of hosts, or of zones, and their sum."""
 
-    def __init__(self) -> None:
-        """Start without reports."""
+    def __init__(self, *, silence_ms: float) -> None:
+        """Start without reports; each counts for `silence_ms`."""
+        self._silence_ms = silence_ms
         self.total_by_id: Counter[TargetId] = Counter()
         self._heard_by_source: dict[Source, HeardWorkload] = {}
 
@@ -87,7 +88,7 @@
     def expire(self, *, now: Millis) -> None:
         """Forget sources that fell silent."""
         for source, heard in tuple(self._heard_by_source.items()):
-            if now - heard.heard_at > settings.WORKLOAD_SILENCE_MS:
+            if now - heard.heard_at > self._silence_ms:
                 self._heard_by_source.pop(source)
                 self.total_by_id.subtract(heard.in_flight_by_id)
         # Keeps the table as small as the list of targets in use.
@@ -101,10 +102,15 @@
         """Start without requests in `zone_id`."""
         self._zone_id = zone_id
         self._own_by_id: Counter[TargetId] = Counter()
-        self._hosts = HeardWorkloads()
-        self._zones = HeardWorkloads()
+        self._hosts = HeardWorkloads(silence_ms=settings.WORKLOAD_SILENCE_MS)
+        self._zones = HeardWorkloads(silence_ms=settings.ZONE_SILENCE_MS)
         self._answered: list[TargetSeen] = []
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether this host has no request under way."""
+        return not self._own_by_id
+
     def at(self, target_id: TargetId) -> int:
         """Return how many requests a target has, as far as is known."""
         near = self._own_by_id[target_id] + self._hosts.total_by_id[target_id]
@@ -132,6 +138,10 @@
             sent_at=now, in_flight_by_id=dict(self._own_by_id), seen=seen
         )
 
+    def discard_answers(self) -> None:
+        """Forget answers that another host tells other zones of."""
+        self._answered.clear()
+
     def sum_up(self, *, now: Millis) -> ZoneWorkload:
         """Return what other zones are told of this one."""
         seen = tuple(self._answered)
@@ -155,6 +165,6 @@
         self._zones.hear(workload.zone_id, workload, now=now)
 
     def expire(self, *, now: Millis) -> None:
-        """Forget hosts and zones that fell silent; run at each beat."""
+        """Forget hosts and zones that fell silent; run each tick."""
         self._hosts.expire(now=now)
         self._zones.expire(now=now)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -267,9 +267,12 @@
 # and how long the mean is kept.
 LATENCY_WINDOW_MS = 1500.0
 USUAL_KEPT_MS = 100.0
-# A host whose last report is older than two beats and a margin has no
-# requests under way that count.
-WORKLOAD_SILENCE_MS = 2500.0
+# A host with requests under way says so this often at least. After two
+# reports missed, and a margin, it counts as having none; so does a zone
+# whose sum did not come for two beats.
+WORKLOAD_REPEAT_MS = 500.0
+WORKLOAD_SILENCE_MS = 1300.0
+ZONE_SILENCE_MS = 2500.0
 # A target that this host can't reach is avoided for this long, doubled
 # with each further failure up to so many times.
 UNREACHABLE_MS = 500.0
@@ -306,7 +309,7 @@
 # loss expected there is near that of a target never seen.
 REPEATABLE_MEMORY_MS = 10_000.0
 RETURNING_AGE_MS = 1000.0
-RETURNING_LOSS = 0.5
+RETURNING_LOSS = 0.4
 
 # A target has room up to one request beyond its slots, which keeps it busy
 # while word of a free slot travels.
@@ -382,8 +385,8 @@
 DIRECTORY_LEAST = 3
 DIRECTORY_MOST = 64
 # How often a host looks whether a read or a snapshot is due.
-READ_CHECK_MS = 50.0
-LEARN_CHECK_MS = 30.0
+READ_CHECK_MS = 100.0
+LEARN_CHECK_MS = 100.0
 
 # Planned stop on the platform: the share of the grace in which whoever
 # still comes is served, and what is kept of it for the end.
--- a/chicorybridge/tests/routing/test_selections.py
+++ b/chicorybridge/tests/routing/test_selections.py
@@ -78,10 +78,10 @@
             TargetsChanged(store_version=version, entries=(entry,))
         )
 
-    def see(self, target_id: str, sign: Sign) -> None:
+    def see(self, target_id: str, sign: Sign, at: Millis = NOW) -> None:
         """Take in what a request showed."""
         seen = TargetSeen(target_id=TargetId(target_id), sign=sign)
-        self.reputations.see(seen, now=NOW)
+        self.reputations.see(seen, now=at)
 
     def fill(self, target_id: str) -> None:
         """Let requests take all slots of a target and wait for the next."""
@@ -93,6 +93,7 @@
         manner: Manner = Manner.safest,
         body_bytes: int = 0,
         patience: float = math.inf,
+        at: Millis = NOW,
     ) -> Counter[str]:
         """Choose many times and count the targets."""
         found: Counter[str] = Counter()
@@ -103,7 +104,7 @@
                 excluded=(),
                 body_bytes=body_bytes,
                 patience=patience,
-                now=NOW,
+                now=at,
             )
             if option is not None:
                 found[option.entry.target_id] += 1
@@ -206,3 +207,15 @@
     assert set(scene.draw(Manner.returning)) == {'b'}
     scene.see('b', Sign.broke)
     assert set(scene.draw(Manner.returning)) == {'a'}
+
+
+def test_gray_target_is_looked_at_by_one_request_at_a_time(scene):
+    scene.add('a', 'groningen')
+    scene.add('b', 'groningen')
+    scene.see('a', Sign.answered)
+    scene.see('b', Sign.broke)
+    later = Millis(NOW + settings.EXPLORED_GRAY_AGE_MS)
+    scene.see('a', Sign.answered, at=later)
+    assert set(scene.draw(Manner.exploring, at=later)) == {'b'}
+    scene.workloads.started(TargetId('b'))
+    assert set(scene.draw(Manner.exploring, at=later)) == {'a'}
--- a/chicorybridge/tests/routing/test_workloads.py
+++ b/chicorybridge/tests/routing/test_workloads.py
@@ -90,7 +90,7 @@
     assert not table.sum_up(now=NOW).seen
     other.hear_zone(summary, now=NOW)
     assert other.at(ONE) == 3
-    other.expire(now=Millis(NOW + settings.WORKLOAD_SILENCE_MS + 1))
+    other.expire(now=Millis(NOW + settings.ZONE_SILENCE_MS + 1))
     assert other.at(ONE) == 0
 
 
