Send work to a region that has room; let late requests wait to their end

Nothing was sent across: signs of a region's targets do not leave it, so those targets counted as sound with the share of time that targets are, 0.7, which is more doubt than patience allows.

Change: the first host of a zone tells one host of each zone of other regions every 500 ms how many requests and how sound its targets are; that host passes it on in its zone.

Reverted: refusing late requests at half of their time, newest first. They go by their deadline again.

--- a/chicorybridge/fleet/sightings.py
+++ b/chicorybridge/fleet/sightings.py
@@ -115,6 +115,11 @@
             profile for profile in self.profiles() if not self.is_near(profile)
         )
 
+    def is_far(self, host_id: HostId) -> bool:
+        """Return whether a known host is in another region."""
+        known = self._sightings_by_id.get(host_id)
+        return known is not None and not self.is_near(known.profile)
+
     def is_near(self, profile: FleetMember) -> bool:
         """Return whether a host is in the own region."""
         own = self._regions_by_zone.get(self.zone_id)
@@ -162,6 +167,17 @@
         return settings.FAR_HOST_SILENCE_MS
 
 
+def firsts_of_zones(
+    profiles: Iterable[FleetMember],
+) -> tuple[FleetMember, ...]:
+    """Return the host of each zone that ranks first among those serving."""
+    first_by_zone: dict[ZoneId, FleetMember] = {}
+    for profile in sorted(profiles, key=_weight_of):
+        if profile.serving:
+            first_by_zone.setdefault(profile.zone_id, profile)
+    return tuple(first_by_zone.values())
+
+
 def _precedes(profile: FleetMember, known: FleetMember) -> bool:
     """Return whether a profile is older than the one known."""
     if profile.incarnation != known.incarnation:
@@ -170,5 +186,9 @@
     return profile.serial < known.serial
 
 
+def _weight_of(profile: FleetMember) -> int:
+    return _weight(profile.host_id)
+
+
 def _weight(host_id: HostId) -> int:
     return xxhash.xxh64_intdigest(host_id.encode())
--- a/chicorybridge/hosts/knowledge.py
+++ b/chicorybridge/hosts/knowledge.py
@@ -51,6 +51,8 @@
         self.quarantine = Quarantine()
         # Hosts that know more, by their address, to be asked for it.
         self.ahead: list[str] = []
+        # Messages of other regions that the zone has not heard yet.
+        self.to_pass_on: list[ZoneWorkload] = []
 
     def adopt(self, configuration: HostConfiguration, *, source: str) -> bool:
         """Put a configuration in force if it is newer; return if so."""
@@ -172,6 +174,10 @@
         self.workloads.hear_zone(message, now=now)
         for seen in message.seen:
             self.reputations.hear(seen, now=now)
+        for target_id, soundness in message.soundness_by_id.items():
+            self.reputations.adopt(target_id, soundness, now=now)
+        if self.sightings.is_far(sender):
+            self.to_pass_on.append(message)
 
     @_take.register(CrashSuspected)
     @_take.register(SuspectCleared)
--- a/chicorybridge/hosts/placements.py
+++ b/chicorybridge/hosts/placements.py
@@ -150,11 +150,9 @@
                 detail='this host is stopping',
                 retry_after_ms=settings.HOST_LEAVING_RETRY_MS,
             )
-        whole_ms = call.deadline_at - call.started_at
         left_ms = call.deadline_at - self._clock.now()
         usual_ms = self._policies.usual_ms(call.service.service_id)
-        least_ms = usual_ms * settings.QUEUE_RUN_FACTOR
-        if left_ms < max(least_ms, whole_ms * settings.QUEUE_WAIT_SHARE):
+        if left_ms < usual_ms * settings.QUEUE_RUN_FACTOR:
             raise RefusalError(
                 code=ErrorCode.overloaded,
                 detail='no target had room in time',
@@ -172,6 +170,7 @@
     return Waiter(
         call=call,
         rank=call.route.rank,
+        deadline_at=call.deadline_at,
         arrived_at=call.started_at,
         aim_at=Millis(call.started_at + aim_ms),
     )
--- a/chicorybridge/hosts/processes.py
+++ b/chicorybridge/hosts/processes.py
@@ -214,13 +214,12 @@
             self.log.emit(
                 Event(kind=EventKind.peer_lost, facts={'peer': profile.host_id})
             )
-        beating = self._voice.beat(now=now)
-        if beating:
+        if self._voice.beat(now=now):
             self._tell_dropped()
             self.knowledge.quarantine.tick(now=now)
         self.knowledge.workloads.expire(now=now)
         self.dispatcher.reporter.repeat()
-        self._sum_up(far=beating)
+        self.dispatcher.reporter.sum_up()
         self._logs.flush()
 
     def _tell_dropped(self) -> None:
@@ -232,17 +231,6 @@
         event = Event(kind=EventKind.log_lines_dropped, facts=dropped)
         self.log.emit(event)
 
-    def _sum_up(self, *, far: bool) -> None:
-        """Tell other zones what this one does, if this host is to."""
-        workloads = self.knowledge.workloads
-        if self.knowledge.sightings.zone_rank():
-            workloads.discard_answers()
-            return
-        workload = workloads.sum_up(now=self._clock.now())
-        self._voice.tell_other_zones(workload)
-        if far:
-            self._voice.tell_far(dataclasses.replace(workload, seen=()))
-
 
 async def _answer_nothing(exchange: Any, head: Any) -> bool:
     """Leave every path to the routes."""
--- a/chicorybridge/hosts/reports.py
+++ b/chicorybridge/hosts/reports.py
@@ -1,5 +1,7 @@
 """What a host tells others of its requests and of how targets did."""
 
+import dataclasses
+
 from chicorybridge import settings
 from chicorybridge.common.clocks import Clock, Millis
 from chicorybridge.common.identities import TargetId
@@ -7,6 +9,9 @@
 from chicorybridge.hosts.voices import Voice
 from chicorybridge.routing.reputations import Sign, TargetSeen
 
+# Digits of a probability that are worth their bytes.
+SOUNDNESS_DIGITS = 2
+
 
 class Reporter:
     """Keep the own part of the workload and tell of its changes.
@@ -25,6 +30,7 @@
         self._seen: list[TargetSeen] = []
         self._changed = False
         self._told_at = Millis(0)
+        self._far_told_at = Millis(0)
 
     def started(self, target_id: TargetId) -> None:
         """Count an attempt that begins."""
@@ -68,3 +74,35 @@
         if self._clock.now() - self._told_at >= settings.WORKLOAD_REPEAT_MS:
             self._changed = True
             self.flush()
+
+    def sum_up(self) -> None:
+        """Tell other zones what this one does, if this host is to.
+
+        What other regions said is passed on by whoever heard it.
+        """
+        knowledge = self._knowledge
+        while knowledge.to_pass_on:
+            self._voice.tell_zone(knowledge.to_pass_on.pop())
+        if knowledge.sightings.zone_rank():
+            knowledge.workloads.discard_answers()
+            return
+        now = self._clock.now()
+        workload = knowledge.workloads.sum_up(now=now)
+        self._voice.tell_other_zones(workload)
+        if now - self._far_told_at >= settings.FAR_SUM_MS:
+            self._far_told_at = now
+            far = dataclasses.replace(
+                workload, seen=(), soundness_by_id=self._soundness_by_id(now)
+            )
+            self._voice.tell_far_zones(far)
+
+    def _soundness_by_id(self, now: Millis) -> dict[TargetId, float]:
+        reputations = self._knowledge.reputations
+        return {
+            entry.target_id: round(
+                reputations.of(entry.target_id).sound_at(now),
+                SOUNDNESS_DIGITS,
+            )
+            for entry in self._knowledge.directory.entries_by_id.values()
+            if entry.zone_id == self._knowledge.sightings.zone_id
+        }
--- a/chicorybridge/hosts/voices.py
+++ b/chicorybridge/hosts/voices.py
@@ -8,7 +8,11 @@
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import Incarnation
 from chicorybridge.fleet.channels import Channel
-from chicorybridge.fleet.sightings import FleetMember, Sightings
+from chicorybridge.fleet.sightings import (
+    FleetMember,
+    Sightings,
+    firsts_of_zones,
+)
 from chicorybridge.hosts.settings_files import HostSettings
 from chicorybridge.hosts.states import HostState
 
@@ -73,10 +77,10 @@
         profiles = self._sightings.profiles()
         self._channel.send(message, _fleet_addresses(profiles))
 
-    def tell_far(self, message: Any) -> None:
-        """Send a message to the hosts of other regions."""
-        far = self._sightings.far()
-        self._channel.send(message, _fleet_addresses(far))
+    def tell_far_zones(self, message: Any) -> None:
+        """Send a message to one host of each zone of other regions."""
+        firsts = firsts_of_zones(self._sightings.far())
+        self._channel.send(message, _fleet_addresses(firsts))
 
     def tell_zone(self, message: Any) -> None:
         """Send a message to the hosts of the zone."""
--- a/chicorybridge/routing/queues.py
+++ b/chicorybridge/routing/queues.py
@@ -12,12 +12,13 @@
 class QueuedRequest:
     """A request that waits.
 
-    `aim_at` is the end of its route's target latency; rank 0 is the most
-    urgent.
+    `aim_at` is the end of its route's target latency, `deadline_at` the
+    time of its final answer; rank 0 is the most urgent.
     """
 
     arrived_at: Millis
     aim_at: Millis
+    deadline_at: Millis
     rank: int = 0
 
 
@@ -30,8 +31,7 @@
     Requests that can still be answered within their target latency go
     before the others. While waits are short they go in the order of
     arrival. Once the queue stands, the newest goes first: serving in order
-    would make all of them late. The late ones follow, newest first: the oldest
-    are the nearest to being refused.
+    would make all of them late. The late ones follow by their deadline.
     """
 
     def __init__(self) -> None:
@@ -70,7 +70,7 @@
             for request in self._waiting
             if now + usual_ms > request.aim_at
         ]
-        late.sort(key=lambda one: -one.arrived_at)
+        late.sort(key=lambda one: one.deadline_at)
         yield from late
 
 
--- a/chicorybridge/routing/reputations.py
+++ b/chicorybridge/routing/reputations.py
@@ -123,6 +123,15 @@
         """Forget a target that is gone, or that has started anew."""
         self._reputations_by_id.pop(target_id, None)
 
+    def adopt(
+        self, target_id: TargetId, soundness: float, *, now: Millis
+    ) -> None:
+        """Take over what another region knows, unless more is known here."""
+        reputation = self.of(target_id)
+        if now - reputation.seen_at > settings.FAR_SUM_MS:
+            reputation.soundness = soundness
+            reputation.moved_at = now
+
     def hear(self, seen: TargetSeen, *, now: Millis) -> None:
         """Take in what another host saw."""
         reputation = self.of(seen.target_id)
--- a/chicorybridge/routing/workloads.py
+++ b/chicorybridge/routing/workloads.py
@@ -1,7 +1,8 @@
 """Requests under way at each target, as told by the hosts around.
 
 Hosts of an availability zone tell each other of every change. One of them
-tells the other zones the sum, often within the region and seldom beyond.
+tells the other zones of the region the sum, and now and then one host of each
+zone of other regions, which passes it on.
 """
 
 import dataclasses
@@ -37,14 +38,18 @@
 class ZoneWorkload:
     """Tell other zones how many requests of this one each target has.
 
-    `sent_at` is on the clock of the host that sums up. `seen` tells of
-    requests that were answered since the last report.
+    `sent_at` is on the clock of the host that sums up. Within the region,
+    `seen` tells of requests that were answered since the last report; other
+    regions are told how sound each target of the zone is instead, from 0 to 1.
     """
 
     zone_id: ZoneId
     sent_at: float
     in_flight_by_id: Mapping[TargetId, int]
     seen: tuple[TargetSeen, ...] = ()
+    soundness_by_id: Mapping[TargetId, float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -273,6 +273,8 @@
 WORKLOAD_REPEAT_MS = 500.0
 WORKLOAD_SILENCE_MS = 1300.0
 ZONE_SILENCE_MS = 2500.0
+# How often other regions are told.
+FAR_SUM_MS = 500.0
 # A target that this host can't reach is avoided for this long, doubled
 # with each further failure up to so many times.
 UNREACHABLE_MS = 500.0
@@ -330,10 +332,8 @@
 QUEUE_LOOK_LEAST_MS = 10.0
 QUEUE_LOOK_MOST_MS = 30.0
 # A request is refused when less than this many times the usual latency is
-# left: most that would start then would not end in time. One whose caller
-# could still be served elsewhere, or later, is told so at half of its time.
+# left: most that would start then would not end in time.
 QUEUE_RUN_FACTOR = 1.5
-QUEUE_WAIT_SHARE = 0.5
 # Time in which a queue that stands is worked off.
 OVERLOADED_RETRY_MS = 1000.0
 
--- a/chicorybridge/tests/routing/test_reputations.py
+++ b/chicorybridge/tests/routing/test_reputations.py
@@ -66,3 +66,13 @@
     before = table.of(ONE).sound_at(START)
     table.hear(_seen(Sign.rejected), now=START)
     assert before - table.of(ONE).sound_at(START) > settings.CHOICE_MARGIN
+
+
+def test_word_of_another_region_gives_way_to_what_was_seen_here():
+    table = ReputationTable()
+    table.adopt(ONE, 0.3, now=START)
+    assert table.of(ONE).sound_at(START) == pytest.approx(0.3)
+    table.see(_seen(Sign.answered), now=START)
+    seen = table.of(ONE).sound_at(START)
+    table.adopt(ONE, 0.1, now=START)
+    assert table.of(ONE).sound_at(START) == seen
--- a/chicorybridge/tests/routing/test_selections.py
+++ b/chicorybridge/tests/routing/test_selections.py
@@ -219,3 +219,14 @@
     assert set(scene.draw(Manner.exploring, at=later)) == {'b'}
     scene.workloads.started(TargetId('b'))
     assert set(scene.draw(Manner.exploring, at=later)) == {'a'}
+
+
+def test_full_region_sends_work_to_one_that_has_room(scene):
+    scene.add('near', 'leeuwarden')
+    scene.add('far', 'eindhoven')
+    scene.see('near', Sign.answered)
+    scene.fill('near')
+    assert not scene.draw(patience=settings.WAIT_PATIENCE)
+    # The word of the other region on its target.
+    scene.reputations.adopt(TargetId('far'), 0.98, now=NOW)
+    assert set(scene.draw(patience=settings.WAIT_PATIENCE)) == {'far'}
