--- a/chicorybridge/tests/hosts/test_reports.py
+++ b/chicorybridge/tests/hosts/test_reports.py
@@ -1,34 +1,54 @@
 """What a host tells others of its requests."""
 
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
 from chicorybridge import settings
 from chicorybridge.common.clocks import ManualClock
-from chicorybridge.common.identities import TargetId, ZoneId
+from chicorybridge.common.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.fleet.directories import (
+    TargetDirectory,
+    TargetEntry,
+    TargetsChanged,
+)
 from chicorybridge.hosts.reports import Reporter
 from chicorybridge.routing.reputations import (
     ReputationTable,
     Sign,
     TargetSeen,
 )
-from chicorybridge.routing.workloads import HostWorkload, WorkloadTable
+from chicorybridge.routing.workloads import (
+    HostWorkload,
+    WorkloadTable,
+    ZoneWorkload,
+)
 
 ONE = TargetId('i-1')
+HERE = ZoneId('groningen')
 
 
 class Heard:
     """What a host knows, and what others hear of it."""
 
     def __init__(self) -> None:
-        """Start with nothing said."""
-        self.workloads = WorkloadTable(zone_id=ZoneId('groningen'))
+        """Start with nothing said, as the first host of its zone."""
+        self.workloads = WorkloadTable(zone_id=HERE)
         self.reputations = ReputationTable()
+        self.directory = TargetDirectory()
+        self.sightings = SimpleNamespace(zone_id=HERE, zone_rank=self._rank)
+        self.to_pass_on: list[Any] = []
+        self.rank = 0
         self.zone: list[Any] = []
         self.others: list[Any] = []
+        self.far: list[Any] = []
         self.tell_zone = self.zone.append
         self.tell_other_zones = self.others.append
+        self.tell_far_zones = self.far.append
+
+    def _rank(self) -> int:
+        return self.rank
 
 
 @pytest.fixture(name='clock')
@@ -88,3 +108,54 @@
     clock.advance(by_ms=settings.WORKLOAD_REPEAT_MS)
     reporter.repeat()
     assert len(heard.zone) == 3
+
+
+def _list_target(directory: TargetDirectory) -> None:
+    entry = TargetEntry(
+        target_id=ONE,
+        row_version=1,
+        service_id=ServiceId('quotes'),
+        address='127.0.0.1:1',
+        zone_id=HERE,
+        slots=6,
+        leaving=False,
+        warming=False,
+        born=1,
+    )
+    directory.merge(TargetsChanged(store_version=1, entries=(entry,)))
+
+
+def test_first_host_tells_other_regions_how_its_targets_do(
+    clock, heard, reporter
+):
+    _list_target(heard.directory)
+    reporter.started(ONE)
+    reporter.observe(_seen(Sign.broke))
+    reporter.sum_up()
+    told = heard.far.pop()
+    assert told.in_flight_by_id == {ONE: 1}
+    assert told.soundness_by_id[ONE] < settings.EXPLORED_SOUNDNESS
+    reporter.sum_up()
+    # Within the region the sum goes out more often.
+    assert (len(heard.others), heard.far) == (2, [])
+    clock.advance(by_ms=settings.FAR_SUM_MS)
+    reporter.sum_up()
+    assert heard.far
+
+
+def test_other_hosts_of_the_zone_leave_the_sum_to_the_first(heard, reporter):
+    heard.rank = 1
+    reporter.started(ONE)
+    reporter.sum_up()
+    assert not heard.others
+
+
+def test_word_of_another_region_is_passed_on_in_the_zone(heard, reporter):
+    heard.rank = 1
+    message = ZoneWorkload(
+        zone_id=ZoneId('eindhoven'), sent_at=1, in_flight_by_id={ONE: 2}
+    )
+    heard.to_pass_on.append(message)
+    reporter.sum_up()
+    reporter.sum_up()
+    assert heard.zone == [message]
