--- a/chicorybridge/tests/fleet/test_sightings.py
+++ b/chicorybridge/tests/fleet/test_sightings.py
@@ -1,5 +1,7 @@
 """Hosts heard lately, their places and ranks."""
 
+from types import MappingProxyType
+
 import pytest
 
 from chicorybridge import settings
@@ -19,11 +21,13 @@
 HERE = ZoneId('groningen')
 BESIDE = ZoneId('leeuwarden')
 FAR = ZoneId('eindhoven')
-REGIONS = {
-    HERE: RegionId('noord'),
-    BESIDE: RegionId('noord'),
-    FAR: RegionId('zuid'),
-}
+REGIONS = MappingProxyType(
+    {
+        HERE: RegionId('noord'),
+        BESIDE: RegionId('noord'),
+        FAR: RegionId('zuid'),
+    }
+)
 NOW = Millis(1000)
 
 
