--- a/chicorybridge/tools/measurements/workload_costs.py
+++ b/chicorybridge/tools/measurements/workload_costs.py
@@ -144,8 +144,8 @@
 def main() -> int:
     """Print the figures."""
     for slope in measure_sizes():
-        each, fixed = round(slope.per_unit, 1), round(slope.fixed)
-        sys.stdout.write(f'{slope.name}: {each} each, {fixed} fixed\n')
+        line = '{0.name}: {0.per_unit:.1f} each, {0.fixed:.0f} fixed\n'
+        sys.stdout.write(line.format(slope))
     micros = round(measure_receiving())
     sys.stdout.write(f'taking one report: {micros} us\n')
     return 0
