--- a/chicorybridge/tools/measurements/workload_costs.py
+++ b/chicorybridge/tools/measurements/workload_costs.py
@@ -138,7 +138,7 @@
 
 
 def _target_ids(count: int) -> list[TargetId]:
-    return [TargetId(f'i-{number:010x}') for number in range(count)]
+    return [TargetId('i-{0:010x}'.format(number)) for number in range(count)]
 
 
 def main() -> int:
