--- a/chicorybridge/hosts/placements.py
+++ b/chicorybridge/hosts/placements.py
@@ -76,7 +76,7 @@
                 self._reporter.started(option.entry.target_id)
                 self._reporter.flush()
                 return option
-        waiter = _waiter(call, self._clock.now())
+        waiter = _waiter(call)
         queue.add(waiter)
         try:
             return await self._wait(waiter, queue)
@@ -164,7 +164,7 @@
         return self._queues_by_id.setdefault(service_id, RequestQueue())
 
 
-def _waiter(call: Call, now: Millis) -> Waiter:
+def _waiter(call: Call) -> Waiter:
     left_ms = call.deadline_at - call.started_at
     aim_ms = min(call.route.target_latency_ms or left_ms, left_ms)
     return Waiter(
