--- /dev/null
+++ b/chicorybridge/tools/constants.py
@@ -0,0 +1,85 @@
+"""Writes `docs/constants.md` from the comments and values of the settings.
+
+python -m chicorybridge.tools.constants
+"""
+
+import ast
+import dataclasses
+import pathlib
+import sys
+from collections.abc import Iterable, Iterator
+
+from chicorybridge import settings
+
+PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'constants.md'
+INTRODUCTION = """# Constants
+
+Times, limits and weights that are the same on all hosts, as
+`chicorybridge/settings.py` gives them; each line says what the constants below
+it are for and where they come from. Names in `_MS` are milliseconds, `_BYTES`
+bytes; shares run from 0 to 1. What operators set is in [settings](settings.md).
+Written by `python -m chicorybridge.tools.constants`; a test holds it against
+the code.
+"""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Block:
+    """Constants under one comment."""
+
+    comment: list[str] = dataclasses.field(default_factory=list)
+    names: list[str] = dataclasses.field(default_factory=list)
+
+
+def read_blocks(source: str) -> list[Block]:
+    """Return the constants of a module, grouped by their comments."""
+    names_by_line = {
+        statement.lineno: target.id
+        for statement in ast.parse(source).body
+        if isinstance(statement, ast.Assign)
+        for target in statement.targets
+        if isinstance(target, ast.Name)
+    }
+    blocks = [Block()]
+    for number, line in enumerate(source.splitlines(), start=1):
+        if line.startswith('#'):
+            if blocks[-1].names:
+                blocks.append(Block())
+            blocks[-1].comment.append(line.lstrip('# '))
+        name = names_by_line.get(number)
+        if name is not None:
+            blocks[-1].names.append(name)
+    return blocks
+
+
+def render(blocks: Iterable[Block]) -> str:
+    """Return the page."""
+    return '\n'.join((INTRODUCTION, *_lines(blocks)))
+
+
+def _lines(blocks: Iterable[Block]) -> Iterator[str]:
+    for block in blocks:
+        yield ' '.join(block.comment)
+        yield ''
+        yield '| constant | value |'
+        yield '| --- | --- |'
+        for name in block.names:
+            constant = getattr(settings, name)
+            yield f'| `{name}` | {constant!r} |'
+        yield ''
+
+
+def whole_page() -> str:
+    """Return the page for the settings as they are."""
+    source = pathlib.Path(settings.__file__).read_text()
+    return render(read_blocks(source))
+
+
+def main() -> int:
+    """Write the page."""
+    PAGE.write_text(whole_page())
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
