Take the length of a body sent in chunks from what was read

Cause: a body without a told length counted as long as its bound, 64 MiB.

Change: a body that was read whole has the length that was read.

--- a/chicorybridge/entry/calls.py
+++ b/chicorybridge/entry/calls.py
@@ -60,10 +60,12 @@
 
     @property
     def body_bytes(self) -> int:
-        """Return the length of the body, or its bound if it is not told."""
-        if self.head.length is None:
-            return self.service.max_body_bytes
-        return self.head.length
+        """Return the length of the body, or its bound while not known."""
+        if self.head.length is not None:
+            return self.head.length
+        if self.body.whole is not None:
+            return len(self.body.whole)
+        return self.service.max_body_bytes
 
     @property
     def digest(self) -> Digest:
