Hold removals back after outages of the store, not after failures of a host

The store turned 13 hosts away from 2.5 to 11.5 s; one of them read again only at 16.4 s, as the first host of its region by then, took its own failures for an outage, and kept the removal of a target that left at 16.1 s back until 19.0 s. All of its region went on sending to that target.

Ruled out: the reads of the other region (told at 16.7 s); lost datagrams (all hosts of the region learned of it within 1 ms at 19.0 s); the looks each 100 ms for something to do.

Change: an outage is a time of 2.5 s in which no host has read the store; entries lapse after 4.5 s. It ends when any host has read it. A host that holds removals back reads after two others, which may know better.

Two tests fail on the code before.

--- a/chicorybridge/fleet/watches.py
+++ b/chicorybridge/fleet/watches.py
@@ -82,24 +82,30 @@
     """Hold back removals that an outage of the store may have caused.
 
     Entries lapse while their targets can't write. They are back shortly
-    after the store is; what is missing then is gone.
+    after the store is; what is missing then is gone. An outage shows as a
+    time in which no host has read the store: one that fails alone was
+    turned away, or cut off, while targets wrote.
     """
 
     def __init__(self) -> None:
         """Start with a store that works."""
-        self._failing = False
+        self._away = False
         self._trusted_at = Millis(0)
         self._held_by_id: dict[TargetId, int] = {}
 
-    def failed(self) -> None:
-        """Note that the store could not be read."""
-        self._failing = True
+    def watch(self, *, age_ms: float, now: Millis) -> None:
+        """Note the age of what is known of the store; run before reads."""
+        if age_ms > settings.LAPSE_GAP_MS:
+            # A host that starts has nothing that could have lapsed.
+            self._away = age_ms < settings.STALE_LONG_MS
+        elif self._away:
+            self._away = False
+            back_at = now - age_ms
+            self._trusted_at = Millis(back_at + settings.LAPSED_BACK_MS)
 
-    def succeeded(self, *, now: Millis) -> None:
-        """Note that the store was read."""
-        if self._failing:
-            self._trusted_at = Millis(now + settings.LAPSED_BACK_MS)
-        self._failing = False
+    def holds(self, *, now: Millis) -> bool:
+        """Return whether removals wait."""
+        return self._away or now < self._trusted_at
 
     def sift(self, change: TargetsChanged, *, now: Millis) -> TargetsChanged:
         """Return `change` with the removals that hold by now."""
@@ -108,7 +114,7 @@
         for target_id in change.removed:
             self._held_by_id[target_id] = change.store_version
         released: Iterable[TargetId] = ()
-        if now >= self._trusted_at:
+        if not self.holds(now=now):
             released = tuple(self._held_by_id)
             self._held_by_id.clear()
         return dataclasses.replace(change, removed=tuple(released))
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -67,10 +67,8 @@
     async def run(self) -> None:
         """Read whenever it is due, until cancelled."""
         while True:
-            rank = self._knowledge.sightings.rank()
-            schedule = self._knowledge.schedule
-            if schedule.is_due(rank=rank, now=self._clock.now()):
-                await self._read(rank)
+            if self._is_due():
+                await self._read()
             await curio.sleep(as_seconds(settings.READ_CHECK_MS))
 
     async def join(self, profile: FleetMember) -> None:
@@ -84,18 +82,27 @@
         await self._watcher.write_host(profile)
         return await self._watcher.read_hosts()
 
-    async def _read(self, rank: int) -> None:
+    def _is_due(self) -> bool:
+        now = self._clock.now()
+        schedule = self._knowledge.schedule
+        rank = self._knowledge.sightings.rank()
+        self._delay.watch(age_ms=schedule.age_ms(now=now), now=now)
+        if self._delay.holds(now=now):
+            rank += settings.HOLDING_RANKS
+        return schedule.is_due(rank=rank, now=now)
+
+    async def _read(self) -> None:
         started_at = self._clock.now()
         change = await self._try(self._read_all())
         now = self._clock.now()
         if change is None:
-            self._delay.failed()
             self._knowledge.schedule.failed(now=now)
             return
-        self._delay.succeeded(now=now)
+        schedule = self._knowledge.schedule
+        schedule.succeeded(started_at=started_at)
+        self._delay.watch(age_ms=schedule.age_ms(now=now), now=now)
         change = self._delay.sift(change, now=now)
         fresh = self._knowledge.change_targets(change, source='store')
-        self._knowledge.schedule.succeeded(started_at=started_at)
         if fresh:
             self._tell(fresh)
         self._tell(self._knowledge.mark())
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -355,8 +355,13 @@
 READ_BACKOFF_MS = 300.0
 READ_BACKOFF_TURNS = 3
 STALE_LONG_MS = 3_600_000.0
-# Entries that lapsed in an outage are back about two seconds after it.
+# Entries lapse after three missed heartbeats of their targets, 4.5 s: not when
+# hosts read the store more often than this. Those that lapsed in an outage are
+# back about two seconds after it. A host that holds removals back reads after
+# so many others, which may know better.
+LAPSE_GAP_MS = 2500.0
 LAPSED_BACK_MS = 2200.0
+HOLDING_RANKS = 2
 
 # Requests on the platform.
 # What a caller is told to wait after a refusal, before another host or
--- a/chicorybridge/tests/fleet/test_watches.py
+++ b/chicorybridge/tests/fleet/test_watches.py
@@ -71,15 +71,36 @@
 
 def test_removal_holds_at_once_while_the_store_works():
     delay = RemovalDelay()
-    delay.succeeded(now=START)
+    delay.watch(age_ms=settings.STALE_LONG_MS, now=START)
+    delay.watch(age_ms=0, now=START)
     assert delay.sift(_removed(5), now=START).removed == (ONE,)
 
 
 def test_removal_waits_after_an_outage_until_the_target_may_be_back():
     delay = RemovalDelay()
-    delay.failed()
-    delay.succeeded(now=START)
+    delay.watch(age_ms=settings.LAPSE_GAP_MS + 1, now=START)
+    assert not delay.sift(_removed(5), now=START).removed
+    delay.watch(age_ms=0, now=START)
     assert not delay.sift(_removed(5), now=START).removed
     later = Millis(START + settings.LAPSED_BACK_MS)
     nothing = TargetsChanged(store_version=6)
     assert delay.sift(nothing, now=later).removed == (ONE,)
+
+
+def test_host_that_was_turned_away_alone_trusts_removals():
+    """Others read the store all the while, so that nothing has lapsed."""
+    delay = RemovalDelay()
+    for step in range(100):
+        delay.watch(age_ms=step % 9 * 200, now=Millis(START + step * 100))
+    now = Millis(START + 10_000)
+    assert not delay.holds(now=now)
+    assert delay.sift(_removed(5), now=now).removed == (ONE,)
+
+
+def test_outage_ends_when_any_host_has_read_the_store():
+    delay = RemovalDelay()
+    delay.watch(age_ms=settings.LAPSE_GAP_MS + 1, now=START)
+    delay.watch(age_ms=500, now=START)
+    back = Millis(START - 500 + settings.LAPSED_BACK_MS)
+    assert delay.holds(now=Millis(back - 1))
+    assert not delay.holds(now=back)
