--- a/chicorybridge/tests/hosts/deployments.py
+++ b/chicorybridge/tests/hosts/deployments.py
@@ -140,6 +140,16 @@
             parse_address(self.front), request, timeout_ms=FETCH_MS
         )
 
+    async def accept_at_once(self, count: int) -> list[Response]:
+        """Send requests that may run once together; return all answers."""
+        tasks = [
+            await curio.spawn(
+                self.send('/accept/7', method='POST', request_id=f'r{serial}')
+            )
+            for serial in range(count)
+        ]
+        return [await task.join() for task in tasks]
+
     async def call(self, address: str, path: str) -> Response:
         """Make a call of the platform."""
         request = Request(method='GET', path=path)
--- a/chicorybridge/tests/hosts/test_processes.py
+++ b/chicorybridge/tests/hosts/test_processes.py
@@ -272,16 +272,8 @@
 async def test_requests_beyond_the_slots_wait_for_their_turn():
     origin = Origin(target_id='i-1', slots=1, work_s=0.2)
     async with deployed(origin) as deployment:
-        tasks = [
-            await curio.spawn(
-                deployment.send(
-                    '/accept/7', method='POST', request_id=f'r{serial}'
-                )
-            )
-            for serial in range(4)
-        ]
-        statuses = [(await task.join()).status for task in tasks]
-    assert statuses == [HTTPStatus.OK] * 4
+        found = await deployment.accept_at_once(4)
+    assert [answer.status for answer in found] == [HTTPStatus.OK] * 4
     # One besides the slots keeps the target busy.
     assert (origin.runs, origin.busiest) == (4, 2)
 
@@ -290,15 +282,7 @@
 async def test_request_that_finds_no_room_in_time_is_refused_without_running():
     origin = Origin(target_id='i-1', slots=1, work_s=0.6)
     async with deployed(origin) as deployment:
-        tasks = [
-            await curio.spawn(
-                deployment.send(
-                    '/accept/7', method='POST', request_id=f'r{serial}'
-                )
-            )
-            for serial in range(5)
-        ]
-        found = [await task.join() for task in tasks]
+        found = await deployment.accept_at_once(5)
     refused = [
         response
         for response in found
