Check in one place whether a caller has gone

The dispatcher and the wait for a target each had the same check. Behaviour stays as it was; format, lint, types and the tests of hosts and common passed.

--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -5,7 +5,6 @@
 import curio
 
 from chicorybridge import settings
-from chicorybridge.common import sockets
 from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Clock, as_seconds
 from chicorybridge.common.errors import ErrorCode, RequestError, require
@@ -17,7 +16,7 @@
 from chicorybridge.entry.forwards import Forward
 from chicorybridge.entry.refusals import RefusalError, check_relayed
 from chicorybridge.hosts.crash_checks import CrashChecks
-from chicorybridge.hosts.placements import Placements
+from chicorybridge.hosts.placements import Placements, check_caller
 from chicorybridge.hosts.policies import HostPolicies
 from chicorybridge.hosts.readers import RequestReader
 from chicorybridge.hosts.request_logs import RequestLog
@@ -186,10 +185,7 @@
 
     async def _place(self, call: Call, last: Forward | None) -> Option | None:
         """Return the next target, `None` if the last answer has to do."""
-        if sockets.is_closed(call.exchange.sock):
-            raise CallerError(
-                code=ErrorCode.stream_closed, detail='the caller has gone'
-            )
+        check_caller(call)
         try:
             self._check_crashes(call)
             return await self._placements.place(call)
--- a/chicorybridge/hosts/placements.py
+++ b/chicorybridge/hosts/placements.py
@@ -139,10 +139,7 @@
     def _check(self, waiter: Waiter) -> None:
         """Raise if it makes no sense to wait on."""
         call = waiter.call
-        if sockets.is_closed(call.exchange.sock):
-            raise CallerError(
-                code=ErrorCode.stream_closed, detail='the caller has gone'
-            )
+        check_caller(call)
         not_run = call.outcome is RequestOutcome.not_run
         if self._state.duty is HostDuty.closing and not_run:
             raise RefusalError(
@@ -164,6 +161,14 @@
         return self._queues_by_id.setdefault(service_id, RequestQueue())
 
 
+def check_caller(call: Call) -> None:
+    """Raise `CallerError` if the caller has gone."""
+    if sockets.is_closed(call.exchange.sock):
+        raise CallerError(
+            code=ErrorCode.stream_closed, detail='the caller has gone'
+        )
+
+
 def _waiter(call: Call) -> Waiter:
     left_ms = call.deadline_at - call.started_at
     aim_ms = min(call.route.target_latency_ms or left_ms, left_ms)
