Tell why a connection or a request of a caller ended without an answer

Cause: any call that ended without a status was logged as `caller_gone`: one whose caller had left, one that the host cut, and one that failed inside the host alike. The host's own ending of a connection wasn't logged at all.

Now `caller_gone` is written only if the caller closed its end or broke the protocol, `request_cut` names the error otherwise, and `connection_ended` says why the host ended a connection, whether a request was under way and whether bytes had come that were not read. The quiet end of an idle connection is counted (`connections_ended_total`), not logged, so the volume stays bounded. No decision changes.

--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -55,6 +55,8 @@
     request_ended = 505
     caller_gone = 506
     crash_suspected = 507
+    request_cut = 508
+    connection_ended = 509
     request_quarantined = 503
     claim_decided = 510
 
--- a/chicorybridge/entry/entry_processes.py
+++ b/chicorybridge/entry/entry_processes.py
@@ -83,8 +83,10 @@
         )
         self.callers = CallerTable(
             clock=clock,
+            log=self.log,
             dispatcher=self._dispatcher,
             own_answer=self._answer_own,
+            ended=self._reporter.count_ending,
         )
         self._inbox = EntryInbox(
             clock=clock,
--- a/chicorybridge/entry/entry_reports.py
+++ b/chicorybridge/entry/entry_reports.py
@@ -18,6 +18,7 @@
     MetricsReport,
 )
 from chicorybridge.entry.entry_states import EntryState
+from chicorybridge.http.caller_connections import Ending
 
 
 class EntryReporter:
@@ -65,6 +66,10 @@
         self._meters.count(f'refused_{code.name}')
         self._refused_by_code[code.name] += 1
 
+    def count_ending(self, ending: Ending) -> None:
+        """Count a connection of a caller that this process ended."""
+        self._meters.count('connections_{0}'.format(ending.name))
+
     async def report(
         self, dispatcher: Dispatcher, *, connections: int, now: Millis
     ) -> None:
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -74,13 +74,15 @@
         number = self._serial
         self.calls_by_number[number] = call
         exchange.abandonable = call.idempotent
-        self._policies.admit(call)
-        status: int | None = None
         try:
+            self._policies.admit(call)
             status = await self._run(call)
+        except BaseException as error:
+            self._request_log.unanswered(call, error, now=self._clock.now())
+            raise
         finally:
             self.calls_by_number.pop(number)
-            self._tell_end(call, status)
+        self._request_log.ended(call, status=status, now=self._clock.now())
 
     @property
     def waiting(self) -> int:
@@ -100,13 +102,6 @@
         """Answer a request that could not be read."""
         await self._refuse(exchange, error, outcome)
 
-    def _tell_end(self, call: Call, status: int | None) -> None:
-        now = self._clock.now()
-        if status is None:
-            self._request_log.abandoned(call, now=now)
-            return
-        self._request_log.ended(call, status=status, now=now)
-
     async def _run(self, call: Call) -> int:
         """Answer a call and return the status that its caller got."""
         try:
--- a/chicorybridge/hosts/metrics.py
+++ b/chicorybridge/hosts/metrics.py
@@ -29,6 +29,10 @@
         'requests': ('status', 'Requests answered, by status.'),
         'attempts': ('outcome', 'Attempts at targets, by how they ended.'),
         'refusals': ('code', 'Requests answered by the host itself, by error.'),
+        'connections_ended': (
+            'ending',
+            'Connections of callers that the host ended, by why.',
+        ),
         'log_lines_dropped': ('kind', 'Log lines above the rate, by kind.'),
     }
 )
--- a/chicorybridge/hosts/processes.py
+++ b/chicorybridge/hosts/processes.py
@@ -100,8 +100,12 @@
         )
         self.callers = CallerTable(
             clock=clock,
+            log=self.log,
             dispatcher=self.dispatcher,
             own_answer=_answer_nothing,
+            ended=lambda ending: self.metrics.count(
+                'connections_ended', ending.value
+            ),
             limits=lambda: self.state.limits,
         )
         self.metrics.watch(
--- a/chicorybridge/hosts/request_logs.py
+++ b/chicorybridge/hosts/request_logs.py
@@ -1,6 +1,7 @@
 """Lines of the log that tell the story of one request."""
 
 from chicorybridge import settings
+from chicorybridge.common import sockets
 from chicorybridge.common.attempts import Attempt
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.errors import RequestError
@@ -9,8 +10,9 @@
 from chicorybridge.entry.calls import Call
 from chicorybridge.hosts.metrics import HostMetrics
 from chicorybridge.hosts.states import HostState
+from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.dialects import Dialect
-from chicorybridge.http.exchanges import Head
+from chicorybridge.http.exchanges import ExchangeError, Head
 from chicorybridge.routing.selections import Option
 
 
@@ -95,15 +97,25 @@
         }
         self._log.emit(Event(kind=EventKind.request_ended, facts=facts))
 
-    def abandoned(self, call: Call, *, now: Millis) -> None:
-        """Tell of a caller that left before its answer."""
-        self._metrics.count('requests', 'caller_gone')
+    def unanswered(
+        self, call: Call, error: BaseException, *, now: Millis
+    ) -> None:
+        """Tell of a request that ended without an answer, and by what."""
+        kind = EventKind.request_cut
+        if isinstance(error, CallerError | ExchangeError):
+            kind = EventKind.caller_gone
+        elif sockets.is_closed(call.exchange.sock):
+            kind = EventKind.caller_gone
+        self._metrics.count('requests', kind.name)
         facts = {
             'request': self.request_id(call.head),
             'outcome': call.outcome.value,
+            'attempts': len(call.attempts),
             'elapsed_ms': round(now - call.started_at, 1),
+            'error': type(error).__name__,
+            'detail': str(error),
         }
-        self._log.emit(Event(kind=EventKind.caller_gone, facts=facts))
+        self._log.emit(Event(kind=kind, facts=facts))
 
 
 def _rounded(age_ms: float) -> int | None:
--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -3,6 +3,7 @@
 import dataclasses
 import socket
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from typing import Protocol
 
 import curio
@@ -11,6 +12,7 @@
 from chicorybridge.common import sockets
 from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.common.errors import ErrorCode, RequestError
+from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.caller_exchanges import CallerExchange
@@ -35,13 +37,31 @@
         """Answer with a problem document."""
 
 
+class Ending(Enum):
+    """Why a host ends a connection of a caller."""
+
+    # No request came for longer than the limit.
+    idle = 'idle'
+    # The head of a request took longer than the limit.
+    slow_head = 'slow_head'
+    # The caller neither sent nor took bytes of a request under way.
+    stalled = 'stalled'
+    # The caller has closed its end.
+    caller_gone = 'caller_gone'
+    # The process stops.
+    stopping = 'stopping'
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class CallerConnection:
-    """An open connection of a caller and the task that serves it."""
+    """An open connection of a caller and the task that serves it.
+
+    `ending` is set once the host has decided to end it.
+    """
 
     exchange: CallerExchange
     task: curio.Task | None = None
-    closing: bool = False
+    ending: Ending | None = None
 
 
 class CallerTable:
@@ -51,15 +71,20 @@
         self,
         *,
         clock: Clock,
+        log: EventLog,
         dispatcher: Answerer,
         own_answer: OwnAnswer,
+        ended: Callable[[Ending], None],
         limits: Callable[[], CallerLimits] = CallerLimits,
     ) -> None:
         """Start without connections.
 
         `own_answer` answers the paths of the fleet itself and returns
-        whether it did; `limits` returns the bounds in force.
+        whether it did; `limits` returns the bounds in force; `ended`
+        counts the connections that the host ends.
         """
+        self._ended = ended
+        self._log = log
         self._limits = limits
         self._clock = clock
         self._dispatcher = dispatcher
@@ -93,14 +118,15 @@
         """End connections that idle, stall or lost their caller."""
         now = self._clock.now()
         for connection in tuple(self._connections_by_number.values()):
-            if self._is_over(connection, now):
-                await self._end(connection)
+            ending = _ending_of(connection.exchange, self._limits(), now)
+            if ending is not None:
+                await self._end(connection, ending)
 
     async def close_idle(self) -> None:
         """Close the connections without a request under way."""
         for connection in tuple(self._connections_by_number.values()):
             if not connection.exchange.busy:
-                await self._end(connection)
+                await self._end(connection, Ending.stopping)
 
     async def _accept(self, listener: curio.io.Socket) -> None:
         while True:
@@ -124,20 +150,30 @@
             self._serve(self._serial, connection), daemon=True
         )
 
-    async def _end(self, connection: CallerConnection) -> None:
-        if connection.task is not None and not connection.closing:
-            connection.closing = True
-            await connection.task.cancel(blocking=False)
+    async def _end(self, connection: CallerConnection, ending: Ending) -> None:
+        if connection.task is None or connection.ending is not None:
+            return
+        connection.ending = ending
+        self._tell_ending(connection, ending)
+        await connection.task.cancel(blocking=False)
 
-    def _is_over(self, connection: CallerConnection, now: Millis) -> bool:
+    def _tell_ending(
+        self, connection: CallerConnection, ending: Ending
+    ) -> None:
+        self._ended(ending)
         exchange = connection.exchange
-        waiting_since = exchange.waiting_since
-        if not exchange.busy:
-            return _is_idle_too_long(exchange, self._limits(), now)
-        if waiting_since is not None:
-            return now - waiting_since > settings.CALLER_STALL_MS
-        # The caller of a request that may run once gets its answer kept.
-        return exchange.abandonable and sockets.is_closed(exchange.sock)
+        unread = not sockets.is_quiet(exchange.sock)
+        if ending is Ending.idle and not unread:
+            # The usual end of most connections: counted, not logged.
+            return
+        facts = {
+            'ending': ending.value,
+            'caller': exchange.caller,
+            'in_request': exchange.busy,
+            'unread': unread,
+            'waited_ms': _waited_ms(exchange, self._clock.now()),
+        }
+        self._log.emit(Event(kind=EventKind.connection_ended, facts=facts))
 
     async def _serve(self, number: int, connection: CallerConnection) -> None:
         exchange = connection.exchange
@@ -207,12 +243,34 @@
         chunk = await sock.recv(settings.RECEIVE_BYTES)
 
 
-def _is_idle_too_long(
+def _ending_of(
+    exchange: CallerExchange, limits: CallerLimits, now: Millis
+) -> Ending | None:
+    """Return why a connection is to end now, `None` if it goes on."""
+    if not exchange.busy:
+        return _ending_of_waiting(exchange, limits, now)
+    if exchange.waiting_since is not None:
+        stalled = now - exchange.waiting_since > settings.CALLER_STALL_MS
+        return Ending.stalled if stalled else None
+    # The caller of a request that may run once gets its answer kept.
+    if exchange.abandonable and sockets.is_closed(exchange.sock):
+        return Ending.caller_gone
+    return None
+
+
+def _ending_of_waiting(
     exchange: CallerExchange, limits: CallerLimits, now: Millis
-) -> bool:
+) -> Ending | None:
+    """Return why a connection without a request is to end now."""
     if exchange.head_since is not None:
-        return now - exchange.head_since > limits.head_ms
-    waiting_since = exchange.waiting_since
-    if waiting_since is None:
-        return False
-    return now - waiting_since > limits.idle_ms
+        slow = now - exchange.head_since > limits.head_ms
+        return Ending.slow_head if slow else None
+    if exchange.waiting_since is None:
+        return None
+    idle = now - exchange.waiting_since > limits.idle_ms
+    return Ending.idle if idle else None
+
+
+def _waited_ms(exchange: CallerExchange, now: Millis) -> int:
+    since = exchange.waiting_since
+    return 0 if since is None else round(now - since)
--- a/chicorybridge/tests/fronts.py
+++ b/chicorybridge/tests/fronts.py
@@ -12,9 +12,11 @@
 from chicorybridge.claims.claimants import Claimant
 from chicorybridge.common import sockets
 from chicorybridge.common.clocks import Clock, Millis
+from chicorybridge.common.events import EventLog
 from chicorybridge.common.identities import (
     Digest,
     HostId,
+    Incarnation,
     ServiceId,
     Version,
     ZoneId,
@@ -175,7 +177,16 @@
         refused=lambda code: None,
     )
     return CallerTable(
-        clock=clock, dispatcher=dispatcher, own_answer=_no_own_answer
+        clock=clock,
+        log=EventLog(
+            clock=clock,
+            host_id=HostId('h'),
+            process='entry',
+            incarnation=Incarnation(1),
+        ),
+        dispatcher=dispatcher,
+        own_answer=_no_own_answer,
+        ended=lambda ending: None,
     )
 
 
--- /dev/null
+++ b/chicorybridge/tests/hosts/test_endings.py
@@ -0,0 +1,68 @@
+"""Connections and requests that a host ends: what its logs tell of them."""
+
+import curio
+
+from chicorybridge.common import sockets
+from chicorybridge.common.events import EventKind
+from chicorybridge.hosts.policies import HostPolicies
+from chicorybridge.tests.hosts.deployments import (
+    Deployment,
+    Origin,
+    deployed,
+    on_curio,
+    until,
+)
+
+LOOKUP = (
+    b'GET /lookup/7 HTTP/1.1\r\n'
+    b'Host: quotes.example\r\n'
+    b'X-Request-Id: r\r\n'
+    b'X-Deadline-Ms: 4000\r\n\r\n'
+)
+
+
+def _events(deployment: Deployment, kind: EventKind) -> list[dict]:
+    records = deployment.host.log.recent()
+    return [one for one in records if one['number'] == kind.value]
+
+
+@on_curio
+async def test_caller_that_left_is_told_from_a_request_that_the_host_cut():
+    async with deployed(Origin(target_id='i-1', work_s=1)) as deployment:
+        sock = await sockets.connect(deployment.front)
+        await sock.sendall(LOOKUP)
+        calls = deployment.host.dispatcher.calls_by_number
+        await until(lambda: len(calls) == 1)
+        await sock.close()
+        await until(lambda: not calls)
+        assert _events(deployment, EventKind.caller_gone)
+        assert not _events(deployment, EventKind.request_cut)
+
+
+@on_curio
+async def test_request_that_fails_inside_the_host_is_logged_with_its_error(
+    monkeypatch,
+):
+    def fail(policies, call):  # noqa: WPS430
+        raise RuntimeError('no such luck')
+
+    monkeypatch.setattr(HostPolicies, 'admit', fail)
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        sock = await sockets.connect(deployment.front)
+        await sock.sendall(LOOKUP)
+        await until(lambda: _events(deployment, EventKind.request_cut))
+        cut = _events(deployment, EventKind.request_cut)[0]
+    assert (cut['request'], cut['error']) == ('r', 'RuntimeError')
+
+
+@on_curio
+async def test_connection_that_the_host_ends_tells_of_unread_bytes():
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        sock = await sockets.connect(deployment.front)
+        await until(lambda: len(deployment.host.callers) == 1)
+        # Sent by the caller and not yet seen by the task that waits for it.
+        sock._socket.send(LOOKUP)
+        await deployment.host.callers.close_idle()
+        ended = _events(deployment, EventKind.connection_ended)[0]
+        await curio.sleep(0)
+    assert (ended['ending'], ended['unread']) == ('stopping', True)
