End a connection only while its task surely waits for a request

Callers saw: a request on a connection that had been idle was read and sent to a target, which ran it, and the connection ended without an answer (LOST).

Cause: a check and the act that follows it, apart in time. Curio delivers a cancellation at once only to a suspended task; to one that is ready to run it does at its next blocking operation. A task whose request had come in the same turn of the loop read it, chose a target and sent it, all without blocking, and was cut while it waited for the answer.

Evidence, before: in test_caller_connections the request that met the idle limit, a planned stop or the limit of its head got no answer (`assert None == b'done'`, three of three), though the answerer had begun it.

Ruled out: cancellations by timeouts of attempts, which are taken inside the attempt; a caller that left, which ends its own connection.

Now a connection is ended only if its task waits inside a read and nothing has come: then the task can't be ready to run, as nothing but bytes or the end of the caller wakes it. A request that came is answered first. Both checks and the cancellation are one step of the loop. After: all pass.

--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -125,7 +125,7 @@
     async def close_idle(self) -> None:
         """Close the connections without a request under way."""
         for connection in tuple(self._connections_by_number.values()):
-            if not connection.exchange.busy:
+            if _waits_quietly(connection.exchange):
                 await self._end(connection, Ending.stopping)
 
     async def _accept(self, listener: curio.io.Socket) -> None:
@@ -262,15 +262,27 @@
     exchange: CallerExchange, limits: CallerLimits, now: Millis
 ) -> Ending | None:
     """Return why a connection without a request is to end now."""
+    if not _waits_quietly(exchange):
+        return None
     if exchange.head_since is not None:
         slow = now - exchange.head_since > limits.head_ms
         return Ending.slow_head if slow else None
-    if exchange.waiting_since is None:
-        return None
-    idle = now - exchange.waiting_since > limits.idle_ms
+    since = exchange.waiting_since
+    idle = since is not None and now - since > limits.idle_ms
     return Ending.idle if idle else None
 
 
+def _waits_quietly(exchange: CallerExchange) -> bool:
+    """Return whether a connection waits for a request and nothing has come.
+
+    Only such a task is surely suspended: a task that is ready to run would
+    be cancelled at its next blocking operation, with a request in hand.
+    """
+    if exchange.busy or exchange.waiting_since is None:
+        return False
+    return sockets.is_quiet(exchange.sock)
+
+
 def _waited_ms(exchange: CallerExchange, now: Millis) -> int:
     since = exchange.waiting_since
     return 0 if since is None else round(now - since)
