Close connections of callers without discarding answers on their way

Callers saw: an answer that the host had sent whole broke off, when the host ended the connection right after it: at a planned stop, or at the end of the process while the host waited for the caller to close (LOST).

Cause: every cancelled connection was reset. A reset throws away what the kernel has not delivered yet; with 8 ms to the caller and small windows, an answer of 30 KB takes several round trips. A planned stop looks for idle connections at most a tick after the last answer was sent.

Evidence, before: `test_answer_on_its_way_survives_the_end_of_its_connection` (a caller with a window of 4 KB) got nothing (`assert None == b'aaa...'`), `test_quiet_idle_connection_is_closed_at_its_limit` a reset (`ConnectionResetError`).

Ruled out: errors of the write itself, which end the exchange as before.

Only a connection with a request under way is reset now, so that a cut answer never looks whole; any other is closed, and the kernel delivers what was sent.

--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -182,7 +182,9 @@
         except (CallerError, ExchangeError):
             await exchange.abort()
         except curio.CancelledError:
-            await exchange.abort()
+            # An answer that was sent whole may still be on its way.
+            if exchange.busy:
+                await exchange.abort()
             raise
         finally:
             self._connections_by_number.pop(number)
--- a/chicorybridge/tests/http/test_caller_connections.py
+++ b/chicorybridge/tests/http/test_caller_connections.py
@@ -191,3 +191,26 @@
         await plane.arrive(sock, REQUEST[-2:])
         await plane.callers.sweep()
         assert await _answer_on(sock) == b'done'
+
+
+@on_curio
+async def test_answer_on_its_way_survives_the_end_of_its_connection():
+    # More than the caller takes before it reads.
+    body = b'a' * 40_000
+    async with table(Answerer(body=body, work_s=0)) as plane:
+        sock = await plane.connect(receive_bytes=4096)
+        await sock.sendall(REQUEST)
+        await curio.sleep(0.05)
+        await plane.callers.close_idle()
+        await until(lambda: not len(plane.callers))
+        assert await _answer_on(sock) == body
+
+
+@on_curio
+async def test_quiet_idle_connection_is_closed_at_its_limit():
+    async with table(Answerer()) as plane:
+        sock = await plane.connect()
+        plane.clock.advance(by_ms=IDLE_MS + 1)
+        await plane.callers.sweep()
+        assert await sock.recv(1) == b''
+        assert len(plane.callers) == 0
