End a planned stop when all that has come is answered

Callers saw: a request that the host was reading as it stopped ended with a reset, and so did one that arrived in the last moment of the stop.

Cause: the stop waited for the calls that the dispatcher knew. A request whose body is still being read is no call yet, nor is one that waits unread on its connection; after the last call the process closed what was idle and ended, and what had come meanwhile was cut with the process.

`CallerTable.finish` now stops accepting, ends connections that wait for a request, and returns when no connection is left, at the latest at the end of the grace; before it the host waits while any connection has a request or unread bytes. The entry process stops by the same call, and no longer ends while the answer to its last call is on its way.

What decides on the end of a connection moves to `http/caller_endings.py`.

--- a/chicorybridge/entry/entry_processes.py
+++ b/chicorybridge/entry/entry_processes.py
@@ -114,9 +114,7 @@
         await self._wait_unlisted()
         # Callers may go on using what they were told before.
         await curio.sleep(as_seconds(withdrawn_ms()))
-        await self.callers.stop_accepting()
-        await self.callers.close_idle()
-        await self._finish_calls()
+        await self.callers.finish()
 
     async def _wait_unlisted(self) -> None:
         deadline = self._clock.now() + settings.UNLIST_MS
@@ -125,10 +123,6 @@
                 return
             await curio.sleep(as_seconds(settings.TICK_MS))
 
-    async def _finish_calls(self) -> None:
-        while self._dispatcher.calls_by_number:
-            await curio.sleep(as_seconds(settings.TICK_MS))
-
     def _build_link(self) -> ControlLink:
         identity = Identity(
             role=Role.entry,
--- a/chicorybridge/entry/entry_reports.py
+++ b/chicorybridge/entry/entry_reports.py
@@ -18,7 +18,7 @@
     MetricsReport,
 )
 from chicorybridge.entry.entry_states import EntryState
-from chicorybridge.http.caller_connections import Ending
+from chicorybridge.http.caller_endings import Ending
 
 
 class EntryReporter:
--- a/chicorybridge/hosts/processes.py
+++ b/chicorybridge/hosts/processes.py
@@ -8,7 +8,7 @@
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
-from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.identities import draw_incarnation
 from chicorybridge.common.log_streams import BoundedHandler
@@ -175,13 +175,10 @@
         self._voice.announce()
         await curio.sleep(as_seconds(grace_ms * settings.DRAIN_SERVE_SHARE))
         self.state.duty = HostDuty.closing
-        ends_at = began + grace_ms - settings.DRAIN_MARGIN_MS
-        while self.dispatcher.calls_by_number:
-            if self._clock.now() >= ends_at:
-                break
+        ends_at = Millis(began + grace_ms - settings.DRAIN_MARGIN_MS)
+        while self.callers.pending and self._clock.now() < ends_at:
             await curio.sleep(as_seconds(settings.TICK_MS))
-        await self.callers.stop_accepting()
-        await self.callers.close_idle()
+        await self.callers.finish(ends_at=ends_at)
 
     async def _start(self) -> None:
         """Learn from seeds and the store, then wait for ever."""
--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -1,9 +1,7 @@
 """Connections of callers: serving, bounding, sweeping and closing them."""
 
 import dataclasses
-import socket
 from collections.abc import Awaitable, Callable
-from enum import Enum
 from typing import Protocol
 
 import curio
@@ -12,13 +10,22 @@
 from chicorybridge.common import sockets
 from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.common.errors import ErrorCode, RequestError
-from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.events import EventLog
 from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.caller_endings import (
+    Ending,
+    ending_event,
+    ending_of,
+    is_idle,
+    linger,
+)
 from chicorybridge.http.caller_limits import CallerLimits
 from chicorybridge.http.exchanges import ExchangeError, Head
 
+NEVER = Millis(float('inf'))
+
 OwnAnswer = Callable[[CallerExchange, Head], Awaitable[bool]]
 
 
@@ -37,21 +44,6 @@
         """Answer with a problem document."""
 
 
-class Ending(Enum):
-    """Why a host ends a connection of a caller."""
-
-    # No request came for longer than the limit.
-    idle = 'idle'
-    # The head of a request took longer than the limit.
-    slow_head = 'slow_head'
-    # The caller neither sent nor took bytes of a request under way.
-    stalled = 'stalled'
-    # The caller has closed its end.
-    caller_gone = 'caller_gone'
-    # The process stops.
-    stopping = 'stopping'
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class CallerConnection:
     """An open connection of a caller and the task that serves it.
@@ -118,16 +110,33 @@
         """End connections that idle, stall or lost their caller."""
         now = self._clock.now()
         for connection in tuple(self._connections_by_number.values()):
-            ending = _ending_of(connection.exchange, self._limits(), now)
+            ending = ending_of(connection.exchange, self._limits(), now)
             if ending is not None:
                 await self._end(connection, ending)
 
     async def close_idle(self) -> None:
-        """Close the connections without a request under way."""
+        """Close the connections that wait for a request."""
         for connection in tuple(self._connections_by_number.values()):
-            if _waits_quietly(connection.exchange):
+            if is_idle(connection.exchange):
                 await self._end(connection, Ending.stopping)
 
+    @property
+    def pending(self) -> int:
+        """Return how many connections do anything but wait for a request."""
+        connections = self._connections_by_number.values()
+        return sum(not is_idle(one.exchange) for one in connections)
+
+    async def finish(self, *, ends_at: Millis = NEVER) -> None:
+        """Stop accepting; return when all that has come is answered.
+
+        What is not answered at `ends_at` is left as it is.
+        """
+        await self.stop_accepting()
+        await self.close_idle()
+        while len(self) and self._clock.now() < ends_at:
+            await curio.sleep(as_seconds(settings.TICK_MS))
+            await self.close_idle()
+
     async def _accept(self, listener: curio.io.Socket) -> None:
         while True:
             sock, _ = await listener.accept()
@@ -154,26 +163,11 @@
         if connection.task is None or connection.ending is not None:
             return
         connection.ending = ending
-        self._tell_ending(connection, ending)
-        await connection.task.cancel(blocking=False)
-
-    def _tell_ending(
-        self, connection: CallerConnection, ending: Ending
-    ) -> None:
         self._ended(ending)
-        exchange = connection.exchange
-        unread = not sockets.is_quiet(exchange.sock)
-        if ending is Ending.idle and not unread:
-            # The usual end of most connections: counted, not logged.
-            return
-        facts = {
-            'ending': ending.value,
-            'caller': exchange.caller,
-            'in_request': exchange.busy,
-            'unread': unread,
-            'waited_ms': _waited_ms(exchange, self._clock.now()),
-        }
-        self._log.emit(Event(kind=EventKind.connection_ended, facts=facts))
+        event = ending_event(connection.exchange, ending, self._clock.now())
+        if event is not None:
+            self._log.emit(event)
+        await connection.task.cancel(blocking=False)
 
     async def _serve(self, number: int, connection: CallerConnection) -> None:
         exchange = connection.exchange
@@ -195,7 +189,7 @@
         while head is not None:
             await self._answer(exchange, head)
             if not exchange.next_cycle():
-                await self._linger(exchange)
+                await linger(exchange)
                 return
             head = await self._next_head(exchange)
 
@@ -223,68 +217,4 @@
             raise error
         refused = RequestError(code=error.code, detail=error.detail)
         await self._dispatcher.refuse(exchange, refused, RequestOutcome.not_run)
-        await self._linger(exchange)
-
-    async def _linger(self, exchange: CallerExchange) -> None:
-        """Let the answer arrive before the connection is closed.
-
-        Closing with unread bytes would reset the connection and may take
-        the answer from the caller.
-        """
-        try:
-            await exchange.sock.shutdown(socket.SHUT_WR)
-            async with curio.timeout_after(as_seconds(settings.LINGER_MS)):
-                await _discard(exchange.sock)
-        except (OSError, curio.TaskTimeout):
-            return
-
-
-async def _discard(sock: curio.io.Socket) -> None:
-    chunk = await sock.recv(settings.RECEIVE_BYTES)
-    while chunk:
-        chunk = await sock.recv(settings.RECEIVE_BYTES)
-
-
-def _ending_of(
-    exchange: CallerExchange, limits: CallerLimits, now: Millis
-) -> Ending | None:
-    """Return why a connection is to end now, `None` if it goes on."""
-    if not exchange.busy:
-        return _ending_of_waiting(exchange, limits, now)
-    if exchange.waiting_since is not None:
-        stalled = now - exchange.waiting_since > settings.CALLER_STALL_MS
-        return Ending.stalled if stalled else None
-    # The caller of a request that may run once gets its answer kept.
-    if exchange.abandonable and sockets.is_closed(exchange.sock):
-        return Ending.caller_gone
-    return None
-
-
-def _ending_of_waiting(
-    exchange: CallerExchange, limits: CallerLimits, now: Millis
-) -> Ending | None:
-    """Return why a connection without a request is to end now."""
-    if not _waits_quietly(exchange):
-        return None
-    if exchange.head_since is not None:
-        slow = now - exchange.head_since > limits.head_ms
-        return Ending.slow_head if slow else None
-    since = exchange.waiting_since
-    idle = since is not None and now - since > limits.idle_ms
-    return Ending.idle if idle else None
-
-
-def _waits_quietly(exchange: CallerExchange) -> bool:
-    """Return whether a connection waits for a request and nothing has come.
-
-    Only such a task is surely suspended: a task that is ready to run would
-    be cancelled at its next blocking operation, with a request in hand.
-    """
-    if exchange.busy or exchange.waiting_since is None:
-        return False
-    return sockets.is_quiet(exchange.sock)
-
-
-def _waited_ms(exchange: CallerExchange, now: Millis) -> int:
-    since = exchange.waiting_since
-    return 0 if since is None else round(now - since)
+        await linger(exchange)
--- a/chicorybridge/tests/hosts/test_endings.py
+++ b/chicorybridge/tests/hosts/test_endings.py
@@ -5,6 +5,7 @@
 from chicorybridge.common import sockets
 from chicorybridge.common.events import EventKind
 from chicorybridge.hosts.policies import HostPolicies
+from chicorybridge.hosts.states import HostDuty
 from chicorybridge.tests.hosts.deployments import (
     Deployment,
     Origin,
@@ -20,6 +21,14 @@
     b'X-Deadline-Ms: 4000\r\n\r\n'
 )
 
+UPLOAD = (
+    b'POST /accept/7 HTTP/1.1\r\n'
+    b'Host: quotes.example\r\n'
+    b'X-Request-Id: r\r\n'
+    b'X-Deadline-Ms: 4000\r\n'
+    b'Content-Length: 10\r\n\r\n'
+)
+
 
 def _events(deployment: Deployment, kind: EventKind) -> list[dict]:
     records = deployment.host.log.recent()
@@ -87,3 +96,21 @@
         await deployment.host.callers.close_idle()
         await until(lambda: _events(deployment, EventKind.request_ended))
         assert not _events(deployment, EventKind.connection_ended)
+
+
+@on_curio
+async def test_stop_waits_for_the_answer_to_an_upload_that_is_being_read():
+    origin = Origin(target_id='i-1')
+    async with deployed(origin) as deployment:
+        sock = await sockets.connect(deployment.front)
+        stop = await curio.spawn(deployment.host.drain, None)
+        await curio.sleep(0.6)
+        await sock.sendall(UPLOAD + b'photo')
+        await until(lambda: deployment.host.state.duty is HostDuty.closing)
+        await curio.sleep(0.2)
+        assert not stop.terminated
+        await sock.sendall(b'graph')
+        answer = await sock.recv(65536)
+        await sock.close()
+        await stop.join()
+    assert answer.startswith(b'HTTP/1.1 200 ')
--- a/chicorybridge/tests/http/test_caller_connections.py
+++ b/chicorybridge/tests/http/test_caller_connections.py
@@ -214,3 +214,28 @@
         await plane.callers.sweep()
         assert await sock.recv(1) == b''
         assert len(plane.callers) == 0
+
+
+@on_curio
+async def test_planned_stop_ends_after_requests_that_are_still_arriving():
+    async with table(Answerer()) as plane:
+        sock = await plane.connect()
+        await sock.sendall(REQUEST[:-2])
+        await curio.sleep(0.05)
+        stop = await curio.spawn(plane.callers.finish)
+        await curio.sleep(0.05)
+        await sock.sendall(REQUEST[-2:])
+        assert await _answer_on(sock) == b'done'
+        await stop.join()
+        assert len(plane.callers) == 0
+
+
+@on_curio
+async def test_planned_stop_ends_in_time_whatever_is_still_arriving():
+    async with table(Answerer()) as plane:
+        sock = await plane.connect()
+        await sock.sendall(REQUEST[:-2])
+        await curio.sleep(0.05)
+        async with curio.timeout_after(WITHIN_S):
+            await plane.callers.finish(ends_at=plane.clock.now())
+        assert len(plane.callers) == 1
