Start no request that a stopping host may not finish

Callers saw: an upload whose body ended after the host had stopped to take requests was run, and cut at the end of the grace if its target was slow.

Cause: requests were refused by their head once the host closes, and again while they waited for room; one whose body was read meanwhile went straight to a target that had room.

Evidence, before: `test_stop_refuses_an_upload_that_it_has_read_and_does_not_ run_it` got 200 for an upload that ended 0.2 s after the closing began.

--- a/chicorybridge/hosts/placements.py
+++ b/chicorybridge/hosts/placements.py
@@ -66,9 +66,10 @@
     async def place(self, call: Call) -> Option:
         """Return the target of the next attempt.
 
-        Raise `RefusalError` if none has room in time, `CallerError` if the
-        caller leaves first.
+        Raise `RefusalError` if none has room in time or the host leaves,
+        `CallerError` if the caller leaves first.
         """
+        self._check_leaving(call)
         queue = self._queue(call.service.service_id)
         if not len(queue):
             option = self._policies.choose(call)
@@ -140,13 +141,7 @@
         """Raise if it makes no sense to wait on."""
         call = waiter.call
         check_caller(call)
-        not_run = call.outcome is RequestOutcome.not_run
-        if self._state.duty is HostDuty.closing and not_run:
-            raise RefusalError(
-                code=ErrorCode.host_leaving,
-                detail='this host is stopping',
-                retry_after_ms=settings.HOST_LEAVING_RETRY_MS,
-            )
+        self._check_leaving(call)
         left_ms = call.deadline_at - self._clock.now()
         usual_ms = self._policies.usual_ms(call.service.service_id)
         if left_ms < usual_ms * settings.QUEUE_RUN_FACTOR:
@@ -157,6 +152,16 @@
                 retry_after_ms=settings.OVERLOADED_RETRY_MS,
             )
 
+    def _check_leaving(self, call: Call) -> None:
+        """Raise if the host may end before a first run of the call does."""
+        not_run = call.outcome is RequestOutcome.not_run
+        if self._state.duty is HostDuty.closing and not_run:
+            raise RefusalError(
+                code=ErrorCode.host_leaving,
+                detail='this host is stopping',
+                retry_after_ms=settings.HOST_LEAVING_RETRY_MS,
+            )
+
     def _queue(self, service_id: ServiceId) -> RequestQueue[Waiter]:
         return self._queues_by_id.setdefault(service_id, RequestQueue())
 
