Count idle time under a shorter limit from when it came into force

Callers saw: connections that were within the limit they knew were closed when a configuration with a shorter one came into force, on all hosts at once; a request on its way then met a closed connection.

A wait now counts from the change at the earliest, so callers have the whole new limit to learn of it; a longer limit only gives more time. Nothing else of the configuration waits.

--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -78,6 +78,8 @@
         self._ended = ended
         self._log = log
         self._limits = limits
+        self._swept_limits: CallerLimits | None = None
+        self._limits_since = clock.now()
         self._clock = clock
         self._dispatcher = dispatcher
         self._own_answer = own_answer
@@ -109,8 +111,18 @@
     async def sweep(self) -> None:
         """End connections that idle, stall or lost their caller."""
         now = self._clock.now()
+        limits = self._limits()
+        if limits != self._swept_limits:
+            if self._swept_limits is not None:
+                self._limits_since = now
+            self._swept_limits = limits
         for connection in tuple(self._connections_by_number.values()):
-            ending = ending_of(connection.exchange, self._limits(), now)
+            ending = ending_of(
+                connection.exchange,
+                limits,
+                limits_since=self._limits_since,
+                now=now,
+            )
             if ending is not None:
                 await self._end(connection, ending)
 
--- a/chicorybridge/http/caller_endings.py
+++ b/chicorybridge/http/caller_endings.py
@@ -29,11 +29,19 @@
 
 
 def ending_of(
-    exchange: CallerExchange, limits: CallerLimits, now: Millis
+    exchange: CallerExchange,
+    limits: CallerLimits,
+    *,
+    limits_since: Millis,
+    now: Millis,
 ) -> Ending | None:
-    """Return why a connection is to end now, `None` if it goes on."""
+    """Return why a connection is to end now, `None` if it goes on.
+
+    Waits that began before `limits_since` count from there: a caller may
+    go by the limit that was in force before.
+    """
     if not exchange.busy:
-        return _ending_of_waiting(exchange, limits, now)
+        return _ending_of_waiting(exchange, limits, limits_since, now)
     if exchange.waiting_since is not None:
         stalled = now - exchange.waiting_since > settings.CALLER_STALL_MS
         return Ending.stalled if stalled else None
@@ -44,17 +52,20 @@
 
 
 def _ending_of_waiting(
-    exchange: CallerExchange, limits: CallerLimits, now: Millis
+    exchange: CallerExchange,
+    limits: CallerLimits,
+    limits_since: Millis,
+    now: Millis,
 ) -> Ending | None:
     """Return why a connection without a request is to end now."""
-    if not _waits_quietly(exchange):
+    waiting_since = exchange.waiting_since
+    if waiting_since is None or not _waits_quietly(exchange):
         return None
     if exchange.head_since is not None:
         slow = now - exchange.head_since > limits.head_ms
         return Ending.slow_head if slow else None
-    since = exchange.waiting_since
-    idle = since is not None and now - since > limits.idle_ms
-    return Ending.idle if idle else None
+    idle_ms = now - max(waiting_since, limits_since)
+    return Ending.idle if idle_ms > limits.idle_ms else None
 
 
 def is_idle(exchange: CallerExchange) -> bool:
--- a/chicorybridge/tests/http/test_caller_connections.py
+++ b/chicorybridge/tests/http/test_caller_connections.py
@@ -239,3 +239,18 @@
         async with curio.timeout_after(WITHIN_S):
             await plane.callers.finish(ends_at=plane.clock.now())
         assert len(plane.callers) == 1
+
+
+@on_curio
+async def test_shorter_idle_limit_ends_no_connection_before_callers_know_it():
+    async with table(Answerer()) as plane:
+        sock = await plane.connect()
+        plane.clock.advance(by_ms=IDLE_MS / 2)
+        await plane.callers.sweep()
+        plane.limits = CallerLimits(idle_ms=IDLE_MS // 3)
+        await plane.callers.sweep()
+        await sock.sendall(REQUEST)
+        assert await _answer_on(sock) == b'done'
+        plane.clock.advance(by_ms=IDLE_MS / 3 + 1)
+        await plane.callers.sweep()
+        assert await sock.recv(1) == b''
