Spend no retry on an attempt that reached no target

Callers of an entry saw: 502 with the outcome not-run although a sound target was there, after a second look at a target that takes no connections.

Cause: the budget of retries counted each further attempt, whether the last one had been sent or not. With few requests the budget holds two; an answer of the sound target that took 20 ms or more made the choice look at the other one again, and the second retry was refused.

The new test failed before (`assert 502 == 200`).

Ruled out: a port taken again by another process, and the deadline (4.99 s of 5 s were left).

What never arrived adds no load, so it draws on no budget; attempts of one request stay bounded by `MAX_ATTEMPTS`. The process of a host counts so already.

--- a/chicorybridge/routing/retries.py
+++ b/chicorybridge/routing/retries.py
@@ -121,7 +121,8 @@
     ) -> RetryDecision:
         """Decide on a request whose last attempt has just ended."""
         retry = self._is_eligible(facts, attempts, now)
-        if retry:
+        if retry and attempts[-1].sent_bytes:
+            # What never arrived adds nothing to the load of targets.
             retry = self._withdraw(facts.service_id, now)
         return RetryDecision(
             retry=retry,
--- a/chicorybridge/tests/entry/test_dispatchers.py
+++ b/chicorybridge/tests/entry/test_dispatchers.py
@@ -220,6 +220,20 @@
         assert plane.targets[0].connections > 0
 
 
+async def test_budget_of_retries_is_not_spent_on_what_was_never_sent():
+    """A target that is gone may be looked at again after a slow answer."""
+
+    async def slow_once(target, sock, data):  # noqa: WPS430
+        if len(target.received) == 2:
+            await curio.sleep(0.05)
+        await sock.sendall(OK)
+
+    async with front(slow_once, gone_targets=1) as plane:
+        for _ in range(6):
+            answer = await plane.exchange(POST + LAST + b'body')
+            assert _status(answer) == 200
+
+
 async def test_shedding_target_is_left_for_another():
     """A target that says it ran nothing may be followed by another."""
     shed = (
