Keep accepting after a connection that could not be accepted

What callers would see: a host that ends at once, with every request under way cut (LOST), because one connection failed while it was taken.

Cause: an error of `accept`, or of an option set on a connection that its other end has reset meanwhile, left the accepting task; the process ends with the first of its tasks that fails. The kernel reports there what concerns a single connection (ECONNABORTED, EPROTO) or a shortage that passes (EMFILE).

All four loops that accept use one function now, which logs such an error, waits a moment and goes on; a closed listener still raises.

--- a/chicorybridge/common/sockets.py
+++ b/chicorybridge/common/sockets.py
@@ -1,11 +1,18 @@
 """Sockets of curio: opening, probing without reading, aborting."""
 
+import errno
+import logging
 import select
 import socket
 import struct
 
 import curio
 
+from chicorybridge import settings
+from chicorybridge.common.clocks import as_seconds
+
+logger = logging.getLogger(__name__)
+
 # Zero linger: closing resets the connection instead of ending it.
 NO_LINGER = struct.pack('ii', 1, 0)
 
@@ -36,6 +43,29 @@
     )
 
 
+async def accept(listener: curio.io.Socket) -> tuple[curio.io.Socket, str]:
+    """Return the next connection and the IP number of its other end.
+
+    It sends small writes at once. Raise `OSError` if the listener is closed.
+    """
+    while True:
+        try:
+            sock, source = await listener.accept()
+            disable_delay(sock)
+        except OSError as error:
+            await _pass_over(error)
+            continue
+        return sock, source[0]
+
+
+async def _pass_over(error: OSError) -> None:
+    """Wait after a failed connection; raise if the listener is closed."""
+    if error.errno == errno.EBADF:
+        raise error
+    logger.warning('connection not accepted: %s', error)
+    await curio.sleep(as_seconds(settings.ACCEPT_RETRY_MS))
+
+
 def bound_address(listener: curio.io.Socket) -> str:
     """Return the IP:PORT that a listening socket is bound to."""
     return join_address(listener.getsockname())
--- a/chicorybridge/control/stream_servers.py
+++ b/chicorybridge/control/stream_servers.py
@@ -49,8 +49,7 @@
     async def accept(self, listener: curio.io.Socket) -> None:
         """Accept streams until cancelled."""
         while True:
-            sock, _ = await listener.accept()
-            sockets.disable_delay(sock)
+            sock, _ = await sockets.accept(listener)
             await curio.spawn(self._serve(sock), daemon=True)
 
     async def _serve(self, sock: curio.io.Socket) -> None:
--- a/chicorybridge/fleet/snapshots.py
+++ b/chicorybridge/fleet/snapshots.py
@@ -43,7 +43,7 @@
     async def run(self, listener: curio.io.Socket) -> None:
         """Accept until cancelled."""
         while True:
-            sock, _ = await listener.accept()
+            sock, _ = await sockets.accept(listener)
             await curio.spawn(self._serve(sock), daemon=True)
 
     async def _serve(self, sock: curio.io.Socket) -> None:
--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -151,11 +151,10 @@
 
     async def _accept(self, listener: curio.io.Socket) -> None:
         while True:
-            sock, _ = await listener.accept()
+            sock, _ = await sockets.accept(listener)
             if len(self) >= settings.MAX_CALLERS:
                 await sockets.abort(sock)
                 continue
-            sockets.disable_delay(sock)
             await self._add(sock)
 
     async def _add(self, sock: curio.io.Socket) -> None:
--- a/chicorybridge/http/services.py
+++ b/chicorybridge/http/services.py
@@ -7,14 +7,13 @@
 import dataclasses
 import itertools
 import logging
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any
 
 import curio
 import h11
 
-from chicorybridge.common import clocks
+from chicorybridge.common import clocks, sockets
 
 CLOCK = clocks.Clock()
 
@@ -211,8 +210,7 @@
     async def run(self) -> None:
         """Accept until cancelled."""
         while True:
-            sock, (source, _) = await self._listener.accept()
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock, source = await sockets.accept(self._listener)
             connection = ServerConnection(
                 sock=sock,
                 source=source,
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -81,6 +81,9 @@
 RETRY_BOUND_SHARE = 0.9
 MAX_ATTEMPTS = 3
 
+# Wait after a connection that could not be accepted: descriptors may be short.
+ACCEPT_RETRY_MS = 20
+
 # Choice of target.
 CHOICE_SAMPLES = 3
 CHOICE_DRAWS = 12
