Finish requests under way when a part of the process fails

What callers would see: every request under way on a host cut at once (LOST), because one of the tasks of its process failed.

Cause: `serve` drained after a signal only; when a task ended with an error it raised at once, and the end of the process reset all connections.

Evidence: by reading, while looking for other ways in which connections end. `test_request_under_way_outlives_a_failing_part_of_the_process` failed before (the host was still taking requests as the process ended).

The process now answers what has come, within the grace, takes nothing more and raises the error then; its end and restart stay as they were.

--- a/chicorybridge/common/binaries.py
+++ b/chicorybridge/common/binaries.py
@@ -32,6 +32,9 @@
     async def drain(self, listener: curio.io.Socket) -> None:
         """Finish all work of a planned stop."""
 
+    async def finish(self) -> None:
+        """Finish what is under way after a part of the process failed."""
+
 
 class ProcessCommand(Command):
     """Base of the commands that run one process of a host."""
@@ -95,12 +98,16 @@
 async def serve(
     process: Process, listener: curio.io.Socket, signals: StopSignals
 ) -> None:
-    """Serve until a stop signal, then drain; raise what ends it early."""
+    """Serve until a stop signal, then drain.
+
+    What ends it early is raised once the work under way is finished.
+    """
     ended = curio.Event()
     running = await curio.spawn(_run(process, listener, ended))
     await curio.spawn(_wait(signals, ended), daemon=True)
     await ended.wait()
     if running.terminated:
+        await process.finish()
         await running.join()
     process.log.emit(Event(kind=EventKind.process_stopping))
     await process.drain(listener)
--- a/chicorybridge/control/control_processes.py
+++ b/chicorybridge/control/control_processes.py
@@ -116,6 +116,10 @@
         await self._carry_out(self.systems.members.depart())
         await self.links.flush()
 
+    async def finish(self) -> None:
+        """Leave the requests to the entries, which go on without control."""
+        await self.links.flush()
+
     async def _raise_broken_promise(self) -> None:
         await self._is_broken.wait()
         if self._broken is not None:
--- a/chicorybridge/entry/entry_processes.py
+++ b/chicorybridge/entry/entry_processes.py
@@ -8,7 +8,7 @@
 from chicorybridge.claims.claim_messages import EntryId
 from chicorybridge.claims.claimants import Claimant
 from chicorybridge.common import sockets
-from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.common.events import EventLog
 from chicorybridge.common.identities import draw_incarnation
 from chicorybridge.common.systems import Emit, Send
@@ -116,6 +116,12 @@
         await curio.sleep(as_seconds(withdrawn_ms()))
         await self.callers.finish()
 
+    async def finish(self) -> None:
+        """Answer what has come and take nothing more."""
+        self.state.duty = Duty.draining
+        ends_at = self._clock.now() + settings.DRAIN_CLOSE_MS
+        await self.callers.finish(ends_at=Millis(ends_at))
+
     async def _wait_unlisted(self) -> None:
         deadline = self._clock.now() + settings.UNLIST_MS
         while self._clock.now() < deadline:
--- a/chicorybridge/hosts/processes.py
+++ b/chicorybridge/hosts/processes.py
@@ -169,13 +169,23 @@
 
     async def drain(self, listener: curio.io.Socket) -> None:
         """Serve whoever still comes, then finish all; within the grace."""
-        began = self._clock.now()
-        grace_ms = self._given.bounds.grace_ms
+        ends_at = self._grace_ends_at()
         self.state.duty = HostDuty.draining
         self._voice.announce()
+        grace_ms = self._given.bounds.grace_ms
         await curio.sleep(as_seconds(grace_ms * settings.DRAIN_SERVE_SHARE))
+        await self._finish_until(ends_at)
+
+    async def finish(self) -> None:
+        """Answer what has come and take nothing more; within the grace."""
+        await self._finish_until(self._grace_ends_at())
+
+    def _grace_ends_at(self) -> Millis:
+        grace_ms = self._given.bounds.grace_ms - settings.DRAIN_MARGIN_MS
+        return Millis(self._clock.now() + grace_ms)
+
+    async def _finish_until(self, ends_at: Millis) -> None:
         self.state.duty = HostDuty.closing
-        ends_at = Millis(began + grace_ms - settings.DRAIN_MARGIN_MS)
         while self.callers.pending and self._clock.now() < ends_at:
             await curio.sleep(as_seconds(settings.TICK_MS))
         await self.callers.finish(ends_at=ends_at)
--- a/chicorybridge/tests/hosts/deployments.py
+++ b/chicorybridge/tests/hosts/deployments.py
@@ -7,7 +7,8 @@
 import os
 import random
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeAlias
 
 import curio
 
@@ -39,6 +40,8 @@
 _ports = itertools.count(20_000 + os.getpid() % 100 * 100)
 FETCH_MS = 5000
 
+Run: TypeAlias = Callable[[Host, curio.io.Socket], Awaitable[None]]
+
 
 @dataclasses.dataclass(kw_only=True)
 class Origin:
@@ -160,9 +163,12 @@
 
 @contextlib.asynccontextmanager
 async def deployed(
-    *origins: Origin, ready: bool = True
+    *origins: Origin, ready: bool = True, run: Run = Host.run
 ) -> AsyncIterator[Deployment]:
-    """Run a store, `origins` and a host until the block ends."""
+    """Run a store, `origins` and a host until the block ends.
+
+    `run` serves the host on a listener.
+    """
     store = RowStore()
     tasks = curio.TaskGroup()
     store_listener = sockets.listen('127.0.0.1:0')
@@ -180,7 +186,7 @@
         rng=random.Random(1),
         logs=BoundedHandler(descriptor=1, clock=Clock(), bytes_per_second=0),
     )
-    running = await curio.spawn(host.run, listener)
+    running = await curio.spawn(run, host, listener)
     deployment = Deployment(
         store=store,
         origins={origin.target_id: origin for origin in origins},
--- a/chicorybridge/tests/hosts/test_endings.py
+++ b/chicorybridge/tests/hosts/test_endings.py
@@ -1,10 +1,15 @@
 """Connections and requests that a host ends: what its logs tell of them."""
 
+from http import HTTPStatus
+
 import curio
 
 from chicorybridge.common import sockets
+from chicorybridge.common.binaries import serve
 from chicorybridge.common.events import EventKind
+from chicorybridge.common.processes import StopSignals
 from chicorybridge.hosts.policies import HostPolicies
+from chicorybridge.hosts.processes import Host
 from chicorybridge.hosts.states import HostDuty
 from chicorybridge.tests.hosts.deployments import (
     Deployment,
@@ -115,3 +120,35 @@
         await stop.join()
     assert answer.startswith(b'HTTP/1.1 503 ')
     assert not origin.runs
+
+
+class NoSignals(StopSignals):
+    """Never asks the process to stop."""
+
+    def __init__(self) -> None:
+        """Catch nothing."""
+
+    async def wait(self) -> int:
+        """Wait for ever."""
+        await curio.Event().wait()
+        return 0
+
+
+@on_curio
+async def test_request_under_way_outlives_a_failing_part_of_the_process(
+    monkeypatch,
+):
+    async def run(host, listener):  # noqa: WPS430
+        await serve(host, listener, NoSignals())
+
+    async def fail(host):  # noqa: WPS430
+        raise RuntimeError('no such luck')
+
+    origin = Origin(target_id='i-1', work_s=0.5)
+    async with deployed(origin, run=run) as deployment:
+        sent = await curio.spawn(deployment.send('/accept/7', method='POST'))
+        await until(lambda: origin.runs)
+        monkeypatch.setattr(Host, '_tick', fail)
+        answer = await sent.join()
+        assert deployment.host.state.duty is HostDuty.closing
+    assert answer.status == HTTPStatus.OK
