Answer HEAD requests that the host refuses

What callers saw: the connection was reset, without an answer, whenever the host itself had to answer a HEAD request: no route, no room at a target, an attempt that failed. The targets' answers to HEAD did arrive.

Cause: the host sent its problem document with a body. h11 takes no body in an answer to HEAD and refused it, which was taken for a broken connection of the caller.

Evidence: test_refused_head_request_is_answered_without_a_body failed before for 404 and 503, and so did the pipelined test_requests_sent_at_once_are_answered_in_order, which holds a HEAD request: "ConnectionResetError: [Errno 104] Connection reset by peer". The same requests with GET were answered, so the refusal as such was not at fault.

Now the caller's side of an exchange knows the method and leaves the body out, whoever made the answer. Its headers stay, the length included, as the protocol has it for HEAD.

--- a/chicorybridge/http/caller_exchanges.py
+++ b/chicorybridge/http/caller_exchanges.py
@@ -12,6 +12,7 @@
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.http.exchanges import (
     CONTENT_LENGTH,
+    HEAD,
     TRANSFER_ENCODING,
     Exchange,
     ExchangeError,
@@ -45,6 +46,7 @@
         # Whether the request under way ends when its caller goes away.
         self.abandonable = True
         self._raw_head = b''
+        self._method = b''
         self.caller = sockets.peer_host(sock)
 
     async def next_request(self) -> Head | None:
@@ -54,6 +56,7 @@
             return None
         self.head_since = None
         self.busy = True
+        self._method = event.method
         self._check_framing(event)
         head = _request_head(event)
         if head.length == 0:
@@ -76,9 +79,9 @@
     async def answer(
         self, *, status: int, headers: Headers, body: bytes
     ) -> None:
-        """Send a whole answer in one write."""
+        """Send a whole answer in one write, to HEAD without its body."""
         events: list[Any] = [h11.Response(status_code=status, headers=headers)]
-        if body:
+        if body and self._method != HEAD:
             events.append(h11.Data(data=body))
         await self.send(*events, h11.EndOfMessage())
 
@@ -90,6 +93,7 @@
     def next_cycle(self) -> bool:
         """Make ready for another request; `False` if the caller must go."""
         self.busy = False
+        self._method = b''
         if self._conn.our_state is not h11.DONE:
             return False
         if self._conn.their_state is not h11.DONE:
--- a/chicorybridge/http/exchanges.py
+++ b/chicorybridge/http/exchanges.py
@@ -14,6 +14,9 @@
 # Names are lower case, as h11 gives them.
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 
+# The method whose answers have no body, whatever their headers say.
+HEAD = b'HEAD'
+
 CONTENT_LENGTH = b'content-length'
 TRANSFER_ENCODING = b'transfer-encoding'
 CHUNKED = (TRANSFER_ENCODING, b'chunked')
--- a/chicorybridge/http/target_exchanges.py
+++ b/chicorybridge/http/target_exchanges.py
@@ -9,6 +9,7 @@
 from chicorybridge.common.clocks import Clock
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.http.exchanges import (
+    HEAD,
     TRANSFER_ENCODING,
     Exchange,
     ExchangeError,
@@ -120,7 +121,7 @@
     def _answer_head(self, response: h11.Response) -> Head:
         headers = list(response.headers)
         bodiless = (
-            self._method == b'HEAD' or response.status_code in BODILESS_STATUSES
+            self._method == HEAD or response.status_code in BODILESS_STATUSES
         )
         length = 0 if bodiless else length_of(headers)
         chunked = any(name == TRANSFER_ENCODING for name, _ in headers)
--- /dev/null
+++ b/chicorybridge/tests/hosts/test_unanswered_requests.py
@@ -0,0 +1,60 @@
+"""Every request that a host has read ends with a true answer."""
+
+from http import HTTPStatus
+
+import pytest
+
+from chicorybridge.common import sockets
+from chicorybridge.tests.fronts import read_all
+from chicorybridge.tests.hosts.deployments import (
+    Deployment,
+    Origin,
+    deployed,
+    on_curio,
+)
+
+LAST = b'Connection: close\r\n'
+
+
+async def _exchange(deployment: Deployment, *requests: bytes) -> bytes:
+    """Send requests on one connection and read until it ends."""
+    sock = await sockets.connect(deployment.front)
+    await sock.sendall(b''.join(requests))
+    return await read_all(sock)
+
+
+def _request(start: bytes, *lines: bytes, body: bytes = b'') -> bytes:
+    head = b'%s HTTP/1.1\r\nHost: quotes.example\r\nX-Request-Id: r\r\n' % start
+    return b''.join((head, *lines, b'\r\n', body))
+
+
+def _status(answer: bytes) -> int:
+    return int(answer.split(b' ', 2)[1])
+
+
+@pytest.mark.parametrize(
+    ('path', 'status'),
+    [
+        (b'/nowhere/', HTTPStatus.NOT_FOUND),
+        (b'/lookup/7', HTTPStatus.SERVICE_UNAVAILABLE),
+    ],
+)
+@on_curio
+async def test_refused_head_request_is_answered_without_a_body(path, status):
+    async with deployed(Origin(target_id='i-1', full=True)) as deployment:
+        found = await _exchange(deployment, _request(b'HEAD ' + path, LAST))
+    assert _status(found) == status
+    assert found.endswith(b'\r\n\r\n')
+
+
+@on_curio
+async def test_requests_sent_at_once_are_answered_in_order():
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        found = await _exchange(
+            deployment,
+            _request(b'POST /accept/7', b'Content-Length: 2\r\n', body=b'ok'),
+            _request(b'HEAD /nowhere/'),
+            _request(b'GET /lookup/7', LAST),
+        )
+    statuses = [_status(part) for part in found.split(b'HTTP/1.1')[1:]]
+    assert statuses == [HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.OK]
