Read numbers of headers only up to a sensible length

What callers saw: a request whose X-Deadline-Ms has hundreds of digits ended without an answer; so did one that a target had refused with a Retry-After of thousands, and its slot at the target stayed taken.

Cause: isdigit() was the only check before int() and the arithmetic after it. int() refuses more than 4300 digits with a ValueError, and the sum with the time of now overflows long before. Neither error is one of the connection's, so the task of the connection ended with it.

Evidence: test_deadline_of_too_many_digits_bounds_nothing (400 digits: "OverflowError: int too large to convert to float"; 5000: "ValueError: Exceeds the limit (4300 digits) for integer string conversion") and test_refusal_with_an_endless_wait_reaches_the_caller (5000) failed before. Content-Length was ruled out: h11 takes 20 digits at most.

Now all three readers share one function that takes up to 15 digits and leaves anything longer out of account, as it did with other text before.

--- a/chicorybridge/entry/answers.py
+++ b/chicorybridge/entry/answers.py
@@ -13,6 +13,7 @@
     Head,
     Headers,
     forwarded,
+    whole_number,
 )
 from chicorybridge.http.problems import OUTCOME, RETRY_AFTER, VERSION
 
@@ -103,7 +104,5 @@
 
 def retry_after_ms(head: Head | None) -> float | None:
     """Return what Retry-After asks for, in milliseconds."""
-    text = head.header(RETRY_AFTER) if head else None
-    if text is None or not text.isdigit():
-        return None
-    return int(text) * MILLIS_PER_SECOND
+    seconds = whole_number(head.header(RETRY_AFTER)) if head else None
+    return None if seconds is None else seconds * MILLIS_PER_SECOND
--- a/chicorybridge/entry/call_readers.py
+++ b/chicorybridge/entry/call_readers.py
@@ -10,7 +10,7 @@
 from chicorybridge.http.bodies import RequestBody
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.dialects import OWN
-from chicorybridge.http.exchanges import Head
+from chicorybridge.http.exchanges import Head, whole_number
 from chicorybridge.routing.routes import (
     IDEMPOTENT_HEADER,
     KEY_HEADER,
@@ -65,9 +65,9 @@
         )
 
     def _deadline(self, head: Head, timeout_ms: int) -> Millis:
-        text = head.header(OWN.deadline)
-        if text is not None and text.isdigit():
-            timeout_ms = min(timeout_ms, int(text))
+        given_ms = whole_number(head.header(OWN.deadline))
+        if given_ms is not None:
+            timeout_ms = min(timeout_ms, given_ms)
         return Millis(self._clock.now() + timeout_ms)
 
 
--- a/chicorybridge/hosts/readers.py
+++ b/chicorybridge/hosts/readers.py
@@ -16,7 +16,7 @@
 from chicorybridge.http.bodies import RequestBody
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.dialects import Dialect
-from chicorybridge.http.exchanges import Head
+from chicorybridge.http.exchanges import Head, whole_number
 
 HOST_HEADER = b'host'
 
@@ -107,10 +107,10 @@
 
     def _deadline(self, head: Head, route: Route, now: Millis) -> Millis:
         timeout_ms: float = route.timeout_ms or settings.TIMEOUT_MS
-        text = head.header(self._dialect.deadline)
-        if text is not None and text.isdigit():
+        given_ms = whole_number(head.header(self._dialect.deadline))
+        if given_ms is not None:
             # The answer has to be back before the caller leaves.
-            patience_ms = int(text) - settings.ANSWER_MARGIN_MS
+            patience_ms = given_ms - settings.ANSWER_MARGIN_MS
             timeout_ms = min(timeout_ms, max(0, patience_ms))
         return Millis(now + timeout_ms)
 
--- a/chicorybridge/http/exchanges.py
+++ b/chicorybridge/http/exchanges.py
@@ -17,6 +17,9 @@
 # The method whose answers have no body, whatever their headers say.
 HEAD = b'HEAD'
 
+# Longer numbers are no times, and thousands of digits can't be converted.
+NUMBER_DIGITS = 15
+
 CONTENT_LENGTH = b'content-length'
 TRANSFER_ENCODING = b'transfer-encoding'
 CHUNKED = (TRANSFER_ENCODING, b'chunked')
@@ -168,6 +171,13 @@
     return None
 
 
+def whole_number(text: bytes | None) -> int | None:
+    """Return the number of a header, `None` if it is none or too long."""
+    if text is None or not text.isdigit() or len(text) > NUMBER_DIGITS:
+        return None
+    return int(text)
+
+
 def _malformed(error: h11.ProtocolError) -> ExchangeError:
     code = ErrorCode.request_malformed
     if error.error_status_hint == settings.HEAD_TOO_LARGE_STATUS:
--- a/chicorybridge/tests/hosts/test_unanswered_requests.py
+++ b/chicorybridge/tests/hosts/test_unanswered_requests.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chicorybridge.common import sockets
+from chicorybridge.http.services import Response
 from chicorybridge.tests.fronts import read_all
 from chicorybridge.tests.hosts.deployments import (
     Deployment,
@@ -16,6 +17,18 @@
 LAST = b'Connection: close\r\n'
 
 
+class AskingOrigin(Origin):
+    """A server that runs nothing and names the time to come back."""
+
+    retry_after = ''
+
+    async def answer(self, connection, request):
+        """Reject one request."""
+        await connection.read_body()
+        headers = {'X-Not-Executed': '1', 'Retry-After': self.retry_after}
+        await connection.respond(Response(status=503, headers_by_name=headers))
+
+
 async def _exchange(deployment: Deployment, *requests: bytes) -> bytes:
     """Send requests on one connection and read until it ends."""
     sock = await sockets.connect(deployment.front)
@@ -58,3 +71,24 @@
         )
     statuses = [_status(part) for part in found.split(b'HTTP/1.1')[1:]]
     assert statuses == [HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.OK]
+
+
+@pytest.mark.parametrize('digits', [400, 5000])
+@on_curio
+async def test_deadline_of_too_many_digits_bounds_nothing(digits):
+    deadline = b'X-Deadline-Ms: %s\r\n' % (b'9' * digits)
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        found = await _exchange(
+            deployment, _request(b'GET /lookup/7', deadline, LAST)
+        )
+    assert _status(found) == HTTPStatus.OK
+
+
+@pytest.mark.parametrize('digits', [1, 400, 5000])
+@on_curio
+async def test_refusal_with_an_endless_wait_reaches_the_caller(digits):
+    origin = AskingOrigin(target_id='i-1')
+    origin.retry_after = '9' * digits
+    async with deployed(origin) as deployment:
+        found = await _exchange(deployment, _request(b'POST /accept/7', LAST))
+    assert _status(found) == HTTPStatus.SERVICE_UNAVAILABLE
