Forward Host whatever the Connection header of a caller lists

What callers saw: a request with "Connection: close, Host" ended without an answer, before it reached any target.

Cause: a header that Connection lists is dropped before the next hop, Host included. h11 builds no request without Host, and says so when the request is made, not when it is sent, where its errors are expected.

Evidence: test_host_that_is_named_as_a_connection_option_is_forwarded failed before with "LocalProtocolError: Missing mandatory Host: header" in the task of the connection. Other options were ruled out: no other header is required.

Now headers that are meant for the other end, Host and Content-Length, stay. RFC 9110 forbids to list such a header.

--- a/chicorybridge/http/exchanges.py
+++ b/chicorybridge/http/exchanges.py
@@ -40,6 +40,10 @@
 )
 
 
+# Headers that go to the other end, whatever `Connection` lists.
+END_TO_END = frozenset((b'host', CONTENT_LENGTH))
+
+
 class ExchangeError(ChicorybridgeError):
     """Report a connection that ended or broke the protocol."""
 
@@ -159,7 +163,7 @@
         if name == b'connection'
         for token in text.split(b',')
     }
-    dropped = HOP_BY_HOP | listed
+    dropped = HOP_BY_HOP | (listed - END_TO_END)
     return [pair for pair in headers if pair[0] not in dropped]
 
 
--- a/chicorybridge/tests/hosts/test_unanswered_requests.py
+++ b/chicorybridge/tests/hosts/test_unanswered_requests.py
@@ -92,3 +92,11 @@
     async with deployed(origin) as deployment:
         found = await _exchange(deployment, _request(b'POST /accept/7', LAST))
     assert _status(found) == HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@on_curio
+async def test_host_that_is_named_as_a_connection_option_is_forwarded():
+    options = b'Connection: close, Host, Content-Length\r\n'
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        found = await _exchange(deployment, _request(b'GET /lookup/7', options))
+    assert _status(found) == HTTPStatus.OK
