Leave out rows of the store that name no address or can't be read

What callers saw: an entry with the port 99999 cost every request that was sent there its answer: the connection just ended. An entry that nests thousands of brackets, or whose `born` doesn't fit in 64 bits, ended the process of each host that read it, and with it all requests under way.

Cause: the decoder took any text with a colon and digits for an address, and any integer for a count. connect() refuses such a port with an OverflowError, which is no OSError; the codec of datagrams refuses such a count; and the JSON decoder reports deep nesting as a RecursionError, which was not among the errors of a malformed row.

Evidence: test_target_at_a_port_that_does_not_exist_costs_no_answer failed before with "OverflowError: connect(): port must be 0-65535.", and 8 cases of the tests of formats failed with "DID NOT RAISE" or the RecursionError.

An address is now an IPv4 number and a port other than 0, by the reader that other addresses go through; the platform has no names to look up.

--- a/chicorybridge/platform/formats.py
+++ b/chicorybridge/platform/formats.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
+from chicorybridge.common.addresses import parse_address
 from chicorybridge.common.clocks import MILLIS_PER_SECOND
 from chicorybridge.common.errors import ChicorybridgeError, ErrorCode
 from chicorybridge.common.identities import (
@@ -32,7 +33,17 @@
 VERSION_BASE = 16
 
 # What the decoding of a body of the wrong shape raises.
-MALFORMED = (ValueError, TypeError, KeyError, AttributeError)
+MALFORMED = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+# Whole numbers up to this one are exact in any JSON, and fit in a datagram.
+COUNT_MOST = 9_007_199_254_740_992
 
 
 class FormatError(ChicorybridgeError):
@@ -206,11 +217,10 @@
 
 
 def _address(document: Mapping[str, Any]) -> str:
-    address = _text(document, 'address')
-    host, _, port = address.rpartition(':')
-    if not host or not port.isdecimal():
-        raise ValueError(f'{address!r} is not IP:PORT')
-    return address
+    address = parse_address(_text(document, 'address'))
+    if not address.port:
+        raise ValueError('nothing listens on port 0')
+    return str(address)
 
 
 def _is_draining(document: Mapping[str, Any]) -> bool:
@@ -238,6 +248,8 @@
     number = document[key]
     if isinstance(number, bool) or not isinstance(number, int):
         raise TypeError(f'{key} is no whole number')
+    if not 0 <= number <= COUNT_MOST:
+        raise ValueError(f'{key} is out of range')
     return number
 
 
--- a/chicorybridge/tests/hosts/test_unanswered_requests.py
+++ b/chicorybridge/tests/hosts/test_unanswered_requests.py
@@ -12,7 +12,9 @@
     Origin,
     deployed,
     on_curio,
+    until,
 )
+from chicorybridge.tests.platform.rows import server_row
 
 LAST = b'Connection: close\r\n'
 
@@ -100,3 +102,15 @@
     async with deployed(Origin(target_id='i-1')) as deployment:
         found = await _exchange(deployment, _request(b'GET /lookup/7', options))
     assert _status(found) == HTTPStatus.OK
+
+
+@on_curio
+async def test_target_at_a_port_that_does_not_exist_costs_no_answer():
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        entry = server_row(address='127.0.0.1:99999')
+        deployment.store.put('servers', 'i-2', entry)
+        deployment.store.remove('servers', 'i-1')
+        entries = deployment.host.knowledge.directory.entries_by_id
+        await until(lambda: 'i-1' not in entries)
+        found = await _exchange(deployment, _request(b'POST /accept/7', LAST))
+    assert _status(found) == HTTPStatus.SERVICE_UNAVAILABLE
--- a/chicorybridge/tests/platform/test_formats.py
+++ b/chicorybridge/tests/platform/test_formats.py
@@ -32,9 +32,16 @@
         {'state': None},
         {'service': 5},
         {'address': 'nowhere'},
+        {'address': '127.0.0.1:65536'},
+        {'address': '127.0.0.1:0'},
+        {'address': '127.0.0.1 :80'},
+        {'address': 'a..b:80'},
         {'capacity': '6'},
         {'capacity': True},
+        {'capacity': -1},
+        {'capacity': 2**64},
         {'born': 1.5},
+        {'born': 2**64},
         {'zone': ''},
     ],
 )
@@ -43,7 +50,9 @@
         decode_target(_row(server_row(**given)))
 
 
-@pytest.mark.parametrize('body', [b'', b'\xff', b'[]', b'{}', b'"text"'])
+@pytest.mark.parametrize(
+    'body', [b'', b'\xff', b'[]', b'{}', b'"text"', b'[' * 9000]
+)
 def test_entry_that_is_no_entry_is_refused(body):
     with pytest.raises(FormatError, match='entry of i-1'):
         decode_target(_row(body))
