Free the target of a request that is cancelled as its answer arrives

What callers saw: nothing at once. A target whose requests ended like this counted one request too many from then on, for all hosts of the region, until the process ended: it got less work, and with slots enough taken none.

Cause: a task that is ready to run is cancelled at its next wait. It stands before the lines that count the attempt off and note it, which were then skipped.

Evidence: test_cancellation_that_meets_the_answer_leaves_no_slot_taken failed before: "ConnectionResetError: [Errno 104] Connection reset by peer". A cancellation while the attempt waits for the target was ruled out: it is raised inside the attempt, and the wait after it isn't cancelled twice.

Now nothing is waited for between the end of an attempt and its bookkeeping. The answer, which is at hand, goes out as well.

--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -223,11 +223,14 @@
         )
         # Stands if the caller goes away first.
         outcome = AttemptOutcome.cancelled
-        stalled = await curio.spawn(self._watch_stall(call, forward))
+        stalled = await curio.spawn(
+            self._watch_stall(call, forward), daemon=True
+        )
         try:
             outcome = await forward.run()
         finally:
-            await stalled.cancel()
+            # A wait here could be cancelled, and the target never be freed.
+            await stalled.cancel(blocking=False)
             await self._learn(call, forward, outcome, option)
 
     async def _watch_stall(self, call: Call, forward: Forward) -> None:
--- a/chicorybridge/tests/hosts/test_unanswered_requests.py
+++ b/chicorybridge/tests/hosts/test_unanswered_requests.py
@@ -2,9 +2,11 @@
 
 from http import HTTPStatus
 
+import curio
 import pytest
 
 from chicorybridge.common import sockets
+from chicorybridge.entry.forwards import Forward
 from chicorybridge.http.services import Response
 from chicorybridge.tests.fronts import read_all
 from chicorybridge.tests.hosts.deployments import (
@@ -114,3 +116,23 @@
         await until(lambda: 'i-1' not in entries)
         found = await _exchange(deployment, _request(b'POST /accept/7', LAST))
     assert _status(found) == HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@on_curio
+async def test_cancellation_that_meets_the_answer_leaves_no_slot_taken(
+    monkeypatch,
+):
+    run = Forward.run
+
+    async def run_and_cancel(forward):  # noqa: WPS430
+        outcome = await run(forward)
+        task = await curio.current_task()
+        await task.cancel(blocking=False)
+        return outcome
+
+    monkeypatch.setattr(Forward, 'run', run_and_cancel)
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        found = await _exchange(deployment, _request(b'POST /accept/7', LAST))
+        idle = deployment.host.knowledge.workloads.is_idle
+    assert idle
+    assert _status(found) == HTTPStatus.OK
