Bound the connect and the exchange of an attempt one after the other

What callers saw: on a host whose event loop stands still for a moment, a request that was read ended without an answer while a connection to its target was being opened.

Cause: the timeout of the connect stood inside that of the attempt. If the loop looks late, after the inner one has ended, and gets to the task after the outer one has ended too, curio finds that the time it noted belongs to none of the timeouts left, and raises UncaughtTimeoutError. That is neither a timeout nor an error of the connection, so it ended the caller's.

Evidence: test_loop_that_stands_still_during_a_connect_costs_no_answer holds the loop twice and failed before, in each of two runs, with "UncaughtTimeoutError: Uncaught timeout received" in the task of the connection. A single stall past both ends was ruled out: it gives a timeout.

Now the connect is bounded by what is left of the attempt, and the exchange after it by what is left then; nothing is sent when that is nothing.

--- a/chicorybridge/entry/forwards.py
+++ b/chicorybridge/entry/forwards.py
@@ -90,20 +90,29 @@
         Raise `CallerError` or `RequestError` when the caller is the
         reason that it did not end.
         """
-        left_ms = min(
-            self._call.deadline_at - self._started_at,
-            self._patience.attempt_ms,
-        )
+        # Timeouts are not nested: curio raises no TaskTimeout if both end
+        # while the loop stands still.
         try:
-            async with curio.timeout_after(as_seconds(max(0, left_ms))):
-                outcome = await self._run()
+            exchange = await self._connections.take(
+                self.target.address,
+                max_idle_ms=self._patience.idle_ms,
+                connect_ms=min(self._patience.connect_ms, self._left_ms),
+            )
+        except OSError:
+            return AttemptOutcome.unreachable
         except curio.TaskTimeout:
-            outcome = self._timed_out()
+            if self._left_ms:
+                return AttemptOutcome.unreachable
+            return AttemptOutcome.timed_out
+        try:
+            async with curio.timeout_after(as_seconds(self._left_ms)):
+                return await self._run(exchange)
+        except curio.TaskTimeout:
+            return self._timed_out()
         except ExchangeError:
-            outcome = AttemptOutcome.cut
+            return AttemptOutcome.cut
         finally:
             await self._release()
-        return outcome
 
     def result(self, outcome: AttemptOutcome) -> Attempt:
         """Return the attempt as it stands, with `outcome`."""
@@ -137,15 +146,19 @@
             return 0
         return self._exchange.received_bytes - self._received_before
 
-    async def _run(self) -> AttemptOutcome:
-        try:
-            exchange = await self._connect()
-        except (OSError, curio.TaskTimeout):
-            return AttemptOutcome.unreachable
+    @property
+    def _left_ms(self) -> float:
+        patient_until = self._started_at + self._patience.attempt_ms
+        ends_at = min(self._call.deadline_at, patient_until)
+        return max(0, ends_at - self._clock.now())
+
+    async def _run(self, exchange: TargetExchange) -> AttemptOutcome:
         self._exchange = exchange
         self._fresh = exchange.fresh
         self._sent_before = exchange.sent_bytes
         self._received_before = exchange.received_bytes
+        if not self._left_ms:
+            return AttemptOutcome.timed_out
         body = self._call.body.whole
         await exchange.send_request(
             method=self._call.head.method,
@@ -166,13 +179,6 @@
         await self._read_answer(exchange, self._head)
         return outcome_of_answer(self._call, self._head)
 
-    async def _connect(self) -> TargetExchange:
-        return await self._connections.take(
-            self.target.address,
-            max_idle_ms=self._patience.idle_ms,
-            connect_ms=self._patience.connect_ms,
-        )
-
     async def _read_head(self, exchange: TargetExchange) -> Head:
         """Return the head of the answer to this request.
 
--- a/chicorybridge/tests/hosts/test_unanswered_requests.py
+++ b/chicorybridge/tests/hosts/test_unanswered_requests.py
@@ -1,5 +1,6 @@
 """Every request that a host has read ends with a true answer."""
 
+import time
 from http import HTTPStatus
 
 import curio
@@ -136,3 +137,35 @@
         idle = deployment.host.knowledge.workloads.is_idle
     assert idle
     assert _status(found) == HTTPStatus.OK
+
+
+async def _hold_loop(seconds: float) -> None:
+    time.sleep(seconds)
+
+
+@on_curio
+async def test_loop_that_stands_still_during_a_connect_costs_no_answer(
+    monkeypatch,
+):
+    connect = sockets.connect
+    opening = curio.Event()
+    opened = curio.Event()
+
+    async def connect_late(address):  # noqa: WPS430
+        sock = await connect(address)
+        await opening.set()
+        await opened.wait()
+        return sock
+
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        sock = await sockets.connect(deployment.front)
+        monkeypatch.setattr(sockets, 'connect', connect_late)
+        deadline = b'X-Deadline-Ms: 460\r\n'
+        await sock.sendall(_request(b'POST /accept/7', deadline, LAST))
+        await opening.wait()
+        # Past the bound on the connect, then past that on the attempt.
+        await _hold_loop(0.32)
+        await curio.spawn(_hold_loop, 0.12, daemon=True)
+        await opened.set()
+        found = await read_all(sock)
+    assert _status(found) == HTTPStatus.SERVICE_UNAVAILABLE
