--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -5,7 +5,7 @@
 import curio
 
 from chicorybridge import settings
-from chicorybridge.common.attempts import Attempt, AttemptOutcome
+from chicorybridge.common.attempts import AttemptOutcome
 from chicorybridge.common.clocks import Clock, as_seconds
 from chicorybridge.common.errors import ErrorCode, RequestError, require
 from chicorybridge.common.identities import PoolId
@@ -16,6 +16,12 @@
 from chicorybridge.entry.forwards import Forward
 from chicorybridge.entry.refusals import RefusalError, check_relayed
 from chicorybridge.hosts.crash_checks import CrashChecks
+from chicorybridge.hosts.final_answers import (
+    PROMISING_STATUSES,
+    is_final,
+    last_answer,
+    truthful,
+)
 from chicorybridge.hosts.placements import Placements, check_caller
 from chicorybridge.hosts.policies import HostPolicies
 from chicorybridge.hosts.readers import RequestReader
@@ -30,9 +36,6 @@
 from chicorybridge.routing.allowances import RetryBound
 from chicorybridge.routing.selections import Option
 
-# Statuses that promise the caller that its request did not run.
-PROMISING_STATUSES = frozenset((408, 421, 429, 503))
-
 
 class HostDispatcher:
     """Decide on requests and answer them."""
@@ -128,7 +131,7 @@
         head: Head | None = None,
     ) -> int:
         """Answer with a problem document and return its status."""
-        error = _truthful(error, outcome)
+        error = truthful(error, outcome)
         status = status_of(error.code)
         wait_ms: float = 0
         if status in PROMISING_STATUSES:
@@ -164,7 +167,7 @@
         while True:
             option = await self._place(call, forward)
             if option is None:
-                return _last_answer(call, forward)
+                return last_answer(call, forward)
             self._policies.placed(call)
             forward = self._prepare(call, option)
             await self._attempt(call, forward, option)
@@ -173,10 +176,10 @@
             if call.committed:
                 check_relayed(attempt)
                 return None
-            if _is_final(forward, attempt):
+            if is_final(forward, attempt):
                 return forward.answer
             if not self._policies.may_retry(call):
-                return _last_answer(call, forward)
+                return last_answer(call, forward)
 
     async def _place(self, call: Call, last: Forward | None) -> Option | None:
         """Return the next target, `None` if the last answer has to do."""
@@ -251,41 +254,3 @@
         self._policies.finished(attempt)
         self._request_log.attempted(call, attempt, option)
         await self._placements.advance(call.service.service_id)
-
-
-def _truthful(error: RequestError, outcome: RequestOutcome) -> RequestError:
-    """Replace an error whose status says that the request did not run."""
-    promises = status_of(error.code) in PROMISING_STATUSES
-    if not promises or outcome is RequestOutcome.not_run:
-        return error
-    return RequestError(code=ErrorCode.target_failed, detail=error.detail)
-
-
-def _is_final(forward: Forward, attempt: Attempt) -> bool:
-    """Return whether a target answered with what the caller may be told."""
-    if attempt.outcome is not AttemptOutcome.answered:
-        return False
-    answer = forward.answer
-    return answer is not None and answer.status not in PROMISING_STATUSES
-
-
-def _last_answer(call: Call, forward: Forward | None) -> WholeAnswer:
-    """Return the target's own answer, or raise what the caller is told."""
-    attempt = call.attempts[-1]
-    if call.outcome is RequestOutcome.not_run:
-        raise RefusalError(
-            code=ErrorCode.overloaded,
-            detail='no target took the request',
-            retry_after_ms=attempt.retry_after_ms or 0,
-        )
-    answer = forward.answer if forward else None
-    if answer is not None and answer.status not in PROMISING_STATUSES:
-        return answer
-    code = ErrorCode.target_failed
-    if attempt.outcome is AttemptOutcome.timed_out:
-        code = ErrorCode.request_timeout
-    raise RefusalError(
-        code=code,
-        detail='the last attempt ended as {0}'.format(attempt.outcome.value),
-        outcome=call.outcome,
-    )
--- /dev/null
+++ b/chicorybridge/hosts/final_answers.py
@@ -0,0 +1,51 @@
+"""What callers are told at last: an answer of a target or a refusal."""
+
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
+from chicorybridge.common.errors import ErrorCode, RequestError
+from chicorybridge.common.outcomes import RequestOutcome
+from chicorybridge.entry.answers import WholeAnswer
+from chicorybridge.entry.calls import Call
+from chicorybridge.entry.forwards import Forward
+from chicorybridge.entry.refusals import RefusalError
+from chicorybridge.http.problems import status_of
+
+# Statuses that promise the caller that its request did not run.
+PROMISING_STATUSES = frozenset((408, 421, 429, 503))
+
+
+def truthful(error: RequestError, outcome: RequestOutcome) -> RequestError:
+    """Replace an error whose status says that the request did not run."""
+    promises = status_of(error.code) in PROMISING_STATUSES
+    if not promises or outcome is RequestOutcome.not_run:
+        return error
+    return RequestError(code=ErrorCode.target_failed, detail=error.detail)
+
+
+def is_final(forward: Forward, attempt: Attempt) -> bool:
+    """Return whether a target answered with what the caller may be told."""
+    if attempt.outcome is not AttemptOutcome.answered:
+        return False
+    answer = forward.answer
+    return answer is not None and answer.status not in PROMISING_STATUSES
+
+
+def last_answer(call: Call, forward: Forward | None) -> WholeAnswer:
+    """Return the target's own answer, or raise what the caller is told."""
+    attempt = call.attempts[-1]
+    if call.outcome is RequestOutcome.not_run:
+        raise RefusalError(
+            code=ErrorCode.overloaded,
+            detail='no target took the request',
+            retry_after_ms=attempt.retry_after_ms or 0,
+        )
+    answer = forward.answer if forward else None
+    if answer is not None and answer.status not in PROMISING_STATUSES:
+        return answer
+    code = ErrorCode.target_failed
+    if attempt.outcome is AttemptOutcome.timed_out:
+        code = ErrorCode.request_timeout
+    raise RefusalError(
+        code=code,
+        detail='the last attempt ended as {0}'.format(attempt.outcome.value),
+        outcome=call.outcome,
+    )
