Answer a request whatever fails inside the host

What callers saw: when anything failed inside the host that nobody had foreseen, the connection was closed without an answer, whether the request had run or not: a route to a service that isn't there, parts that all weigh 0, an error in the bookkeeping of an attempt, an answer that HTTP has no form for. An answer that had begun just ended, with a regular close.

Cause: only errors that stand for the caller or for a refusal were turned into answers. All others ended the task that serves the connection, and the task closes the connection as its last act.

Evidence, each failed before: test_failure_inside_the_host_ends_with_a_true_answer (before and after the run), test_failure_before_an_attempt_is_noted_does_not_deny_that_it_ran, test_route_to_no_service_is_refused_with_an_answer and test_answer_that_can_not_be_sent_is_replaced got no bytes ("IndexError: list index out of range" where the status is read); test_failure_after_an_answer_has_begun_does_not_look_whole saw a regular end ("DID NOT RAISE ConnectionResetError"). The entry process had the same fault (tests/entry/test_failures.py, no bytes either).

Now reading and forwarding are contained: what nobody foresaw becomes a refusal with a code of its own, and event 511 names the error and where it arose. The status is true: 503 only if no attempt was begun that could have run the request, else 502; an attempt counts as unknown from its start until it is noted. Once bytes of an answer may have been sent, the connection is reset, and the log tells that (508) from a caller that left (506).

test_request_that_fails_inside_the_host_is_logged_with_its_error expected that such a request is cut. It now asks for the answer and for the event that names the error, with its text, and that the request wasn't cut.

--- a/chicorybridge/common/errors.py
+++ b/chicorybridge/common/errors.py
@@ -41,6 +41,7 @@
     host_cut_off = 'CB4014'
     workspace_unknown = 'CB4015'
     body_timeout = 'CB4016'
+    host_failed = 'CB4017'
 
     # Operations.
     apply_conflict = 'CB5001'
@@ -76,7 +77,7 @@
 
 
 class PromiseError(ChicorybridgeError):
-    """Report a broken promise; never caught by the program."""
+    """Report a broken promise; ends the request or the process."""
 
 
 def require(*, promise: str, holds: bool) -> None:
--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -59,6 +59,7 @@
     connection_ended = 509
     request_quarantined = 503
     claim_decided = 510
+    request_failed = 511
 
     # 600: platform.
     store_lost = 600
--- a/chicorybridge/entry/calls.py
+++ b/chicorybridge/entry/calls.py
@@ -48,6 +48,8 @@
     # Whether a part of an answer went to the caller.
     committed: bool = False
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    # Whether an attempt was begun that `attempts` lacks so far.
+    under_way: bool = False
 
     @property
     def outcome(self) -> RequestOutcome:
@@ -58,8 +60,15 @@
         """
         if self.key is not None and not self.claimed:
             return RequestOutcome.unknown
+        if self.under_way:
+            return RequestOutcome.unknown
         return outcome_of(self.attempts)
 
+    def record(self, attempt: Attempt) -> None:
+        """Add the attempt that was under way."""
+        self.attempts.append(attempt)
+        self.under_way = False
+
     @property
     def body_bytes(self) -> int:
         """Return the length of the body, or its bound while not known."""
--- a/chicorybridge/entry/dispatchers.py
+++ b/chicorybridge/entry/dispatchers.py
@@ -1,5 +1,7 @@
 """What an entry process does with one request of a caller."""
 
+import dataclasses
+import logging
 from collections.abc import Callable
 
 import curio
@@ -21,6 +23,7 @@
 from chicorybridge.entry.call_readers import CallReader
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.entry_states import Duty, EntryState
+from chicorybridge.entry.failures import contained, send_whole
 from chicorybridge.entry.forwards import CAREFUL, PATIENT, Forward
 from chicorybridge.entry.refusals import (
     RefusalError,
@@ -45,6 +48,9 @@
 from chicorybridge.routing.retries import RequestFacts
 
 
+logger = logging.getLogger(__name__)
+
+
 class Dispatcher:
     """Decide on requests and answer them."""
 
@@ -80,7 +86,8 @@
     async def answer(self, exchange: CallerExchange, head: Head) -> None:
         """Answer one request; raise `CallerError` if the caller is gone."""
         try:
-            call = await self._admit(exchange, head)
+            with contained(_tell):
+                call = await self._admit(exchange, head)
         except RequestError as error:
             await self.refuse(exchange, error, outcome_unsent(head))
             return
@@ -89,7 +96,8 @@
         self.calls_by_number[number] = call
         exchange.abandonable = call.idempotent
         try:
-            await self._run(call)
+            with contained(_tell):
+                await self._run(call)
         except RequestError as error:
             await self._fail(call, error)
         finally:
@@ -120,16 +128,14 @@
         headers = answer.headers
         if self._state.duty is not Duty.serving:
             headers = [*headers, (b'connection', b'close')]
-        await exchange.answer(
-            status=answer.status, headers=headers, body=answer.body
-        )
+        await send_whole(exchange, dataclasses.replace(answer, headers=headers))
 
     def version_headers(self) -> Headers:
         """Return the header that names the version in force."""
         return [(VERSION, str(self._state.version).encode())]
 
     async def _fail(self, call: Call, error: RequestError) -> None:
-        if call.committed:
+        if call.exchange.answered:
             # A cut answer must not look whole.
             raise CallerError(code=error.code, detail=error.detail)
         known = call.outcome
@@ -243,6 +249,7 @@
         number = self._policies.started(
             forward.target.target_id, call.route, now=self._clock.now()
         )
+        call.under_way = True
         # Stands if the caller goes away first.
         outcome = AttemptOutcome.cancelled
         try:
@@ -254,7 +261,7 @@
 
     async def _learn(self, call: Call, number: int, attempt: Attempt) -> None:
         now = self._clock.now()
-        call.attempts.append(attempt)
+        call.record(attempt)
         self._policies.finished(number, attempt, now=now)
         report = self._policies.suspect(call, attempt, now=now)
         if report is None:
@@ -265,6 +272,10 @@
             await curio.sleep(as_seconds(settings.SUSPECT_WAIT_MS))
 
 
+def _tell(error: Exception) -> None:
+    logger.error('a request failed inside the host', exc_info=error)
+
+
 def _facts_of(call: Call) -> RequestFacts:
     return RequestFacts(
         service_id=call.service.service_id,
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -16,23 +16,18 @@
 from chicorybridge.entry.forwards import Forward
 from chicorybridge.entry.refusals import RefusalError, check_relayed
 from chicorybridge.hosts.crash_checks import CrashChecks
-from chicorybridge.hosts.final_answers import (
-    PROMISING_STATUSES,
-    is_final,
-    last_answer,
-    truthful,
-)
+from chicorybridge.hosts.final_answers import is_final, last_answer
 from chicorybridge.hosts.placements import Placements, check_caller
 from chicorybridge.hosts.policies import HostPolicies
 from chicorybridge.hosts.readers import RequestReader
 from chicorybridge.hosts.request_logs import RequestLog
-from chicorybridge.hosts.states import HostDuty, HostState
+from chicorybridge.hosts.responders import Responder
+from chicorybridge.hosts.states import HostState
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.connections import TargetConnections
 from chicorybridge.http.dialects import Dialect
 from chicorybridge.http.exchanges import Head
-from chicorybridge.http.problems import problem_body, problem_headers, status_of
 from chicorybridge.routing.allowances import RetryBound
 from chicorybridge.routing.selections import Option
 
@@ -55,8 +50,6 @@
         """Join the parts; `dialect` names the headers."""
         self.calls_by_number: dict[int, Call] = {}
         self._clock = clock
-        self._state = state
-        self._dialect = dialect
         self._policies = policies
         self.reporter = policies.reporter
         self._connections = connections
@@ -64,21 +57,25 @@
         self._crashes = crashes
         self._placements = placements
         self._serial = 0
+        self._responder = Responder(
+            state=state, dialect=dialect, request_log=request_log
+        )
         self._reader = RequestReader(clock=clock, state=state, dialect=dialect)
 
     async def answer(self, exchange: CallerExchange, head: Head) -> None:
         """Answer one request; raise `CallerError` if the caller is gone."""
         try:
-            call = await self._reader.read(exchange, head)
+            call = await self._read(exchange, head)
         except RequestError as error:
-            await self._refuse(exchange, error, RequestOutcome.not_run, head)
+            await self._responder.refuse(
+                exchange, error, RequestOutcome.not_run, head
+            )
             return
         self._serial += 1
         number = self._serial
         self.calls_by_number[number] = call
         exchange.abandonable = call.idempotent
         try:
-            self._policies.admit(call)
             status = await self._run(call)
         except BaseException as error:
             self._request_log.unanswered(call, error, now=self._clock.now())
@@ -103,64 +100,35 @@
         outcome: RequestOutcome,
     ) -> None:
         """Answer a request that could not be read."""
-        await self._refuse(exchange, error, outcome)
+        await self._responder.refuse(exchange, error, outcome)
+
+    async def _read(self, exchange: CallerExchange, head: Head) -> Call:
+        with self._responder.contained(head):
+            return await self._reader.read(exchange, head)
 
     async def _run(self, call: Call) -> int:
         """Answer a call and return the status that its caller got."""
         try:
-            answer = await self._forward(call)
+            with self._responder.contained(call.head):
+                return await self._forward_and_send(call)
         except RequestError as error:
-            if call.committed:
+            if call.exchange.answered:
                 # A cut answer must not look whole.
                 raise CallerError(
                     code=error.code, detail=error.detail
                 ) from error
-            return await self._refuse(
+            return await self._responder.refuse(
                 call.exchange, error, call.outcome, call.head
             )
+
+    async def _forward_and_send(self, call: Call) -> int:
+        self._policies.admit(call)
+        answer = await self._forward(call)
         if answer is None:
             return HTTPStatus.OK
-        await self._send(call.exchange, answer)
+        await self._responder.send(call.exchange, answer)
         return answer.status
 
-    async def _refuse(
-        self,
-        exchange: CallerExchange,
-        error: RequestError,
-        outcome: RequestOutcome,
-        head: Head | None = None,
-    ) -> int:
-        """Answer with a problem document and return its status."""
-        error = truthful(error, outcome)
-        status = status_of(error.code)
-        wait_ms: float = 0
-        if status in PROMISING_STATUSES:
-            wait_ms = getattr(error, 'retry_after_ms', 0)
-            wait_ms = wait_ms or settings.HOST_RETRY_AFTER_MS
-        body = problem_body(code=error.code, detail=error.detail)
-        headers = problem_headers(
-            body=body,
-            retry_after_ms=wait_ms,
-            fractional=self._dialect.fractional_wait,
-        )
-        request_id = self._request_log.request_id(head)
-        if request_id and self._dialect.request_id:
-            headers.append((self._dialect.request_id, request_id.encode()))
-        self._request_log.refused(head, error, outcome, status=status)
-        answer = WholeAnswer(status=status, headers=headers, body=body)
-        await self._send(exchange, answer)
-        return status
-
-    async def _send(
-        self, exchange: CallerExchange, answer: WholeAnswer
-    ) -> None:
-        headers = answer.headers
-        if self._state.duty is not HostDuty.serving:
-            headers = [*headers, (b'connection', b'close')]
-        await exchange.answer(
-            status=answer.status, headers=headers, body=answer.body
-        )
-
     async def _forward(self, call: Call) -> WholeAnswer | None:
         """Try targets in turn; `None` if the answer was relayed."""
         forward: Forward | None = None
@@ -224,6 +192,7 @@
             promise='a non-idempotent request runs at most once',
             holds=call.idempotent or call.outcome is RequestOutcome.not_run,
         )
+        call.under_way = True
         # Stands if the caller goes away first.
         outcome = AttemptOutcome.cancelled
         stalled = await curio.spawn(
@@ -250,7 +219,7 @@
         option: Option,
     ) -> None:
         attempt = forward.result(outcome)
-        call.attempts.append(attempt)
+        call.record(attempt)
         self._policies.finished(attempt)
         self._request_log.attempted(call, attempt, option)
         await self._placements.advance(call.service.service_id)
--- a/chicorybridge/hosts/request_logs.py
+++ b/chicorybridge/hosts/request_logs.py
@@ -1,10 +1,12 @@
 """Lines of the log that tell the story of one request."""
 
+import traceback
+
 from chicorybridge import settings
 from chicorybridge.common import sockets
 from chicorybridge.common.attempts import Attempt
 from chicorybridge.common.clocks import Millis
-from chicorybridge.common.errors import RequestError
+from chicorybridge.common.errors import ErrorCode, RequestError
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.entry.calls import Call
@@ -16,6 +18,16 @@
 from chicorybridge.routing.selections import Option
 
 
+# Errors of callers that went away or broke the protocol.
+CALLER_CODES = frozenset(
+    (
+        ErrorCode.stream_closed,
+        ErrorCode.request_malformed,
+        ErrorCode.request_too_large,
+    )
+)
+
+
 class RequestLog:
     """Write what was decided on requests, and on what grounds."""
 
@@ -59,6 +71,15 @@
         }
         self._log.emit(Event(kind=EventKind.request_refused, facts=facts))
 
+    def failed(self, head: Head, error: Exception) -> None:
+        """Tell of an error inside the host that cost a request its run."""
+        facts = {
+            'request': self.request_id(head),
+            'error': f'{type(error).__name__}: {error}',
+            'trace': traceback.format_tb(error.__traceback__),
+        }
+        self._log.emit(Event(kind=EventKind.request_failed, facts=facts))
+
     def attempted(self, call: Call, attempt: Attempt, option: Option) -> None:
         """Tell of an attempt, and of what led to its target."""
         self._metrics.count('attempts', attempt.outcome.value)
@@ -102,9 +123,7 @@
     ) -> None:
         """Tell of a request that ended without an answer, and by what."""
         kind = EventKind.request_cut
-        if isinstance(error, CallerError | ExchangeError):
-            kind = EventKind.caller_gone
-        elif sockets.is_closed(call.exchange.sock):
+        if _is_of_caller(error) or sockets.is_closed(call.exchange.sock):
             kind = EventKind.caller_gone
         self._metrics.count('requests', kind.name)
         facts = {
@@ -118,6 +137,13 @@
         self._log.emit(Event(kind=kind, facts=facts))
 
 
+def _is_of_caller(error: BaseException) -> bool:
+    # With another code, an answer that had begun was cut by the host.
+    if not isinstance(error, CallerError | ExchangeError):
+        return False
+    return error.code in CALLER_CODES
+
+
 def _rounded(age_ms: float) -> int | None:
     # A target that was never seen has no age.
     return round(age_ms) if age_ms < settings.STALE_LONG_MS else None
--- /dev/null
+++ b/chicorybridge/hosts/responders.py
@@ -0,0 +1,68 @@
+"""Answers of a host: those of targets, and its own refusals."""
+
+import dataclasses
+from contextlib import AbstractContextManager
+
+from chicorybridge import settings
+from chicorybridge.common.errors import RequestError
+from chicorybridge.common.outcomes import RequestOutcome
+from chicorybridge.entry.answers import WholeAnswer
+from chicorybridge.entry.failures import contained, send_whole
+from chicorybridge.hosts.final_answers import PROMISING_STATUSES, truthful
+from chicorybridge.hosts.request_logs import RequestLog
+from chicorybridge.hosts.states import HostDuty, HostState
+from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.dialects import Dialect
+from chicorybridge.http.exchanges import Head
+from chicorybridge.http.problems import problem_body, problem_headers, status_of
+
+
+class Responder:
+    """Send whole answers to callers, as the duty of the host has it."""
+
+    def __init__(
+        self, *, state: HostState, dialect: Dialect, request_log: RequestLog
+    ) -> None:
+        """Name headers as `dialect` has them."""
+        self._state = state
+        self._dialect = dialect
+        self._request_log = request_log
+
+    def contained(self, head: Head) -> AbstractContextManager[None]:
+        """Log an error inside the host; raise `RequestError` in its place."""
+        return contained(lambda error: self._request_log.failed(head, error))
+
+    async def refuse(
+        self,
+        exchange: CallerExchange,
+        error: RequestError,
+        outcome: RequestOutcome,
+        head: Head | None = None,
+    ) -> int:
+        """Answer with a problem document and return its status."""
+        error = truthful(error, outcome)
+        status = status_of(error.code)
+        wait_ms: float = 0
+        if status in PROMISING_STATUSES:
+            wait_ms = getattr(error, 'retry_after_ms', 0)
+            wait_ms = wait_ms or settings.HOST_RETRY_AFTER_MS
+        body = problem_body(code=error.code, detail=error.detail)
+        headers = problem_headers(
+            body=body,
+            retry_after_ms=wait_ms,
+            fractional=self._dialect.fractional_wait,
+        )
+        request_id = self._request_log.request_id(head)
+        if request_id and self._dialect.request_id:
+            headers.append((self._dialect.request_id, request_id.encode()))
+        self._request_log.refused(head, error, outcome, status=status)
+        answer = WholeAnswer(status=status, headers=headers, body=body)
+        await self.send(exchange, answer)
+        return status
+
+    async def send(self, exchange: CallerExchange, answer: WholeAnswer) -> None:
+        """Send a whole answer, closing the connection of a leaving host."""
+        headers = answer.headers
+        if self._state.duty is not HostDuty.serving:
+            headers = [*headers, (b'connection', b'close')]
+        await send_whole(exchange, dataclasses.replace(answer, headers=headers))
--- a/chicorybridge/http/caller_exchanges.py
+++ b/chicorybridge/http/caller_exchanges.py
@@ -45,6 +45,8 @@
         self.busy = False
         # Whether the request under way ends when its caller goes away.
         self.abandonable = True
+        # Whether a part of the answer to it may have been sent.
+        self.answered = False
         self._raw_head = b''
         self._method = b''
         self.caller = sockets.peer_host(sock)
@@ -74,7 +76,7 @@
 
     async def send_head(self, *, status: int, headers: Headers) -> None:
         """Send the head of the answer."""
-        await self.send(h11.Response(status_code=status, headers=headers))
+        await self._begin(h11.Response(status_code=status, headers=headers))
 
     async def answer(
         self, *, status: int, headers: Headers, body: bytes
@@ -83,16 +85,12 @@
         events: list[Any] = [h11.Response(status_code=status, headers=headers)]
         if body and self._method != HEAD:
             events.append(h11.Data(data=body))
-        await self.send(*events, h11.EndOfMessage())
-
-    @property
-    def answered(self) -> bool:
-        """Return whether the head of an answer was sent."""
-        return self._conn.our_state in {h11.SEND_BODY, h11.DONE}
+        await self._begin(*events, h11.EndOfMessage())
 
     def next_cycle(self) -> bool:
         """Make ready for another request; `False` if the caller must go."""
         self.busy = False
+        self.answered = False
         self._method = b''
         if self._conn.our_state is not h11.DONE:
             return False
@@ -110,6 +108,12 @@
             self._raw_head += data
         return data
 
+    async def _begin(self, *events: Any) -> None:
+        """Send what an answer begins with, unless it can't be an answer."""
+        start = self._bytes_of(*events)
+        self.answered = True
+        await self._write(start)
+
     def _check_framing(self, request: h11.Request) -> None:
         names = [name for name, _ in request.headers]
         if CONTENT_LENGTH in names and TRANSFER_ENCODING in names:
--- a/chicorybridge/http/exchanges.py
+++ b/chicorybridge/http/exchanges.py
@@ -107,11 +107,7 @@
 
     async def send(self, *events: Any) -> None:
         """Send events in one write."""
-        try:
-            parts = [self._conn.send(event) for event in events]
-        except h11.LocalProtocolError as error:
-            raise _malformed(error) from error
-        await self._write(b''.join(part for part in parts if part))
+        await self._write(self._bytes_of(*events))
 
     async def close(self) -> None:
         """Close the connection after what was sent."""
@@ -121,6 +117,13 @@
         """Reset the connection."""
         await sockets.abort(self.sock)
 
+    def _bytes_of(self, *events: Any) -> bytes:
+        try:
+            parts = [self._conn.send(event) for event in events]
+        except h11.LocalProtocolError as error:
+            raise _malformed(error) from error
+        return b''.join(part for part in parts if part)
+
     async def _write(self, data: bytes) -> None:
         if not data:
             return
--- a/chicorybridge/http/problems.py
+++ b/chicorybridge/http/problems.py
@@ -27,6 +27,7 @@
         ErrorCode.host_leaving: 503,
         ErrorCode.body_timeout: 408,
         ErrorCode.host_cut_off: 503,
+        ErrorCode.host_failed: 503,
     }
 )
 
--- /dev/null
+++ b/chicorybridge/tests/entry/test_failures.py
@@ -0,0 +1,35 @@
+"""Errors inside an entry process: what the caller is told of its request."""
+
+import pytest
+
+from chicorybridge.tests.fronts import OK, answering, front
+
+POST = (
+    b'POST /quotes HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n'
+    b'Connection: close\r\n\r\nwork'
+)
+
+
+def _fail(*args, **kwargs):
+    raise LookupError('nobody foresaw this')
+
+
+@pytest.mark.parametrize(
+    ('step', 'runs', 'outcome'),
+    [
+        ('admit', 0, b'not-run'),
+        ('pick', 0, b'not-run'),
+        ('finished', 1, b'complete'),
+    ],
+)
+async def test_failure_inside_the_process_is_answered_with_the_true_outcome(
+    monkeypatch, caplog, step, runs, outcome
+):
+    async with front(answering(OK)) as plane:
+        monkeypatch.setattr(plane.policies, step, _fail)
+        answer = await plane.exchange(POST)
+        received = len(plane.targets[0].received)
+    assert answer.startswith(b'HTTP/1.1 503 ')
+    assert b'chicorybridge-outcome: %s\r\n' % outcome in answer
+    assert received == runs
+    assert 'LookupError: nobody foresaw this' in caplog.text
--- a/chicorybridge/tests/hosts/test_endings.py
+++ b/chicorybridge/tests/hosts/test_endings.py
@@ -77,9 +77,13 @@
     async with deployed(Origin(target_id='i-1')) as deployment:
         sock = await sockets.connect(deployment.front)
         await sock.sendall(LOOKUP)
-        await until(lambda: _events(deployment, EventKind.request_cut))
-        cut = _events(deployment, EventKind.request_cut)[0]
-    assert (cut['request'], cut['error']) == ('r', 'RuntimeError')
+        answer = await sock.recv(65536)
+        await sock.close()
+        failed = _events(deployment, EventKind.request_failed)[0]
+        assert not _events(deployment, EventKind.request_cut)
+    assert failed['request'] == 'r'
+    assert failed['error'] == 'RuntimeError: no such luck'
+    assert answer.startswith(b'HTTP/1.1 503 ')
 
 
 @on_curio
--- a/chicorybridge/tests/hosts/test_unanswered_requests.py
+++ b/chicorybridge/tests/hosts/test_unanswered_requests.py
@@ -6,8 +6,12 @@
 import curio
 import pytest
 
+from chicorybridge import settings
 from chicorybridge.common import sockets
+from chicorybridge.common.events import EventKind
+from chicorybridge.entry import answers
 from chicorybridge.entry.forwards import Forward
+from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.services import Response
 from chicorybridge.tests.fronts import read_all
 from chicorybridge.tests.hosts.deployments import (
@@ -17,7 +21,11 @@
     on_curio,
     until,
 )
-from chicorybridge.tests.platform.rows import server_row
+from chicorybridge.tests.platform.rows import (
+    configuration_row,
+    route,
+    server_row,
+)
 
 LAST = b'Connection: close\r\n'
 
@@ -34,6 +42,19 @@
         await connection.respond(Response(status=503, headers_by_name=headers))
 
 
+class LargeOrigin(Origin):
+    """A server with an answer too large to be kept whole."""
+
+    async def answer(self, connection, request):
+        """Answer one request."""
+        await connection.read_body()
+        body = bytes(2 * settings.HOST_BUFFER_BYTES)
+        headers = {'X-Server-Signature': self.target_id}
+        await connection.respond(
+            Response(status=200, headers_by_name=headers, body=body)
+        )
+
+
 async def _exchange(deployment: Deployment, *requests: bytes) -> bytes:
     """Send requests on one connection and read until it ends."""
     sock = await sockets.connect(deployment.front)
@@ -169,3 +190,99 @@
         await opened.set()
         found = await read_all(sock)
     assert _status(found) == HTTPStatus.SERVICE_UNAVAILABLE
+
+
+def _fail(*args, **kwargs):
+    raise LookupError('nobody foresaw this')
+
+
+async def _fail_later(*args, **kwargs):
+    _fail()
+
+
+def _failures(deployment: Deployment) -> list[str]:
+    return [
+        record['error']
+        for record in deployment.host.log.recent()
+        if record['number'] == EventKind.request_failed.value
+    ]
+
+
+@pytest.mark.parametrize(
+    ('step', 'status'),
+    [('started', HTTPStatus.SERVICE_UNAVAILABLE), ('observe', 502)],
+)
+@on_curio
+async def test_failure_inside_the_host_ends_with_a_true_answer(
+    monkeypatch, step, status
+):
+    origin = Origin(target_id='i-1')
+    async with deployed(origin) as deployment:
+        dispatcher = deployment.host.dispatcher
+        monkeypatch.setattr(dispatcher.reporter, step, _fail)
+        found = await _exchange(deployment, _request(b'POST /accept/7', LAST))
+        failures = _failures(deployment)
+    assert _status(found) == status
+    # A refusal promises that the request did not run.
+    assert origin.runs == (status == HTTPStatus.BAD_GATEWAY)
+    assert failures == ['LookupError: nobody foresaw this']
+    assert not dispatcher.calls_by_number
+
+
+@on_curio
+async def test_failure_before_an_attempt_is_noted_does_not_deny_that_it_ran(
+    monkeypatch,
+):
+    monkeypatch.setattr(Forward, 'result', _fail)
+    origin = Origin(target_id='i-1')
+    async with deployed(origin) as deployment:
+        found = await _exchange(deployment, _request(b'POST /accept/7', LAST))
+    assert origin.runs == 1
+    assert _status(found) == HTTPStatus.BAD_GATEWAY
+
+
+@pytest.mark.parametrize(
+    'given',
+    [
+        {'service': 'missing'},
+        {'backends': [{'service': 'quotes', 'weight': 0}]},
+    ],
+)
+@on_curio
+async def test_route_to_no_service_is_refused_with_an_answer(given):
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        row = configuration_row(route(**given), version='00000020')
+        deployment.store.put('op', 'config', row)
+        await until(lambda: deployment.host.state.version == 32)
+        found = await _exchange(deployment, _request(b'GET /lookup/7', LAST))
+        failures = _failures(deployment)
+    assert _status(found) == HTTPStatus.SERVICE_UNAVAILABLE
+    assert len(failures) == 1
+
+
+@on_curio
+async def test_failure_after_an_answer_has_begun_does_not_look_whole(
+    monkeypatch,
+):
+    monkeypatch.setattr(CallerExchange, 'send_chunk', _fail_later)
+    async with deployed(LargeOrigin(target_id='i-1')) as deployment:
+        with pytest.raises(ConnectionResetError):
+            await _exchange(deployment, _request(b'GET /lookup/7', LAST))
+        failures = _failures(deployment)
+        endings = [record['event'] for record in deployment.host.log.recent()]
+    assert failures == ['LookupError: nobody foresaw this']
+    assert 'request_cut' in endings
+    assert 'caller_gone' not in endings
+
+
+@on_curio
+async def test_answer_that_can_not_be_sent_is_replaced(monkeypatch):
+    unsendable = [(b'bad name', b'')]
+    monkeypatch.setattr(
+        answers, 'answer_headers', lambda call, head: unsendable
+    )
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        found = await _exchange(deployment, _request(b'GET /lookup/7', LAST))
+        failures = _failures(deployment)
+    assert _status(found) == HTTPStatus.BAD_GATEWAY
+    assert len(failures) == 1
