End an upload at once when passing its body on fails inside the host

What callers saw: a 504 at the end of the route's timeout, with nothing in the events, when the task that passes a body on to the target had failed for a reason of the host.

Cause: that task stopped the wait for the answer only for errors of the caller. Any other one ended the task alone, and the target kept a slot and waited for the rest of the body.

Evidence: test_failure_while_a_body_is_passed_on_ends_the_attempt_at_once failed before with "assert 504 == <HTTPStatus.BAD_GATEWAY: 502>".

Now every error except one of the target's connection ends the wait, and is raised in the task of the request, where it is logged and answered. A connection that the target has reset before can't be shut down; that is no error of its own any more.

--- a/chicorybridge/entry/forwards.py
+++ b/chicorybridge/entry/forwards.py
@@ -1,5 +1,6 @@
 """One attempt of a request at a target, and the relay of its answer."""
 
+import contextlib
 import dataclasses
 import math
 import socket
@@ -9,7 +10,6 @@
 from chicorybridge import settings
 from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Clock, as_seconds
-from chicorybridge.common.errors import ChicorybridgeError, RequestError
 from chicorybridge.configuration.declarations import Target
 from chicorybridge.entry.answers import (
     WholeAnswer,
@@ -82,7 +82,7 @@
         self._caller_ms: float = 0
         self._waited_before = call.body.wait_ms
         self._sending_to_caller = False
-        self._caller_error: ChicorybridgeError | None = None
+        self._body_error: Exception | None = None
 
     async def run(self) -> AttemptOutcome:
         """Make the attempt and return how it ended.
@@ -202,8 +202,8 @@
         try:
             return await self._read_head(exchange)
         except ExchangeError:
-            if self._caller_error is not None:
-                raise self._caller_error from None
+            if self._body_error is not None:
+                raise self._body_error from None
             raise
         finally:
             await pump.cancel()
@@ -211,13 +211,14 @@
     async def _pump(self, exchange: TargetExchange) -> None:
         try:
             await self._send_body(exchange)
-        except (CallerError, RequestError) as error:
-            # Ends the wait for an answer that can't come any more.
-            self._caller_error = error
-            await exchange.sock.shutdown(socket.SHUT_RDWR)
         except ExchangeError:
             # The target closed early; its answer may still be read.
             return
+        except Exception as error:
+            # Ends the wait for an answer that can't come any more.
+            self._body_error = error
+            with contextlib.suppress(OSError):
+                await exchange.sock.shutdown(socket.SHUT_RDWR)
 
     async def _send_body(self, exchange: TargetExchange) -> None:
         chunk = await self._call.body.next_chunk()
--- a/chicorybridge/tests/hosts/test_unanswered_requests.py
+++ b/chicorybridge/tests/hosts/test_unanswered_requests.py
@@ -11,6 +11,7 @@
 from chicorybridge.common.events import EventKind
 from chicorybridge.entry import answers
 from chicorybridge.entry.forwards import Forward
+from chicorybridge.http.bodies import RequestBody
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.services import Response
 from chicorybridge.tests.fronts import read_all
@@ -286,3 +287,20 @@
         failures = _failures(deployment)
     assert _status(found) == HTTPStatus.BAD_GATEWAY
     assert len(failures) == 1
+
+
+@on_curio
+async def test_failure_while_a_body_is_passed_on_ends_the_attempt_at_once(
+    monkeypatch,
+):
+    body = bytes(settings.HOST_BUFFER_BYTES + 1)
+    length = b'Content-Length: %d\r\n' % len(body)
+    monkeypatch.setattr(RequestBody, 'next_chunk', _fail_later)
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        sock = await sockets.connect(deployment.front)
+        await sock.sendall(_request(b'POST /accept/7', length, LAST, body=body))
+        found = await sock.recv(settings.RECEIVE_BYTES)
+        await sock.close()
+        failures = _failures(deployment)
+    assert _status(found) == HTTPStatus.BAD_GATEWAY
+    assert failures == ['LookupError: nobody foresaw this']
