Take only ports in tests that no datagrams use either

Two runs beside each other could get the same port for datagrams, as only streams were probed: `test_page_lists_every_metric_that_is_served_and_no_other` failed once with "Address already in use" where the channel binds. Both kinds are bound for a moment now.

--- a/chicorybridge/tests/hosts/deployments.py
+++ b/chicorybridge/tests/hosts/deployments.py
@@ -278,8 +278,15 @@
 
     One that the kernel gave could be taken again before it is used.
     """
-    while True:
-        port = next(_ports)
-        with socket.socket() as probe:
-            if probe.connect_ex(('127.0.0.1', port)):
-                return port
+    return next(port for port in _ports if _is_free(port))
+
+
+def _is_free(port: int) -> bool:
+    """Return whether neither streams nor datagrams use a port."""
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(type=kind) as probe:
+                probe.bind(('127.0.0.1', port))
+    except OSError:
+        return False
+    return True
