--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -1,6 +1,7 @@
 """Connections of callers: serving, bounding, sweeping and closing them."""
 
 import dataclasses
+import logging
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -24,6 +25,8 @@
 from chicorybridge.http.caller_limits import CallerLimits
 from chicorybridge.http.exchanges import ExchangeError, Head
 
+logger = logging.getLogger(__name__)
+
 NEVER = Millis(float('inf'))
 
 OwnAnswer = Callable[[CallerExchange, Head], Awaitable[bool]]
@@ -184,7 +187,8 @@
         exchange = connection.exchange
         try:
             await self._exchange_all(exchange)
-        except (CallerError, ExchangeError):
+        except (CallerError, ExchangeError) as error:
+            logger.debug('connection of %s ended: %s', exchange.caller, error)
             await exchange.abort()
         except curio.CancelledError:
             # An answer that was sent whole may still be on its way.
