Take requests in a planned stop only as long as one may be cut

Callers saw, on deployments with a grace of 10 s: a request sent over 3 s after SIGTERM was passed on to its target and ended without an answer when the host left.

Cause: a stopping host serves for a share of the grace, 0.45. That ends 2.7 s after the signal with the usual 6 s of grace, but 4.5 s after it with 10 s. A request that comes in between is owed its answer however long its target works, and there are 5.35 s left for routes that allow 8 s and 12 s.

Evidence, before: test_long_grace_takes_no_request_that_may_outlast_it found a host with 20 s of grace still taking requests 3 s after the signal (`curio.errors.TaskTimeout`). Deployments with a grace of 6 s or less were ruled out: their share ends within 2.7 s, and what is cut then is cut in the last sixth of the grace (0.15 s before its end).

The time to serve is now the share of the grace, 2.7 s at the most. What comes later is refused with the promise that it has not run, as before. Stops with a grace of 6 s or less are as they were.

--- a/chicorybridge/hosts/processes.py
+++ b/chicorybridge/hosts/processes.py
@@ -172,8 +172,11 @@
         ends_at = self._grace_ends_at()
         self.state.duty = HostDuty.draining
         self._voice.announce()
-        grace_ms = self._given.bounds.grace_ms
-        await curio.sleep(as_seconds(grace_ms * settings.DRAIN_SERVE_SHARE))
+        serve_ms = min(
+            self._given.bounds.grace_ms * settings.DRAIN_SERVE_SHARE,
+            settings.DRAIN_SERVE_MOST_MS,
+        )
+        await curio.sleep(as_seconds(serve_ms))
         await self._finish_until(ends_at)
 
     async def finish(self) -> None:
