Stop the server of stand-ins without cutting a request that has come

Callers saw, at a stand-in that was stopped: a request that it had read ended with its connection, without an answer.

`Server.stop` cancelled the tasks of connections between two requests; one whose request had just arrived was ready to run, read it, and was cut at its handler's first wait.

Evidence, before: test_request_that_meets_the_stop_of_a_server_is_answered got b'' for a request that arrived in the turn of the loop of the stop. Hosts were ruled out: their small addresses use this server, and never stop it.

A connection counts as idle only while nothing has come on it that is unread: its task is surely suspended then.

--- a/chicorybridge/http/services.py
+++ b/chicorybridge/http/services.py
@@ -79,17 +79,24 @@
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        # True between requests, when a stop may close the connection.
-        self.idle = True
         self.closing = False
+        self._idle = True
+
+    @property
+    def idle(self) -> bool:
+        """Return whether a stop may close the connection.
+
+        A task that has a request to read would be cancelled with it in hand.
+        """
+        return self._idle and sockets.is_quiet(self._sock)
 
     async def next_request(self) -> Request | None:
         """Return the next head, or `None` at the end of the connection."""
         if not await self._finish_cycle():
             return None
-        self.idle = True
+        self._idle = True
         event = await self._next_event()
-        self.idle = False
+        self._idle = False
         self.received_at = CLOCK.now()
         if not isinstance(event, h11.Request):
             return None
