Give a slow target up only when another one would take the request

Callers saw 504 from the host for a request that may be repeated, well before its deadline, while its target was at work; or an answer of over 512 KB that was reset midway.

Cause: the time after which another target is tried was the timeout of the attempt. It ended the attempt whether or not another one could follow: without another target, without room at one, or without a retry left, the caller was told that the last attempt had timed out. It ended answers that were being relayed as well. In a planned stop that is a request lost; at other times it is one broken off.

An attempt now lasts until the deadline. From the time for another try on, it is broken off once a retry is allowed, a target besides this one has room and enough time is left, and not after its answer began to be relayed. An answer that ends because it was broken off never counts as whole, nor is its connection used again. A connection that was lent anew is not touched: the watch looks whether its attempt is over before it acts.

--- a/chicorybridge/entry/forwards.py
+++ b/chicorybridge/entry/forwards.py
@@ -4,6 +4,7 @@
 import dataclasses
 import math
 import socket
+from collections.abc import Callable
 
 import curio
 
@@ -21,22 +22,25 @@
     whole_answer,
 )
 from chicorybridge.entry.calls import Call
+from chicorybridge.entry.hedges import Hedge
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.connections import TargetConnections
 from chicorybridge.http.exchanges import CHUNKED, ExchangeError, Head, refused
-from chicorybridge.http.target_exchanges import TargetExchange
+from chicorybridge.http.target_exchanges import BrokenOffError, TargetExchange
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Patience:
     """How long an attempt may take, and what it may hold.
 
-    `attempt_ms` bounds the whole attempt, which never outlasts the
-    request's deadline; a connection idle for over `idle_ms` is not used.
+    After `hedge_ms` it is given up as soon as `may_hedge` returns that another
+    target would take the request; it never outlasts the request's deadline. A
+    connection idle for over `idle_ms` is not used.
     Answers up to `buffer_bytes` are kept whole before they are sent on.
     """
 
-    attempt_ms: float = math.inf
+    hedge_ms: float = math.inf
+    may_hedge: Callable[[], bool] = bool
     connect_ms: float = settings.CONNECT_MS
     idle_ms: float = settings.CONNECTION_IDLE_MS
     buffer_bytes: int = settings.BUFFER_BYTES
@@ -65,6 +69,9 @@
     ) -> None:
         """Prepare an attempt of `call` at `target`."""
         self._patience = patience
+        self._hedge = Hedge(
+            call=call, after_ms=patience.hedge_ms, is_due=patience.may_hedge
+        )
         self.answer: WholeAnswer | None = None
         self._call = call
         self.target = target
@@ -107,7 +114,7 @@
         try:
             async with curio.timeout_after(as_seconds(self._left_ms)):
                 return await self._run(exchange)
-        except curio.TaskTimeout:
+        except (curio.TaskTimeout, BrokenOffError):
             return self._timed_out()
         except ExchangeError:
             return AttemptOutcome.cut
@@ -148,9 +155,7 @@
 
     @property
     def _left_ms(self) -> float:
-        patient_until = self._started_at + self._patience.attempt_ms
-        ends_at = min(self._call.deadline_at, patient_until)
-        return max(0, ends_at - self._clock.now())
+        return max(0, self._call.deadline_at - self._clock.now())
 
     async def _run(self, exchange: TargetExchange) -> AttemptOutcome:
         self._exchange = exchange
@@ -171,6 +176,8 @@
             ),
             body=body,
         )
+        if math.isfinite(self._patience.hedge_ms):
+            await self._hedge.start(exchange)
         if body is None:
             self._head = await self._upload(exchange)
         else:
@@ -273,6 +280,7 @@
         return AttemptOutcome.timed_out
 
     async def _release(self) -> None:
+        await self._hedge.stop()
         exchange = self._exchange
         if exchange is None:
             return
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -182,7 +182,7 @@
             target=target,
             connections=self._connections,
             clock=self._clock,
-            patience=self._policies.patience(call),
+            patience=self._policies.patience(call, entry.target_id),
         )
 
     async def _attempt(
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -1,6 +1,8 @@
 """The decisions on one request: its next target, its patience, its retries."""
 
 import dataclasses
+import functools
+import math
 from collections.abc import Callable
 
 from chicorybridge import settings
@@ -97,17 +99,15 @@
             )
         return option
 
-    def patience(self, call: Call) -> Patience:
+    def patience(self, call: Call, target_id: TargetId) -> Patience:
         """Return how long to wait before another target is tried."""
-        attempt_ms = call.deadline_at - self._clock.now()
+        hedge_ms = math.inf
         if _is_repeatable(call) and _runs(call) + 1 < call.route.attempts:
-            aim_ms = call.route.target_latency_ms or attempt_ms
-            slow_ms = self.slow_ms(call)
-            attempt_ms = min(
-                attempt_ms, max(slow_ms, aim_ms * settings.HEDGE_SHARE)
-            )
+            aim_ms = call.route.target_latency_ms or math.inf
+            hedge_ms = max(self.slow_ms(call), aim_ms * settings.HEDGE_SHARE)
         return Patience(
-            attempt_ms=attempt_ms,
+            hedge_ms=hedge_ms,
+            may_hedge=functools.partial(self._may_hedge, call, target_id),
             connect_ms=settings.HOST_CONNECT_MS,
             idle_ms=settings.HOST_IDLE_MS,
             buffer_bytes=settings.HOST_BUFFER_BYTES,
@@ -177,6 +177,32 @@
         call.retry_taken_at = now
         return True
 
+    def _may_hedge(self, call: Call, target_id: TargetId) -> bool:
+        """Return whether a target besides this one would run a call now."""
+        now = self._clock.now()
+        service_id = call.service.service_id
+        usual_ms = self.usual_ms(service_id)
+        least_ms = max(
+            settings.RETRY_LEAST_MS, usual_ms * settings.QUEUE_RUN_FACTOR
+        )
+        if call.deadline_at - now < least_ms:
+            return False
+        if len(call.attempts) + 1 >= settings.HOST_TRIES:
+            return False
+        allowance = self._allowances.of(service_id)
+        if not allowance.allows(hosts=self._hosts(), now=now):
+            return False
+        tried = {one.target_id for one in call.attempts}
+        option = self._selector.choose(
+            service_id,
+            Manner.safest,
+            excluded=tried | {target_id},
+            body_bytes=call.body_bytes,
+            patience=_wait_patience(call, now),
+            now=now,
+        )
+        return option is not None
+
     def _manner(self, call: Call, now: Millis) -> Manner:
         if _is_repeatable(call):
             return Manner.safest if call.attempts else Manner.exploring
--- a/chicorybridge/http/target_exchanges.py
+++ b/chicorybridge/http/target_exchanges.py
@@ -1,5 +1,7 @@
 """The client side of HTTP/1.1 exchanges: connections to targets."""
 
+import contextlib
+import socket
 from typing import Any
 
 import curio
@@ -23,6 +25,10 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
+class BrokenOffError(ExchangeError):
+    """Report an answer that this side did not wait for."""
+
+
 class TargetExchange(Exchange):
     """The client side of a connection to a target."""
 
@@ -40,6 +46,7 @@
         """
         self._unframed = unframed
         self._ends_with_answer = False
+        self._broken_off = False
         super().__init__(sock=sock, role=h11.CLIENT, clock=clock)
         self.address = address
         self.opened_at = clock.now()
@@ -106,13 +113,33 @@
         states = {self._conn.our_state, self._conn.their_state}
         if states != {h11.DONE} or self._conn.trailing_data[0]:
             return False
-        if self._ends_with_answer:
+        if self._ends_with_answer or self._broken_off:
             return False
         self._conn.start_next_cycle()
         self.idle_since = self._clock.now()
         self.fresh = False
         return True
 
+    async def break_off(self) -> None:
+        """End the wait for an answer; one that ends so is not whole."""
+        self._broken_off = True
+        with contextlib.suppress(OSError):
+            # Reset by the target, the wait has ended already.
+            await self.sock.shutdown(socket.SHUT_RDWR)
+
+    async def _receive(self) -> bytes:
+        try:
+            data = await super()._receive()
+        except ExchangeError:
+            if not self._broken_off:
+                raise
+            data = b''
+        if self._broken_off and not data:
+            raise BrokenOffError(
+                code=ErrorCode.stream_closed, detail='not waited for'
+            )
+        return data
+
     async def _write(self, data: bytes) -> None:
         # Counted first: a write that fails may have sent a part.
         self.sent_bytes += len(data)
--- a/chicorybridge/routing/allowances.py
+++ b/chicorybridge/routing/allowances.py
@@ -35,16 +35,21 @@
 
     def take(self, *, hosts: int, now: Millis) -> bool:
         """Count a retry and return true if it is within the share."""
+        if not self.allows(hosts=hosts, now=now):
+            return False
+        self._retried_at.append(now)
+        return True
+
+    def allows(self, *, hosts: int, now: Millis) -> bool:
+        """Return whether another retry is within the share."""
         horizon = now - self.bound.window_ms
         for times in (self._requested_at, self._retried_at):
             while times and times[0] < horizon:
                 times.popleft()
         allowed = self.bound.ratio * len(self._requested_at)
         allowed += self.bound.slack / max(1, hosts)
-        if len(self._retried_at) + 1 > allowed * settings.RETRY_BOUND_SHARE:
-            return False
-        self._retried_at.append(now)
-        return True
+        used = len(self._retried_at) + 1
+        return used <= allowed * settings.RETRY_BOUND_SHARE
 
     def sent(self, *, taken_at: Millis, now: Millis) -> None:
         """Count a retry as of when it is sent, not of when it was allowed.
