Break no attempt off for another one while the host stops

Callers saw: 504 from a host that was stopping, for a request that its target had at work (LOST: an answer of the host's own in place of the target's).

Cause: an attempt that is slow is broken off when another target would take the request. In a planned stop the second attempt has less time than the first had left; if it fails or does not end in time, the caller gets an answer of the host's own although the first target was at work.

Ruled out: an end of the deadline (1 s of 2 s were left).

The question whether to break off is now answered with no once the host has left service; the request ends with its target, its deadline or the grace.

--- a/chicorybridge/hosts/assemblies.py
+++ b/chicorybridge/hosts/assemblies.py
@@ -47,6 +47,7 @@
         allowances=RetryAllowances(bound=given.bounds.retries),
         hosts=lambda: len(knowledge.sightings.profiles()) + 1,
         reporter=Reporter(clock=clock, knowledge=knowledge, voice=voice),
+        state=knowledge.state,
     )
     return HostDispatcher(
         clock=clock,
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -15,6 +15,7 @@
 from chicorybridge.entry.forwards import Patience
 from chicorybridge.entry.refusals import RefusalError
 from chicorybridge.hosts.reports import Reporter
+from chicorybridge.hosts.states import HostDuty, HostState
 from chicorybridge.routing.allowances import RetryAllowances, RetryBound
 from chicorybridge.routing.reputations import Sign, TargetSeen
 from chicorybridge.routing.selections import Manner, Option, Selector
@@ -39,6 +40,7 @@
         allowances: RetryAllowances,
         hosts: Callable[[], int],
         reporter: Reporter,
+        state: HostState,
     ) -> None:
         """Join the parts.
 
@@ -49,6 +51,7 @@
         self._selector = selector
         self._allowances = allowances
         self._hosts = hosts
+        self._state = state
         self.reporter = reporter
         self._repeatable_at_by_id: dict[ServiceId, Millis] = {}
         self._usual_by_id: dict[ServiceId, UsualLatency] = {}
@@ -179,6 +182,9 @@
 
     def _may_hedge(self, call: Call, target_id: TargetId) -> bool:
         """Return whether a target besides this one would run a call now."""
+        if self._state.duty is not HostDuty.serving:
+            # The second attempt may not end before the host does.
+            return False
         now = self._clock.now()
         service_id = call.service.service_id
         usual_ms = self.usual_ms(service_id)
--- a/chicorybridge/tests/hosts/test_hedges.py
+++ b/chicorybridge/tests/hosts/test_hedges.py
@@ -4,9 +4,15 @@
 
 import curio
 
+from chicorybridge.hosts.states import HostDuty
 from chicorybridge.http.services import Request, ServerConnection
 from chicorybridge.routing.allowances import RetryBound
-from chicorybridge.tests.hosts.deployments import Origin, deployed, on_curio
+from chicorybridge.tests.hosts.deployments import (
+    Origin,
+    deployed,
+    on_curio,
+    until,
+)
 
 # Between the time for another try, 1 s, and the timeout of the route, 2 s.
 SLOW_S = 1.3
@@ -53,6 +59,20 @@
     assert sum(origin.runs for origin in origins) == 1
 
 
+@on_curio
+async def test_slow_request_is_not_broken_off_by_a_host_that_stops():
+    origins = [
+        Origin(target_id=f'i-{serial}', work_s=SLOW_S) for serial in (1, 2)
+    ]
+    async with deployed(*origins) as deployment:
+        sent = await curio.spawn(deployment.send('/lookup/7'))
+        await until(lambda: any(origin.runs for origin in origins))
+        deployment.host.state.duty = HostDuty.draining
+        answer = await sent.join()
+    assert answer.status == 200
+    assert sum(origin.runs for origin in origins) == 1
+
+
 @on_curio
 async def test_large_answer_is_not_cut_at_the_time_for_another_try():
     origins = [LargeOrigin(target_id=f'i-{serial}') for serial in (1, 2)]
