Give way to other tasks while bytes keep coming

What callers saw: a target that sends without end, faster than the host reads, held the whole process. A socket that has bytes is read without a wait, so the task that read an endless body never gave way: no time limit reached it, no other caller was served, and the host fell silent.

The cause: curio lets other tasks run, and delivers timeouts, only where a task waits. Reading events of a connection had no such place while bytes were there.

Evidence: the test reads bodies without end (chunks of one byte, chunks with extensions, a body that ends with the connection, one with a huge length) from a socket that always has bytes. Before the change the time limit of 100 ms was passed in all four cases until the flood itself ended: `ExchangeError: CB3001 stream_closed: reading went on to the end of the flood`. Ruled out: the size of a single event, which the receive buffer bounds.

Now the reader yields after each 32 steps, which are at most 2 MB of body, so that an ordinary request of a few events yields once in several requests.

--- a/chicorybridge/http/exchanges.py
+++ b/chicorybridge/http/exchanges.py
@@ -81,6 +81,7 @@
         # When the wait under way for the other end began, if any.
         self.waiting_since: Millis | None = None
         self.received_bytes = 0
+        self._steps = 0
         self._clock = clock
         self._conn = h11.Connection(
             our_role=role, max_incomplete_event_size=settings.MAX_HEAD_BYTES
@@ -149,6 +150,7 @@
 
     async def _next_event(self) -> Any:
         while True:
+            await self._give_way()
             try:
                 event = self._conn.next_event()
             except h11.RemoteProtocolError as error:
@@ -157,6 +159,16 @@
                 return event
             await self._receive()
 
+    async def _give_way(self) -> None:
+        """Let other tasks run now and then.
+
+        Reading waits for nothing while bytes are there, and a time limit
+        reaches a task only where it waits.
+        """
+        self._steps += 1
+        if self._steps % settings.STEPS_PER_TURN == 0:
+            await curio.sleep(0)
+
 
 def forwarded(headers: Headers) -> Headers:
     """Return the headers that go on to the next hop."""
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -30,6 +30,8 @@
 MAX_HEAD_BYTES = 32 * 1024
 RECEIVE_BYTES = 64 * 1024
 HEAD_TOO_LARGE_STATUS = 431
+# Events of a connection that are read before other tasks have their turn.
+STEPS_PER_TURN = 32
 
 # Streams between processes.
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
