Bound what a target may send ahead of its answer

What callers saw: a target that sent informational answers, or late answers to other requests, without end kept the host busy reading them until the time limit of the attempt. A request that may run once got its 504 only at the end of its time, and the reading took the processor from others meanwhile.

The cause: `read_head` and `skip_answer` read past such answers for as long as they came, and past the body of a late one whatever its length.

Evidence: five tests with a target that floods (statuses 100 and 103, late answers with and without a body, a late answer whose body has no end) failed before: `Expected regex: 'too much ahead', Actual message: 'CB3001 stream_closed: reading went on to the end of the flood'`. Tried and left: a bound in bytes alone, with which 512 KB of small late answers still took more than a second.

Now 16 answers or 512 KB of a late one end the attempt as any other broken answer does: the connection is reset, the target is marked as broken, and the request goes on or is answered with 502 at once. Connections whose attempt did not end are never reused, so a sound target repeats few answers.

--- a/chicorybridge/http/target_exchanges.py
+++ b/chicorybridge/http/target_exchanges.py
@@ -54,6 +54,9 @@
         self.sent_bytes = 0
         self.fresh = True
         self._method = b''
+        self._received_before = 0
+        # Answers that came before the one that is due.
+        self._answers_ahead = 0
 
     async def send_request(
         self,
@@ -65,6 +68,8 @@
     ) -> None:
         """Send the head, and with `body` the whole request in one write."""
         self._method = method
+        self._received_before = self.received_bytes
+        self._answers_ahead = 0
         events: list[Any] = [
             h11.Request(method=method, target=path, headers=headers)
         ]
@@ -78,6 +83,7 @@
         """Return the head of the answer; raise if its end can't be told."""
         event = await self._next_event()
         while isinstance(event, h11.InformationalResponse):
+            self._pass_over()
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ExchangeError(
@@ -87,9 +93,10 @@
 
     async def skip_answer(self) -> None:
         """Read past an answer that belongs to another request."""
-        chunk = await self.read_chunk()
+        self._pass_over()
+        chunk = await self._skip_chunk()
         while chunk:
-            chunk = await self.read_chunk()
+            chunk = await self._skip_chunk()
         states = {self._conn.our_state, self._conn.their_state}
         if states != {h11.DONE}:
             raise refused('an answer to another request')
@@ -145,6 +152,17 @@
         self.sent_bytes += len(data)
         await super()._write(data)
 
+    def _pass_over(self) -> None:
+        self._answers_ahead += 1
+        if self._answers_ahead > settings.AHEAD_ANSWERS:
+            raise refused('too much ahead of the answer')
+
+    async def _skip_chunk(self) -> bytes:
+        ahead = self.received_bytes - self._received_before
+        if ahead > settings.AHEAD_BYTES:
+            raise refused('too much ahead of the answer')
+        return await self.read_chunk()
+
     def _answer_head(self, response: h11.Response) -> Head:
         headers = list(response.headers)
         bodiless = (
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -32,6 +32,10 @@
 HEAD_TOO_LARGE_STATUS = 431
 # Events of a connection that are read before other tasks have their turn.
 STEPS_PER_TURN = 32
+# What a target may send before the answer that is due: informational answers
+# and late ones to other requests.
+AHEAD_ANSWERS = 16
+AHEAD_BYTES = 512 * 1024
 
 # Streams between processes.
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
