Keep a body in tiny chunks in the space of its bytes

What callers could see: a body without end in chunks of two bytes took some 16 MB of a host until it was relayed or its time was over, where 512 KB are meant, and as much again for each further request at such a target.

The cause: the part of an answer that is kept, up to 512 KB, was a list with an object for each chunk, and only the bytes in them were counted. A chunk of two bytes takes about 64.

Evidence: the new test reads the first 16 KB of such a body.

--- a/chicorybridge/entry/forwards.py
+++ b/chicorybridge/entry/forwards.py
@@ -235,17 +235,11 @@
         await exchange.finish()
 
     async def _read_answer(self, exchange: TargetExchange, head: Head) -> None:
-        chunks: list[bytes] = []
-        size = 0
-        while size < self._patience.buffer_bytes:
-            chunk = await exchange.read_chunk()
-            if not chunk:
-                body = b''.join(chunks)
-                self.answer = whole_answer(self._call, head, body)
-                return
-            chunks.append(chunk)
-            size += len(chunk)
-        await self._relay(exchange, head, b''.join(chunks))
+        body, ended = await exchange.read_body(self._patience.buffer_bytes)
+        if ended:
+            self.answer = whole_answer(self._call, head, body)
+            return
+        await self._relay(exchange, head, body)
 
     async def _relay(
         self, exchange: TargetExchange, head: Head, first: bytes
--- a/chicorybridge/http/target_exchanges.py
+++ b/chicorybridge/http/target_exchanges.py
@@ -91,6 +91,17 @@
             )
         return self._answer_head(event)
 
+    async def read_body(self, limit: int) -> tuple[bytes, bool]:
+        """Return the body up to its end or `limit`, and whether it ended."""
+        # Tiny chunks would take many times their size one by one.
+        body = bytearray()
+        while len(body) < limit:
+            chunk = await self.read_chunk()
+            if not chunk:
+                return bytes(body), True
+            body += chunk
+        return bytes(body), False
+
     async def skip_answer(self) -> None:
         """Read past an answer that belongs to another request."""
         self._pass_over()
--- a/chicorybridge/tests/http/test_endless_answers.py
+++ b/chicorybridge/tests/http/test_endless_answers.py
@@ -1,5 +1,7 @@
 """Answers of targets that never end, and come faster than they are read."""
 
+import tracemalloc
+
 import curio
 import pytest
 
@@ -13,6 +15,7 @@
 OF_THREE = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n'
 EMPTY = b'HTTP/1.1 204 No Content\r\n\r\n'
 BRIEF_S = 0.1
+KEPT_BYTES = 16 * 1024
 # One more read may be under way.
 MOST_BYTES = settings.AHEAD_BYTES + settings.RECEIVE_BYTES
 MOST_HEAD_BYTES = settings.MAX_HEAD_BYTES + settings.RECEIVE_BYTES
@@ -122,3 +125,14 @@
     await _read_all(exchange)
     assert exchange.sock.received == len(head) + len(b'newx')
     assert not exchange.next_cycle()
+
+
+async def test_body_in_tiny_chunks_takes_no_more_memory_than_its_bytes():
+    exchange = await asked(CHUNKED, b'2\r\nab\r\n')
+    await exchange.read_head()
+    tracemalloc.start()
+    body, ended = await exchange.read_body(KEPT_BYTES)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert (len(body), ended) == (KEPT_BYTES, False)
+    assert peak < 4 * settings.RECEIVE_BYTES
