Give way while answers to probes keep coming

What callers saw: a target that answered a probe without end, faster than it was read, held the control process: the time limit of the probe of one second never came, and neither ticks nor peers had their turn.

The cause: the client for whole messages reads as the exchanges did, without a wait while bytes are there.

Evidence: two tests, informational answers and chunks without end, failed before: `AnswerLostError: reading went on to the end of the flood`. The store's client and the tools use the same code, but are not asked by targets.

--- a/chicorybridge/http/fetchers.py
+++ b/chicorybridge/http/fetchers.py
@@ -8,6 +8,7 @@
 import curio
 import h11
 
+from chicorybridge import settings
 from chicorybridge.common import clocks
 from chicorybridge.common.addresses import Address
 from chicorybridge.http.services import (
@@ -35,6 +36,7 @@
         self._raw = raw
         self.sock = curio.io.Socket(raw)
         self._protocol = h11.Connection(h11.CLIENT)
+        self._steps = 0
 
     @property
     def reusable(self) -> bool:
@@ -114,6 +116,10 @@
 
     async def _next_event(self) -> Any:
         while True:
+            self._steps += 1
+            if self._steps % settings.STEPS_PER_TURN == 0:
+                # A server may send faster than its answer is read.
+                await curio.sleep(0)
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
