Bound what is kept of the answer to a probe

What operators could see: a target that answers its probe without end grew the control process by all that it sent within the second that a probe may take.

The cause: the client for whole messages has no bound on bodies, and the prober needs none but the status.

Other users of the client keep it without a bound: they ask the platform's store and the product's own processes, not targets.

--- a/chicorybridge/http/fetchers.py
+++ b/chicorybridge/http/fetchers.py
@@ -1,6 +1,7 @@
 """A pooled HTTP/1.1 client of h11 over curio, for whole messages."""
 
 import logging
+import math
 import socket
 from types import MappingProxyType
 from typing import Any
@@ -31,9 +32,12 @@
 class ClientConnection:
     """One connection to a server, used for one request at a time."""
 
-    def __init__(self, *, raw: socket.socket) -> None:
-        """Wrap a connected or connecting socket."""
+    def __init__(
+        self, *, raw: socket.socket, answer_bytes: float = math.inf
+    ) -> None:
+        """Wrap a connected or connecting socket; bound bodies in bytes."""
         self._raw = raw
+        self._answer_bytes = answer_bytes
         self.sock = curio.io.Socket(raw)
         self._protocol = h11.Connection(h11.CLIENT)
         self._steps = 0
@@ -92,6 +96,8 @@
         event = await self._next_event()
         while isinstance(event, h11.Data):
             body += event.data
+            if len(body) > self._answer_bytes:
+                raise AnswerLostError('the answer is too long')
             event = await self._next_event()
         if not isinstance(event, h11.EndOfMessage):
             raise AnswerLostError('the answer was cut')
@@ -129,9 +135,15 @@
 class Client:
     """Send requests over connections kept by address."""
 
-    def __init__(self, *, idle_limit: int = 64) -> None:
-        """Keep at most `idle_limit` idle connections per address."""
+    def __init__(
+        self, *, idle_limit: int = 64, answer_bytes: float = math.inf
+    ) -> None:
+        """Keep at most `idle_limit` idle connections per address.
+
+        Bodies of more than `answer_bytes` are not read to their end.
+        """
         self._idle_limit = idle_limit
+        self._answer_bytes = answer_bytes
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
 
     async def fetch(
@@ -164,7 +176,7 @@
             if connection.reusable:
                 return connection
             await connection.close()
-        return await open_connection(address)
+        return await open_connection(address, answer_bytes=self._answer_bytes)
 
     async def _give_back(
         self, address: Address, connection: ClientConnection
@@ -176,11 +188,13 @@
         await connection.close()
 
 
-async def open_connection(address: Address) -> ClientConnection:
+async def open_connection(
+    address: Address, *, answer_bytes: float = math.inf
+) -> ClientConnection:
     """Connect to `address`; raise `NotSentError`."""
     raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    connection = ClientConnection(raw=raw)
+    connection = ClientConnection(raw=raw, answer_bytes=answer_bytes)
     try:
         await connection.sock.connect((address.host, address.port))
     except OSError as error:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -255,6 +255,7 @@
 # Departures.
 LEAVING_SIGN_MS = 2000
 PROBE_TIMEOUT_MS = 1000
+PROBE_ANSWER_BYTES = 64 * 1024
 
 # Reputations of targets on the platform. The two-state chain of a target:
 # the share of time that it is sound, and the time in which old news loses
