Close idle connections that have bytes to read

What callers saw: nothing.

The cause: such a connection is found out when it is about to be lent, and otherwise only closed when it was idle for too long.

That such a connection is not lent held already.

The tick now closes every idle connection that is not quiet, those that their target has closed included.

--- a/chicorybridge/http/connections.py
+++ b/chicorybridge/http/connections.py
@@ -67,7 +67,7 @@
         await exchange.abort()
 
     async def retire(self) -> None:
-        """Close what was idle too long or is too old; run each tick."""
+        """Close what is old, idle too long or not clean; run each tick."""
         for address, idle in tuple(self._idle_by_address.items()):
             stale = [one for one in idle if self._is_stale(one)]
             for exchange in stale:
@@ -111,7 +111,7 @@
         return sockets.is_quiet(exchange.sock)
 
     def _is_stale(self, exchange: TargetExchange) -> bool:
-        now = self._clock.now()
-        if now - exchange.opened_at > settings.CONNECTION_AGE_MS:
+        if self._clock.now() - exchange.opened_at > settings.CONNECTION_AGE_MS:
             return True
-        return now - exchange.idle_since > settings.CONNECTION_IDLE_MS
+        # A target may send on after an answer until the connection is closed.
+        return not self._is_clean(exchange, settings.CONNECTION_IDLE_MS)
--- a/chicorybridge/tests/hosts/test_endless_answers.py
+++ b/chicorybridge/tests/hosts/test_endless_answers.py
@@ -130,3 +130,16 @@
         soundness = _soundness(deployment)
     assert elapsed_s < WITHIN_S
     assert soundness < settings.SOUND_SHARE
+
+
+@pytest.mark.parametrize('repeated', [b'x', BLOCK])
+@on_curio
+async def test_connection_with_bytes_after_its_answer_is_closed(repeated):
+    """Its target may send on until then."""
+    first = OK + SIGNED + b'Content-Length: 3\r\n\r\nnew'
+    origin = _endless(first, repeated)
+    async with deployed(origin) as deployment:
+        response = await deployment.send('/accept/7', method='POST')
+        async with curio.timeout_after(WITHIN_S):
+            await until(lambda: origin.closed)
+    assert (response.status, response.body) == (HTTPStatus.OK, b'new')
