--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -11,7 +11,7 @@
 from chicorybridge.common.identities import PoolId
 from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.configuration.declarations import Target
-from chicorybridge.entry.answers import PROMISING_STATUSES, WholeAnswer
+from chicorybridge.entry.answers import WholeAnswer
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.forwards import Forward
 from chicorybridge.entry.refusals import RefusalError, check_relayed
--- a/chicorybridge/hosts/final_answers.py
+++ b/chicorybridge/hosts/final_answers.py
@@ -3,15 +3,12 @@
 from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.errors import ErrorCode, RequestError
 from chicorybridge.common.outcomes import RequestOutcome
-from chicorybridge.entry.answers import WholeAnswer
+from chicorybridge.entry.answers import PROMISING_STATUSES, WholeAnswer
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.forwards import Forward
 from chicorybridge.entry.refusals import RefusalError
 from chicorybridge.http.problems import status_of
 
-# Statuses that promise the caller that its request did not run.
-PROMISING_STATUSES = frozenset((408, 421, 429, 503))
-
 
 def truthful(error: RequestError, outcome: RequestOutcome) -> RequestError:
     """Replace an error whose status says that the request did not run."""
--- a/chicorybridge/hosts/responders.py
+++ b/chicorybridge/hosts/responders.py
@@ -6,9 +6,9 @@
 from chicorybridge import settings
 from chicorybridge.common.errors import RequestError
 from chicorybridge.common.outcomes import RequestOutcome
-from chicorybridge.entry.answers import WholeAnswer
+from chicorybridge.entry.answers import PROMISING_STATUSES, WholeAnswer
 from chicorybridge.entry.failures import contained, send_whole
-from chicorybridge.hosts.final_answers import PROMISING_STATUSES, truthful
+from chicorybridge.hosts.final_answers import truthful
 from chicorybridge.hosts.request_logs import RequestLog
 from chicorybridge.hosts.states import HostDuty, HostState
 from chicorybridge.http.caller_exchanges import CallerExchange
