--- a/chicorybridge/tests/hosts/test_relays.py
+++ b/chicorybridge/tests/hosts/test_relays.py
@@ -3,7 +3,6 @@
 import socket
 
 import curio
-import pytest
 
 from chicorybridge.common import sockets
 from chicorybridge.tests.hosts.deployments import Origin, deployed, on_curio
@@ -21,7 +20,6 @@
 WHOLE_S = 2
 
 
-@pytest.mark.xfail(strict=True, reason='KNOWN-RED.txt, issue 17')
 @on_curio
 async def test_relayed_answer_is_not_cut_when_another_target_would_be_tried():
     origin = Origin(target_id='i-1', answer_body=bytes(LARGE_BYTES))
