--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -9,7 +9,7 @@
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
-from chicorybridge.common.clocks import Clock, Millis, as_seconds
+from chicorybridge.common.clocks import Clock, Millis
 from chicorybridge.common.errors import ErrorCode, RequestError
 from chicorybridge.common.events import EventLog
 from chicorybridge.common.outcomes import RequestOutcome
