Give way while a caller sends on after its answer

What callers would see: no answer from a host for up to 2 s, while one caller sends on after it was refused, faster than its bytes are discarded.

Cause: reading waits for nothing while bytes are there, so neither the limit of 2 s nor any other task had its turn: the same fault as with endless bytes of targets, found by looking for it elsewhere. Evidence: the new test got its turn only when the flood had ended. The reading now gives way after each chunk.

--- a/chicorybridge/http/caller_endings.py
+++ b/chicorybridge/http/caller_endings.py
@@ -132,4 +132,6 @@
 async def _discard(sock: curio.io.Socket) -> None:
     chunk = await sock.recv(settings.RECEIVE_BYTES)
     while chunk:
+        # Reading does not wait while bytes keep coming.
+        await curio.sleep(0)
         chunk = await sock.recv(settings.RECEIVE_BYTES)
--- a/chicorybridge/tests/http/floods.py
+++ b/chicorybridge/tests/http/floods.py
@@ -1,4 +1,4 @@
-"""A target that sends bytes faster than they are read, for tests."""
+"""An other end that sends bytes faster than they are read, for tests."""
 
 import time
 
@@ -31,6 +31,9 @@
     async def sendall(self, sent: bytes) -> None:
         """Take everything."""
 
+    async def shutdown(self, how: int) -> None:
+        """Go on sending."""
+
 
 async def asked(first: bytes, repeated: bytes) -> TargetExchange:
     """Return an exchange that has asked a target that floods."""
