Count requests that are still read as in flight in a drain

What callers would see: an upload that an entry process was reading as its host finished a planned stop could be cut.

Cause: the entry told control of the calls that its dispatcher knew; a request is no call before its body is read, nor is one that waits unread. Control goes on to `left` when nothing is in flight.

Evidence, before: an upload under way was reported as 0 in flight. The report now counts the connections that have a request, as `CallerTable.pending` does.

--- a/chicorybridge/entry/entry_processes.py
+++ b/chicorybridge/entry/entry_processes.py
@@ -164,7 +164,10 @@
             elif isinstance(effect, Emit):
                 self.log.emit(effect.event)
         await self._reporter.report(
-            self._dispatcher, connections=len(self.callers), now=now
+            self._dispatcher,
+            connections=len(self.callers),
+            pending=self.callers.pending,
+            now=now,
         )
 
     async def _answer_own(self, exchange: CallerExchange, head: Head) -> bool:
--- a/chicorybridge/entry/entry_reports.py
+++ b/chicorybridge/entry/entry_reports.py
@@ -71,16 +71,24 @@
         self._meters.count('connections_{0}'.format(ending.name))
 
     async def report(
-        self, dispatcher: Dispatcher, *, connections: int, now: Millis
+        self,
+        dispatcher: Dispatcher,
+        *,
+        connections: int,
+        pending: int,
+        now: Millis,
     ) -> None:
-        """Post the state of the process, new events and due metrics."""
+        """Post the state of the process, new events and due metrics.
+
+        `pending` counts the connections with a request, read or not.
+        """
         calls = dispatcher.calls_by_number.values()
         version = self._state.version
         await self._post(
             EntryReport(
                 entry_id=self._entry_id,
                 version=version,
-                in_flight=len(calls),
+                in_flight=pending,
                 superseded=sum(
                     call.configuration.version < version for call in calls
                 ),
--- a/chicorybridge/tests/entry/test_entry_reports.py
+++ b/chicorybridge/tests/entry/test_entry_reports.py
@@ -3,6 +3,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+import curio
+
 from chicorybridge.common.clocks import ManualClock
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.common.events import EventLog
@@ -10,34 +12,65 @@
 from chicorybridge.entry.entry_messages import EntryReport, MetricsReport
 from chicorybridge.entry.entry_reports import EntryReporter
 from chicorybridge.entry.entry_states import EntryState
+from chicorybridge.tests.fronts import OK, answering, front
 
 
-async def test_refusals_of_a_tick_are_one_event_and_are_counted():
-    """An overload does not flood the time line."""
-    clock = ManualClock()
+def _reporter(clock, post) -> EntryReporter:
     log = EventLog(
         clock=clock,
         host_id=HostId('host-1'),
         process='entry',
         incarnation=Incarnation(1),
     )
+    return EntryReporter(
+        entry_id='e', clock=clock, log=log, state=EntryState(), post=post
+    )
+
+
+def _dispatcher() -> Any:
+    return SimpleNamespace(calls_by_number={})
+
+
+async def test_refusals_of_a_tick_are_one_event_and_are_counted():
+    """An overload does not flood the time line."""
+    clock = ManualClock()
     posted = []
 
     async def post(message):  # noqa: WPS430
         posted.append(message)
         return True
 
-    reporter = EntryReporter(
-        entry_id='e', clock=clock, log=log, state=EntryState(), post=post
-    )
+    reporter = _reporter(clock, post)
     for _ in range(1000):
         reporter.count_refusal(ErrorCode.overloaded)
-    dispatcher: Any = SimpleNamespace(calls_by_number={})
-    await reporter.report(dispatcher, connections=0, now=clock.now())
-    records = log.recent()
+    await reporter.report(
+        _dispatcher(), connections=0, pending=0, now=clock.now()
+    )
+    records = reporter._log.recent()
     assert [record['count'] for record in records] == [1000]
     assert records[0]['event'] == 'request_refused'
     kinds = [type(message) for message in posted]
     assert kinds[0] is EntryReport
     metrics = posted[kinds.index(MetricsReport)]
     assert metrics.counts_by_name == {'refused_overloaded': 1000}
+
+
+async def test_request_that_is_still_read_counts_as_in_flight():
+    """A planned stop waits for it."""
+    posted: list[Any] = []
+
+    async def post(message):  # noqa: WPS430
+        posted.append(message)
+        return True
+
+    reporter = _reporter(ManualClock(), post)
+    async with front(answering(OK)) as plane:
+        sock = await plane.connect()
+        await sock.sendall(b'POST /quotes HTTP/1.1\r\nHost: h\r\n')
+        await sock.sendall(b'Content-Length: 4\r\n\r\nha')
+        await curio.sleep(0.05)
+        await reporter.report(
+            _dispatcher(), connections=1, pending=plane.callers.pending, now=0
+        )
+        await sock.close()
+    assert posted[0].in_flight == 1
