--- a/chicorybridge/tests/entry/test_entry_reports.py
+++ b/chicorybridge/tests/entry/test_entry_reports.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from chicorybridge.common.clocks import ManualClock
+from chicorybridge.common.clocks import ManualClock, Millis
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.common.events import EventLog
 from chicorybridge.common.identities import HostId, Incarnation
@@ -70,7 +70,10 @@
         await sock.sendall(b'Content-Length: 4\r\n\r\nha')
         await curio.sleep(0.05)
         await reporter.report(
-            _dispatcher(), connections=1, pending=plane.callers.pending, now=0
+            _dispatcher(),
+            connections=1,
+            pending=plane.callers.pending,
+            now=Millis(0),
         )
         await sock.close()
     assert posted[0].in_flight == 1
