--- a/chicorybridge/http/caller_endings.py
+++ b/chicorybridge/http/caller_endings.py
@@ -59,13 +59,19 @@
 ) -> Ending | None:
     """Return why a connection without a request is to end now."""
     waiting_since = exchange.waiting_since
-    if waiting_since is None or not _waits_quietly(exchange):
+    if waiting_since is None:
         return None
+    ending = Ending.idle
+    waited_ms = now - max(waiting_since, limits_since)
+    limit_ms = limits.idle_ms
     if exchange.head_since is not None:
-        slow = now - exchange.head_since > limits.head_ms
-        return Ending.slow_head if slow else None
-    idle_ms = now - max(waiting_since, limits_since)
-    return Ending.idle if idle_ms > limits.idle_ms else None
+        ending = Ending.slow_head
+        waited_ms = now - exchange.head_since
+        limit_ms = limits.head_ms
+    # Asking the kernel comes last: most connections are within their limit.
+    if waited_ms > limit_ms and _waits_quietly(exchange):
+        return ending
+    return None
 
 
 def is_idle(exchange: CallerExchange) -> bool:
