Guard relayed answers also where another target would be tried

The test of a relayed answer that its caller reads slowly had one target; since an attempt is given up only if another one would take the request, so with one target it no longer reaches the case that it is named after. With two it fails on (`ConnectionResetError`, 2 of 2) and passes now (5 of 5).

--- a/chicorybridge/tests/hosts/test_relays.py
+++ b/chicorybridge/tests/hosts/test_relays.py
@@ -22,8 +22,11 @@
 
 @on_curio
 async def test_relayed_answer_is_not_cut_when_another_target_would_be_tried():
-    origin = Origin(target_id='i-1', answer_body=bytes(LARGE_BYTES))
-    async with deployed(origin) as deployment:
+    origins = [
+        Origin(target_id=target_id, answer_body=bytes(LARGE_BYTES))
+        for target_id in ('i-1', 'i-2')
+    ]
+    async with deployed(*origins) as deployment:
         sock = await sockets.connect(deployment.front)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
         await sock.sendall(LOOKUP)
--- a/chicorybridge/tests/stops/runs.py
+++ b/chicorybridge/tests/stops/runs.py
@@ -57,6 +57,9 @@
         counted = [f'{key} {endings[key]}' for key in sorted(endings)]
         broken = len(self.breaches)
         lines = [f'seed {self.seed}: {broken} broken', *counted]
+        if broken:
+            stops = self.record.stops_by_host.items()
+            lines.extend(f'  host {host}: {stop}' for host, stop in stops)
         for breach in self.breaches:
             lines.append(f'{breach.promise}: {breach.subject}')
             if breach.story is not None:
