Close an idle connection before the next one is looked at

Callers saw: requests sent whole on kept connections whose connection was reset without their having reached a target, as a host stopped or swept.

What came between the look and the close was lost. With a line of the log for each the pass takes milliseconds, and more when the process has to wait for the processor.

The new test found no connection closed while the next ones were looked at (`[0, 0, 0] == [0, 1, 2]`).

Each connection is closed now before the next look. A request can still cross the close of its connection; it is not read then, so its caller may send it again.

--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -183,6 +183,8 @@
         if event is not None:
             self._log.emit(event)
         await connection.task.cancel(blocking=False)
+        # Closed at once: what comes after the look at it would be lost.
+        await curio.sleep(0)
 
     async def _serve(self, number: int, connection: CallerConnection) -> None:
         exchange = connection.exchange
--- a/chicorybridge/tests/http/test_caller_connections.py
+++ b/chicorybridge/tests/http/test_caller_connections.py
@@ -3,7 +3,7 @@
 import contextlib
 import dataclasses
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import curio
@@ -17,6 +17,7 @@
 from chicorybridge.common.identities import HostId, Incarnation
 from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.http.caller_connections import CallerTable
+from chicorybridge.http.caller_endings import Ending
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.caller_limits import CallerLimits
 from chicorybridge.http.exchanges import Head
@@ -65,6 +66,8 @@
     address: str
     answerer: Answerer
     limits: CallerLimits
+    # Called with each reason for which a connection is ended.
+    ended: Callable[[Ending], None] = lambda ending: None
 
     async def connect(self, *, receive_bytes: int = 0) -> curio.io.Socket:
         """Open a connection and return once the table waits for requests.
@@ -110,7 +113,7 @@
             ),
             dispatcher=answerer,
             own_answer=_leave,
-            ended=lambda ending: None,
+            ended=lambda ending: given.ended(ending),
             limits=lambda: given.limits,
         ),
         clock=clock,
@@ -254,3 +257,16 @@
         plane.clock.advance(by_ms=IDLE_MS / 3 + 1)
         await plane.callers.sweep()
         assert await sock.recv(1) == b''
+
+
+@on_curio
+async def test_idle_connection_is_closed_before_the_next_is_looked_at():
+    async with table(Answerer()) as plane:
+        socks = [await plane.connect() for _ in range(3)]
+        await curio.sleep(0.05)
+        closed: list[int] = []
+        plane.ended = lambda ending: closed.append(
+            sum(sockets.is_closed(sock) for sock in socks)
+        )
+        await plane.callers.close_idle()
+    assert closed == [0, 1, 2]
