--- a/chicorybridge/tests/entry/test_entry_reports.py
+++ b/chicorybridge/tests/entry/test_entry_reports.py
@@ -7,23 +7,20 @@
 
 from chicorybridge.common.clocks import ManualClock, Millis
 from chicorybridge.common.errors import ErrorCode
-from chicorybridge.common.events import EventLog
-from chicorybridge.common.identities import HostId, Incarnation
 from chicorybridge.entry.entry_messages import EntryReport, MetricsReport
 from chicorybridge.entry.entry_reports import EntryReporter
 from chicorybridge.entry.entry_states import EntryState
+from chicorybridge.tests.event_logs import event_log
 from chicorybridge.tests.fronts import OK, answering, front
 
 
 def _reporter(clock, post) -> EntryReporter:
-    log = EventLog(
-        clock=clock,
-        host_id=HostId('host-1'),
-        process='entry',
-        incarnation=Incarnation(1),
-    )
     return EntryReporter(
-        entry_id='e', clock=clock, log=log, state=EntryState(), post=post
+        entry_id='e',
+        clock=clock,
+        log=event_log(clock),
+        state=EntryState(),
+        post=post,
     )
 
 
--- a/chicorybridge/tests/fronts.py
+++ b/chicorybridge/tests/fronts.py
@@ -12,11 +12,9 @@
 from chicorybridge.claims.claimants import Claimant
 from chicorybridge.common import sockets
 from chicorybridge.common.clocks import Clock, Millis
-from chicorybridge.common.events import EventLog
 from chicorybridge.common.identities import (
     Digest,
     HostId,
-    Incarnation,
     ServiceId,
     Version,
     ZoneId,
@@ -29,6 +27,7 @@
 from chicorybridge.http.connections import TargetConnections
 from chicorybridge.routing.policies import Policies
 from chicorybridge.routing.routes import RouteTable
+from chicorybridge.tests.event_logs import event_log
 from chicorybridge.tools.models.declared import ServiceShape, declare
 
 READ_BYTES = 65536
@@ -178,12 +177,7 @@
     )
     return CallerTable(
         clock=clock,
-        log=EventLog(
-            clock=clock,
-            host_id=HostId('h'),
-            process='entry',
-            incarnation=Incarnation(1),
-        ),
+        log=event_log(clock),
         dispatcher=dispatcher,
         own_answer=_no_own_answer,
         ended=lambda ending: None,
--- a/chicorybridge/tests/http/test_caller_connections.py
+++ b/chicorybridge/tests/http/test_caller_connections.py
@@ -13,14 +13,13 @@
 from chicorybridge.common import sockets
 from chicorybridge.common.clocks import ManualClock
 from chicorybridge.common.errors import RequestError
-from chicorybridge.common.events import EventLog
-from chicorybridge.common.identities import HostId, Incarnation
 from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.http.caller_connections import CallerTable
 from chicorybridge.http.caller_endings import Ending
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.caller_limits import CallerLimits
 from chicorybridge.http.exchanges import Head
+from chicorybridge.tests.event_logs import event_log
 from chicorybridge.tests.hosts.deployments import on_curio, until
 
 REQUEST = b'GET /lookup/7 HTTP/1.1\r\nHost: quotes.example\r\n\r\n'
@@ -105,12 +104,7 @@
     given = Table(
         callers=CallerTable(
             clock=clock,
-            log=EventLog(
-                clock=clock,
-                host_id=HostId('h'),
-                process='host',
-                incarnation=Incarnation(1),
-            ),
+            log=event_log(clock, process='host'),
             dispatcher=answerer,
             own_answer=_leave,
             ended=lambda ending: given.ended(ending),
