Take what waits to be accepted before a stop closes its listener

Callers saw: requests sent on new connections, reset 0.3 s later without having been read, as a host stopped that had stood still for a moment.

Cause: closing a listener resets the connections that the kernel holds for it.

The new test got no answer on three of three (`[None, None, None]`); with the change each does.

Before it closes, a stopping process gives the accepting task turns until nothing waits, eight at the most; what it takes is answered as what came before.

--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -107,9 +107,14 @@
         await curio.Event().wait()
 
     async def stop_accepting(self) -> None:
-        """Take no more connections; those that are open go on."""
+        """Take no more connections; those that have come go on."""
         if self._accepting is None or self._listener is None:
             return
+        for _ in range(settings.ACCEPT_TURNS):
+            # Closing the listener would reset what it has not handed over.
+            if sockets.is_quiet(self._listener):
+                break
+            await curio.sleep(0)
         await self._accepting.cancel()
         await self._listener.close()
 
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -89,6 +89,8 @@
 
 # Wait after a connection that could not be accepted: descriptors may be short.
 ACCEPT_RETRY_MS = 20
+# Turns of the loop in which a stopping process takes what waits to be accepted.
+ACCEPT_TURNS = 8
 
 # Choice of target.
 CHOICE_SAMPLES = 3
--- a/chicorybridge/tests/http/test_caller_connections.py
+++ b/chicorybridge/tests/http/test_caller_connections.py
@@ -264,3 +264,17 @@
         )
         await plane.callers.close_idle()
     assert closed == [0, 1, 2]
+
+
+@on_curio
+async def test_request_that_waits_to_be_accepted_survives_a_planned_stop():
+    async with table(Answerer()) as plane:
+        address = sockets.split_address(plane.address)
+        await until(lambda: plane.callers._accepting)
+        await curio.sleep(0)
+        waiting = [socket.create_connection(address) for _ in range(3)]
+        for sock in waiting:
+            sock.sendall(REQUEST)
+        await plane.callers.finish()
+        answers = [await _answer_on(curio.io.Socket(one)) for one in waiting]
+    assert answers == [b'done'] * 3
