Close idle connections without a turn of the loop for each

Callers saw: under a crowd, a stopping host that ended after its grace, by up to 0.5 s, or had not ended a second after it.

--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -18,6 +18,7 @@
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.caller_endings import (
     Ending,
+    end_output,
     ending_event,
     ending_of,
     is_idle,
@@ -192,9 +193,10 @@
         event = ending_event(connection.exchange, ending, self._clock.now())
         if event is not None:
             self._log.emit(event)
+        if not connection.exchange.busy:
+            # At once, not when the task runs: what comes in between is lost.
+            await end_output(connection.exchange)
         await connection.task.cancel(blocking=False)
-        # Closed at once: what comes after the look at it would be lost.
-        await curio.sleep(0)
 
     async def _serve(self, number: int, connection: CallerConnection) -> None:
         exchange = connection.exchange
--- a/chicorybridge/http/caller_endings.py
+++ b/chicorybridge/http/caller_endings.py
@@ -1,5 +1,6 @@
 """When and why a host ends connections of callers."""
 
+import logging
 import socket
 from enum import Enum
 
@@ -12,6 +13,8 @@
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.caller_limits import CallerLimits
 
+logger = logging.getLogger(__name__)
+
 
 class Ending(Enum):
     """Why a host ends a connection of a caller."""
@@ -120,6 +123,14 @@
     return Event(kind=EventKind.connection_ended, facts=facts)
 
 
+async def end_output(exchange: CallerExchange) -> None:
+    """Tell the caller that nothing more comes; it does so without a wait."""
+    try:
+        await exchange.sock.shutdown(socket.SHUT_WR)
+    except OSError as error:
+        logger.debug('%s has closed first: %s', exchange.caller, error)
+
+
 async def linger(exchange: CallerExchange) -> None:
     """Let the answer arrive before the connection is closed.
 
@@ -127,8 +138,8 @@
     the answer from the caller.
     """
     exchange.lingering = True
+    await end_output(exchange)
     try:
-        await exchange.sock.shutdown(socket.SHUT_WR)
         async with curio.timeout_after(as_seconds(settings.LINGER_MS)):
             await _discard(exchange.sock)
     except (OSError, curio.TaskTimeout):
