Log when a host lacks state, fetches it, or holds removals back

The logs of a host didn't say why it did not credit the marks of that reader: a newer configuration, targets that differ, or no mark at all; nor whether and how fast it fetched the state, nor whether it held removals back.

Three events tell the hypotheses apart: state_behind (a mark showed that this host lacks state, and which), snapshot_merged (with the age of the data and the time of the fetch) and removals_held / removals_released. No decision changes.

--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -39,6 +39,8 @@
     peer_lost = 301
     host_withdrawn = 302
     host_returned = 303
+    state_behind = 304
+    snapshot_merged = 305
 
     # 400: targets.
     target_ejected = 401
@@ -66,6 +68,8 @@
     # 600: platform.
     store_lost = 600
     store_back = 601
+    removals_held = 602
+    removals_released = 603
 
     # 900: violated invariants.
     promise_broken = 900
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -116,9 +116,18 @@
             age_ms=self.schedule.age_ms(now=now),
         )
 
-    def merge_snapshot(self, snapshot: Snapshot, *, source: str) -> None:
-        """Merge the state of another host."""
+    def merge_snapshot(
+        self, snapshot: Snapshot, *, source: str, requested_at: Millis
+    ) -> None:
+        """Merge the state of another host, requested at `requested_at`."""
         now = self._clock.now()
+        self._emit(
+            EventKind.snapshot_merged,
+            source=source,
+            age_ms=round(snapshot.age_ms),
+            fetch_ms=round(now - requested_at),
+            targets=len(snapshot.targets.entries),
+        )
         self.host_table.add_unknown(snapshot.hosts, now=now)
         change = self.directory.diff(snapshot.targets)
         self.apply_target_changes(change, source=source)
@@ -201,15 +210,23 @@
     def _handle_mark(
         self, message: StoreMark, sender: HostId, now: Millis
     ) -> None:
-        sender_is_newer = message.configuration_version > self.state.version
-        if message.store_version >= self.directory.store_version:
-            sender_is_newer = (
-                sender_is_newer
-                or message.targets_digest != self.directory.digest
-            )
-        if not sender_is_newer:
+        lacks_configuration = message.configuration_version > self.state.version
+        targets_differ = (
+            message.store_version >= self.directory.store_version
+            and message.targets_digest != self.directory.digest
+        )
+        if not lacks_configuration and not targets_differ:
             self.schedule.record_remote_read(message, now=now)
             return
+        self._emit(
+            EventKind.state_behind,
+            peer=sender,
+            lacks_configuration=lacks_configuration,
+            targets_differ=targets_differ,
+            store_version=self.directory.store_version,
+            mark_store_version=message.store_version,
+            age_ms=round(self.schedule.age_ms(now=now)),
+        )
         for profile in self.host_table.profiles():
             if profile.host_id == sender:
                 self.newer_hosts.append(profile.fleet_address)
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -230,9 +230,12 @@
             await curio.sleep(as_seconds(settings.SNAPSHOT_CHECK_INTERVAL_MS))
 
     async def _merge_from(self, address: str) -> None:
+        requested_at = self._clock.now()
         snapshot = await fetch_snapshot(address)
         if snapshot is not None:
-            self.fleet_view.merge_snapshot(snapshot, source=address)
+            self.fleet_view.merge_snapshot(
+                snapshot, source=address, requested_at=requested_at
+            )
 
     async def _tick_forever(self) -> None:
         while True:
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -61,6 +61,7 @@
         self._send = send
         self._delay = RemovalDelay()
         self._store_failing = False
+        self._was_holding = False
 
     @property
     def calls(self) -> int:
@@ -91,8 +92,16 @@
         now = self._clock.now()
         schedule = self._fleet_view.schedule
         rank = self._fleet_view.host_table.region_rank()
-        self._delay.observe_age(age_ms=schedule.age_ms(now=now), now=now)
-        if self._delay.is_holding(now=now):
+        age_ms = schedule.age_ms(now=now)
+        self._delay.observe_age(age_ms=age_ms, now=now)
+        is_holding = self._delay.is_holding(now=now)
+        if is_holding is not self._was_holding:
+            self._was_holding = is_holding
+            kind = EventKind.removals_released
+            if is_holding:
+                kind = EventKind.removals_held
+            self._emit(kind, age_ms=round(age_ms))
+        if is_holding:
             rank += settings.HOLDING_RANK_OFFSET
         return schedule.is_due(rank=rank, now=now)
 
