--- a/chicorybridge/tests/hosts/test_target_headers.py
+++ b/chicorybridge/tests/hosts/test_target_headers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import curio
 import pytest
 
 from chicorybridge.http.servers import Request, Response, ServerConnection
@@ -46,3 +47,17 @@
         leaving.runs = 0
         await deployment.send_concurrently(12)
     assert not leaving.runs
+
+
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED: header is not read')
+@on_curio
+async def test_target_gets_no_more_than_the_limit_that_it_names():
+    limited = SpeakingOrigin(
+        target_id='i-1', headers_by_name={'Server-Limit': '2.0'}
+    )
+    async with deployed(limited) as deployment:
+        await deployment.send('/lookup/7')
+        await curio.sleep(0.5)
+        limited.runs = 0
+        await deployment.send_concurrently(20)
+    assert 1 <= limited.runs <= 4
