Spread new state through a region as a tree

Callers got a 404 for a route that had been accepted more than 3 s before (CONFIG), after the configuration had grown by 1,272 routes.

Cause: besides the encoding, every host of a region fetches a change from the one host that read it. The time grows with the hosts of the region.

The hosts of a region form a tree by rank below the host that announced the change: six fetch from it, and announce the change to the six below each of them. A host that hears nothing from the one above it fetches from the announcer after 250 ms a level. No host serves the state to more than six others, unless some fail; the depth grows with the logarithm of the region: 2 levels for 42 hosts, 3 for 258, 4 for 1,554.

--- a/chicorybridge/hosts/announcers.py
+++ b/chicorybridge/hosts/announcers.py
@@ -1,12 +1,12 @@
 """Messages of a host to the others, its profile and heartbeats included."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any
 
 from chicorybridge import settings
 from chicorybridge.common.clocks import Millis
-from chicorybridge.common.identities import Incarnation
+from chicorybridge.common.identities import HostId, Incarnation
 from chicorybridge.fleet.channels import Channel
 from chicorybridge.fleet.host_tables import (
     FleetMember,
@@ -98,6 +98,15 @@
         others = self._host_table.in_other_zones()
         self._channel.send(message, _fleet_addresses(others))
 
+    def send_to_hosts(self, message: Any, host_ids: Collection[HostId]) -> None:
+        """Send a message to the hosts with these ids that are known."""
+        profiles = [
+            profile
+            for profile in self._host_table.profiles()
+            if profile.host_id in host_ids
+        ]
+        self._channel.send(message, _fleet_addresses(profiles))
+
     def send_to_region(self, message: Any) -> None:
         """Send a message to the hosts of the region."""
         region = self._host_table.in_region()
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -10,6 +10,7 @@
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.fleet.directories import TargetsChanged
 from chicorybridge.fleet.host_tables import FleetMember, HostTable
+from chicorybridge.fleet.relays import StateRelay
 from chicorybridge.fleet.snapshots import Snapshot
 from chicorybridge.fleet.store_reads import StoreMark
 from chicorybridge.hosts.states import HostState
@@ -52,8 +53,7 @@
         self.directory = self.targets.directory
         self.workloads = WorkloadTable(zone_id=host_table.zone_id)
         self.quarantine = Quarantine()
-        # Addresses of hosts with newer state, to fetch snapshots from.
-        self.newer_hosts: list[str] = []
+        self.relay = StateRelay(host_id=host_table.host_id, rng=rng)
         # Messages of other regions to forward to the hosts of this zone.
         self.to_forward: list[ZoneWorkload] = []
 
@@ -211,9 +211,7 @@
             mark_store_version=message.store_version,
             age_ms=round(self.targets.schedule.age_ms(now=now)),
         )
-        for profile in self.host_table.profiles():
-            if profile.host_id == sender:
-                self.newer_hosts.append(profile.fleet_address)
+        self.relay.offer(sender, order=self.host_table.region_order(), now=now)
 
     def _emit(self, kind: EventKind, **facts: Any) -> None:
         self._log.emit(Event(kind=kind, facts=facts))
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -229,20 +229,37 @@
         """Fetch and merge snapshots of hosts with newer state, seeds first."""
         for seed in self._host_settings.seeds:
             if seed != self._host_settings.fleet_address:
-                self.fleet_view.newer_hosts.append(seed)
+                await self._merge_from(seed)
         while True:
-            while self.fleet_view.newer_hosts:
-                await self._merge_from(self.fleet_view.newer_hosts.pop())
-                self.fleet_view.newer_hosts.clear()
             await curio.sleep(as_seconds(settings.SNAPSHOT_CHECK_INTERVAL_MS))
+            await self._fetch_if_due()
 
-    async def _merge_from(self, address: str) -> None:
+    async def _fetch_if_due(self) -> None:
+        fleet_view = self.fleet_view
+        fetch = fleet_view.relay.take_due(now=self._clock.now())
+        if fetch is None:
+            return
+        addresses = [
+            profile.fleet_address
+            for profile in fleet_view.host_table.profiles()
+            if profile.host_id == fetch.source
+        ]
+        if addresses and await self._merge_from(addresses[0]):
+            below = fleet_view.relay.hosts_below(
+                fetch, order=fleet_view.host_table.region_order()
+            )
+            self._announcer.send_to_hosts(fleet_view.store_mark(), below)
+
+    async def _merge_from(self, address: str) -> bool:
+        """Merge the state of the host at `address`; return whether it came."""
         requested_at = self._clock.now()
         snapshot = await fetch_snapshot(address)
-        if snapshot is not None:
-            self.fleet_view.merge_snapshot(
-                snapshot, source=address, requested_at=requested_at
-            )
+        if snapshot is None:
+            return False
+        self.fleet_view.merge_snapshot(
+            snapshot, source=address, requested_at=requested_at
+        )
+        return True
 
     async def _tick_forever(self) -> None:
         while True:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -506,6 +506,12 @@
 SNAPSHOT_TIMEOUT_MS = 1500.0
 # An encoded snapshot is sent again for this time while the state is the same.
 SNAPSHOT_REUSE_MS = 50.0
+# Hosts that fetch newer state from the same host. The others wait for one of
+# these: for each level of such hosts the time of a fetch of a configuration
+# of a thousand routes, and a random time in addition.
+RELAY_FAN_OUT = 6
+RELAY_WAIT_MS = 250.0
+RELAY_JITTER_MS = 125.0
 # Reads of the platform's store. All hosts are to receive a change within
 # CHANGE_SPREAD_LIMIT_MS; the shares are of this time. The first host of a
 # region reads when its data have the age READ_INTERVAL_SHARE. In case it fails,
@@ -569,7 +575,7 @@
 # How often a host checks whether a read of the store is due, and whether
 # another host has newer state to fetch as a snapshot.
 READ_CHECK_INTERVAL_MS = 100.0
-SNAPSHOT_CHECK_INTERVAL_MS = 100.0
+SNAPSHOT_CHECK_INTERVAL_MS = 50.0
 
 # Planned stop on the platform: the share of the grace period in which requests
 # that still arrive are served, the maximum of that time, and the share at the
