Count the time in which a mark waited in the socket

A host whose event loop stands still handles the marks that came meanwhile all at once, and counted their age from then: its data seemed fresh although they were as old as the stall or the suspension. It then waited for another change instead of reading the store.

The age of a mark includes the time since the last periodic work of the process, less its interval. Before: the test found an age of 0 ms after a stall of 4 s.

--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -4,6 +4,7 @@
 import random
 from typing import Any
 
+from chicorybridge import settings
 from chicorybridge.common.clocks import Clock, Millis
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.identities import HostId
@@ -54,6 +55,8 @@
         self.workloads = WorkloadTable(zone_id=host_table.zone_id)
         self.quarantine = Quarantine()
         self.relay = StateRelay(host_id=host_table.host_id, rng=rng)
+        # When the process last did its periodic work.
+        self.ticked_at = clock.now()
         # Messages of other regions to forward to the hosts of this zone.
         self.to_forward: list[ZoneWorkload] = []
 
@@ -199,7 +202,8 @@
         if not lacks_configuration and not targets_differ:
             self.targets.observe_store_age()
             self.targets.schedule.record_remote_read(
-                age_ms=message.age_ms, now=now
+                age_ms=message.age_ms + _queueing_ms(self.ticked_at, now),
+                now=now,
             )
             return
         self._emit(
@@ -215,3 +219,11 @@
 
     def _emit(self, kind: EventKind, **facts: Any) -> None:
         self._log.emit(Event(kind=kind, facts=facts))
+
+
+def _queueing_ms(ticked_at: Millis, now: Millis) -> float:
+    """Return how long a message may have waited until it is handled.
+
+    While the event loop stands still, messages wait in the socket.
+    """
+    return max(0, now - ticked_at - settings.TICK_MS)
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -268,6 +268,7 @@
 
     async def _tick(self) -> None:
         now = self._clock.now()
+        self.fleet_view.ticked_at = now
         await self.callers.close_expired()
         await self._connections.close_stale()
         for profile in self.fleet_view.host_table.expire(now=now):
--- a/chicorybridge/tests/hosts/test_fleet_views.py
+++ b/chicorybridge/tests/hosts/test_fleet_views.py
@@ -220,3 +220,15 @@
     clock.advance(by_ms=settings.OUTAGE_RECOVERY_MS)
     first.read(TargetsChanged(store_version=8))
     assert len(first.view.directory.for_service(SERVICE_ID)) == 1
+
+
+def test_mark_that_waited_while_the_host_stood_still_is_old(
+    clock, first, second
+):
+    second.read(TargetsChanged(store_version=1))
+    mark = second.view.store_mark()
+    first.read(TargetsChanged(store_version=1))
+    first.view.ticked_at = clock.now()
+    clock.advance(by_ms=OUTAGE_MS)
+    first.view.on_message(mark, second.name)
+    assert first.age_ms >= OUTAGE_MS - settings.TICK_MS
