Don't list hosts again that are lost

A lost incarnation is not added from reports any more, only hosts that were heard directly are listed for callers and reported to others. Before: the lost host was back in the table at once.

--- a/chicorybridge/fleet/host_tables.py
+++ b/chicorybridge/fleet/host_tables.py
@@ -37,10 +37,15 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class HostRecord:
-    """A host, and when it last sent a message."""
+    """A host, and when it last sent a message.
+
+    `heard` is unset for a host that only others have reported; it may be
+    gone.
+    """
 
     profile: FleetMember
     message_at: Millis
+    heard: bool = True
 
 
 class HostTable:
@@ -58,6 +63,8 @@
         self.zone_id = zone_id
         self._regions_by_zone = regions_by_zone
         self._records_by_id: dict[HostId, HostRecord] = {}
+        # Hosts that timed out, and the incarnation that did.
+        self._lost_by_id: dict[HostId, Incarnation] = {}
 
     def record(self, profile: FleetMember, *, now: Millis) -> bool:
         """Store a host's own profile; return whether the host is new."""
@@ -69,6 +76,7 @@
         self._records_by_id[profile.host_id] = HostRecord(
             profile=profile, message_at=now
         )
+        self._lost_by_id.pop(profile.host_id, None)
         return current is None
 
     def touch(self, host_id: HostId, *, now: Millis) -> bool:
@@ -77,15 +85,26 @@
         if record is None:
             return False
         record.message_at = now
+        record.heard = True
         return True
 
     def add_unknown(
         self, profiles: Iterable[FleetMember], *, now: Millis
     ) -> None:
-        """Add hosts that others reported; existing profiles stay."""
+        """Add hosts that others reported; existing profiles stay.
+
+        Hosts that this one lost are not added: a report may be older than
+        the loss.
+        """
         for profile in profiles:
-            if profile.host_id not in self._records_by_id:
-                self.record(profile, now=now)
+            host_id = profile.host_id
+            if host_id == self.host_id or host_id in self._records_by_id:
+                continue
+            if self._lost_by_id.get(host_id) == profile.incarnation:
+                continue
+            self._records_by_id[host_id] = HostRecord(
+                profile=profile, message_at=now, heard=False
+            )
 
     def expire(self, *, now: Millis) -> tuple[FleetMember, ...]:
         """Remove and return the hosts that have timed out."""
@@ -96,12 +115,23 @@
         ]
         for profile in silent:
             self._records_by_id.pop(profile.host_id)
+            self._lost_by_id[profile.host_id] = profile.incarnation
+        while len(self._lost_by_id) > settings.MAX_LOST_HOSTS:
+            self._lost_by_id.pop(next(iter(self._lost_by_id)))
         return tuple(silent)
 
     def profiles(self) -> tuple[FleetMember, ...]:
-        """Return all hosts that sent a message recently."""
+        """Return all hosts that sent a message or were reported recently."""
         return tuple(record.profile for record in self._records_by_id.values())
 
+    def heard_profiles(self) -> tuple[FleetMember, ...]:
+        """Return the hosts that sent a message to this one recently."""
+        return tuple(
+            record.profile
+            for record in self._records_by_id.values()
+            if record.heard
+        )
+
     def in_region(self) -> tuple[FleetMember, ...]:
         """Return the hosts of this host's region."""
         return tuple(
--- a/chicorybridge/hosts/address_directories.py
+++ b/chicorybridge/hosts/address_directories.py
@@ -31,11 +31,12 @@
         """Return the addresses, as IP:PORT, for callers of a zone.
 
         These are the hosts of the zone or, if those are too few, of its
-        region or else of all regions.
+        region or else of all regions. A host that only others have reported
+        is not listed.
         """
         fronts = [
             (profile.zone_id, profile.front)
-            for profile in self._host_table.profiles()
+            for profile in self._host_table.heard_profiles()
             if profile.serving
         ]
         if self._state.ready:
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -92,7 +92,7 @@
         return Snapshot(
             configuration=self.state.configuration,
             targets=self.directory.full_state(),
-            hosts=self.host_table.profiles(),
+            hosts=self.host_table.heard_profiles(),
             age_ms=self.targets.schedule.age_ms(now=now),
         )
 
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -500,6 +500,8 @@
 HOST_HEARTBEAT_INTERVAL_MS = 1000.0
 HOST_TIMEOUT_MS = 3500.0
 OTHER_REGION_HOST_TIMEOUT_MS = 30_000.0
+# Lost hosts that are remembered, so that reports of others do not add them.
+MAX_LOST_HOSTS = 4096
 # Limits of messages between hosts: size of a datagram, and the time in which a
 # snapshot is sent or received.
 MAX_DATAGRAM_BYTES = 65_535
--- a/chicorybridge/tests/fleet/test_host_tables.py
+++ b/chicorybridge/tests/fleet/test_host_tables.py
@@ -122,3 +122,25 @@
     # Serial numbers start again at one when a host restarts.
     table.record(_member('b', OWN_ZONE, incarnation=2), now=NOW)
     assert table.profiles()[0].serving
+
+
+def test_lost_host_that_others_still_report_is_not_listed_again(members):
+    table = _host_table('a', *members)
+    later = Millis(NOW + settings.HOST_TIMEOUT_MS + 1)
+    table.expire(now=later)
+    table.add_unknown(members, now=later)
+    assert 'b' not in {profile.host_id for profile in table.profiles()}
+    # A host that has restarted, or that is heard again, is listed.
+    restarted = _member('b', OWN_ZONE, incarnation=2)
+    table.add_unknown([restarted], now=later)
+    table.record(_member('c', SAME_REGION_ZONE), now=later)
+    assert {'b', 'c'} <= {profile.host_id for profile in table.profiles()}
+
+
+def test_host_that_was_only_reported_does_not_count_as_heard(members):
+    table = _host_table('a')
+    table.add_unknown(members, now=NOW)
+    assert len(table.profiles()) == len(members) - 1
+    assert not table.heard_profiles()
+    table.touch(HostId('b'), now=NOW)
+    assert [profile.host_id for profile in table.heard_profiles()] == ['b']
