Send small changes of the configuration to all hosts

The host that reads a change sends the difference to its region, if it fits in 4 KB; a host that has the version before applies it. Other hosts, and larger changes, go by the tree as before: four hosts below each one, with 400 ms a level.

--- a/chicorybridge/fleet/configurations.py
+++ b/chicorybridge/fleet/configurations.py
@@ -7,9 +7,11 @@
 import dataclasses
 import functools
 
+from chicorybridge import settings
 from chicorybridge.common.codecs import wire
 from chicorybridge.common.identities import Version
 from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.deltas import apply_delta, make_delta
 from chicorybridge.http.caller_limits import CallerLimits
 from chicorybridge.routing.routes import RouteTable
 
@@ -27,3 +29,46 @@
     def routes(self) -> RouteTable:
         """Return the route table of this version, built on first use."""
         return RouteTable(declaration=self.declaration)
+
+
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationDelta:
+    """What turns one version of the configuration into another.
+
+    `body` is the packed delta of the declaration.
+    """
+
+    base_version: Version
+    version: Version
+    body: bytes
+    limits: CallerLimits
+
+
+def diff_configurations(
+    before: HostConfiguration, after: HostConfiguration
+) -> ConfigurationDelta | None:
+    """Return the delta, `None` if it is too large for a datagram."""
+    body = make_delta(before.declaration, after.declaration)
+    if len(body) > settings.MAX_DELTA_BYTES:
+        return None
+    return ConfigurationDelta(
+        base_version=before.version,
+        version=after.version,
+        body=body,
+        limits=after.limits,
+    )
+
+
+def patch_configuration(
+    before: HostConfiguration, delta: ConfigurationDelta
+) -> HostConfiguration:
+    """Return the configuration that `delta` turns `before` into.
+
+    Raise `StreamError` if the delta is malformed.
+    """
+    return HostConfiguration(
+        version=delta.version,
+        declaration=apply_delta(before.declaration, delta.body),
+        limits=delta.limits,
+    )
--- a/chicorybridge/fleet/relays.py
+++ b/chicorybridge/fleet/relays.py
@@ -60,6 +60,14 @@
         self._pending = None
         return pending
 
+    def retry(self, fetch: PendingFetch, *, now: Millis) -> None:
+        """Record that `fetch` failed; it is due again after a while."""
+        if self._pending is not None:
+            return
+        jitter_ms = self._rng.uniform(0, settings.RELAY_JITTER_MS)
+        fetch.due_at = Millis(now + settings.RELAY_WAIT_MS + jitter_ms)
+        self._pending = fetch
+
     def hosts_below(
         self, fetch: PendingFetch, *, order: Sequence[HostId]
     ) -> tuple[HostId, ...]:
--- a/chicorybridge/fleet/snapshots.py
+++ b/chicorybridge/fleet/snapshots.py
@@ -65,17 +65,22 @@
         self._clock = clock
         self._build_snapshot = build_snapshot
         self._state_key = state_key
+        self._sends = 0
         self._encoded = EncodedSnapshot(
             state_key=None, encoded_at=Millis(-math.inf), body=b''
         )
 
     async def run(self, listener: curio.io.Socket) -> None:
-        """Accept connections until cancelled."""
+        """Accept connections until cancelled; close those that are too many."""
         while True:
             sock, _ = await sockets.accept(listener)
-            await curio.spawn(self._serve(sock), daemon=True)
+            if self._sends < settings.MAX_SNAPSHOT_SENDS:
+                await curio.spawn(self._serve(sock), daemon=True)
+            else:
+                await sock.close()
 
     async def _serve(self, sock: curio.io.Socket) -> None:
+        self._sends += 1
         body = self._encode()
         try:
             async with curio.timeout_after(
@@ -85,6 +90,7 @@
         except (OSError, curio.TaskTimeout) as error:
             logger.warning('failed to send snapshot: %s', error)
         finally:
+            self._sends -= 1
             await sock.close()
 
     def _encode(self) -> bytes:
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -8,7 +8,11 @@
 from chicorybridge.common.clocks import Clock, Millis
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.identities import HostId
-from chicorybridge.fleet.configurations import HostConfiguration
+from chicorybridge.fleet.configurations import (
+    ConfigurationDelta,
+    HostConfiguration,
+    patch_configuration,
+)
 from chicorybridge.fleet.directories import TargetsChanged
 from chicorybridge.fleet.host_tables import FleetMember, HostTable
 from chicorybridge.fleet.relays import StateRelay
@@ -60,15 +64,6 @@
         # Messages of other regions to forward to the hosts of this zone.
         self.to_forward: list[ZoneWorkload] = []
 
-    @property
-    def state_key(self) -> tuple[int, int, int]:
-        """Return versions that differ whenever a snapshot would."""
-        return (
-            self.state.version,
-            self.directory.store_version,
-            self.directory.digest,
-        )
-
     def apply_configuration(
         self, configuration: HostConfiguration, *, source: str
     ) -> bool:
@@ -190,6 +185,16 @@
     ) -> None:
         self.targets.apply(message, source=sender)
 
+    @_handle.register
+    def _handle_delta(
+        self, message: ConfigurationDelta, sender: HostId, now: Millis
+    ) -> None:
+        current = self.state.configuration
+        if current is not None and current.version == message.base_version:
+            self.apply_configuration(
+                patch_configuration(current, message), source=sender
+            )
+
     @_handle.register
     def _handle_mark(
         self, message: StoreMark, sender: HostId, now: Millis
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -133,7 +133,7 @@
         snapshots = SnapshotServer(
             clock=self._clock,
             build_snapshot=self.fleet_view.build_snapshot,
-            state_key=lambda: self.fleet_view.state_key,
+            state_key=self._state_key,
         )
         await run_all(
             self.callers.run(listener),
@@ -204,6 +204,11 @@
             bounds.target_heartbeat_ms
         )
 
+    def _state_key(self) -> tuple[int, int, int]:
+        """Return versions that differ whenever a snapshot would."""
+        directory = self.fleet_view.directory
+        return (self.state.version, directory.store_version, directory.digest)
+
     def _grace_ends_at(self) -> Millis:
         share = 1 - settings.DRAIN_MARGIN_SHARE
         return Millis(
@@ -244,11 +249,13 @@
             for profile in fleet_view.host_table.profiles()
             if profile.host_id == fetch.source
         ]
-        if addresses and await self._merge_from(addresses[0]):
-            below = fleet_view.relay.hosts_below(
-                fetch, order=fleet_view.host_table.region_order()
-            )
-            self._announcer.send_to_hosts(fleet_view.store_mark(), below)
+        if not addresses or not await self._merge_from(addresses[0]):
+            fleet_view.relay.retry(fetch, now=self._clock.now())
+            return
+        below = fleet_view.relay.hosts_below(
+            fetch, order=fleet_view.host_table.region_order()
+        )
+        self._announcer.send_to_hosts(fleet_view.store_mark(), below)
 
     async def _merge_from(self, address: str) -> bool:
         """Merge the state of the host at `address`; return whether it came."""
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -9,7 +9,10 @@
 from chicorybridge.common.clocks import Clock, as_seconds
 from chicorybridge.common.errors import ChicorybridgeError
 from chicorybridge.common.events import Event, EventKind, EventLog
-from chicorybridge.fleet.configurations import HostConfiguration
+from chicorybridge.fleet.configurations import (
+    HostConfiguration,
+    diff_configurations,
+)
 from chicorybridge.fleet.directories import TargetsChanged
 from chicorybridge.fleet.host_tables import FleetMember
 from chicorybridge.hosts.fleet_views import FleetView
@@ -115,9 +118,21 @@
     async def _read_all(self) -> TargetsChanged:
         configuration = await self._watcher.read_configuration()
         if configuration is not None:
-            self._fleet_view.apply_configuration(configuration, source='store')
+            self._apply_configuration(configuration)
         return await self._watcher.read_targets()
 
+    def _apply_configuration(self, configuration: HostConfiguration) -> None:
+        """Activate a newer configuration and send what it changes."""
+        before = self._fleet_view.state.configuration
+        applied = self._fleet_view.apply_configuration(
+            configuration, source='store'
+        )
+        if not applied or before is None:
+            return
+        delta = diff_configurations(before, configuration)
+        if delta is not None:
+            self._send(delta)
+
     async def _call_store(self, store_call: Awaitable[Any]) -> Any:
         try:
             answer = await store_call
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -508,12 +508,17 @@
 SNAPSHOT_TIMEOUT_MS = 1500.0
 # An encoded snapshot is sent again for this time while the state is the same.
 SNAPSHOT_REUSE_MS = 50.0
+# Size of a change of the configuration that is sent in a datagram; hosts fetch
+# larger ones.
+MAX_DELTA_BYTES = 4096
+# Snapshots that a host sends at the same time; it refuses to send more.
+MAX_SNAPSHOT_SENDS = 8
 # Hosts that fetch newer state from the same host. The others wait for one of
 # these: for each level of such hosts the time of a fetch of a configuration
 # of a thousand routes, and a random time in addition.
-RELAY_FAN_OUT = 6
-RELAY_WAIT_MS = 250.0
-RELAY_JITTER_MS = 125.0
+RELAY_FAN_OUT = 4
+RELAY_WAIT_MS = 400.0
+RELAY_JITTER_MS = 200.0
 # Reads of the platform's store. All hosts are to receive a change within
 # CHANGE_SPREAD_LIMIT_MS; the shares are of this time. The first host of a
 # region reads when its data have the age READ_INTERVAL_SHARE. In case it fails,
