Take it from an answer that a target is leaving

Requests reached targets that had said in an answer, with the header Server-Leaving, that they leave (DRAIN); the header was forwarded and not read. The entry in the store may say so later, or to other hosts first.

The header counts if its value is 1 and the answer is surely that target's to that request: it echoes the id of the request, once, and isn't the 421 of another target at the address. The host sends nothing more to that start of the target at once, and tells its region and one host of each zone elsewhere, which passes it on: one datagram a host and leaving target.

--- a/chicorybridge/entry/answers.py
+++ b/chicorybridge/entry/answers.py
@@ -70,7 +70,9 @@
 
 def answer_headers(call: Call, head: Head) -> Headers:
     """Return the headers of a target's answer as sent to the caller."""
-    dropped = {*PROXY_ANSWER_HEADERS, call.dialect.draining}
+    dropped = set(PROXY_ANSWER_HEADERS)
+    if call.dialect.sends_outcome:
+        dropped.add(call.dialect.draining or b'')
     headers = [
         pair
         for pair in end_to_end_headers(head.headers)
@@ -130,6 +132,13 @@
     return head.header(dialect.signature) is not None
 
 
+def says_leaving(call: Call, head: Head | None) -> bool:
+    """Return whether the target of a call surely says that it is leaving."""
+    dialect = call.dialect
+    is_own = dialect.is_surely_own(head, call.head)
+    return is_own and dialect.is_draining(head)
+
+
 def retry_after_ms(head: Head | None) -> float | None:
     """Return the Retry-After header in milliseconds, `None` without one."""
     seconds = parse_integer(head.header(RETRY_AFTER_HEADER)) if head else None
--- a/chicorybridge/entry/attempt_runners.py
+++ b/chicorybridge/entry/attempt_runners.py
@@ -21,6 +21,7 @@
     may_be_streamed,
     request_headers,
     retry_after_ms,
+    says_leaving,
 )
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.hedges import Hedge
@@ -156,7 +157,7 @@
             sent_bytes=self._sent_bytes,
             received_bytes=self._received_bytes,
             new_connection=self._is_new_connection,
-            leaving=self._call.dialect.is_draining(self._head),
+            leaving=says_leaving(self._call, self._head),
             marked_not_run=self._call.dialect.is_not_run(self._head),
         )
 
--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -40,6 +40,7 @@
         regions_by_zone=host_settings.regions_by_zone,
         rng=rng,
         has_idle_connection=lambda address: connections.idle_count(address) > 0,
+        signs=fleet_view.signs,
     )
     policies = HostPolicies(
         clock=clock,
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -235,6 +235,6 @@
     ) -> None:
         attempt = runner.result(outcome)
         call.record(attempt)
-        self._policies.record_attempt(attempt)
+        self._policies.record_attempt(attempt, option.entry)
         self._request_log.log_attempt(call, attempt, option)
         await self._placements.serve_queue(call.service.service_id)
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -27,6 +27,7 @@
     TargetSeen,
 )
 from chicorybridge.routing.suspects import CrashSuspected, SuspectCleared
+from chicorybridge.routing.target_signs import LeavingSeen, TargetSigns
 from chicorybridge.routing.workloads import (
     HostWorkload,
     WorkloadTable,
@@ -56,13 +57,14 @@
             clock=clock, log=log, rng=rng, reputations=self.reputations
         )
         self.directory = self.targets.directory
+        self.signs = TargetSigns(directory=self.directory)
         self.workloads = WorkloadTable(zone_id=host_table.zone_id)
         self.quarantine = Quarantine()
         self.relay = StateRelay(host_id=host_table.host_id, rng=rng)
         # When the process last did its periodic work.
         self.ticked_at = clock.now()
         # Messages of other regions to forward to the hosts of this zone.
-        self.to_forward: list[ZoneWorkload] = []
+        self.to_forward: list[ZoneWorkload | LeavingSeen] = []
 
     def apply_configuration(
         self, configuration: HostConfiguration, *, source: str
@@ -72,12 +74,14 @@
             return False
         previous_version = self.state.version
         self.state.activate(configuration)
-        self._emit(
-            EventKind.configuration_active,
-            version=configuration.version,
-            before=previous_version,
-            source=source,
-            routes=len(configuration.declaration.routes_by_id),
+        self._log.emit(
+            _event(
+                EventKind.configuration_active,
+                version=configuration.version,
+                before=previous_version,
+                source=source,
+                routes=len(configuration.declaration.routes_by_id),
+            )
         )
         return True
 
@@ -97,12 +101,14 @@
         """Merge the state of another host, requested at `requested_at`."""
         now = self._clock.now()
         self.targets.observe_store_age()
-        self._emit(
-            EventKind.snapshot_merged,
-            source=source,
-            age_ms=round(snapshot.age_ms),
-            fetch_ms=round(now - requested_at),
-            targets=len(snapshot.targets.entries),
+        self._log.emit(
+            _event(
+                EventKind.snapshot_merged,
+                source=source,
+                age_ms=round(snapshot.age_ms),
+                fetch_ms=round(now - requested_at),
+                targets=len(snapshot.targets.entries),
+            )
         )
         self.host_table.add_unknown(snapshot.hosts, now=now)
         change = self.directory.diff(snapshot.targets)
@@ -137,11 +143,13 @@
         self, message: FleetMember, sender: HostId, now: Millis
     ) -> None:
         if self.host_table.record(message, now=now):
-            self._emit(
-                EventKind.peer_heard,
-                peer=message.host_id,
-                zone=message.zone_id,
-                serving=message.serving,
+            self._log.emit(
+                _event(
+                    EventKind.peer_heard,
+                    peer=message.host_id,
+                    zone=message.zone_id,
+                    serving=message.serving,
+                )
             )
 
     @_handle.register
@@ -185,6 +193,15 @@
     ) -> None:
         self.targets.apply(message, source=sender)
 
+    @_handle.register
+    def _handle_leaving(
+        self, message: LeavingSeen, sender: HostId, now: Millis
+    ) -> None:
+        if not self.signs.record_leaving(message, now=now):
+            return
+        if self.host_table.is_in_other_region(sender):
+            self.to_forward.append(message)
+
     @_handle.register
     def _handle_delta(
         self, message: ConfigurationDelta, sender: HostId, now: Millis
@@ -211,19 +228,22 @@
                 now=now,
             )
             return
-        self._emit(
-            EventKind.state_behind,
-            peer=sender,
-            lacks_configuration=lacks_configuration,
-            targets_differ=targets_differ,
-            store_version=self.directory.store_version,
-            mark_store_version=message.store_version,
-            age_ms=round(self.targets.schedule.age_ms(now=now)),
+        self._log.emit(
+            _event(
+                EventKind.state_behind,
+                peer=sender,
+                lacks_configuration=lacks_configuration,
+                targets_differ=targets_differ,
+                store_version=self.directory.store_version,
+                mark_store_version=message.store_version,
+                age_ms=round(self.targets.schedule.age_ms(now=now)),
+            )
         )
         self.relay.offer(sender, order=self.host_table.region_order(), now=now)
 
-    def _emit(self, kind: EventKind, **facts: Any) -> None:
-        self._log.emit(Event(kind=kind, facts=facts))
+
+def _event(kind: EventKind, **facts: Any) -> Event:
+    return Event(kind=kind, facts=facts)
 
 
 def _queueing_ms(ticked_at: Millis, now: Millis) -> float:
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -286,6 +286,7 @@
             self._report_dropped_lines()
             self.fleet_view.quarantine.tick(now=now)
         self.fleet_view.workloads.expire(now=now)
+        self.fleet_view.signs.expire(now=now)
         self.dispatcher.reporter.repeat_if_due()
         self.dispatcher.reporter.send_summaries()
         self._logs.flush()
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -14,11 +14,13 @@
 from chicorybridge.entry.attempt_runners import AttemptLimits
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.refusals import RefusalError
+from chicorybridge.fleet.directories import TargetEntry
 from chicorybridge.hosts.reporters import Reporter
 from chicorybridge.hosts.states import HostPhase, HostState
 from chicorybridge.routing.allowances import RetryAllowances, RetryBound
 from chicorybridge.routing.reputations import Sign, TargetSeen
 from chicorybridge.routing.selections import Option, SelectionMode, Selector
+from chicorybridge.routing.target_signs import LeavingSeen
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -155,9 +157,16 @@
         )
         return mean_latency_ms
 
-    def record_attempt(self, attempt: Attempt) -> None:
-        """Record the result of an attempt."""
+    def record_attempt(self, attempt: Attempt, entry: TargetEntry) -> None:
+        """Record the result of an attempt at the target of `entry`."""
         self.reporter.attempt_finished(attempt.target_id)
+        if attempt.leaving:
+            self.reporter.record_leaving(
+                LeavingSeen(
+                    target_id=entry.target_id,
+                    started_at_ms=entry.started_at_ms,
+                )
+            )
         sign = _sign_of(attempt.outcome)
         if sign is None:
             return
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -8,6 +8,7 @@
 from chicorybridge.hosts.announcers import Announcer
 from chicorybridge.hosts.fleet_views import FleetView
 from chicorybridge.routing.reputations import Sign, TargetSeen
+from chicorybridge.routing.target_signs import LeavingSeen
 
 # Decimal places of a probability in a report; more would make it larger.
 SOUNDNESS_DIGITS = 2
@@ -52,6 +53,13 @@
         self._observations.append(observation)
         self._changed = True
 
+    def record_leaving(self, seen: LeavingSeen) -> None:
+        """Record a target that is leaving, and tell the fleet if it's new."""
+        now = self._clock.now()
+        if self._fleet_view.signs.record_leaving(seen, now=now):
+            self._announcer.send_to_region(seen)
+            self._announcer.send_to_other_regions(seen)
+
     def flush(self) -> None:
         """Send what has changed since the last call."""
         if not self._changed:
--- a/chicorybridge/http/dialects.py
+++ b/chicorybridge/http/dialects.py
@@ -14,16 +14,18 @@
     `deadline` is the header with the milliseconds left for a request.
     `not_run` is the header of an answer to a request that was not run; its
     value is `not_run_value`, or any if that is empty. The rest is optional:
-    targets set `draining` when they leave, echo `request_id` and set
-    `signature` on complete answers; `target` carries the id of the target
-    that a request is meant for. An answer with one of `not_run_statuses`
-    also means that the request was not run.
+    targets set `draining` to `draining_value` when they leave, echo
+    `request_id` and set `signature` on complete answers; `target` carries
+    the id of the target that a request is meant for. An answer with one of
+    `not_run_statuses`, which other targets give, also means that the
+    request was not run.
     """
 
     deadline: bytes
     not_run: bytes
     not_run_value: bytes = b''
     draining: bytes | None = None
+    draining_value: bytes = b'true'
     request_id: bytes | None = None
     signature: bytes | None = None
     target: bytes | None = None
@@ -48,7 +50,21 @@
         """Return whether an answer states that the target is draining."""
         if head is None or self.draining is None:
             return False
-        return head.header(self.draining) == b'true'
+        return head.header(self.draining) == self.draining_value
+
+    def is_surely_own(self, head: Head | None, request: Head) -> bool:
+        """Return whether an answer is surely the target's to `request`.
+
+        Without an id that targets echo, every answer counts as such.
+        """
+        if head is None or head.status in self.not_run_statuses:
+            return False
+        if self.request_id is None:
+            return True
+        request_id = request.header(self.request_id)
+        return request_id is not None and head.values_of(self.request_id) == (
+            request_id,
+        )
 
 
 # The headers of chicorybridge, used unless a platform defines its own.
--- a/chicorybridge/http/exchanges.py
+++ b/chicorybridge/http/exchanges.py
@@ -70,6 +70,14 @@
                 return header_value
         return None
 
+    def values_of(self, name: bytes) -> tuple[bytes, ...]:
+        """Return all values of a header."""
+        return tuple(
+            header_value
+            for header_name, header_value in self.headers
+            if header_name == name
+        )
+
 
 class Exchange:
     """Read and write HTTP/1.1 events on one connection."""
--- a/chicorybridge/platform/dialects.py
+++ b/chicorybridge/platform/dialects.py
@@ -8,6 +8,8 @@
 PLATFORM_DIALECT = Dialect(
     deadline=DEADLINE_HEADER,
     not_run=b'x-not-executed',
+    draining=b'server-leaving',
+    draining_value=b'1',
     request_id=REQUEST_ID_HEADER,
     signature=b'x-server-signature',
     # Holds the id of the target that the request is sent to.
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -30,6 +30,7 @@
 )
 from chicorybridge.fleet.directories import TargetDirectory, TargetEntry
 from chicorybridge.routing.reputations import Reputation, ReputationTable
+from chicorybridge.routing.target_signs import TargetSigns
 from chicorybridge.routing.workloads import WorkloadTable
 
 BYTES_PER_KILOBYTE = 1000
@@ -77,6 +78,7 @@
         regions_by_zone: Mapping[ZoneId, RegionId],
         rng: random.Random,
         has_idle_connection: Callable[[str], bool],
+        signs: TargetSigns,
     ) -> None:
         """Choose among the entries of `directory`.
 
@@ -85,6 +87,7 @@
         """
         self._has_idle_connection = has_idle_connection
         self._directory = directory
+        self._signs = signs
         self._reputations = reputations
         self._workloads = workloads
         self._zone_id = zone_id
@@ -152,8 +155,9 @@
         self, service_id: ServiceId, excluded: Collection[TargetId]
     ) -> Iterator[TargetEntry]:
         for entry in self._directory.for_service(service_id):
-            if not entry.leaving and entry.target_id not in excluded:
-                yield entry
+            if entry.target_id in excluded or self._signs.is_leaving(entry):
+                continue
+            yield entry
 
     def _options(
         self,
--- a/chicorybridge/tests/hosts/test_target_headers.py
+++ b/chicorybridge/tests/hosts/test_target_headers.py
@@ -5,12 +5,15 @@
 import curio
 import pytest
 
+from chicorybridge.common.identities import TargetId
 from chicorybridge.http.servers import Request, Response, ServerConnection
 from chicorybridge.tests.hosts.deployments import (
     Origin,
     deployed,
     on_curio,
+    until,
 )
+from chicorybridge.tests.platform.rows import server_row
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -35,7 +38,30 @@
         )
 
 
-@pytest.mark.xfail(strict=True, reason='KNOWN-RED: header is not read')
+@dataclasses.dataclass(kw_only=True)
+class RepeatingOrigin(Origin):
+    """A target that sends a late answer to another request first."""
+
+    async def answer(
+        self, connection: ServerConnection, request: Request
+    ) -> None:
+        """Answer one request."""
+        await connection.read_body()
+        self.runs += 1
+        late = Response(
+            status=200,
+            headers_by_name={'X-Request-Id': 'x', 'Server-Leaving': '1'},
+        )
+        await connection.respond(late)
+        headers = {
+            'X-Request-Id': request.headers_by_name['x-request-id'],
+            'X-Server-Signature': self.target_id,
+        }
+        await connection.respond(
+            Response(status=200, headers_by_name=headers, body=b'ok')
+        )
+
+
 @on_curio
 async def test_target_that_says_in_an_answer_that_it_leaves_gets_no_more():
     leaving = SpeakingOrigin(
@@ -49,6 +75,59 @@
     assert not leaving.runs
 
 
+@pytest.mark.parametrize(
+    ('headers_by_name', 'status'),
+    [
+        ({'Server-Leaving': ''}, 200),
+        ({'Server-Leaving': '0'}, 200),
+        ({'Server-Leaving': '-1'}, 200),
+        ({'Server-Leaving': '1' * 400}, 200),
+        ({'Server-Leaving': 'soon'}, 200),
+        # Another target, which has the address now, answers so.
+        ({'Server-Leaving': '1'}, 421),
+    ],
+)
+@on_curio
+async def test_answer_that_does_not_surely_say_so_ends_no_target(
+    headers_by_name, status
+):
+    origin = SpeakingOrigin(
+        target_id='i-1', status=status, headers_by_name=headers_by_name
+    )
+    async with deployed(origin) as deployment:
+        for _ in range(2):
+            await deployment.send('/accept/7', method='POST')
+    assert origin.runs == 2
+
+
+@on_curio
+async def test_late_answer_to_another_request_ends_no_target():
+    origin = RepeatingOrigin(target_id='i-1')
+    async with deployed(origin) as deployment:
+        for number in range(3):
+            await deployment.send('/lookup/7', request_id=f'r{number}')
+    assert origin.runs == 3
+
+
+@on_curio
+async def test_target_that_restarts_under_its_id_is_used_again():
+    origin = SpeakingOrigin(
+        target_id='i-1', headers_by_name={'Server-Leaving': '1'}
+    )
+    async with deployed(origin) as deployment:
+        await deployment.send('/lookup/7')
+        refused = await deployment.send('/lookup/7')
+        origin.headers_by_name = {}
+        entry = server_row(address=origin.address, born=1_790_000_009_000)
+        deployment.store.put('servers', 'i-1', entry)
+        entries = deployment.host.fleet_view.directory.entries_by_id
+        await until(
+            lambda: entries[TargetId('i-1')].started_at_ms > 1_790_000_000_000
+        )
+        answer = await deployment.send('/lookup/7')
+    assert (refused.status, answer.status) == (503, 200)
+
+
 @pytest.mark.xfail(strict=True, reason='KNOWN-RED: header is not read')
 @on_curio
 async def test_target_gets_no_more_than_the_limit_that_it_names():
--- a/chicorybridge/tests/routing/test_selections.py
+++ b/chicorybridge/tests/routing/test_selections.py
@@ -26,6 +26,7 @@
     TargetSeen,
 )
 from chicorybridge.routing.selections import SelectionMode, Selector
+from chicorybridge.routing.target_signs import TargetSigns
 from chicorybridge.routing.workloads import WorkloadTable
 
 QUOTES = ServiceId('quotes')
@@ -47,6 +48,7 @@
     def __init__(self) -> None:
         """Start without targets."""
         self.directory = TargetDirectory()
+        self.signs = TargetSigns(directory=self.directory)
         self.reputations = ReputationTable()
         self.workloads = WorkloadTable(zone_id=ZoneId('groningen'))
         self.idle: set[str] = set()
@@ -58,6 +60,7 @@
             regions_by_zone=REGIONS,
             rng=random.Random(1),
             has_idle_connection=lambda address: address in self.idle,
+            signs=self.signs,
         )
 
     def add(self, target_id: str, zone: str, **flags: bool) -> None:
