Leave a target alone for the time it asks for

The platform hosts read the header, for callers only; the choice of a target didn't use it, and a fraction of a second was not read.

The time binds the host that got the answer, until it has passed or the target restarts, ten minutes at most. It counts only in an answer that is surely that target's to that request, and as plain decimal digits: empty, negative or exponential values are ignored. A request waits if a target will take it before its deadline and is refused at once if none will.

--- a/chicorybridge/entry/answers.py
+++ b/chicorybridge/entry/answers.py
@@ -13,7 +13,7 @@
     Head,
     Headers,
     end_to_end_headers,
-    parse_integer,
+    parse_decimal,
 )
 from chicorybridge.http.problems import (
     OUTCOME_HEADER,
@@ -139,7 +139,14 @@
     return is_own and dialect.is_draining(head)
 
 
-def retry_after_ms(head: Head | None) -> float | None:
-    """Return the Retry-After header in milliseconds, `None` without one."""
-    seconds = parse_integer(head.header(RETRY_AFTER_HEADER)) if head else None
+def retry_after_ms(call: Call, head: Head | None) -> float | None:
+    """Return how long the target of a call surely asks to be left alone.
+
+    In milliseconds; `None` if it does not.
+    """
+    if head is None or head.status not in SHED_STATUSES:
+        return None
+    if not call.dialect.is_surely_own(head, call.head):
+        return None
+    seconds = parse_decimal(head.header(RETRY_AFTER_HEADER))
     return None if seconds is None else seconds * MILLIS_PER_SECOND
--- a/chicorybridge/entry/attempt_runners.py
+++ b/chicorybridge/entry/attempt_runners.py
@@ -153,7 +153,7 @@
             started_at=self._started_at,
             elapsed_ms=max(0, elapsed - body_wait_ms - self._caller_wait_ms),
             first_byte_ms=self._first_byte_ms,
-            retry_after_ms=retry_after_ms(self._head),
+            retry_after_ms=retry_after_ms(self._call, self._head),
             sent_bytes=self._sent_bytes,
             received_bytes=self._received_bytes,
             new_connection=self._is_new_connection,
--- a/chicorybridge/hosts/final_answers.py
+++ b/chicorybridge/hosts/final_answers.py
@@ -1,5 +1,6 @@
 """The final answer to a caller: that of a target or a refusal."""
 
+from chicorybridge import settings
 from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.errors import ErrorCode, RequestError
 from chicorybridge.common.outcomes import RequestOutcome
@@ -38,7 +39,10 @@
         raise RefusalError(
             code=ErrorCode.overloaded,
             detail='no target took the request',
-            retry_after_ms=attempt.retry_after_ms or 0,
+            # Other targets may have room before the last one has.
+            retry_after_ms=min(
+                attempt.retry_after_ms or 0, settings.OVERLOADED_RETRY_AFTER_MS
+            ),
         )
     answer = runner.answer if runner else None
     if answer is not None and answer.status not in NOT_RUN_STATUSES:
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -3,7 +3,7 @@
 import dataclasses
 import functools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from chicorybridge import settings
 from chicorybridge.common.attempts import Attempt, AttemptOutcome
@@ -96,14 +96,8 @@
             max_extra_loss=_max_extra_loss(call, now),
             now=now,
         )
-        if option is None and not self._selector.has_targets(
-            service_id, excluded=excluded
-        ):
-            raise RefusalError(
-                code=ErrorCode.no_target,
-                detail='no target is available for this request',
-                outcome=call.outcome,
-            )
+        if option is None:
+            self._check_available(call, excluded, now)
         return option
 
     def attempt_limits(self, call: Call, target_id: TargetId) -> AttemptLimits:
@@ -167,6 +161,8 @@
                     started_at_ms=entry.started_at_ms,
                 )
             )
+        if attempt.retry_after_ms is not None:
+            self.reporter.record_pause(entry, pause_ms=attempt.retry_after_ms)
         sign = _sign_of(attempt.outcome)
         if sign is None:
             return
@@ -240,6 +236,20 @@
         )
         return option is not None
 
+    def _check_available(
+        self, call: Call, excluded: Collection[TargetId], now: Millis
+    ) -> None:
+        """Raise `RefusalError` if no target can be waited for."""
+        available_at = self._selector.available_at(
+            call.service.service_id, excluded=excluded, now=now
+        )
+        if available_at is None or available_at >= call.deadline_at:
+            raise RefusalError(
+                code=ErrorCode.no_target,
+                detail='no target is available for this request',
+                outcome=call.outcome,
+            )
+
     def _selection_mode(self, call: Call, now: Millis) -> SelectionMode:
         if _is_retryable(call):
             return (
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -5,6 +5,7 @@
 from chicorybridge import settings
 from chicorybridge.common.clocks import Clock, Millis
 from chicorybridge.common.identities import TargetId
+from chicorybridge.fleet.directories import TargetEntry
 from chicorybridge.hosts.announcers import Announcer
 from chicorybridge.hosts.fleet_views import FleetView
 from chicorybridge.routing.reputations import Sign, TargetSeen
@@ -60,6 +61,12 @@
             self._announcer.send_to_region(seen)
             self._announcer.send_to_other_regions(seen)
 
+    def record_pause(self, entry: TargetEntry, *, pause_ms: float) -> None:
+        """Record that a target wants no requests of this host for a time."""
+        self._fleet_view.signs.record_pause(
+            entry, pause_ms=pause_ms, now=self._clock.now()
+        )
+
     def flush(self) -> None:
         """Send what has changed since the last call."""
         if not self._changed:
--- a/chicorybridge/http/exchanges.py
+++ b/chicorybridge/http/exchanges.py
@@ -1,6 +1,7 @@
 """The parts of an HTTP/1.1 exchange that both sides share, on h11."""
 
 import dataclasses
+import re
 from typing import Any, TypeAlias
 
 import curio
@@ -20,6 +21,10 @@
 # Longer numbers are not plausible times, and Python does not convert
 # thousands of digits.
 MAX_NUMBER_DIGITS = 15
+DECIMAL_PATTERN = re.compile(
+    rb'[0-9]{1,%(digits)d}([.][0-9]{1,%(digits)d})?'
+    % {b'digits': MAX_NUMBER_DIGITS}
+)
 
 CONTENT_LENGTH = b'content-length'
 TRANSFER_ENCODING = b'transfer-encoding'
@@ -214,6 +219,17 @@
     return int(digits)
 
 
+def parse_decimal(text: bytes | None) -> float | None:
+    """Return the number in a header value, which may have decimals.
+
+    `None` if there is no value, or not one of up to `MAX_NUMBER_DIGITS`
+    digits on each side of the point, without a sign or an exponent.
+    """
+    if text is None or not DECIMAL_PATTERN.fullmatch(text):
+        return None
+    return float(text)
+
+
 def _malformed_error(error: h11.ProtocolError) -> ExchangeError:
     code = ErrorCode.request_malformed
     if error.error_status_hint == settings.HEAD_TOO_LARGE_STATUS:
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -129,11 +129,22 @@
         safest = self._safest(free)
         return safest if safest.loss <= lowest_loss + max_extra_loss else None
 
-    def has_targets(
-        self, service_id: ServiceId, *, excluded: Collection[TargetId]
-    ) -> bool:
-        """Return whether any target is available, even if it is full."""
-        return any(self._available_entries(service_id, excluded))
+    def available_at(
+        self,
+        service_id: ServiceId,
+        *,
+        excluded: Collection[TargetId],
+        now: Millis,
+    ) -> Millis | None:
+        """Return when the first target wants requests, even if it is full.
+
+        `None` if there is no target.
+        """
+        times = [
+            max(now, self._signs.paused_until(entry))
+            for entry in self._listed_entries(service_id, excluded)
+        ]
+        return min(times, default=None)
 
     def mean_latency_ms(
         self, service_id: ServiceId, *, now: Millis
@@ -151,9 +162,10 @@
         ]
         return statistics.fmean(latencies) if latencies else None
 
-    def _available_entries(
+    def _listed_entries(
         self, service_id: ServiceId, excluded: Collection[TargetId]
     ) -> Iterator[TargetEntry]:
+        """Yield the targets that may be used now or later."""
         for entry in self._directory.for_service(service_id):
             if entry.target_id in excluded or self._signs.is_leaving(entry):
                 continue
@@ -169,7 +181,8 @@
     ) -> list[Option]:
         return [
             self._option(entry, body_bytes, now)
-            for entry in self._available_entries(service_id, excluded)
+            for entry in self._listed_entries(service_id, excluded)
+            if self._signs.paused_until(entry) <= now
         ]
 
     def _safest(self, options: Sequence[Option]) -> Option:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -496,6 +496,8 @@
 # What a target said in an answer is kept for this time after it is gone from
 # the list of targets, as its entry may return.
 TARGET_SIGN_TTL_MS = 600_000.0
+# Longest time for which a host leaves a target alone at its request.
+MAX_TARGET_PAUSE_MS = 600_000.0
 
 # Hosts on the platform. Each sends a heartbeat to its region at this interval,
 # and one that is silent for three intervals is lost. The timeout for hosts of
--- a/chicorybridge/tests/hosts/test_target_headers.py
+++ b/chicorybridge/tests/hosts/test_target_headers.py
@@ -1,10 +1,12 @@
 """Headers in which targets say how they want to be used."""
 
 import dataclasses
+from types import MappingProxyType
 
 import curio
 import pytest
 
+from chicorybridge.common.clocks import Clock
 from chicorybridge.common.identities import TargetId
 from chicorybridge.http.servers import Request, Response, ServerConnection
 from chicorybridge.tests.hosts.deployments import (
@@ -128,6 +130,56 @@
     assert (refused.status, answer.status) == (503, 200)
 
 
+PAUSED = MappingProxyType({'X-Not-Executed': '1', 'Retry-After': '1.5'})
+
+
+@on_curio
+async def test_target_that_asks_to_be_left_alone_gets_nothing_meanwhile():
+    origin = SpeakingOrigin(
+        target_id='i-1', status=503, headers_by_name=dict(PAUSED)
+    )
+    async with deployed(origin) as deployment:
+        started_at = Clock().now()
+        await deployment.send('/accept/7', method='POST')
+        origin.status = 200
+        origin.headers_by_name = {}
+        # Its target wants requests again before the deadline of this one.
+        answer = await deployment.send('/lookup/7')
+        waited_ms = Clock().now() - started_at
+    assert answer.status == 200
+    assert waited_ms >= 1500
+
+
+@on_curio
+async def test_request_that_no_target_will_take_in_time_is_refused_at_once():
+    origin = SpeakingOrigin(
+        target_id='i-1',
+        status=503,
+        headers_by_name={'X-Not-Executed': '1', 'Retry-After': '60'},
+    )
+    async with deployed(origin) as deployment:
+        await deployment.send('/accept/7', method='POST')
+        started_at = Clock().now()
+        answer = await deployment.send('/lookup/7')
+        waited_ms = Clock().now() - started_at
+    assert (answer.status, origin.runs) == (503, 1)
+    assert waited_ms < 500
+
+
+@pytest.mark.parametrize('retry_after', ['', '-5', 'nan', 'Infinity', '1e9'])
+@on_curio
+async def test_garbage_instead_of_a_time_pauses_no_target(retry_after):
+    origin = SpeakingOrigin(
+        target_id='i-1',
+        status=503,
+        headers_by_name={'X-Not-Executed': '1', 'Retry-After': retry_after},
+    )
+    async with deployed(origin) as deployment:
+        for _ in range(2):
+            await deployment.send('/accept/7', method='POST')
+    assert origin.runs == 2
+
+
 @pytest.mark.xfail(strict=True, reason='KNOWN-RED: header is not read')
 @on_curio
 async def test_target_gets_no_more_than_the_limit_that_it_names():
--- a/chicorybridge/tests/routing/test_selections.py
+++ b/chicorybridge/tests/routing/test_selections.py
@@ -192,8 +192,9 @@
 def test_full_target_still_counts_as_available(model):
     model.add('a', 'groningen')
     model.fill('a')
-    assert model.selector.has_targets(QUOTES, excluded=())
-    assert not model.selector.has_targets(QUOTES, excluded=('a',))
+    available_at = model.selector.available_at
+    assert available_at(QUOTES, excluded=(), now=NOW) == NOW
+    assert available_at(QUOTES, excluded=('a',), now=NOW) is None
 
 
 def test_exploring_skips_recently_observed_targets(model):
--- a/chicorybridge/tests/routing/test_target_signs.py
+++ b/chicorybridge/tests/routing/test_target_signs.py
@@ -70,3 +70,20 @@
     assert signs.is_leaving(_entry())
     signs.expire(now=LATER)
     assert not signs.is_leaving(_entry())
+
+
+def test_pause_binds_until_it_ends_or_the_target_restarts(signs):
+    signs.record_pause(_entry(), pause_ms=500, now=NOW)
+    signs.record_pause(_entry(), pause_ms=100, now=NOW)
+    assert signs.paused_until(_entry()) == NOW + 500
+    assert signs.paused_until(_entry(started_at_ms=6)) < NOW
+    signs.expire(now=Millis(NOW + 499))
+    assert signs.paused_until(_entry()) == NOW + 500
+    signs.expire(now=Millis(NOW + 500))
+    assert signs.paused_until(_entry()) < NOW
+
+
+def test_huge_pause_ends_at_last(signs):
+    signs.record_pause(_entry(), pause_ms=1e18, now=NOW)
+    ends_at = NOW + settings.MAX_TARGET_PAUSE_MS
+    assert signs.paused_until(_entry()) == ends_at
