Don't deny a route while a newer configuration may have it

A 404 is final for them: they don't try again.

A host that has not learnt for the whole bound what the store holds can't know that there is no such route, and answered 404 all the same. It now refuses with 503 and Retry-After, as a host does that has no configuration yet; known routes are served as before.

Before: the new test got 404 with the store away.

--- a/chicorybridge/fleet/store_reads.py
+++ b/chicorybridge/fleet/store_reads.py
@@ -49,6 +49,10 @@
         """Return the age of the newest data from the store."""
         return now - self.read_at
 
+    def is_current(self, *, now: Millis) -> bool:
+        """Return whether the data are as new as they should be."""
+        return self.age_ms(now=now) <= self.spread_limit_ms
+
     def is_due(self, *, rank: int, hosts: int, now: Millis) -> bool:
         """Return whether this host should read the store now.
 
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -56,6 +56,9 @@
         self.targets = TargetList(
             clock=clock, log=log, rng=rng, reputations=self.reputations
         )
+        state.is_current = lambda: self.targets.schedule.is_current(
+            now=clock.now()
+        )
         self.directory = self.targets.directory
         self.signs = TargetSigns(directory=self.directory)
         self.workloads = WorkloadTable(zone_id=host_table.zone_id)
--- a/chicorybridge/hosts/request_readers.py
+++ b/chicorybridge/hosts/request_readers.py
@@ -36,7 +36,7 @@
     async def read(self, exchange: CallerExchange, head: Head) -> Call:
         """Return the call with as much of its body as the buffer holds.
 
-        Raise `RefusalError` if the host is stopping or has no
+        Raise `RefusalError` if the host is stopping or has no current
         configuration, no route matches, or the body is too late.
         """
         configuration = self._current_configuration()
@@ -46,14 +46,23 @@
             method=method, path=path, host=_host_name(head)
         )
         if route is None:
-            raise RefusalError(
-                code=ErrorCode.route_unknown,
-                detail='no route matches the request',
-            )
+            raise self._unknown_route_error()
         call = self._build_call(exchange, head, configuration, route)
         await self._read_body(call)
         return call
 
+    def _unknown_route_error(self) -> RefusalError:
+        if self._state.is_current():
+            return RefusalError(
+                code=ErrorCode.route_unknown,
+                detail='no route matches the request',
+            )
+        # A newer configuration may have the route.
+        return RefusalError(
+            code=ErrorCode.no_configuration,
+            detail='this host may lack a newer configuration',
+        )
+
     def _current_configuration(self) -> HostConfiguration:
         if self._state.phase is HostPhase.closing:
             raise RefusalError(
--- a/chicorybridge/hosts/states.py
+++ b/chicorybridge/hosts/states.py
@@ -1,6 +1,7 @@
 """State of a host process: its phase and its configuration."""
 
 import dataclasses
+from collections.abc import Callable
 from enum import Enum
 
 from chicorybridge.common.errors import require
@@ -19,12 +20,20 @@
     closing = 'closing'
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclasses.dataclass(kw_only=True)
 class HostState:
-    """The phase and the active configuration of a host."""
+    """The phase and the active configuration of a host.
+
+    `is_current` returns whether the configuration is as new as it should be.
+    """
 
     phase: HostPhase = HostPhase.serving
     configuration: HostConfiguration | None = None
+    is_current: Callable[[], bool] = _always
 
     @property
     def version(self) -> Version:
--- a/chicorybridge/tests/hosts/test_host_processes.py
+++ b/chicorybridge/tests/hosts/test_host_processes.py
@@ -6,6 +6,7 @@
 import curio
 import pytest
 
+from chicorybridge.common.clocks import Clock
 from chicorybridge.common.identities import TargetId
 from chicorybridge.hosts.states import HostPhase
 from chicorybridge.tests.hosts.deployments import (
@@ -189,6 +190,19 @@
     assert outage_response.status == 200
 
 
+@on_curio
+async def test_host_that_may_lack_a_route_does_not_deny_it():
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        known = await deployment.send('/nowhere/')
+        deployment.store.error_status = HTTPStatus.SERVICE_UNAVAILABLE
+        schedule = deployment.host.fleet_view.targets.schedule
+        await until(lambda: not schedule.is_current(now=Clock().now()))
+        unknown = await deployment.send('/nowhere/')
+        served = await deployment.send('/lookup/7')
+    assert (known.status, unknown.status, served.status) == (404, 503, 200)
+    assert float(unknown.headers_by_name['retry-after']) > 0
+
+
 @on_curio
 async def test_directory_returns_addresses_and_their_ttl():
     async with deployed(Origin(target_id='i-1')) as deployment:
