Keep to the limit that a target names, over all hosts

Cause: the header was forwarded and not read; no part of the fleet knew of limits that hold for all hosts together, as opposed to shares that each host spends by its own traffic.

A host that reads a limit in an answer that is surely that target's tells the fleet once, and again when it changes by a tenth or ends. The rate is shared by as many hosts of the target's region as it allows requests a second, at least one, chosen by rendezvous hashing of target and host; each spends its part from a bucket of one request, the others send the target nothing. In any second the sum is twice the limit at most, in the long run the limit, as long as hosts agree on who serves. Nothing is sent per request, so the cost doesn't grow with the fleet; a fleet of more hosts than all limits allow requests has hosts without a share, which use other targets or refuse at once.

A value that is no plain decimal number tells nothing: it neither sets nor ends a limit. A limit below one request in 4 s is treated as that, so that its end is seen.

--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -48,6 +48,7 @@
     target_leaving = 403
     target_listed = 404
     target_gone = 405
+    target_sign_seen = 406
     permit_taken = 410
     permit_given = 411
 
--- a/chicorybridge/entry/answers.py
+++ b/chicorybridge/entry/answers.py
@@ -1,6 +1,7 @@
 """Headers of forwarded requests and answers; classification of answers."""
 
 import dataclasses
+import math
 
 from chicorybridge.common.attempts import AttemptOutcome
 from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
@@ -139,6 +140,24 @@
     return is_own and dialect.is_draining(head)
 
 
+def named_rate(call: Call, head: Head | None) -> float | None:
+    """Return the requests a second that the target of a call surely takes.
+
+    From all hosts together; infinite if a success names no limit, `None`
+    if the answer doesn't tell.
+    """
+    dialect = call.dialect
+    if head is None or dialect.limit is None:
+        return None
+    if not dialect.is_surely_own(head, call.head):
+        return None
+    limits = head.values_of(dialect.limit)
+    if not limits:
+        is_success = head.status < MIN_REDIRECT_STATUS
+        return math.inf if is_success else None
+    return parse_decimal(limits[0]) if len(limits) == 1 else None
+
+
 def retry_after_ms(call: Call, head: Head | None) -> float | None:
     """Return how long the target of a call surely asks to be left alone.
 
--- a/chicorybridge/entry/attempt_runners.py
+++ b/chicorybridge/entry/attempt_runners.py
@@ -71,7 +71,8 @@
 
     A small answer is buffered in `answer`, so that the request can be
     retried if the answer is incomplete. A large one is streamed to the
-    caller as it arrives, unless it reports a failure.
+    caller as it arrives, unless it reports a failure. `head` is the head of
+    the answer, once there is one.
     """
 
     def __init__(
@@ -101,7 +102,7 @@
         self._received_bytes_before = 0
         self._is_new_connection = False
         self._first_byte_ms: float | None = None
-        self._head: Head | None = None
+        self.head: Head | None = None
         # Time spent on sending to the caller; not part of the latency of the
         # target.
         self._caller_wait_ms: float = 0
@@ -153,12 +154,12 @@
             started_at=self._started_at,
             elapsed_ms=max(0, elapsed - body_wait_ms - self._caller_wait_ms),
             first_byte_ms=self._first_byte_ms,
-            retry_after_ms=retry_after_ms(self._call, self._head),
+            retry_after_ms=retry_after_ms(self._call, self.head),
             sent_bytes=self._sent_bytes,
             received_bytes=self._received_bytes,
             new_connection=self._is_new_connection,
-            leaving=says_leaving(self._call, self._head),
-            marked_not_run=self._call.dialect.is_not_run(self._head),
+            leaving=says_leaving(self._call, self.head),
+            marked_not_run=self._call.dialect.is_not_run(self.head),
         )
 
     @property
@@ -199,12 +200,12 @@
         if math.isfinite(self._limits.hedge_after_ms):
             await self._hedge.start(exchange)
         if body is None:
-            self._head = await self._upload(exchange)
+            self.head = await self._upload(exchange)
         else:
-            self._head = await self._read_head(exchange)
+            self.head = await self._read_head(exchange)
         self._first_byte_ms = self._clock.now() - self._started_at
-        await self._read_answer(exchange, self._head)
-        return classify_answer(self._call, self._head)
+        await self._read_answer(exchange, self.head)
+        return classify_answer(self._call, self.head)
 
     async def _read_head(self, exchange: TargetExchange) -> Head:
         """Return the head of the answer to this request.
@@ -302,7 +303,7 @@
         exchange = self._exchange
         if exchange is None:
             return
-        if self._head is None:
+        if self.head is None:
             await self._connections.discard(exchange)
             return
         await self._connections.release(exchange)
--- a/chicorybridge/fleet/host_tables.py
+++ b/chicorybridge/fleet/host_tables.py
@@ -61,7 +61,7 @@
         """Start empty; `host_id` and `zone_id` are those of this host."""
         self.host_id = host_id
         self.zone_id = zone_id
-        self._regions_by_zone = regions_by_zone
+        self.regions_by_zone = regions_by_zone
         self._records_by_id: dict[HostId, HostRecord] = {}
         # Hosts that timed out, and the incarnation that did.
         self._lost_by_id: dict[HostId, Incarnation] = {}
@@ -153,8 +153,8 @@
 
     def is_in_region(self, profile: FleetMember) -> bool:
         """Return whether a host is in this host's region."""
-        own = self._regions_by_zone.get(self.zone_id)
-        return self._regions_by_zone.get(profile.zone_id) == own
+        own = self.regions_by_zone.get(self.zone_id)
+        return self.regions_by_zone.get(profile.zone_id) == own
 
     def in_zone(self) -> tuple[FleetMember, ...]:
         """Return the hosts of this host's availability zone."""
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -11,7 +11,7 @@
 from chicorybridge.common.identities import PoolId
 from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.configuration.declarations import Target
-from chicorybridge.entry.answers import BufferedAnswer
+from chicorybridge.entry.answers import BufferedAnswer, named_rate
 from chicorybridge.entry.attempt_runners import AttemptRunner
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.refusals import RefusalError, check_streamed
@@ -235,6 +235,8 @@
     ) -> None:
         attempt = runner.result(outcome)
         call.record(attempt)
-        self._policies.record_attempt(attempt, option.entry)
+        self._policies.record_attempt(
+            attempt, option.entry, rate_per_s=named_rate(call, runner.head)
+        )
         self._request_log.log_attempt(call, attempt, option)
         await self._placements.serve_queue(call.service.service_id)
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -27,7 +27,12 @@
     TargetSeen,
 )
 from chicorybridge.routing.suspects import CrashSuspected, SuspectCleared
-from chicorybridge.routing.target_signs import LeavingSeen, TargetSigns
+from chicorybridge.routing.target_limits import LimitSeen, TargetLimits
+from chicorybridge.routing.target_signs import (
+    LeavingSeen,
+    TargetSign,
+    TargetSigns,
+)
 from chicorybridge.routing.workloads import (
     HostWorkload,
     WorkloadTable,
@@ -60,14 +65,22 @@
             now=clock.now()
         )
         self.directory = self.targets.directory
-        self.signs = TargetSigns(directory=self.directory)
+        self.signs = TargetSigns(
+            directory=self.directory,
+            limits=TargetLimits(
+                host_table=host_table,
+                regions_by_zone=host_table.regions_by_zone,
+                is_serving=lambda: state.ready,
+            ),
+            log=log,
+        )
         self.workloads = WorkloadTable(zone_id=host_table.zone_id)
         self.quarantine = Quarantine()
         self.relay = StateRelay(host_id=host_table.host_id, rng=rng)
         # When the process last did its periodic work.
         self.ticked_at = clock.now()
         # Messages of other regions to forward to the hosts of this zone.
-        self.to_forward: list[ZoneWorkload | LeavingSeen] = []
+        self.to_forward: list[ZoneWorkload | TargetSign] = []
 
     def apply_configuration(
         self, configuration: HostConfiguration, *, source: str
@@ -196,11 +209,12 @@
     ) -> None:
         self.targets.apply(message, source=sender)
 
-    @_handle.register
-    def _handle_leaving(
-        self, message: LeavingSeen, sender: HostId, now: Millis
+    @_handle.register(LeavingSeen)
+    @_handle.register(LimitSeen)
+    def _handle_sign(
+        self, message: TargetSign, sender: HostId, now: Millis
     ) -> None:
-        if not self.signs.record_leaving(message, now=now):
+        if not self.signs.record(message, now=now):
             return
         if self.host_table.is_in_other_region(sender):
             self.to_forward.append(message)
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -20,6 +20,7 @@
 from chicorybridge.routing.allowances import RetryAllowances, RetryBound
 from chicorybridge.routing.reputations import Sign, TargetSeen
 from chicorybridge.routing.selections import Option, SelectionMode, Selector
+from chicorybridge.routing.target_limits import LimitSeen
 from chicorybridge.routing.target_signs import LeavingSeen
 
 
@@ -83,6 +84,8 @@
     def select_target(self, call: Call) -> Option | None:
         """Return the next target, `None` if the call should wait for one.
 
+        A request to the target that is returned counts as sent.
+
         Raise `RefusalError` if no untried target can be waited for.
         """
         now = self._clock.now()
@@ -98,6 +101,8 @@
         )
         if option is None:
             self._check_available(call, excluded, now)
+        else:
+            self._selector.take(option, now=now)
         return option
 
     def attempt_limits(self, call: Call, target_id: TargetId) -> AttemptLimits:
@@ -151,16 +156,32 @@
         )
         return mean_latency_ms
 
-    def record_attempt(self, attempt: Attempt, entry: TargetEntry) -> None:
-        """Record the result of an attempt at the target of `entry`."""
+    def record_attempt(
+        self, attempt: Attempt, entry: TargetEntry, *, rate_per_s: float | None
+    ) -> None:
+        """Record the result of an attempt at the target of `entry`.
+
+        `rate_per_s` is the limit that its answer names, infinite if it
+        names none, `None` if that is not known.
+        """
         self.reporter.attempt_finished(attempt.target_id)
         if attempt.leaving:
-            self.reporter.record_leaving(
+            self.reporter.record_sign(
                 LeavingSeen(
                     target_id=entry.target_id,
                     started_at_ms=entry.started_at_ms,
                 )
             )
+        if rate_per_s is not None:
+            self.reporter.record_sign(
+                LimitSeen(
+                    target_id=entry.target_id,
+                    started_at_ms=entry.started_at_ms,
+                    rate_per_s=(
+                        rate_per_s if math.isfinite(rate_per_s) else None
+                    ),
+                )
+            )
         if attempt.retry_after_ms is not None:
             self.reporter.record_pause(entry, pause_ms=attempt.retry_after_ms)
         sign = _sign_of(attempt.outcome)
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -9,7 +9,7 @@
 from chicorybridge.hosts.announcers import Announcer
 from chicorybridge.hosts.fleet_views import FleetView
 from chicorybridge.routing.reputations import Sign, TargetSeen
-from chicorybridge.routing.target_signs import LeavingSeen
+from chicorybridge.routing.target_signs import TargetSign
 
 # Decimal places of a probability in a report; more would make it larger.
 SOUNDNESS_DIGITS = 2
@@ -54,10 +54,9 @@
         self._observations.append(observation)
         self._changed = True
 
-    def record_leaving(self, seen: LeavingSeen) -> None:
-        """Record a target that is leaving, and tell the fleet if it's new."""
-        now = self._clock.now()
-        if self._fleet_view.signs.record_leaving(seen, now=now):
+    def record_sign(self, seen: TargetSign) -> None:
+        """Record what a target said, and tell the fleet if it is news."""
+        if self._fleet_view.signs.record(seen, now=self._clock.now()):
             self._announcer.send_to_region(seen)
             self._announcer.send_to_other_regions(seen)
 
--- a/chicorybridge/http/dialects.py
+++ b/chicorybridge/http/dialects.py
@@ -18,7 +18,8 @@
     `request_id` and set `signature` on complete answers; `target` carries
     the id of the target that a request is meant for. An answer with one of
     `not_run_statuses`, which other targets give, also means that the
-    request was not run.
+    request was not run. `limit` is the header in which targets name the
+    requests a second that they take from all hosts together.
     """
 
     deadline: bytes
@@ -26,6 +27,7 @@
     not_run_value: bytes = b''
     draining: bytes | None = None
     draining_value: bytes = b'true'
+    limit: bytes | None = None
     request_id: bytes | None = None
     signature: bytes | None = None
     target: bytes | None = None
--- a/chicorybridge/platform/dialects.py
+++ b/chicorybridge/platform/dialects.py
@@ -10,6 +10,7 @@
     not_run=b'x-not-executed',
     draining=b'server-leaving',
     draining_value=b'1',
+    limit=b'server-limit',
     request_id=REQUEST_ID_HEADER,
     signature=b'x-server-signature',
     # Holds the id of the target that the request is sent to.
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -141,11 +141,15 @@
         `None` if there is no target.
         """
         times = [
-            max(now, self._signs.paused_until(entry))
+            max(now, self._signs.available_at(entry, now=now))
             for entry in self._listed_entries(service_id, excluded)
         ]
         return min(times, default=None)
 
+    def take(self, option: Option, *, now: Millis) -> None:
+        """Count a request that is sent to the target of `option`."""
+        self._signs.take(option.entry, now=now)
+
     def mean_latency_ms(
         self, service_id: ServiceId, *, now: Millis
     ) -> float | None:
@@ -182,7 +186,7 @@
         return [
             self._option(entry, body_bytes, now)
             for entry in self._listed_entries(service_id, excluded)
-            if self._signs.paused_until(entry) <= now
+            if self._signs.available_at(entry, now=now) <= now
         ]
 
     def _safest(self, options: Sequence[Option]) -> Option:
--- a/chicorybridge/tests/hosts/test_target_headers.py
+++ b/chicorybridge/tests/hosts/test_target_headers.py
@@ -180,7 +180,6 @@
     assert origin.runs == 2
 
 
-@pytest.mark.xfail(strict=True, reason='KNOWN-RED: header is not read')
 @on_curio
 async def test_target_gets_no_more_than_the_limit_that_it_names():
     limited = SpeakingOrigin(
@@ -192,3 +191,31 @@
         limited.runs = 0
         await deployment.send_concurrently(20)
     assert 1 <= limited.runs <= 4
+
+
+@pytest.mark.parametrize(
+    'limit', ['', '-2', 'nan', 'inf', '1e2', '2,5', '9' * 40, 'two']
+)
+@on_curio
+async def test_garbage_instead_of_a_limit_limits_no_target(limit):
+    origin = SpeakingOrigin(
+        target_id='i-1', headers_by_name={'Server-Limit': limit}
+    )
+    async with deployed(origin) as deployment:
+        await deployment.send('/lookup/7')
+        await deployment.send_concurrently(6)
+    assert origin.runs == 7
+
+
+@on_curio
+async def test_limit_ends_with_an_answer_that_names_none():
+    origin = SpeakingOrigin(
+        target_id='i-1', headers_by_name={'Server-Limit': '4'}
+    )
+    async with deployed(origin) as deployment:
+        await deployment.send('/lookup/7')
+        origin.headers_by_name = {}
+        await deployment.send('/lookup/7')
+        origin.runs = 0
+        await deployment.send_concurrently(20)
+    assert origin.runs == 20
--- a/chicorybridge/tests/routing/test_selections.py
+++ b/chicorybridge/tests/routing/test_selections.py
@@ -26,8 +26,8 @@
     TargetSeen,
 )
 from chicorybridge.routing.selections import SelectionMode, Selector
-from chicorybridge.routing.target_signs import TargetSigns
 from chicorybridge.routing.workloads import WorkloadTable
+from chicorybridge.tests.routing.signs import build_signs
 
 QUOTES = ServiceId('quotes')
 REGIONS = MappingProxyType(
@@ -48,7 +48,7 @@
     def __init__(self) -> None:
         """Start without targets."""
         self.directory = TargetDirectory()
-        self.signs = TargetSigns(directory=self.directory)
+        self.signs = build_signs(self.directory)
         self.reputations = ReputationTable()
         self.workloads = WorkloadTable(zone_id=ZoneId('groningen'))
         self.idle: set[str] = set()
--- a/chicorybridge/tests/routing/test_target_signs.py
+++ b/chicorybridge/tests/routing/test_target_signs.py
@@ -10,7 +10,8 @@
     TargetEntry,
     TargetsChanged,
 )
-from chicorybridge.routing.target_signs import LeavingSeen, TargetSigns
+from chicorybridge.routing.target_signs import LeavingSeen
+from chicorybridge.tests.routing.signs import build_signs
 
 TARGET_ID = TargetId('i-1')
 NOW = Millis(1000)
@@ -38,34 +39,32 @@
 
 
 @pytest.fixture(name='signs')
-def _signs(directory) -> TargetSigns:
-    return TargetSigns(directory=directory)
+def _signs(directory):
+    return build_signs(directory)
 
 
 def test_sign_holds_for_the_start_of_the_target_that_gave_it(signs):
-    assert signs.record_leaving(SEEN, now=NOW)
-    assert not signs.record_leaving(SEEN, now=NOW)
+    assert signs.record(SEEN, now=NOW)
+    assert not signs.record(SEEN, now=NOW)
     assert signs.is_leaving(_entry())
     assert not signs.is_leaving(_entry(started_at_ms=6))
 
 
 def test_late_sign_of_an_earlier_start_changes_nothing(signs):
-    signs.record_leaving(
-        LeavingSeen(target_id=TARGET_ID, started_at_ms=7), now=NOW
-    )
-    assert not signs.record_leaving(SEEN, now=NOW)
+    signs.record(LeavingSeen(target_id=TARGET_ID, started_at_ms=7), now=NOW)
+    assert not signs.record(SEEN, now=NOW)
     assert signs.is_leaving(_entry(started_at_ms=7))
 
 
 def test_sign_of_a_listed_target_does_not_expire(signs, directory):
-    signs.record_leaving(SEEN, now=NOW)
+    signs.record(SEEN, now=NOW)
     directory.merge(TargetsChanged(store_version=1, entries=(_entry(),)))
     signs.expire(now=LATER)
     assert signs.is_leaving(_entry())
 
 
 def test_sign_of_a_target_that_is_gone_is_dropped_at_last(signs):
-    signs.record_leaving(SEEN, now=NOW)
+    signs.record(SEEN, now=NOW)
     signs.expire(now=Millis(LATER - 1))
     assert signs.is_leaving(_entry())
     signs.expire(now=LATER)
