Refuse messages whose parts are nested without end

A datagram or a row of the table of hosts with a few thousand message parts within each other ended the process with a segmentation fault: each level recurses through msgpack's C code.

Parts are decoded to a depth of 32; messages need a few. Before: the test crashed the interpreter.

--- a/chicorybridge/common/codecs.py
+++ b/chicorybridge/common/codecs.py
@@ -23,6 +23,9 @@
 # as a thousand parts.
 PACK_BUFFER_BYTES = 1024
 
+# Message parts within each other; messages of this project need a few.
+MAX_NESTING = 32
+
 # Errors that msgpack and the constructors raise on a malformed body.
 MESSAGE_DECODE_ERRORS = (
     ValueError,
@@ -61,12 +64,7 @@
 def unpack(body: bytes) -> Any:
     """Decode one message; raise `StreamError` if it is malformed."""
     try:
-        return msgpack.unpackb(
-            body,
-            ext_hook=_decode,
-            use_list=False,
-            strict_map_key=False,
-        )
+        return _unpack(body, depth=0)
     except MESSAGE_DECODE_ERRORS as error:
         raise StreamError(
             code=ErrorCode.message_malformed,
@@ -96,8 +94,20 @@
     return msgpack.ExtType(MESSAGE_EXTENSION, pack((name, *fields)))
 
 
-def _decode(extension: int, body: bytes) -> Any:
-    name, *fields = unpack(body)
+def _unpack(body: bytes, *, depth: int) -> Any:
+    if depth > MAX_NESTING:
+        # Deeper recursion through msgpack would overflow the C stack.
+        raise ValueError('message parts are nested too deeply')
+    return msgpack.unpackb(
+        body,
+        ext_hook=functools.partial(_decode, depth=depth + 1),
+        use_list=False,
+        strict_map_key=False,
+    )
+
+
+def _decode(extension: int, body: bytes, *, depth: int) -> Any:
+    name, *fields = _unpack(body, depth=depth)
     registered = _classes_by_name[name]
     if extension == ENUM_EXTENSION:
         return registered(fields[0])
--- a/chicorybridge/tests/common/test_codecs.py
+++ b/chicorybridge/tests/common/test_codecs.py
@@ -4,6 +4,7 @@
 import pkgutil
 from enum import Enum
 
+import msgpack
 import pytest
 
 from chicorybridge.common.codecs import pack, unpack, wire, wire_as
@@ -107,3 +108,11 @@
     """A message of an unregistered class is not packed."""
     with pytest.raises(TypeError, match='ProbeAfter is not registered'):
         pack(ProbeAfter(number=1, priority=PriorityAfter.bulk))
+
+
+def test_nested_message_without_end_is_malformed():
+    body = pack(None)
+    for _ in range(3000):
+        body = msgpack.packb(msgpack.ExtType(1, body))
+    with pytest.raises(StreamError):
+        unpack(body)
