Accept only entries that can be sent on to other hosts

An entry whose text holds a lone surrogate was decoded, and sending it on raised UnicodeEncodeError in the reader of the store, which ends the process, on each host that read it; so did a row with such a key. A configuration with a time out of all bounds would do the same. Nesting, numbers too large and ports out of range were rejected already.

Rows with a key that is no such text are left out of the page; a value that isn't base64 is an unreadable row, not an unreadable page; infinite numbers and profiles of hosts without addresses are rejected.

Before: with the entry or the key the host process ended in the tests; now it goes on and follows the list.

--- a/chicorybridge/platform/formats.py
+++ b/chicorybridge/platform/formats.py
@@ -4,14 +4,15 @@
 """
 
 import base64
-import binascii
 import dataclasses
 import json
+import math
 from collections.abc import Iterable, Mapping
 from typing import Any
 
 from chicorybridge.common.addresses import parse_address
 from chicorybridge.common.clocks import MILLIS_PER_SECOND
+from chicorybridge.common.codecs import pack, unpack
 from chicorybridge.common.errors import ChicorybridgeError, ErrorCode
 from chicorybridge.common.identities import (
     RouteId,
@@ -28,6 +29,7 @@
 )
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.fleet.directories import TargetEntry
+from chicorybridge.fleet.host_tables import FleetMember
 from chicorybridge.http.caller_limits import CallerLimits
 
 IDEMPOTENT_ROUTE_TYPE = 'idempotent'
@@ -81,11 +83,18 @@
 
 
 def decode_rows(body: bytes) -> StoredRows:
-    """Decode the answer to a table read or a feed; raise `FormatError`."""
+    """Decode the answer to a table read or a feed; raise `FormatError`.
+
+    Rows whose key is no text that can be encoded are left out.
+    """
     try:
         document = json.loads(body)
         return StoredRows(
-            rows=tuple(_decode_row(row) for row in document['rows']),
+            rows=tuple(
+                _decode_row(row)
+                for row in document['rows']
+                if _is_plain_text(row['key'])
+            ),
             version=int(document['ver']),
             has_more=bool(document.get('has_more')),
         )
@@ -126,18 +135,35 @@
             # `born` holds the start time in milliseconds since 1970.
             started_at_ms=_count_field(document, 'born'),
         )
+        # Other hosts must be able to receive it.
+        pack(entry)
     except DECODE_ERRORS as error:
         raise _format_error(f'entry of {row.key}', error) from error
     return entry
 
 
+def decode_profile(row: StoredRow) -> FleetMember:
+    """Decode the profile that a host wrote; raise `ChicorybridgeError`."""
+    profile = unpack(row.body or b'')
+    try:
+        for address in (profile.front, profile.fleet_address):
+            parse_address(address)
+        if not isinstance(profile, FleetMember) or profile.host_id != row.key:
+            raise ValueError('not the profile of this host')
+    except DECODE_ERRORS as error:
+        raise _format_error(f'profile of {row.key}', error) from error
+    return profile
+
+
 def decode_configuration(body: bytes) -> HostConfiguration:
     """Decode the operator's configuration; raise `FormatError`."""
     try:
-        document = json.loads(body)
-        return _decode_configuration(document)
+        configuration = _decode_configuration(json.loads(body))
+        # Other hosts must be able to receive it.
+        pack(configuration)
     except DECODE_ERRORS as error:
         raise _format_error('configuration', error) from error
+    return configuration
 
 
 def encode_addresses(addresses: Iterable[str], *, ttl_ms: float) -> bytes:
@@ -225,7 +251,7 @@
 def _decode_value(text: str) -> bytes:
     try:
         return base64.b64decode(text, validate=True)
-    except binascii.Error:
+    except (TypeError, ValueError):
         # The row may belong to another writer, so the page must not fail. An
         # empty body is reported as unreadable only if the row is used.
         return b''
@@ -245,6 +271,14 @@
     return state == DRAINING_STATE
 
 
+def _is_plain_text(key: Any) -> bool:
+    """Return whether a key is text without lone surrogates."""
+    try:
+        return bool(key.encode())
+    except (AttributeError, UnicodeEncodeError):
+        return False
+
+
 def _text_field(document: Mapping[str, Any], key: str) -> str:
     text = document[key]
     if not isinstance(text, str) or not text:
@@ -256,6 +290,8 @@
     number = document[key]
     if isinstance(number, bool) or not isinstance(number, int | float):
         raise TypeError(f'{key} is not a number')
+    if not math.isfinite(number):
+        raise ValueError(f'{key} is not finite')
     return number
 
 
--- a/chicorybridge/platform/watchers.py
+++ b/chicorybridge/platform/watchers.py
@@ -3,7 +3,7 @@
 import dataclasses
 import logging
 
-from chicorybridge.common.codecs import pack, unpack
+from chicorybridge.common.codecs import pack
 from chicorybridge.common.errors import ChicorybridgeError
 from chicorybridge.common.identities import TargetId
 from chicorybridge.fleet.configurations import HostConfiguration
@@ -13,6 +13,7 @@
     FormatError,
     StoredRows,
     decode_configuration,
+    decode_profile,
     decode_target,
 )
 from chicorybridge.platform.stores import (
@@ -138,12 +139,9 @@
         profiles = []
         for row in rows.rows:
             try:
-                profile = unpack(row.body or b'')
+                profiles.append(decode_profile(row))
             except ChicorybridgeError as error:
                 self._log_unreadable(row.key, error)
-                continue
-            if isinstance(profile, FleetMember):
-                profiles.append(profile)
         return tuple(profiles)
 
     async def write_host(self, profile: FleetMember) -> None:
--- a/chicorybridge/tests/hosts/test_host_processes.py
+++ b/chicorybridge/tests/hosts/test_host_processes.py
@@ -343,3 +343,26 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     ]
     assert origin.runs == 2
+
+
+@pytest.mark.parametrize(
+    ('key', 'fields'),
+    [
+        ('i-2', {'zone': '\ud800'}),
+        ('\ud800', {}),
+        ('i-2', {'address': '127.0.0.1:65536'}),
+        ('i-2', {'capacity': 10**400}),
+    ],
+)
+@on_curio
+async def test_odd_entry_of_another_writer_does_not_stop_the_host(key, fields):
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        store = deployment.store
+        store.put('servers', key, server_row(**fields))
+        entry = server_row(address=deployment.origins['i-1'].address)
+        store.put('servers', 'i-3', entry)
+        entries = deployment.host.fleet_view.directory.entries_by_id
+        await until(lambda: 'i-3' in entries)
+        answer = await deployment.send('/lookup/7')
+    assert answer.status in {200, 502}
+    assert set(entries) == {'i-1', 'i-3'}
--- a/chicorybridge/tests/platform/test_formats.py
+++ b/chicorybridge/tests/platform/test_formats.py
@@ -1,11 +1,17 @@
 """Tests of decoding rows: malformed rows are rejected."""
 
+import json
+
 import pytest
 
+from chicorybridge.common.codecs import pack
+from chicorybridge.common.errors import ChicorybridgeError
 from chicorybridge.platform.formats import (
     FormatError,
     StoredRow,
     decode_configuration,
+    decode_profile,
+    decode_rows,
     decode_target,
 )
 from chicorybridge.tests.platform.rows import (
@@ -43,6 +49,11 @@
         {'born': 1.5},
         {'born': 2**64},
         {'zone': ''},
+        {'zone': '\ud800'},
+        {'service': 'quotes\udfff'},
+        {'address': '127.0.0.1:' + '9' * 5000},
+        {'warmup_left_s': float('inf')},
+        {'warmup_left_s': 10**400},
     ],
 )
 def test_entry_with_an_invalid_field_is_rejected(fields):
@@ -51,7 +62,17 @@
 
 
 @pytest.mark.parametrize(
-    'body', [b'', b'\xff', b'[]', b'{}', b'"text"', b'[' * 9000]
+    'body',
+    [
+        b'',
+        b'\xff',
+        b'[]',
+        b'{}',
+        b'"text"',
+        b'[' * 9000,
+        b'{"service":' * 90_000,
+        b'{"capacity":%s}' % (b'9' * 9000),
+    ],
 )
 def test_malformed_entry_is_rejected(body):
     with pytest.raises(FormatError, match='entry of i-1'):
@@ -100,3 +121,44 @@
 def test_configuration_without_limits_is_rejected():
     with pytest.raises(FormatError, match='configuration'):
         decode_configuration(b'{"version":"0000000c","routes":[]}')
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'timeout_s': 1e300},
+        {'timeout_s': float('inf')},
+        {'attempts': 2**70},
+        {'prefix': '/\ud800/'},
+    ],
+)
+def test_configuration_that_cannot_be_sent_on_is_rejected(fields):
+    with pytest.raises(FormatError, match='configuration'):
+        decode_configuration(configuration_row(route(**fields)))
+
+
+def test_row_with_an_odd_key_or_value_does_not_hide_the_others():
+    body = json.dumps(
+        {
+            'rows': [
+                {'key': 'i-1', 'value': 'e30=', 'ver': 1},
+                {'key': '\ud800', 'value': 'e30=', 'ver': 2},
+                {'key': 5, 'value': 'e30=', 'ver': 3},
+                {'key': 'i-4', 'value': 5, 'ver': 4},
+                {'key': 'i-5', 'value': '\u00e9', 'ver': 5},
+            ],
+            'ver': 9,
+        }
+    )
+    rows = decode_rows(body.encode()).rows
+    assert [row.key for row in rows] == ['i-1', 'i-4', 'i-5']
+    assert [row.body for row in rows] == [b'{}', b'', b'']
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'\xc1', pack('text'), pack(None), b'\xdd\xff\xff\xff\xff'],
+)
+def test_malformed_profile_is_rejected(body):
+    with pytest.raises(ChicorybridgeError):
+        decode_profile(_row(body))
