Take only an answer that names its request as its answer

One of the reports: a faulty server wrote an earlier refusal once more on a kept connection; clients were told "not run, try again" for requests that a server had run (REFUSED), or they ran at a second one (TWICE).

It can happen here if the repetition has no request id: an answer without an id was taken as the answer to the request that had been sent last, so a repeated 503 with X-Not-Executed or a 421 made the host send the request to another target while the first one ran it. Repetitions with the id of the earlier request were skipped already.

An answer without the id is a broken exchange: a request that may run once gets 502, others are retried.

--- a/chicorybridge/entry/attempt_runners.py
+++ b/chicorybridge/entry/attempt_runners.py
@@ -211,7 +211,8 @@
         """Return the head of the answer to this request.
 
         A target may send a late duplicate of an earlier answer first; such
-        answers have another request id and are skipped.
+        answers have another request id and are skipped. One without an id
+        may be such a duplicate, too.
         """
         head = await exchange.read_head()
         dialect = self._call.dialect
@@ -221,6 +222,8 @@
         while head.header(dialect.request_id) not in (own_id, None):
             await exchange.skip_answer()
             head = await exchange.read_head()
+        if head.header(dialect.request_id) != own_id:
+            raise protocol_error('the answer does not name its request')
         if not is_from_target(dialect, head):
             raise protocol_error('the answer was not made by the target')
         return head
--- a/chicorybridge/tests/hosts/test_hedges.py
+++ b/chicorybridge/tests/hosts/test_hedges.py
@@ -29,10 +29,12 @@
     ) -> None:
         """Answer in chunks for longer than the hedging delay."""
         await connection.read_body()
+        request_id = request.headers_by_name['x-request-id'].encode()
         await connection.send(
             b'HTTP/1.1 200 OK\r\n'
+            b'X-Request-Id: %b\r\n'
             b'X-Server-Signature: i-1\r\n'
-            b'Content-Length: %d\r\n\r\n' % (CHUNKS * len(CHUNK))
+            b'Content-Length: %d\r\n\r\n' % (request_id, CHUNKS * len(CHUNK))
         )
         for _ in range(CHUNKS):
             await connection.send(CHUNK)
--- a/chicorybridge/tests/hosts/test_unanswered_requests.py
+++ b/chicorybridge/tests/hosts/test_unanswered_requests.py
@@ -39,7 +39,11 @@
     async def answer(self, connection, request):
         """Reject one request."""
         await connection.read_body()
-        headers = {'X-Not-Executed': '1', 'Retry-After': self.retry_after}
+        headers = {
+            'X-Request-Id': request.headers_by_name['x-request-id'],
+            'X-Not-Executed': '1',
+            'Retry-After': self.retry_after,
+        }
         await connection.respond(Response(status=503, headers_by_name=headers))
 
 
@@ -50,7 +54,10 @@
         """Answer one request."""
         await connection.read_body()
         body = bytes(2 * settings.HOST_BODY_BUFFER_BYTES)
-        headers = {'X-Server-Signature': self.target_id}
+        headers = {
+            'X-Request-Id': request.headers_by_name['x-request-id'],
+            'X-Server-Signature': self.target_id,
+        }
         await connection.respond(
             Response(status=200, headers_by_name=headers, body=body)
         )
