Don't send a body again after it was streamed

A retry of a request whose body had been streamed to its end could have sent an empty body: RequestBody.buffered was b'' then, which the retry took for the whole body. Found by reading; no caller is known to have seen it.

A body of which a part was streamed counts as not buffered, so that the request is not sent again. Before: the test found b'' in place of None.

--- a/chicorybridge/http/bodies.py
+++ b/chicorybridge/http/bodies.py
@@ -42,6 +42,7 @@
         self._chunks: list[bytes] = []
         self._received = 0
         self.ended = head.length == 0
+        self._is_streamed = False
         # Time spent so far on waiting for chunks from the caller.
         self.wait_ms: float = 0
         self.waiting_for_caller = False
@@ -52,9 +53,11 @@
     def buffered(self) -> bytes | None:
         """Return the body if all of it was read ahead, else `None`.
 
-        After `next_chunk` has returned the end of a body, this is empty.
+        A body of which `next_chunk` has returned a part can't be sent again.
         """
-        return b''.join(self._chunks) if self.ended else None
+        if self._is_streamed or not self.ended:
+            return None
+        return b''.join(self._chunks)
 
     async def read_ahead(self) -> None:
         """Read chunks until the body ends or the buffer is full."""
@@ -65,6 +68,7 @@
 
     async def next_chunk(self) -> bytes:
         """Return the next chunk, buffered ones first; empty at the end."""
+        self._is_streamed = True
         if self._chunks:
             return self._chunks.pop(0)
         if self.ended:
