Let the hosts of a region take turns within a target's limit

All hosts of the region take turns now: time is divided into slots of one request, dealt in the order of a hash of target and host, and counted from when the fleet learnt of the limit. A slot expires after a second, so that hosts that were idle don't send all at once: in any time the sum is what the limit allows in that time and a second more. In a region with more hosts than slots in 16 s only some take turns, as before all.

--- a/chicorybridge/routing/target_limits.py
+++ b/chicorybridge/routing/target_limits.py
@@ -1,10 +1,11 @@
 """Rates that targets name for all hosts together, and this host's share.
 
 A target in need names in its answers the requests a second that it takes
-from the whole fleet. The rate is shared by as many hosts of its region as
-it allows requests a second, chosen by rendezvous hashing; the others send
-the target nothing. So the sum keeps to the rate without messages for each
-request, however many hosts there are, and each share is enough to be used.
+from the whole fleet. The hosts of its region take turns: time is divided
+into slots of one request each, which are dealt to the hosts in the order
+of a hash of target and host. A slot that its host doesn't use expires. So
+the sum keeps to the rate without messages for each request, however many
+hosts there are.
 """
 
 import dataclasses
@@ -15,8 +16,7 @@
 import xxhash
 
 from chicorybridge import settings
-from chicorybridge.common.buckets import TokenBucket
-from chicorybridge.common.clocks import Millis
+from chicorybridge.common.clocks import MILLIS_PER_SECOND, Millis
 from chicorybridge.common.codecs import wire
 from chicorybridge.common.identities import (
     HostId,
@@ -44,13 +44,65 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class LimitShare:
-    """The rate that a target named, and the part of this host."""
+    """The rate that a target named, and the slots of this host.
+
+    Slots are counted from `first_at`, when the fleet learnt of the limit.
+    This host has the slot `turn` of each round of `hosts` slots; `turn` is
+    `None` if it has none.
+    """
 
     started_at_ms: int
     rate_per_s: float
-    bucket: TokenBucket
+    first_at: Millis
     seen_at: Millis
+    hosts: int = 1
+    turn: int | None = None
     shared_at: Millis = Millis(-math.inf)
+    # The last round whose slot was used or given up.
+    used_round: int = -1
+
+    @property
+    def round_ms(self) -> float:
+        """Return the time in which each host has one slot."""
+        return self.hosts / self.rate_per_s * MILLIS_PER_SECOND
+
+    def next_at(self, now: Millis) -> Millis:
+        """Return when this host may send the next request."""
+        if self.turn is None:
+            return Millis(math.inf)
+        next_round = self._unused_round(now)
+        slot_at = self._slot_at(next_round)
+        return max(now, slot_at)
+
+    def take(self, now: Millis) -> None:
+        """Use the slot of the present or next round."""
+        self.used_round = self._unused_round(now)
+
+    def deal(self, turn: int | None, *, hosts: int, now: Millis) -> None:
+        """Set the slots of this host; those until now are given up."""
+        if (turn, hosts) == (self.turn, self.hosts):
+            return
+        self.turn = turn
+        self.hosts = hosts
+        self.used_round = self._round_at(now)
+
+    def change_rate(self, rate_per_s: float, *, now: Millis) -> None:
+        """Set another rate; the slots until now are given up."""
+        self.rate_per_s = rate_per_s
+        self.used_round = self._round_at(now)
+
+    def _unused_round(self, now: Millis) -> int:
+        expired_at = Millis(now - settings.LIMIT_SLOT_TTL_MS)
+        return max(self.used_round, self._round_at(expired_at)) + 1
+
+    def _round_at(self, now: Millis) -> int:
+        """Return the last round whose slot of this host began by `now`."""
+        rounds = (now - self.first_at) / self.round_ms
+        return math.floor(rounds - (self.turn or 0) / self.hosts)
+
+    def _slot_at(self, number: int) -> Millis:
+        rounds = number + (self.turn or 0) / self.hosts
+        return Millis(self.first_at + rounds * self.round_ms)
 
 
 class TargetLimits:
@@ -83,19 +135,21 @@
         if seen.rate_per_s is None:
             return self._shares_by_id.pop(seen.target_id, None) is not None
         rate_per_s = max(seen.rate_per_s, settings.MIN_LIMIT_PER_S)
-        if share is not None and share.started_at_ms == seen.started_at_ms:
-            change = abs(rate_per_s / share.rate_per_s - 1)
-            if change < settings.LIMIT_CHANGE_SHARE:
-                return False
-        # Empty at first: other hosts may use their share at the same time.
-        bucket = TokenBucket(per_second=0, burst=1, now=now)
-        bucket.spend(1, now=now)
-        self._shares_by_id[seen.target_id] = LimitShare(
-            started_at_ms=seen.started_at_ms,
-            rate_per_s=rate_per_s,
-            bucket=bucket,
-            seen_at=now,
-        )
+        if share is None or share.started_at_ms < seen.started_at_ms:
+            self._shares_by_id[seen.target_id] = LimitShare(
+                started_at_ms=seen.started_at_ms,
+                rate_per_s=rate_per_s,
+                first_at=now,
+                seen_at=now,
+            )
+            return True
+        change = abs(rate_per_s / share.rate_per_s - 1)
+        if change < settings.LIMIT_CHANGE_SHARE:
+            return False
+        share.change_rate(rate_per_s, now=now)
+        share.seen_at = now
+        # The number of hosts that take turns depends on the rate.
+        share.shared_at = Millis(-math.inf)
         return True
 
     def available_at(self, entry: TargetEntry, *, now: Millis) -> Millis:
@@ -104,15 +158,13 @@
         Infinite if it has no share in the limit of the target.
         """
         share = self._share_of(entry, now)
-        if share is None:
-            return now
-        return Millis(now + share.bucket.wait_ms(now=now))
+        return now if share is None else share.next_at(now)
 
     def take(self, entry: TargetEntry, *, now: Millis) -> None:
         """Count a request that is sent to a target."""
         share = self._share_of(entry, now)
         if share is not None:
-            share.bucket.spend(1, now=now)
+            share.take(now)
 
     def expire(self, listed: Container[TargetId], *, now: Millis) -> None:
         """Drop old limits of targets that are not listed any more."""
@@ -127,22 +179,25 @@
             return None
         if now - share.shared_at >= settings.LIMIT_SHARE_TTL_MS:
             share.shared_at = now
-            # Adds what came until now at the former rate.
-            share.bucket.level(now=now)
-            share.bucket.per_second = self._own_rate(entry, share.rate_per_s)
+            order = self._turn_order(entry, share.rate_per_s)
+            own = self._host_table.host_id
+            turn = order.index(own) if own in order else None
+            share.deal(turn, hosts=max(1, len(order)), now=now)
         return share
 
-    def _own_rate(self, entry: TargetEntry, rate_per_s: float) -> float:
-        host_ids = self._sharing_hosts(entry)
-        count = min(len(host_ids), max(1, math.floor(rate_per_s)))
-        chosen = heapq.nsmallest(
-            count,
-            host_ids,
+    def _turn_order(
+        self, entry: TargetEntry, rate_per_s: float
+    ) -> list[HostId]:
+        """Return the hosts that take turns, in their order.
+
+        In a large region these are only some, so that each has a slot
+        before long.
+        """
+        return heapq.nsmallest(
+            math.ceil(rate_per_s * settings.MAX_LIMIT_ROUND_S),
+            self._sharing_hosts(entry),
             key=lambda host_id: _rank_hash(entry.target_id, host_id),
         )
-        if self._host_table.host_id not in chosen:
-            return 0
-        return rate_per_s / count
 
     def _sharing_hosts(self, entry: TargetEntry) -> list[HostId]:
         """Return the serving hosts of the target's region, or else all."""
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -497,11 +497,14 @@
 # the list of targets, as its entry may return.
 TARGET_SIGN_TTL_MS = 600_000.0
 # Limits that targets name, in requests a second: the least that is sent all the
-# same, so that the end of a limit is seen; the relative change that counts; and
-# how long the shares of the hosts are kept before they are computed again.
+# same, so that the end of a limit is seen; the relative change that counts; how
+# long the hosts that take turns are kept before they are determined again; how
+# long a slot may be used; and the longest round of turns.
 MIN_LIMIT_PER_S = 0.25
 LIMIT_CHANGE_SHARE = 0.1
 LIMIT_SHARE_TTL_MS = 1000.0
+LIMIT_SLOT_TTL_MS = 1000.0
+MAX_LIMIT_ROUND_S = 16.0
 # Longest time for which a host leaves a target alone at its request.
 MAX_TARGET_PAUSE_MS = 600_000.0
 
