Wait for a large answer of the store as long as it arrives

Cause: a call to the store failed after 1.2 s in all. A configuration of 1,300 routes is a row of some 400 KB, which takes a host with a link of 5 Mbit/s most of that, and longer when several hosts read over the link between the regions; each failed, waited and began anew.

A call fails after 1.2 s in which nothing arrives; the size of an answer is limited instead. Before: an answer whose parts came slowly was lost.

--- a/chicorybridge/http/clients.py
+++ b/chicorybridge/http/clients.py
@@ -41,6 +41,7 @@
         self.sock = curio.io.Socket(raw)
         self._protocol = h11.Connection(h11.CLIENT)
         self._event_count = 0
+        self._idle_timeout_ms = math.inf
 
     @property
     def reusable(self) -> bool:
@@ -49,8 +50,19 @@
             self._protocol.our_state is h11.IDLE and self._has_nothing_to_read()
         )
 
-    async def exchange(self, request: Request, *, host: str) -> Response:
-        """Send a request and return its answer; raise `AnswerLostError`."""
+    async def exchange(
+        self,
+        request: Request,
+        *,
+        host: str,
+        idle_timeout_ms: float = math.inf,
+    ) -> Response:
+        """Send a request and return its answer; raise `AnswerLostError`.
+
+        Raise `curio.TaskTimeout` if nothing is received for
+        `idle_timeout_ms`.
+        """
+        self._idle_timeout_ms = idle_timeout_ms
         encoded = self._encode(request, host=host)
         try:
             await self.sock.sendall(encoded)
@@ -133,7 +145,14 @@
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._protocol.receive_data(await self.sock.recv(RECEIVE_BYTES))
+            self._protocol.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        if math.isinf(self._idle_timeout_ms):
+            return await self.sock.recv(RECEIVE_BYTES)
+        idle_timeout_s = clocks.as_seconds(self._idle_timeout_ms)
+        async with curio.timeout_after(idle_timeout_s):
+            return await self.sock.recv(RECEIVE_BYTES)
 
 
 class Client:
@@ -170,6 +189,29 @@
                 await self._release(address, connection)
         return response
 
+    async def fetch_large(
+        self, address: Address, request: Request, *, idle_timeout_ms: float
+    ) -> Response:
+        """Send a request and return its answer, however long that takes.
+
+        Raise as `fetch` does, but only if nothing is received for
+        `idle_timeout_ms`. The size of answers should be limited.
+        """
+        connection: ClientConnection | None = None
+        try:
+            async with curio.timeout_after(clocks.as_seconds(idle_timeout_ms)):
+                connection = await self._connect(address)
+            # A timeout around this one would hide it if both expired at once.
+            response = await connection.exchange(
+                request, host=str(address), idle_timeout_ms=idle_timeout_ms
+            )
+        except curio.TaskTimeout as error:
+            raise _timeout_error(connection) from error
+        finally:
+            if connection:
+                await self._release(address, connection)
+        return response
+
     async def close(self) -> None:
         """Close all idle connections."""
         while self._idle_by_address:
--- a/chicorybridge/platform/stores.py
+++ b/chicorybridge/platform/stores.py
@@ -32,9 +32,12 @@
 # Rows per answer; the platform returns at most 500.
 PAGE_ROWS = 500
 
-# Timeout of a call, in addition to the wait that it requests: the time of the
-# slowest answers of a working store.
-CALL_TIMEOUT_MS = 1200
+# Time without a byte of the answer after which a call has failed, in addition
+# to the wait that it requests: the slowest answers of a working store.
+# The whole answer may take longer over a slow link.
+CALL_IDLE_TIMEOUT_MS = 1200
+# Size of a page: its rows, at most 1 MB of them, encoded.
+MAX_ANSWER_BYTES = 4_000_000
 
 
 Query: TypeAlias = dict[str, str | int]
@@ -58,7 +61,7 @@
     def __init__(self, *, address: str) -> None:
         """Call the store at `address`, IP:PORT."""
         self._address = parse_address(address)
-        self._client = Client()
+        self._client = Client(max_answer_bytes=MAX_ANSWER_BYTES)
         self.calls = 0
 
     async def read(self, table: str) -> StoredRows:
@@ -107,7 +110,9 @@
 
     async def _get(self, path: str, query: Query, *, wait_ms: int = 0) -> bytes:
         request = Request(method='GET', path=f'{path}?{urlencode(query)}')
-        return await self._call(request, timeout_ms=CALL_TIMEOUT_MS + wait_ms)
+        return await self._call(
+            request, idle_timeout_ms=CALL_IDLE_TIMEOUT_MS + wait_ms
+        )
 
     async def _transact(self, body: bytes) -> None:
         request = Request(
@@ -116,13 +121,13 @@
             headers_by_name={'Content-Type': CONTENT_TYPE},
             body=body,
         )
-        await self._call(request, timeout_ms=CALL_TIMEOUT_MS)
+        await self._call(request, idle_timeout_ms=CALL_IDLE_TIMEOUT_MS)
 
-    async def _call(self, request: Request, *, timeout_ms: int) -> bytes:
+    async def _call(self, request: Request, *, idle_timeout_ms: int) -> bytes:
         self.calls += 1
         try:
-            response = await self._client.fetch(
-                self._address, request, timeout_ms=timeout_ms
+            response = await self._client.fetch_large(
+                self._address, request, idle_timeout_ms=idle_timeout_ms
             )
         except (NotSentError, AnswerLostError) as error:
             raise StoreError(
