Tell other regions of configurations and reads of the store

Cause: each region read the store on its own. With a large configuration the far region's reader was busy for a second or more, the data of its region grew old, and the next hosts in line each read the same 400 KB over the link between the regions.

A reader sends its mark and its deltas to the first-ranked host of each zone elsewhere, too. Targets that differ are left to the region's own reader. One datagram a zone and read, whatever the size of the fleet.

Before: the far host's data aged, and it had no version until its region had read it.

--- a/chicorybridge/fleet/relays.py
+++ b/chicorybridge/fleet/relays.py
@@ -42,7 +42,8 @@
     ) -> None:
         """Record that `source` has newer state.
 
-        `order` has the hosts of the region by rank, with this host.
+        `order` has the hosts of the region by rank, with this host. A host
+        of another region tells only a few, which all fetch from it.
         """
         pending = self._pending
         if pending is None:
@@ -85,7 +86,7 @@
         position = members.index(self._host_id)
         levels = 0
         parent = source
-        if position >= settings.RELAY_FAN_OUT:
+        if source in order and position >= settings.RELAY_FAN_OUT:
             parent = members[position // settings.RELAY_FAN_OUT - 1]
             levels = _levels_above(position)
         wait_ms = levels * settings.RELAY_WAIT_MS
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -1,5 +1,6 @@
 """State of the fleet as a host sees it, updated by messages of others."""
 
+import dataclasses
 import functools
 import random
 from typing import Any
@@ -80,7 +81,7 @@
         # When the process last did its periodic work.
         self.ticked_at = clock.now()
         # Messages of other regions to forward to the hosts of this zone.
-        self.to_forward: list[ZoneWorkload | TargetSign] = []
+        self.to_forward: list[Any] = []
 
     def apply_configuration(
         self, configuration: HostConfiguration, *, source: str
@@ -224,10 +225,13 @@
         self, message: ConfigurationDelta, sender: HostId, now: Millis
     ) -> None:
         current = self.state.configuration
-        if current is not None and current.version == message.base_version:
-            self.apply_configuration(
-                patch_configuration(current, message), source=sender
-            )
+        if current is None or current.version != message.base_version:
+            return
+        self.apply_configuration(
+            patch_configuration(current, message), source=sender
+        )
+        if self.host_table.is_in_other_region(sender):
+            self.to_forward.append(message)
 
     @_handle.register
     def _handle_mark(
@@ -238,12 +242,15 @@
             message.store_version >= self.directory.store_version
             and message.targets_digest != self.directory.digest
         )
+        is_far = self.host_table.is_in_other_region(sender)
         if not lacks_configuration and not targets_differ:
-            self.targets.observe_store_age()
-            self.targets.schedule.record_remote_read(
-                age_ms=message.age_ms + _queueing_ms(self.ticked_at, now),
-                now=now,
-            )
+            age_ms = message.age_ms + _queueing_ms(self.ticked_at, now)
+            self.targets.credit_read(age_ms=age_ms)
+            if is_far:
+                self.to_forward.append(_forwarded(message, age_ms=age_ms))
+            return
+        if is_far and not lacks_configuration:
+            # The reader of this region brings the targets sooner.
             return
         self._log.emit(
             _event(
@@ -269,3 +276,8 @@
     While the event loop stands still, messages wait in the socket.
     """
     return max(0, now - ticked_at - settings.TICK_MS)
+
+
+def _forwarded(mark: StoreMark, *, age_ms: float) -> StoreMark:
+    """Return a mark as it will be when it is forwarded at the next tick."""
+    return dataclasses.replace(mark, age_ms=round(age_ms + settings.TICK_MS))
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -85,6 +85,7 @@
             fleet_view=self.fleet_view,
             watcher=open_watcher(host_settings.store),
             send=self._announcer.send_to_region,
+            send_far=self._announcer.send_to_other_regions,
         )
         self.metrics = HostMetrics()
         self._connections = TargetConnections(
@@ -252,10 +253,12 @@
         if not addresses or not await self._merge_from(addresses[0]):
             fleet_view.relay.retry(fetch, now=self._clock.now())
             return
-        below = fleet_view.relay.hosts_below(
-            fetch, order=fleet_view.host_table.region_order()
-        )
-        self._announcer.send_to_hosts(fleet_view.store_mark(), below)
+        order = fleet_view.host_table.region_order()
+        if fetch.origin in order:
+            below = fleet_view.relay.hosts_below(fetch, order=order)
+            self._announcer.send_to_hosts(fleet_view.store_mark(), below)
+        else:
+            self._announcer.send_to_region(fleet_view.store_mark())
 
     async def _merge_from(self, address: str) -> bool:
         """Merge the state of the host at `address`; return whether it came."""
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -54,8 +54,13 @@
         fleet_view: FleetView,
         watcher: Watcher,
         send: Send,
+        send_far: Send,
     ) -> None:
-        """Send changes with `send`, which reaches the hosts of the region."""
+        """Send changes with `send`, which reaches the hosts of the region.
+
+        `send_far` reaches some hosts of each other region.
+        """
+        self._send_far = send_far
         self._clock = clock
         self._log = log
         self._fleet_view = fleet_view
@@ -113,7 +118,9 @@
         applied = self._targets.apply(change, source='store')
         if applied:
             self._send(applied)
-        self._send(self._fleet_view.store_mark())
+        mark = self._fleet_view.store_mark()
+        self._send(mark)
+        self._send_far(mark)
 
     async def _read_all(self) -> TargetsChanged:
         configuration = await self._watcher.read_configuration()
@@ -132,6 +139,7 @@
         delta = diff_configurations(before, configuration)
         if delta is not None:
             self._send(delta)
+            self._send_far(delta)
 
     async def _call_store(self, store_call: Awaitable[Any]) -> Any:
         try:
--- a/chicorybridge/hosts/target_lists.py
+++ b/chicorybridge/hosts/target_lists.py
@@ -86,6 +86,11 @@
             self._forget(target_id, source='outage')
         return age_ms
 
+    def credit_read(self, *, age_ms: float) -> None:
+        """Record that this host has all that another one read before."""
+        self.observe_store_age()
+        self.schedule.record_remote_read(age_ms=age_ms, now=self._clock.now())
+
     def _remove(self, entry: TargetEntry, *, source: str) -> None:
         may_return = self.outages.may_have_expired(now=self._clock.now())
         if may_return and not entry.leaving:
--- a/chicorybridge/tests/hosts/test_fleet_views.py
+++ b/chicorybridge/tests/hosts/test_fleet_views.py
@@ -28,7 +28,10 @@
 from chicorybridge.tests.platform.rows import configuration_row, route
 
 ZONE_ID = ZoneId('groningen')
-REGIONS = MappingProxyType({ZONE_ID: RegionId('noord')})
+FAR_ZONE_ID = ZoneId('eindhoven')
+REGIONS = MappingProxyType(
+    {ZONE_ID: RegionId('noord'), FAR_ZONE_ID: RegionId('zuid')}
+)
 SERVICE_ID = ServiceId('quotes')
 OUTAGE_MS = 4000
 
@@ -62,11 +65,15 @@
 class HostModel:
     """The fleet view of one host and its reader of the store."""
 
-    def __init__(self, name: str, clock: ManualClock) -> None:
+    def __init__(
+        self, name: str, clock: ManualClock, zone_id: ZoneId = ZONE_ID
+    ) -> None:
         """Start without targets."""
         self.name = HostId(name)
+        self.zone_id = zone_id
         self.clock = clock
         self.sent: list[Any] = []
+        self.sent_far: list[Any] = []
         self.watcher = ScriptedWatcher()
         log = EventLog(
             clock=clock,
@@ -80,7 +87,7 @@
             rng=random.Random(1),
             state=HostState(),
             host_table=HostTable(
-                host_id=self.name, zone_id=ZONE_ID, regions_by_zone=REGIONS
+                host_id=self.name, zone_id=zone_id, regions_by_zone=REGIONS
             ),
         )
         self.reader = StoreReader(
@@ -89,6 +96,7 @@
             fleet_view=self.view,
             watcher=self.watcher,
             send=self.sent.append,
+            send_far=self.sent_far.append,
         )
 
     @property
@@ -100,7 +108,7 @@
         """Return the profile that this host sends."""
         return FleetMember(
             host_id=self.name,
-            zone_id=ZONE_ID,
+            zone_id=self.zone_id,
             incarnation=Incarnation(1),
             serial=1,
             front=f'{self.name}:80',
@@ -273,3 +281,46 @@
     first.watcher.configuration = _configuration(7, routes=300)
     first.read(TargetsChanged(store_version=9))
     assert [type(message).__name__ for message in first.sent] == ['StoreMark']
+
+
+@pytest.fixture(name='far')
+def _far(clock, first) -> HostModel:
+    host = HostModel('far', clock, FAR_ZONE_ID)
+    host.view.on_message(first.profile(), first.name)
+    return host
+
+
+def test_mark_of_another_region_counts_and_is_passed_on(clock, first, far):
+    first.read(TargetsChanged(store_version=9))
+    clock.advance(by_ms=50)
+    far.view.ticked_at = clock.now()
+    far.view.on_message(first.view.store_mark(), first.name)
+    assert far.age_ms == 50
+    ages_ms = [mark.age_ms for mark in far.view.to_forward]
+    assert ages_ms == [50 + settings.TICK_MS]
+
+
+def test_targets_of_another_region_that_differ_need_no_fetch(clock, first, far):
+    first.read(_listed(9))
+    far.view.on_message(first.view.store_mark(), first.name)
+    assert far.view.relay.take_due(now=clock.now()) is None
+    assert not far.view.to_forward
+
+
+def test_configuration_of_another_region_is_fetched_at_once(clock, first, far):
+    first.view.apply_configuration(_configuration(4), source='store')
+    far.view.on_message(first.view.store_mark(), first.name)
+    fetch = far.view.relay.take_due(now=clock.now())
+    assert fetch is not None
+    assert fetch.source == first.name
+
+
+def test_small_change_reaches_other_regions_and_is_passed_on(first, far):
+    first.view.apply_configuration(_configuration(4), source='store')
+    far.view.apply_configuration(_configuration(4), source='store')
+    first.watcher.configuration = _configuration(7, routes=4)
+    first.read(TargetsChanged(store_version=9))
+    delta = first.sent_far[0]
+    far.view.on_message(delta, first.name)
+    assert far.view.state.version == 7
+    assert far.view.to_forward == [delta]
