Leave a read of the store to the host whose answer is arriving

- A host that reads tells its region while its answer is arriving; the others leave the read to it until their data are as old as the limit.
So they do while they fetch state that another host has.
- A host that takes over reads only what changed after the version of the store up to which a mark showed that nothing is missing, not the whole tables.
- The targets are read before the configuration, and their changes sent at once, so that a large configuration doesn't delay them.
The version that a mark names thus covers the configuration as well.

Removed targets after a complete read are found against the directory, as a host that took over knows no rows of its own; the test says which targets are known. Before: a host that took over read everything, while another one was reading.

--- a/chicorybridge/fleet/store_reads.py
+++ b/chicorybridge/fleet/store_reads.py
@@ -20,6 +20,12 @@
     age_ms: int
 
 
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReadInProgress:
+    """Report to other hosts that a long read of the store goes on."""
+
+
 class ReadSchedule:
     """Decide when this host reads the store itself.
 
@@ -43,6 +49,7 @@
         self._rng = rng
         self.read_at = Millis(-settings.NEVER_READ_AGE_MS)
         self._paused_until = Millis(0)
+        self._postponed_until = Millis(0)
         self._failures = 0
 
     def age_ms(self, *, now: Millis) -> float:
@@ -60,8 +67,19 @@
         """
         if now < self._paused_until:
             return False
+        age_ms = self.age_ms(now=now)
+        if rank and now < self._postponed_until:
+            return age_ms >= self.spread_limit_ms
         due_ms = self.spread_limit_ms * _due_share(rank=rank, hosts=hosts)
-        return self.age_ms(now=now) >= due_ms
+        return age_ms >= due_ms
+
+    def postpone(self, *, now: Millis) -> None:
+        """Leave the next read to another host, which has newer data or reads.
+
+        Until the data are as old as the limit.
+        """
+        pause_ms = self.spread_limit_ms * settings.READ_STALE_SHARE
+        self._postponed_until = Millis(now + pause_ms)
 
     def record_remote_read(self, *, age_ms: float, now: Millis) -> None:
         """Record that this host has all that another host has read.
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -18,7 +18,7 @@
 from chicorybridge.fleet.host_tables import FleetMember, HostTable
 from chicorybridge.fleet.relays import StateRelay
 from chicorybridge.fleet.snapshots import Snapshot
-from chicorybridge.fleet.store_reads import StoreMark
+from chicorybridge.fleet.store_reads import ReadInProgress, StoreMark
 from chicorybridge.hosts.states import HostState
 from chicorybridge.hosts.target_lists import TargetList
 from chicorybridge.routing.quarantines import CrashReport, Quarantine
@@ -204,11 +204,15 @@
     ) -> None:
         self.quarantine.receive(message, now=now)
 
-    @_handle.register
-    def _handle_targets(
-        self, message: TargetsChanged, sender: HostId, now: Millis
+    @_handle.register(TargetsChanged)
+    @_handle.register(ReadInProgress)
+    def _handle_read(
+        self,
+        message: TargetsChanged | ReadInProgress,
+        sender: HostId,
+        now: Millis,
     ) -> None:
-        self.targets.apply(message, source=sender)
+        self.targets.receive(message, source=sender)
 
     @_handle.register(LeavingSeen)
     @_handle.register(LimitSeen)
@@ -245,7 +249,9 @@
         is_far = self.host_table.is_in_other_region(sender)
         if not lacks_configuration and not targets_differ:
             age_ms = message.age_ms + _queueing_ms(self.ticked_at, now)
-            self.targets.credit_read(age_ms=age_ms)
+            self.targets.credit_read(
+                store_version=message.store_version, age_ms=age_ms
+            )
             if is_far:
                 self.to_forward.append(_forwarded(message, age_ms=age_ms))
             return
@@ -263,6 +269,8 @@
                 age_ms=round(self.targets.schedule.age_ms(now=now)),
             )
         )
+        # Its state is smaller than what the store would send.
+        self.targets.schedule.postpone(now=now)
         self.relay.offer(sender, order=self.host_table.region_order(), now=now)
 
 
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -1,6 +1,6 @@
 """Periodic reads of the platform's store, shared between hosts."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any, Protocol
 
 import curio
@@ -9,12 +9,14 @@
 from chicorybridge.common.clocks import Clock, as_seconds
 from chicorybridge.common.errors import ChicorybridgeError
 from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.identities import TargetId
 from chicorybridge.fleet.configurations import (
     HostConfiguration,
     diff_configurations,
 )
 from chicorybridge.fleet.directories import TargetsChanged
 from chicorybridge.fleet.host_tables import FleetMember
+from chicorybridge.fleet.store_reads import ReadInProgress
 from chicorybridge.hosts.fleet_views import FleetView
 
 Send = Callable[[Any], None]
@@ -30,7 +32,16 @@
     async def read_configuration(self) -> HostConfiguration | None:
         """Return the configuration if it changed since the last read."""
 
-    async def read_targets(self) -> TargetsChanged:
+    @property
+    def received_bytes(self) -> int:
+        """Return the number of bytes received from the store."""
+
+    def skip_to(self, version: int) -> None:
+        """Leave out changes up to a version of the store."""
+
+    async def read_targets(
+        self, known_ids: Collection[TargetId]
+    ) -> TargetsChanged:
         """Return the targets that changed since the last read."""
 
     async def read_hosts(self) -> tuple[FleetMember, ...]:
@@ -106,7 +117,11 @@
 
     async def _read_store(self) -> None:
         started_at = self._clock.now()
+        if self._targets.synced_version is not None:
+            self._watcher.skip_to(self._targets.synced_version)
+        notices = await curio.spawn(self._send_notices, daemon=True)
         change = await self._call_store(self._read_all())
+        await notices.cancel(blocking=False)
         if change is None:
             self._targets.schedule.record_failure(
                 hosts=len(self._fleet_view.host_table.region_order()),
@@ -115,18 +130,34 @@
             return
         self._targets.schedule.record_success(started_at=started_at)
         self._targets.observe_store_age()
-        applied = self._targets.apply(change, source='store')
-        if applied:
-            self._send(applied)
         mark = self._fleet_view.store_mark()
         self._send(mark)
         self._send_far(mark)
 
     async def _read_all(self) -> TargetsChanged:
+        """Read and apply changes of the targets, then the configuration.
+
+        In this order the configuration is as new as the version of the
+        store that the targets have.
+        """
+        change = await self._watcher.read_targets(
+            self._fleet_view.directory.entries_by_id.keys()
+        )
+        applied = self._targets.apply(change, source='store')
+        if applied:
+            self._send(applied)
         configuration = await self._watcher.read_configuration()
         if configuration is not None:
             self._apply_configuration(configuration)
-        return await self._watcher.read_targets()
+        return change
+
+    async def _send_notices(self) -> None:
+        """Tell the region of this read while its answer is arriving."""
+        while True:
+            received_bytes = self._watcher.received_bytes
+            await curio.sleep(as_seconds(settings.READ_NOTICE_INTERVAL_MS))
+            if self._watcher.received_bytes > received_bytes:
+                self._send(ReadInProgress())
 
     def _apply_configuration(self, configuration: HostConfiguration) -> None:
         """Activate a newer configuration and send what it changes."""
--- a/chicorybridge/hosts/target_lists.py
+++ b/chicorybridge/hosts/target_lists.py
@@ -1,5 +1,6 @@
 """Targets known to a host, and how old its data from the store are."""
 
+import functools
 import random
 from typing import Any
 
@@ -11,7 +12,11 @@
     TargetEntry,
     TargetsChanged,
 )
-from chicorybridge.fleet.store_reads import OutageMonitor, ReadSchedule
+from chicorybridge.fleet.store_reads import (
+    OutageMonitor,
+    ReadInProgress,
+    ReadSchedule,
+)
 from chicorybridge.routing.reputations import ReputationTable
 
 
@@ -38,6 +43,8 @@
         self._log = log
         self._reputations = reputations
         self._is_retaining = False
+        # The version of the store up to which nothing is missing here.
+        self.synced_version: int | None = None
 
     def apply(self, change: TargetsChanged, *, source: str) -> TargetsChanged:
         """Apply a change of targets and return the part that was new."""
@@ -66,6 +73,21 @@
             self._remove(entries_before[target_id], source=source)
         return applied
 
+    @functools.singledispatchmethod
+    def receive(self, message: Any, *, source: str) -> None:
+        """Handle a message about a read of the store by `source`."""
+        raise TypeError(f'{type(message).__name__} is about no read')
+
+    @receive.register
+    def receive_change(self, message: TargetsChanged, *, source: str) -> None:
+        """Apply the changes that another host read."""
+        self.apply(message, source=source)
+
+    @receive.register
+    def receive_notice(self, message: ReadInProgress, *, source: str) -> None:
+        """Leave the next read to the host that is reading."""
+        self.schedule.postpone(now=self._clock.now())
+
     def observe_store_age(self) -> float:
         """Check whether the store is available; return its data's age in ms.
 
@@ -86,9 +108,13 @@
             self._forget(target_id, source='outage')
         return age_ms
 
-    def credit_read(self, *, age_ms: float) -> None:
-        """Record that this host has all that another one read before."""
+    def credit_read(self, *, store_version: int, age_ms: float) -> None:
+        """Record that this host has all that another one read before.
+
+        That is the state of the store at `store_version`, `age_ms` ago.
+        """
         self.observe_store_age()
+        self.synced_version = max(self.synced_version or 0, store_version)
         self.schedule.record_remote_read(age_ms=age_ms, now=self._clock.now())
 
     def _remove(self, entry: TargetEntry, *, source: str) -> None:
--- a/chicorybridge/http/clients.py
+++ b/chicorybridge/http/clients.py
@@ -3,6 +3,7 @@
 import logging
 import math
 import socket
+from collections.abc import Callable
 from types import MappingProxyType
 from typing import Any
 
@@ -42,6 +43,7 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._event_count = 0
         self._idle_timeout_ms = math.inf
+        self._on_bytes: Callable[[int], None] | None = None
 
     @property
     def reusable(self) -> bool:
@@ -56,13 +58,15 @@
         *,
         host: str,
         idle_timeout_ms: float = math.inf,
+        on_bytes: Callable[[int], None] | None = None,
     ) -> Response:
         """Send a request and return its answer; raise `AnswerLostError`.
 
         Raise `curio.TaskTimeout` if nothing is received for
-        `idle_timeout_ms`.
+        `idle_timeout_ms`. `on_bytes` is told of what is received.
         """
         self._idle_timeout_ms = idle_timeout_ms
+        self._on_bytes = on_bytes
         encoded = self._encode(request, host=host)
         try:
             await self.sock.sendall(encoded)
@@ -152,7 +156,10 @@
             return await self.sock.recv(RECEIVE_BYTES)
         idle_timeout_s = clocks.as_seconds(self._idle_timeout_ms)
         async with curio.timeout_after(idle_timeout_s):
-            return await self.sock.recv(RECEIVE_BYTES)
+            received = await self.sock.recv(RECEIVE_BYTES)
+        if self._on_bytes is not None:
+            self._on_bytes(len(received))
+        return received
 
 
 class Client:
@@ -167,6 +174,8 @@
         """
         self._max_idle_count = max_idle_count
         self._max_answer_bytes = max_answer_bytes
+        # Bytes of answers that `fetch_large` received.
+        self.received_bytes = 0
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
 
     async def fetch(
@@ -203,7 +212,10 @@
                 connection = await self._connect(address)
             # A timeout around this one would hide it if both expired at once.
             response = await connection.exchange(
-                request, host=str(address), idle_timeout_ms=idle_timeout_ms
+                request,
+                host=str(address),
+                idle_timeout_ms=idle_timeout_ms,
+                on_bytes=self._count_received,
             )
         except curio.TaskTimeout as error:
             raise _timeout_error(connection) from error
@@ -230,6 +242,9 @@
             address, max_answer_bytes=self._max_answer_bytes
         )
 
+    def _count_received(self, count: int) -> None:
+        self.received_bytes += count
+
     async def _release(
         self, address: Address, connection: ClientConnection
     ) -> None:
--- a/chicorybridge/platform/stores.py
+++ b/chicorybridge/platform/stores.py
@@ -64,6 +64,11 @@
         self._client = Client(max_answer_bytes=MAX_ANSWER_BYTES)
         self.calls = 0
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the number of bytes received from the store."""
+        return self._client.received_bytes
+
     async def read(self, table: str) -> StoredRows:
         """Return all rows of a table, read page by page.
 
--- a/chicorybridge/platform/watchers.py
+++ b/chicorybridge/platform/watchers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+from collections.abc import Collection
 
 from chicorybridge.common.codecs import pack
 from chicorybridge.common.errors import ChicorybridgeError
@@ -40,6 +41,11 @@
         self._table = table
         self._last_version: int | None = None
 
+    def skip_to(self, version: int) -> None:
+        """Leave out changes up to a version of the store."""
+        if self._last_version is None or version > self._last_version:
+            self._last_version = version
+
     async def read(self) -> tuple[StoredRows, bool]:
         """Return rows, and whether they are the complete table."""
         if self._last_version is not None:
@@ -83,7 +89,6 @@
         self._store = store
         self._operator = TableReader(store=store, table=OPERATOR_TABLE)
         self._servers = TableReader(store=store, table=SERVER_TABLE)
-        self._row_versions_by_id: dict[TargetId, int] = {}
         # Keys of rows that could not be decoded, so that each is logged once.
         self._logged_keys: set[str] = set()
 
@@ -92,6 +97,16 @@
         """Return the number of calls to the store."""
         return self._store.calls
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the number of bytes received from the store."""
+        return self._store.received_bytes
+
+    def skip_to(self, version: int) -> None:
+        """Leave out changes of configuration and targets up to a version."""
+        self._operator.skip_to(version)
+        self._servers.skip_to(version)
+
     async def read_configuration(self) -> HostConfiguration | None:
         """Return the configuration if it changed and can be decoded."""
         rows, _ = await self._operator.read()
@@ -104,15 +119,18 @@
                 self._log_unreadable(row.key, error)
         return None
 
-    async def read_targets(self) -> TargetsChanged:
+    async def read_targets(
+        self, known_ids: Collection[TargetId]
+    ) -> TargetsChanged:
         """Return the changed targets since the last read.
 
-        Targets with a deleted or unreadable row are in `removed`.
+        Targets with a deleted or unreadable row are in `removed`; if the
+        complete table was read, so are those of `known_ids` without a row.
         """
         rows, is_complete = await self._servers.read()
         entries: list[TargetEntry] = []
         removed: list[TargetId] = []
-        missing = set(self._row_versions_by_id)
+        missing = set(known_ids)
         for row in rows.rows:
             target_id = TargetId(row.key)
             missing.discard(target_id)
@@ -126,7 +144,6 @@
                 removed.append(target_id)
         if is_complete:
             removed.extend(missing)
-        self._update_row_versions(entries, removed)
         return TargetsChanged(
             store_version=rows.version,
             entries=tuple(entries),
@@ -150,14 +167,6 @@
             table=HOST_TABLE, key=profile.host_id, body=pack(profile)
         )
 
-    def _update_row_versions(
-        self, entries: list[TargetEntry], removed: list[TargetId]
-    ) -> None:
-        for entry in entries:
-            self._row_versions_by_id[entry.target_id] = entry.row_version
-        for target_id in removed:
-            self._row_versions_by_id.pop(target_id, None)
-
     def _log_unreadable(self, key: str, error: ChicorybridgeError) -> None:
         if key in self._logged_keys:
             return
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -547,6 +547,9 @@
 READ_RANK_STEP_SHARE = 0.04
 MAX_READ_RANK = 6
 READ_TAIL_SHARE = 0.16
+# While an answer of the store is arriving, the other hosts are told of it at
+# this interval, and leave the read to this host.
+READ_NOTICE_INTERVAL_MS = 150.0
 # Backoff after a failed read, doubled with each further failure up to this
 # factor, or up to the number of hosts in the region divided by
 # READ_BACKOFF_HOSTS if that is less.
--- a/chicorybridge/tests/hosts/test_fleet_views.py
+++ b/chicorybridge/tests/hosts/test_fleet_views.py
@@ -4,6 +4,7 @@
 from types import MappingProxyType
 from typing import Any
 
+import curio
 import pytest
 
 from chicorybridge import settings
@@ -17,10 +18,14 @@
     TargetId,
     ZoneId,
 )
-from chicorybridge.fleet.configurations import HostConfiguration
+from chicorybridge.fleet.configurations import (
+    ConfigurationDelta,
+    HostConfiguration,
+)
 from chicorybridge.fleet.directories import TargetEntry, TargetsChanged
 from chicorybridge.fleet.host_tables import FleetMember, HostTable
 from chicorybridge.fleet.snapshots import Snapshot
+from chicorybridge.fleet.store_reads import ReadInProgress
 from chicorybridge.hosts.fleet_views import FleetView
 from chicorybridge.hosts.states import HostState
 from chicorybridge.hosts.store_readers import StoreReader
@@ -40,9 +45,11 @@
     """A store whose next read returns `change`."""
 
     calls = 0
+    received_bytes = 0
 
     def __init__(self) -> None:
         """Start without changes."""
+        self.skipped_to: int | None = None
         self.change = TargetsChanged(store_version=0)
         self.configuration: HostConfiguration | None = None
 
@@ -50,7 +57,11 @@
         """Return the configuration."""
         return self.configuration
 
-    async def read_targets(self) -> TargetsChanged:
+    def skip_to(self, version: int) -> None:
+        """Keep the version."""
+        self.skipped_to = version
+
+    async def read_targets(self, _known_ids) -> TargetsChanged:
         """Return the change."""
         return self.change
 
@@ -104,6 +115,15 @@
         """Return the age of the store data of this host."""
         return self.view.targets.schedule.age_ms(now=self.clock.now())
 
+    @property
+    def delta(self) -> ConfigurationDelta:
+        """Return the delta that this host sent to its region."""
+        return next(
+            message
+            for message in self.sent
+            if isinstance(message, ConfigurationDelta)
+        )
+
     def profile(self) -> FleetMember:
         """Return the profile that this host sends."""
         return FleetMember(
@@ -120,7 +140,7 @@
         """Read `change` from the store."""
         self.watcher.change = change
         self.reader._is_due()
-        run_now(self.reader._read_store())
+        curio.run(self.reader._read_store)
 
     def hear(self, other: 'HostModel') -> None:
         """Handle a mark of another host, fetch its snapshot and its mark."""
@@ -135,12 +155,6 @@
         self.view.on_message(other.view.store_mark(), other.name)
 
 
-def run_now(coroutine) -> None:
-    """Run a coroutine that doesn't block."""
-    with pytest.raises(StopIteration):
-        coroutine.send(None)
-
-
 def _entry(row_version: int, *, leaving: bool = False) -> TargetEntry:
     return TargetEntry(
         target_id=TargetId('i-1'),
@@ -263,7 +277,7 @@
     second.view.apply_configuration(_configuration(4), source='store')
     first.watcher.configuration = _configuration(7, routes=4)
     first.read(TargetsChanged(store_version=9))
-    second.view.on_message(first.sent[0], first.name)
+    second.view.on_message(first.delta, first.name)
     assert second.view.state.configuration == first.view.state.configuration
 
 
@@ -272,7 +286,7 @@
     second.view.apply_configuration(_configuration(3), source='store')
     first.watcher.configuration = _configuration(7, routes=4)
     first.read(TargetsChanged(store_version=9))
-    second.view.on_message(first.sent[0], first.name)
+    second.view.on_message(first.delta, first.name)
     assert second.view.state.version == 3
 
 
@@ -324,3 +338,23 @@
     far.view.on_message(delta, first.name)
     assert far.view.state.version == 7
     assert far.view.to_forward == [delta]
+
+
+def test_host_that_takes_over_reads_only_what_it_lacks(clock, first, second):
+    first.read(_listed(5))
+    second.view.on_message(first.sent[0], first.name)
+    second.view.ticked_at = clock.now()
+    second.view.on_message(first.view.store_mark(), first.name)
+    second.read(TargetsChanged(store_version=9))
+    assert second.watcher.skipped_to == 5
+
+
+def test_read_is_left_to_a_host_whose_answer_is_arriving(clock, first):
+    first.read(TargetsChanged(store_version=1))
+    schedule = first.view.targets.schedule
+    clock.advance(by_ms=schedule.spread_limit_ms * 0.7)
+    assert schedule.is_due(rank=2, hosts=8, now=clock.now())
+    first.view.on_message(ReadInProgress(), HostId('second'))
+    assert not schedule.is_due(rank=2, hosts=8, now=clock.now())
+    clock.advance(by_ms=schedule.spread_limit_ms * 0.3)
+    assert schedule.is_due(rank=2, hosts=8, now=clock.now())
--- a/chicorybridge/tests/platform/test_watchers.py
+++ b/chicorybridge/tests/platform/test_watchers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from chicorybridge.common.errors import ErrorCode
+from chicorybridge.common.identities import TargetId
 from chicorybridge.platform.formats import StoredRow, StoredRows
 from chicorybridge.platform.stores import (
     CONFIGURATION_KEY,
@@ -21,6 +22,8 @@
     server_row,
 )
 
+KNOWN = frozenset((TargetId('i-1'),))
+
 
 class ScriptedStore(Store):
     """A store whose reads return the rows that a test sets."""
@@ -80,25 +83,34 @@
 
 def test_server_deleted_and_added_again_is_not_removed(store, watcher):
     store.rows_by_table[SERVER_TABLE] = _page(3, _server(3, server_row()))
-    curio.run(watcher.read_targets)
+    curio.run(watcher.read_targets, KNOWN)
     store.changes_by_table[SERVER_TABLE] = _page(
         8, _server(5, None), _server(7, server_row())
     )
-    change = curio.run(watcher.read_targets)
+    change = curio.run(watcher.read_targets, KNOWN)
     assert (len(change.entries), change.removed) == (1, ())
 
 
 def test_server_missing_after_lost_history_is_removed(store, watcher):
     store.rows_by_table[SERVER_TABLE] = _page(3, _server(3, server_row()))
-    curio.run(watcher.read_targets)
+    curio.run(watcher.read_targets, KNOWN)
     store.rows_by_table[SERVER_TABLE] = _page(9)
     store.changes_by_table[SERVER_TABLE] = HistoryGoneError(
         code=ErrorCode.store_unavailable, detail='history dropped'
     )
-    change = curio.run(watcher.read_targets)
+    change = curio.run(watcher.read_targets, KNOWN)
     assert change.removed == ('i-1',)
 
 
+def test_host_that_has_all_changes_reads_only_later_ones(store, watcher):
+    store.rows_by_table[SERVER_TABLE] = _page(3, _server(3, server_row()))
+    store.changes_by_table[SERVER_TABLE] = _page(9, _server(8, server_row()))
+    watcher.skip_to(7)
+    change = curio.run(watcher.read_targets, KNOWN)
+    assert [entry.row_version for entry in change.entries] == [8]
+    assert not change.removed
+
+
 def test_unreadable_entry_is_logged_once_and_not_returned(
     store, watcher, caplog
 ):
@@ -106,7 +118,7 @@
     store.changes_by_table[SERVER_TABLE] = _page(4, _server(4, b'{{'))
     with caplog.at_level(logging.WARNING):
         for _ in range(2):
-            assert not curio.run(watcher.read_targets).entries
+            assert not curio.run(watcher.read_targets, KNOWN).entries
     assert caplog.text.count('ignoring unreadable row i-1') == 1
 
 
