Spread the reads of hosts that waited for another host in vain

Hosts that leave a read to another one, whose answer is arriving or which has newer state, all read the store in the same moment once their data were as old as the limit: the herd that the ranks avoid.

Before: rank 2 and rank 7 were due together, at the limit.

--- a/chicorybridge/fleet/store_reads.py
+++ b/chicorybridge/fleet/store_reads.py
@@ -67,16 +67,16 @@
         """
         if now < self._paused_until:
             return False
-        age_ms = self.age_ms(now=now)
+        share = _due_share(rank=rank, hosts=hosts)
         if rank and now < self._postponed_until:
-            return age_ms >= self.spread_limit_ms
-        due_ms = self.spread_limit_ms * _due_share(rank=rank, hosts=hosts)
-        return age_ms >= due_ms
+            # After all hosts that don't postpone it.
+            share += 1 - settings.READ_LATEST_SHARE
+        return self.age_ms(now=now) >= self.spread_limit_ms * share
 
     def postpone(self, *, now: Millis) -> None:
         """Leave the next read to another host, which has newer data or reads.
 
-        Until the data are as old as the limit.
+        Until the data are almost as old as the limit.
         """
         pause_ms = self.spread_limit_ms * settings.READ_STALE_SHARE
         self._postponed_until = Millis(now + pause_ms)
