Recognise another target at an address by the id it gives

The stand-in of the tests sends that id, as servers do. A repeated 421 with the target's own id still counts for nothing.

--- a/chicorybridge/entry/attempt_runners.py
+++ b/chicorybridge/entry/attempt_runners.py
@@ -222,7 +222,10 @@
         while head.header(dialect.request_id) not in (own_id, None):
             await exchange.skip_answer()
             head = await exchange.read_head()
-        if head.header(dialect.request_id) != own_id:
+        target_id = self.target.target_id.encode()
+        if head.header(
+            dialect.request_id
+        ) != own_id and not dialect.is_from_another(head, target_id):
             raise protocol_error('the answer does not name its request')
         if not is_from_target(dialect, head):
             raise protocol_error('the answer was not made by the target')
--- a/chicorybridge/http/dialects.py
+++ b/chicorybridge/http/dialects.py
@@ -14,12 +14,12 @@
     `deadline` is the header with the milliseconds left for a request.
     `not_run` is the header of an answer to a request that was not run; its
     value is `not_run_value`, or any if that is empty. The rest is optional:
-    targets set `draining` to `draining_value` when they leave, echo
-    `request_id` and set `signature` on complete answers; `target` carries
-    the id of the target that a request is meant for. An answer with one of
-    `not_run_statuses`, which other targets give, also means that the
-    request was not run. `limit` is the header in which targets name the
-    requests a second that they take from all hosts together.
+    targets set `draining` to `draining_value` when they leave, name in
+    `limit` the requests a second that they take from all hosts together,
+    echo `request_id` and set `signature` on complete answers; `target`
+    carries the id of the target that a request is meant for. Another target
+    answers with one of `not_run_statuses`, which means that the request was
+    not run, and its id in `instance`.
     """
 
     deadline: bytes
@@ -31,6 +31,7 @@
     request_id: bytes | None = None
     signature: bytes | None = None
     target: bytes | None = None
+    instance: bytes | None = None
     not_run_statuses: frozenset[int] = frozenset()
     # Whether answers carry the chicorybridge outcome and version headers.
     sends_outcome: bool = False
@@ -54,6 +55,12 @@
             return False
         return head.header(self.draining) == self.draining_value
 
+    def is_from_another(self, head: Head, target_id: bytes) -> bool:
+        """Return whether an answer names another target as its sender."""
+        if self.instance is None or head.status not in self.not_run_statuses:
+            return False
+        return head.header(self.instance) not in {None, target_id}
+
     def is_surely_own(self, head: Head | None, request: Head) -> bool:
         """Return whether an answer is surely the target's to `request`.
 
--- a/chicorybridge/platform/dialects.py
+++ b/chicorybridge/platform/dialects.py
@@ -15,6 +15,8 @@
     signature=b'x-server-signature',
     # Holds the id of the target that the request is sent to.
     target=b'x-expect-instance',
+    # Holds the id of the target that answers 421.
+    instance=b'x-instance-id',
     # A target answers 421 if the request names another target.
     not_run_statuses=frozenset((421,)),
     fractional_retry_after=True,
--- a/chicorybridge/tests/hosts/deployments.py
+++ b/chicorybridge/tests/hosts/deployments.py
@@ -80,7 +80,10 @@
         headers = {'X-Request-Id': request_id}
         expected = request.headers_by_name['x-expect-instance']
         if expected != self.target_id:
-            await connection.respond(Response(status=421))
+            misdirected = Response(
+                status=421, headers_by_name={'X-Instance-Id': self.target_id}
+            )
+            await connection.respond(misdirected)
             return
         if self.rejects:
             headers['X-Not-Executed'] = '1'
--- a/chicorybridge/tests/hosts/test_faulty_answers.py
+++ b/chicorybridge/tests/hosts/test_faulty_answers.py
@@ -52,6 +52,9 @@
         REFUSAL + b'\r\n',
         REFUSAL + b'X-Request-Id: r0\r\n\r\n',
         b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n',
+        # Of an earlier request to the target that had the address before.
+        b'HTTP/1.1 421 Misdirected\r\n'
+        b'X-Instance-Id: i-1\r\nContent-Length: 0\r\n\r\n',
     ],
 )
 @on_curio
