Share out what a zone tells the others among its hosts

Cause: the first-ranked host of a zone told the zone's sum to all hosts of the other zones of the region, each 100 ms, and passed on to its zone all that came from other regions. The same host reads the store.

What is sent in all is the same. The table tells the clocks of the senders apart, so that another one can take over at once.

Before: one host of seven informed all of them in the model of the test. The test for the first host alone became one that each host is informed once.

--- a/chicorybridge/fleet/host_tables.py
+++ b/chicorybridge/fleet/host_tables.py
@@ -1,7 +1,9 @@
 """Hosts of the fleet, tracked by the datagrams they send."""
 
 import dataclasses
-from collections.abc import Iterable, Mapping
+import functools
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
 
 import xxhash
 
@@ -184,21 +186,51 @@
         ]
         return tuple(sorted((*host_ids, self.host_id), key=_rank_hash))
 
-    def zone_rank(self) -> int:
-        """Return the rank of this host in its zone, from 0."""
-        own = _rank_hash(self.host_id)
-        return sum(
-            _rank_hash(profile.host_id) < own
-            for profile in self.in_zone()
-            if profile.serving
-        )
-
     def _timeout_ms(self, profile: FleetMember) -> float:
         if self.is_in_region(profile):
             return settings.HOST_TIMEOUT_MS
         return settings.OTHER_REGION_HOST_TIMEOUT_MS
 
 
+def own_share_of_region(table: HostTable) -> tuple[FleetMember, ...]:
+    """Return the hosts of the region's other zones that this host informs.
+
+    They are dealt to the serving hosts of its zone.
+    """
+    others = sorted(table.in_other_zones(), key=_host_id)
+    return tuple(_own_share(table, others))
+
+
+def own_share_of_far_zones(table: HostTable) -> tuple[FleetMember, ...]:
+    """Return one host of each zone elsewhere that this host informs.
+
+    The zones are dealt to the serving hosts of its zone, and each zone has
+    another host for each zone that informs it.
+    """
+    profiles_by_zone: dict[ZoneId, list[FleetMember]] = {}
+    for profile in table.in_other_regions():
+        if profile.serving:
+            profiles_by_zone.setdefault(profile.zone_id, []).append(profile)
+    return tuple(
+        _informed_host(table.zone_id, profiles_by_zone[zone_id])
+        for zone_id in _own_share(table, sorted(profiles_by_zone))
+    )
+
+
+def _informed_host(
+    own_zone_id: ZoneId, profiles: Iterable[FleetMember]
+) -> FleetMember:
+    return min(profiles, key=functools.partial(_pair_hash, own_zone_id))
+
+
+def _own_share(table: HostTable, shared: Sequence[Any]) -> Sequence[Any]:
+    host_ids = [
+        profile.host_id for profile in table.in_zone() if profile.serving
+    ]
+    order = sorted((*host_ids, table.host_id), key=_rank_hash)
+    return shared[order.index(table.host_id) :: len(order)]
+
+
 def zone_representatives(
     profiles: Iterable[FleetMember],
 ) -> tuple[FleetMember, ...]:
@@ -225,3 +257,11 @@
 
 def _rank_hash(host_id: HostId) -> int:
     return xxhash.xxh64_intdigest(host_id.encode())
+
+
+def _pair_hash(zone_id: ZoneId, profile: FleetMember) -> int:
+    return xxhash.xxh64_intdigest(f'{zone_id} {profile.host_id}'.encode())
+
+
+def _host_id(profile: FleetMember) -> HostId:
+    return profile.host_id
--- a/chicorybridge/hosts/announcers.py
+++ b/chicorybridge/hosts/announcers.py
@@ -11,6 +11,8 @@
 from chicorybridge.fleet.host_tables import (
     FleetMember,
     HostTable,
+    own_share_of_far_zones,
+    own_share_of_region,
     zone_representatives,
 )
 from chicorybridge.hosts.settings_files import HostSettings
@@ -87,6 +89,21 @@
         )
         self._channel.send(message, _fleet_addresses(representatives))
 
+    def send_to_share_of_region(self, message: Any) -> None:
+        """Send a message to this host's share of the region's other zones.
+
+        If all hosts of the zone do so, all hosts of the region get it once.
+        """
+        profiles = own_share_of_region(self._host_table)
+        if profiles:
+            self._channel.send(message, _fleet_addresses(profiles))
+
+    def send_to_share_of_far_zones(self, message: Any) -> None:
+        """Send a message to one host in this host's share of far zones."""
+        profiles = own_share_of_far_zones(self._host_table)
+        if profiles:
+            self._channel.send(message, _fleet_addresses(profiles))
+
     def send_to_zone(self, message: Any) -> None:
         """Send a message to the hosts of the zone."""
         self._channel.send(
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -189,7 +189,7 @@
     def _handle_zone_workload(
         self, message: ZoneWorkload, sender: HostId, now: Millis
     ) -> None:
-        self.workloads.record_zone(message, now=now)
+        self.workloads.record_zone(message, sender=sender, now=now)
         for seen in message.seen:
             self.reputations.record_remote(seen, now=now)
         for target_id, soundness in message.soundness_by_id.items():
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -96,18 +96,16 @@
     def send_summaries(self) -> None:
         """Send the workload of the zone to other zones; run at each tick.
 
-        Only the first-ranked host of a zone does so. Each host forwards
-        the messages that it received of other regions to its zone.
+        Each host of the zone sends it to some of the others, so that no
+        link carries all of it. Each host forwards the messages that it
+        received of other regions to its zone.
         """
         fleet_view = self._fleet_view
         while fleet_view.to_forward:
             self._announcer.send_to_zone(fleet_view.to_forward.pop())
-        if fleet_view.host_table.zone_rank():
-            fleet_view.workloads.discard_answers()
-            return
         now = self._clock.now()
         workload = fleet_view.workloads.zone_report(now=now)
-        self._announcer.send_to_other_zones(workload)
+        self._announcer.send_to_share_of_region(workload)
         if (
             now - self._sent_to_regions_at
             >= settings.REGION_SUMMARY_INTERVAL_MS
@@ -116,7 +114,7 @@
             region_workload = dataclasses.replace(
                 workload, seen=(), soundness_by_id=self._soundness_by_id(now)
             )
-            self._announcer.send_to_other_regions(region_workload)
+            self._announcer.send_to_share_of_far_zones(region_workload)
 
     def _soundness_by_id(self, now: Millis) -> dict[TargetId, float]:
         reputations = self._fleet_view.reputations
--- a/chicorybridge/routing/workloads.py
+++ b/chicorybridge/routing/workloads.py
@@ -1,8 +1,8 @@
 """Requests in flight at each target, from reports of other hosts.
 
-Hosts of an availability zone report every change to each other. One of
-them reports the sum to the other zones of the region and, less often, to
-one host in each zone of other regions, which forwards it.
+Hosts of an availability zone report every change to each other. Each of
+them reports the sum to some hosts of the other zones of the region and,
+less often, to one host in some zones of other regions, which forwards it.
 """
 
 import dataclasses
@@ -54,8 +54,9 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WorkloadReport:
-    """The last report of a source and when it was received."""
+    """The last report of a source, who sent it and when it was received."""
 
+    sender: HostId
     sent_at: float
     in_flight_by_id: Mapping[TargetId, int]
     received_at: Millis
@@ -75,15 +76,18 @@
         source: Source,
         workload: HostWorkload | ZoneWorkload,
         *,
+        sender: HostId,
         now: Millis,
     ) -> None:
-        """Record a report, unless a later one of `source` was received."""
+        """Record a report, unless a later one of `sender` was received."""
         previous = self._reports_by_source.get(source)
         if previous is not None:
-            if previous.sent_at > workload.sent_at:
+            is_same = previous.sender == sender
+            if is_same and previous.sent_at > workload.sent_at:
                 return
             self.total_by_id.subtract(previous.in_flight_by_id)
         self._reports_by_source[source] = WorkloadReport(
+            sender=sender,
             sent_at=workload.sent_at,
             in_flight_by_id=workload.in_flight_by_id,
             received_at=now,
@@ -147,10 +151,6 @@
             sent_at=now, in_flight_by_id=dict(self._own_by_id), seen=seen
         )
 
-    def discard_answers(self) -> None:
-        """Drop answers that another host reports to other zones."""
-        self._answered.clear()
-
     def zone_report(self, *, now: Millis) -> ZoneWorkload:
         """Return the report of this zone to other zones; clear its answers."""
         seen = tuple(self._answered)
@@ -167,11 +167,13 @@
         self, host_id: HostId, workload: HostWorkload, *, now: Millis
     ) -> None:
         """Record the report of another host of the zone."""
-        self._hosts.record(host_id, workload, now=now)
+        self._hosts.record(host_id, workload, sender=host_id, now=now)
 
-    def record_zone(self, workload: ZoneWorkload, *, now: Millis) -> None:
+    def record_zone(
+        self, workload: ZoneWorkload, *, sender: HostId, now: Millis
+    ) -> None:
         """Record the report of another zone."""
-        self._zones.record(workload.zone_id, workload, now=now)
+        self._zones.record(workload.zone_id, workload, sender=sender, now=now)
 
     def expire(self, *, now: Millis) -> None:
         """Drop the reports of silent hosts and zones; runs at each tick."""
--- a/chicorybridge/tests/fleet/test_host_tables.py
+++ b/chicorybridge/tests/fleet/test_host_tables.py
@@ -1,5 +1,6 @@
 """Hosts that sent a message recently, their zones, regions and ranks."""
 
+from collections import Counter
 from types import MappingProxyType
 
 import pytest
@@ -15,6 +16,8 @@
 from chicorybridge.fleet.host_tables import (
     FleetMember,
     HostTable,
+    own_share_of_far_zones,
+    own_share_of_region,
     zone_representatives,
 )
 
@@ -84,19 +87,49 @@
     assert not table.is_in_other_region(HostId('unknown'))
 
 
-def test_hosts_agree_on_the_first_rank_of_a_zone(members):
-    ranks = {
-        name: _host_table(name, *members).zone_rank() for name in ('a', 'b')
-    }
-    assert sorted(ranks.values()) == [0, 1]
-    first = min(ranks, key=lambda name: ranks[name])
+def test_hosts_agree_on_the_order_of_a_region(members):
+    orders = {_host_table(name, *members).region_order() for name in ('a', 'b')}
+    assert len(orders) == 1
     representatives = zone_representatives(member for member in members)
-    assert first in {member.host_id for member in representatives}
     assert sorted(member.zone_id for member in representatives) == sorted(
         REGIONS
     )
 
 
+def _large_fleet() -> list[FleetMember]:
+    return [
+        _member(f'{zone_id}-{number}', zone_id)
+        for zone_id in REGIONS
+        for number in range(7)
+    ]
+
+
+def test_hosts_of_a_zone_share_the_hosts_that_they_inform():
+    fleet = _large_fleet()
+    informed = Counter[HostId]()
+    for member in fleet:
+        if member.zone_id == OWN_ZONE:
+            table = _host_table(member.host_id, *fleet)
+            share = own_share_of_region(table)
+            assert len(share) == 1
+            informed.update(profile.host_id for profile in share)
+    expected = {
+        member.host_id for member in fleet if member.zone_id == SAME_REGION_ZONE
+    }
+    assert informed == dict.fromkeys(expected, 1)
+
+
+def test_one_host_of_a_zone_informs_each_zone_elsewhere():
+    fleet = _large_fleet()
+    informed: list[ZoneId] = []
+    for member in fleet:
+        if member.zone_id == OWN_ZONE:
+            table = _host_table(member.host_id, *fleet)
+            share = own_share_of_far_zones(table)
+            informed.extend(profile.zone_id for profile in share)
+    assert informed == [OTHER_REGION_ZONE]
+
+
 def test_hosts_that_do_not_serve_are_not_ranked(members):
     stopping = [
         _member(member.host_id, member.zone_id, serving=False)
@@ -105,7 +138,7 @@
     ]
     assert not zone_representatives(stopping)
     table = _host_table('a', _member('b', OWN_ZONE, serving=False))
-    assert table.zone_rank() == 0
+    assert table.region_order() == ('a',)
 
 
 def test_silent_hosts_expire_later_in_other_regions(members):
--- a/chicorybridge/tests/hosts/test_reporters.py
+++ b/chicorybridge/tests/hosts/test_reporters.py
@@ -33,22 +33,20 @@
     """Fake fleet view and announcer that keep the messages sent."""
 
     def __init__(self) -> None:
-        """Start without messages, as the first-ranked host of the zone."""
+        """Start without messages."""
         self.workloads = WorkloadTable(zone_id=ZONE_ID)
         self.reputations = ReputationTable()
         self.directory = TargetDirectory()
-        self.host_table = SimpleNamespace(zone_id=ZONE_ID, zone_rank=self._rank)
+        self.host_table = SimpleNamespace(zone_id=ZONE_ID)
         self.to_forward: list[Any] = []
-        self.rank = 0
         self.sent_to_zone: list[Any] = []
         self.sent_to_other_zones: list[Any] = []
         self.sent_to_other_regions: list[Any] = []
         self.send_to_zone = self.sent_to_zone.append
         self.send_to_other_zones = self.sent_to_other_zones.append
         self.send_to_other_regions = self.sent_to_other_regions.append
-
-    def _rank(self) -> int:
-        return self.rank
+        self.send_to_share_of_region = self.sent_to_other_zones.append
+        self.send_to_share_of_far_zones = self.sent_to_other_regions.append
 
 
 @pytest.fixture(name='clock')
@@ -125,9 +123,7 @@
     directory.merge(TargetsChanged(store_version=1, entries=(entry,)))
 
 
-def test_first_host_of_a_zone_sends_soundness_to_other_regions(
-    clock, host, reporter
-):
+def test_hosts_of_a_zone_send_soundness_to_other_regions(clock, host, reporter):
     _list_target(host.directory)
     reporter.attempt_started(TARGET_ID)
     reporter.record(_observation(Sign.broke))
@@ -148,15 +144,7 @@
     assert host.sent_to_other_regions
 
 
-def test_only_the_first_host_of_a_zone_sends_the_workload(host, reporter):
-    host.rank = 1
-    reporter.attempt_started(TARGET_ID)
-    reporter.send_summaries()
-    assert not host.sent_to_other_zones
-
-
 def test_message_of_another_region_is_forwarded_in_the_zone(host, reporter):
-    host.rank = 1
     message = ZoneWorkload(
         zone_id=ZoneId('eindhoven'), sent_at=1, in_flight_by_id={TARGET_ID: 2}
     )
--- a/chicorybridge/tests/routing/test_workloads.py
+++ b/chicorybridge/tests/routing/test_workloads.py
@@ -88,7 +88,7 @@
         seen=(seen,),
     )
     assert not table.zone_report(now=NOW).seen
-    other.record_zone(summary, now=NOW)
+    other.record_zone(summary, sender=HOST_ID, now=NOW)
     assert other.in_flight(FIRST_ID) == 3
     other.expire(now=Millis(NOW + settings.ZONE_WORKLOAD_TIMEOUT_MS + 1))
     assert other.in_flight(FIRST_ID) == 0
@@ -100,6 +100,7 @@
         ZoneWorkload(
             zone_id=OTHER_ZONE_ID, sent_at=1, in_flight_by_id={FIRST_ID: 4}
         ),
+        sender=HOST_ID,
         now=NOW,
     )
     assert table.in_flight(FIRST_ID) == 4
@@ -112,3 +113,18 @@
     table.started(FIRST_ID)
     report = table.host_report(now=NOW, seen=(seen,))
     assert unpack(pack(report)) == report
+
+
+def test_report_of_a_zone_by_another_host_has_another_clock():
+    table = WorkloadTable(zone_id=ZONE_ID)
+    for sender, sent_at, count in ((HOST_ID, 9000, 4), (OTHER_HOST_ID, 10, 1)):
+        table.record_zone(
+            ZoneWorkload(
+                zone_id=OTHER_ZONE_ID,
+                sent_at=sent_at,
+                in_flight_by_id={FIRST_ID: count},
+            ),
+            sender=sender,
+            now=NOW,
+        )
+    assert table.in_flight(FIRST_ID) == 1
