--- a/chicorybridge/tests/fleet/test_host_tables.py
+++ b/chicorybridge/tests/fleet/test_host_tables.py
@@ -107,9 +107,9 @@
 def test_hosts_of_a_zone_share_the_hosts_that_they_inform():
     fleet = _large_fleet()
     informed = Counter[HostId]()
-    for member in fleet:
-        if member.zone_id == OWN_ZONE:
-            table = _host_table(member.host_id, *fleet)
+    for host in fleet:
+        if host.zone_id == OWN_ZONE:
+            table = _host_table(host.host_id, *fleet)
             share = own_share_of_region(table)
             assert len(share) == 1
             informed.update(profile.host_id for profile in share)
