Skip the signs of targets that gave none in the choice of a target

The choice of a target looks at each target of a service, and asked for the signs of each of them: leaving, paused, limited. A host also works out the order of its region only when a read may be due.

--- a/chicorybridge/fleet/store_reads.py
+++ b/chicorybridge/fleet/store_reads.py
@@ -60,6 +60,11 @@
         """Return whether the data are as new as they should be."""
         return self.age_ms(now=now) <= self.spread_limit_ms
 
+    def may_be_due(self, *, now: Millis) -> bool:
+        """Return whether a host of any rank should read the store now."""
+        min_age_ms = self.spread_limit_ms * settings.READ_INTERVAL_SHARE
+        return self.age_ms(now=now) >= min_age_ms
+
     def is_due(self, *, rank: int, hosts: int, now: Millis) -> bool:
         """Return whether this host should read the store now.
 
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -107,6 +107,8 @@
 
     def _is_due(self) -> bool:
         self._targets.observe_store_age()
+        if not self._targets.schedule.may_be_due(now=self._clock.now()):
+            return False
         host_table = self._fleet_view.host_table
         order = host_table.region_order()
         return self._targets.schedule.is_due(
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -185,8 +185,9 @@
     ) -> list[Option]:
         return [
             self._option(entry, body_bytes, now)
-            for entry in self._listed_entries(service_id, excluded)
-            if self._signs.available_at(entry, now=now) <= now
+            for entry in self._directory.for_service(service_id)
+            if entry.target_id not in excluded
+            and self._signs.available_at(entry, now=now) <= now
         ]
 
     def _safest(self, options: Sequence[Option]) -> Option:
--- a/chicorybridge/routing/target_limits.py
+++ b/chicorybridge/routing/target_limits.py
@@ -152,6 +152,10 @@
         share.shared_at = Millis(-math.inf)
         return True
 
+    def has_limit(self, target_id: TargetId) -> bool:
+        """Return whether a target has named a limit."""
+        return target_id in self._shares_by_id
+
     def available_at(self, entry: TargetEntry, *, now: Millis) -> Millis:
         """Return when this host may send a target the next request.
 
--- a/chicorybridge/routing/target_signs.py
+++ b/chicorybridge/routing/target_signs.py
@@ -82,6 +82,15 @@
 
         Infinite if it may not until other signs come.
         """
+        target_id = entry.target_id
+        if not (
+            entry.leaving
+            or target_id in self._leaving_by_id
+            or target_id in self._pauses_by_id
+            or self._limits.has_limit(target_id)
+        ):
+            # Most targets gave no sign; this runs for each of them.
+            return now
         if self.is_leaving(entry):
             return NEVER
         paused_until = self.paused_until(entry)
