Read from the store what a host may have missed before it took over

A mark that is older than what a host has heard since was counted without comparing the targets, and its version was taken as one up to which nothing is missing. If a datagram with a change had been lost, the host that then took over read only later changes, and told its region of a state without that one.

Only a mark whose targets were compared and are the same says so.

--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -242,15 +242,16 @@
         self, message: StoreMark, sender: HostId, now: Millis
     ) -> None:
         lacks_configuration = message.configuration_version > self.state.version
-        targets_differ = (
-            message.store_version >= self.directory.store_version
-            and message.targets_digest != self.directory.digest
-        )
+        # Older marks say nothing of what this host learnt since.
+        is_comparable = message.store_version >= self.directory.store_version
+        has_same_targets = message.targets_digest == self.directory.digest
+        targets_differ = is_comparable and not has_same_targets
         is_far = self.host_table.is_in_other_region(sender)
         if not lacks_configuration and not targets_differ:
             age_ms = message.age_ms + _queueing_ms(self.ticked_at, now)
             self.targets.credit_read(
-                store_version=message.store_version, age_ms=age_ms
+                synced_version=message.store_version if is_comparable else 0,
+                age_ms=age_ms,
             )
             if is_far:
                 self.to_forward.append(_forwarded(message, age_ms=age_ms))
--- a/chicorybridge/hosts/target_lists.py
+++ b/chicorybridge/hosts/target_lists.py
@@ -108,13 +108,15 @@
             self._forget(target_id, source='outage')
         return age_ms
 
-    def credit_read(self, *, store_version: int, age_ms: float) -> None:
+    def credit_read(self, *, synced_version: int, age_ms: float) -> None:
         """Record that this host has all that another one read before.
 
-        That is the state of the store at `store_version`, `age_ms` ago.
+        The other one read the store `age_ms` ago. Nothing is missing here up
+        to `synced_version` of the store, 0 if that is not known.
         """
         self.observe_store_age()
-        self.synced_version = max(self.synced_version or 0, store_version)
+        if synced_version:
+            self.synced_version = max(self.synced_version or 0, synced_version)
         self.schedule.record_remote_read(age_ms=age_ms, now=self._clock.now())
 
     def _remove(self, entry: TargetEntry, *, source: str) -> None:
--- a/chicorybridge/tests/hosts/test_fleet_views.py
+++ b/chicorybridge/tests/hosts/test_fleet_views.py
@@ -358,3 +358,13 @@
     assert not schedule.is_due(rank=2, hosts=8, now=clock.now())
     clock.advance(by_ms=schedule.spread_limit_ms * 0.4)
     assert schedule.is_due(rank=7, hosts=8, now=clock.now())
+
+
+def test_older_mark_does_not_hide_a_change_that_was_lost(clock, first, second):
+    first.read(_listed(5))
+    mark = first.view.store_mark()
+    second.view.on_message(TargetsChanged(store_version=8), HostId('third'))
+    second.view.ticked_at = clock.now()
+    second.view.on_message(mark, first.name)
+    second.read(TargetsChanged(store_version=9))
+    assert second.watcher.skipped_to is None
