Give up a silent attempt when its target is probably gray

Cause: an attempt was hedged after the longer of three times the mean latency and 0.6 of the target latency, 1.2 s there, so that one with a shorter timeout was never hedged, and a target was only doubted after the target latency.

Both times follow from the latencies of recent answers of the service now, the first one also from how doubtful the target is and how much of the allowed retries is used up. A stall is reported after the latency that 97 of 100 answers stay below, the share that the reputation already assumed. Latencies are kept by service, 512 at the most, no longer by target.

The new test in test_hedges.py gives 504 on the commit before.

--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -51,6 +51,7 @@
             clock=clock, fleet_view=fleet_view, announcer=announcer
         ),
         state=fleet_view.state,
+        latencies=fleet_view.results.latencies,
     )
     return HostDispatcher(
         clock=clock,
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -194,7 +194,7 @@
             target=target,
             connections=self._connections,
             clock=self._clock,
-            limits=self._policies.attempt_limits(call, entry.target_id),
+            limits=self._policies.attempt_limits(call, option),
         )
 
     async def _run_attempt(
@@ -208,7 +208,7 @@
         # Holds if this task is cancelled because the caller disconnected.
         outcome = AttemptOutcome.cancelled
         stall_task = await curio.spawn(
-            self._report_stall(call, runner), daemon=True
+            self._report_stall(call, option), daemon=True
         )
         try:
             outcome = await runner.run()
@@ -218,13 +218,10 @@
             await stall_task.cancel(blocking=False)
             await self._record_attempt(call, runner, outcome, option)
 
-    async def _report_stall(self, call: Call, runner: AttemptRunner) -> None:
-        target_latency_ms = (
-            call.route.target_latency_ms or settings.DEFAULT_TARGET_LATENCY_MS
-        )
-        slow_ms = max(self._policies.slow_ms(call), target_latency_ms)
-        await curio.sleep(as_seconds(slow_ms))
-        self._policies.record_stall(runner.target.target_id)
+    async def _report_stall(self, call: Call, option: Option) -> None:
+        stall_ms = self._policies.stall_ms(call, option)
+        await curio.sleep(as_seconds(stall_ms))
+        self._policies.record_stall(option.entry.target_id)
 
     async def _record_attempt(
         self,
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -21,12 +21,10 @@
 from chicorybridge.fleet.store_reads import ReadInProgress, StoreMark
 from chicorybridge.hosts.states import HostState
 from chicorybridge.hosts.target_lists import TargetList
+from chicorybridge.hosts.target_results import TargetResults
 from chicorybridge.routing.quarantines import CrashReport, Quarantine
-from chicorybridge.routing.reputations import (
-    ReputationTable,
-    Sign,
-    TargetSeen,
-)
+from chicorybridge.routing.reputations import ReputationTable, TargetSeen
+from chicorybridge.routing.service_latencies import LatencyTable
 from chicorybridge.routing.suspects import CrashSuspected, SuspectCleared
 from chicorybridge.routing.target_limits import LimitSeen, TargetLimits
 from chicorybridge.routing.target_signs import (
@@ -76,6 +74,12 @@
             log=log,
         )
         self.workloads = WorkloadTable(zone_id=host_table.zone_id)
+        self.results = TargetResults(
+            directory=self.directory,
+            reputations=self.reputations,
+            latencies=LatencyTable(),
+            workloads=self.workloads,
+        )
         self.quarantine = Quarantine()
         self.relay = StateRelay(host_id=host_table.host_id, rng=rng)
         # When the process last did its periodic work.
@@ -173,7 +177,7 @@
     def _handle_observation(
         self, message: TargetSeen, sender: HostId, now: Millis
     ) -> None:
-        self.reputations.record_remote(message, now=now)
+        self.results.record_remote(message, now=now)
 
     @_handle.register
     def _handle_workload(
@@ -181,9 +185,7 @@
     ) -> None:
         self.workloads.record_host(sender, message, now=now)
         for seen in message.seen:
-            self.reputations.record_remote(seen, now=now)
-            if seen.sign is Sign.answered:
-                self.workloads.record_answer(seen)
+            self.results.record_of_zone(seen, now=now)
 
     @_handle.register
     def _handle_zone_workload(
@@ -191,7 +193,7 @@
     ) -> None:
         self.workloads.record_zone(message, sender=sender, now=now)
         for seen in message.seen:
-            self.reputations.record_remote(seen, now=now)
+            self.results.record_remote(seen, now=now)
         for target_id, soundness in message.soundness_by_id.items():
             self.reputations.adopt_estimate(target_id, soundness, now=now)
         if self.host_table.is_in_other_region(sender):
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -1,6 +1,5 @@
 """Decisions on one request: its next target, timeouts, hedging, retries."""
 
-import dataclasses
 import functools
 import math
 from collections.abc import Callable, Collection
@@ -18,20 +17,14 @@
 from chicorybridge.hosts.reporters import Reporter
 from chicorybridge.hosts.states import HostPhase, HostState
 from chicorybridge.routing.allowances import RetryAllowances, RetryBound
+from chicorybridge.routing.hedging import SilentAttempt, hedge_delay_ms
 from chicorybridge.routing.reputations import Sign, TargetSeen
 from chicorybridge.routing.selections import Option, SelectionMode, Selector
+from chicorybridge.routing.service_latencies import LatencySummary, LatencyTable
 from chicorybridge.routing.target_limits import LimitSeen
 from chicorybridge.routing.target_signs import LeavingSeen
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class MeanLatency:
-    """Mean latency of requests of a service, computed at `at`."""
-
-    at: Millis
-    mean_latency_ms: float
-
-
 class HostPolicies:
     """Select targets for calls and record the results of attempts."""
 
@@ -44,6 +37,7 @@
         host_count: Callable[[], int],
         reporter: Reporter,
         state: HostState,
+        latencies: LatencyTable,
     ) -> None:
         """Combine the components.
 
@@ -55,9 +49,9 @@
         self._allowances = allowances
         self._host_count = host_count
         self._state = state
+        self._latencies = latencies
         self.reporter = reporter
         self._retryable_at_by_id: dict[ServiceId, Millis] = {}
-        self._mean_latency_by_id: dict[ServiceId, MeanLatency] = {}
 
     def set_retry_bound(self, bound: RetryBound) -> None:
         """Replace the bound on retries."""
@@ -105,56 +99,41 @@
             self._selector.take(option, now=now)
         return option
 
-    def attempt_limits(self, call: Call, target_id: TargetId) -> AttemptLimits:
+    def attempt_limits(self, call: Call, option: Option) -> AttemptLimits:
         """Return the timeouts of an attempt and when it may be hedged."""
         hedge_after_ms = math.inf
         if (
             _is_retryable(call)
             and _possible_runs(call) + 1 < call.route.attempts
         ):
-            target_latency_ms = call.route.target_latency_ms or math.inf
-            hedge_after_ms = max(
-                self.slow_ms(call),
-                target_latency_ms * settings.HEDGE_LATENCY_SHARE,
-            )
+            hedge_after_ms = self._hedge_delay_ms(call, option)
         return AttemptLimits(
             hedge_after_ms=hedge_after_ms,
-            may_hedge=functools.partial(self._may_hedge, call, target_id),
+            may_hedge=functools.partial(
+                self._may_hedge, call, option.entry.target_id
+            ),
             connect_timeout_ms=settings.HOST_CONNECT_TIMEOUT_MS,
             max_idle_ms=settings.HOST_CONNECTION_IDLE_MS,
             buffer_bytes=settings.HOST_BODY_BUFFER_BYTES,
         )
 
-    def slow_ms(self, call: Call) -> float:
-        """Return the time after which an answer is unusually late.
+    def stall_ms(self, call: Call, option: Option) -> float:
+        """Return the time after which an attempt without answer is a stall.
 
-        It follows the current latency of the service, so that requests
-        are not duplicated while the service as a whole is slow.
+        It follows the current latencies of the service, so that its targets
+        are not doubted while the service as a whole is slow.
         """
-        mean_latency_ms = self.mean_latency_ms(call.service.service_id)
-        if not mean_latency_ms:
-            return (
-                call.route.target_latency_ms
-                or settings.DEFAULT_TARGET_LATENCY_MS
-            )
-        return mean_latency_ms * settings.SLOW_LATENCY_FACTOR
+        summary = self._summary(call.service.service_id)
+        unusual_ms = summary.quantile_ms(1 - settings.SOUND_STALLED_SHARE)
+        if unusual_ms is None:
+            return _target_latency_ms(call)
+        if option.entry.warming:
+            return unusual_ms * settings.WARMING_LATENCY_FACTOR
+        return unusual_ms
 
     def mean_latency_ms(self, service_id: ServiceId) -> float:
         """Return the recent mean latency of a service, 0 if none is known."""
-        now = self._clock.now()
-        cached = self._mean_latency_by_id.get(service_id)
-        if (
-            cached is not None
-            and now - cached.at < settings.MEAN_LATENCY_TTL_MS
-        ):
-            return cached.mean_latency_ms
-        mean_latency_ms = (
-            self._selector.mean_latency_ms(service_id, now=now) or 0
-        )
-        self._mean_latency_by_id[service_id] = MeanLatency(
-            at=now, mean_latency_ms=mean_latency_ms
-        )
-        return mean_latency_ms
+        return self._summary(service_id).mean_ms
 
     def record_attempt(
         self, attempt: Attempt, entry: TargetEntry, *, rate_per_s: float | None
@@ -227,6 +206,24 @@
         call.retry_taken_at = now
         return True
 
+    def _summary(self, service_id: ServiceId) -> LatencySummary:
+        return self._latencies.of(service_id).summary(now=self._clock.now())
+
+    def _hedge_delay_ms(self, call: Call, option: Option) -> float:
+        now = self._clock.now()
+        service_id = call.service.service_id
+        target_latency_ms = _target_latency_ms(call)
+        allowance = self._allowances.of(service_id)
+        attempt = SilentAttempt(
+            soundness=option.soundness,
+            aim_left_ms=call.started_at + target_latency_ms - now,
+            spent_share=allowance.spent_share(
+                hosts=self._host_count(), now=now
+            ),
+        )
+        delay_ms = hedge_delay_ms(attempt, self._summary(service_id))
+        return target_latency_ms if delay_ms is None else delay_ms
+
     def _may_hedge(self, call: Call, target_id: TargetId) -> bool:
         """Return whether another target can run the call now."""
         if self._state.phase is not HostPhase.serving:
@@ -234,11 +231,10 @@
             return False
         now = self._clock.now()
         service_id = call.service.service_id
-        mean_latency_ms = self.mean_latency_ms(service_id)
-        min_ms = max(
-            settings.MIN_RETRY_REMAINING_MS,
-            mean_latency_ms * settings.MIN_RUN_TIME_FACTOR,
+        fitting_ms = self._summary(service_id).quantile_ms(
+            settings.MIN_HEDGE_FIT_SHARE
         )
+        min_ms = max(settings.MIN_RETRY_REMAINING_MS, fitting_ms or 0)
         if call.deadline_at - now < min_ms:
             return False
         if len(call.attempts) + 1 >= settings.MAX_HOST_ATTEMPTS:
@@ -287,6 +283,10 @@
         return SelectionMode.safest
 
 
+def _target_latency_ms(call: Call) -> float:
+    return call.route.target_latency_ms or settings.DEFAULT_TARGET_LATENCY_MS
+
+
 def _max_extra_loss(call: Call, now: Millis) -> float:
     """Return how far the loss of a target may exceed the lowest loss.
 
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -46,11 +46,7 @@
 
     def record(self, observation: TargetSeen) -> None:
         """Record what an attempt showed about its target."""
-        self._fleet_view.reputations.record_own(
-            observation, now=self._clock.now()
-        )
-        if observation.sign is Sign.answered:
-            self._fleet_view.workloads.record_answer(observation)
+        self._fleet_view.results.record_own(observation, now=self._clock.now())
         self._observations.append(observation)
         self._changed = True
 
--- /dev/null
+++ b/chicorybridge/hosts/target_results.py
@@ -0,0 +1,47 @@
+"""Results of requests at targets, on this host and on others."""
+
+import dataclasses
+
+from chicorybridge.common.clocks import Millis
+from chicorybridge.fleet.directories import TargetDirectory
+from chicorybridge.routing.reputations import (
+    ReputationTable,
+    Sign,
+    TargetSeen,
+)
+from chicorybridge.routing.service_latencies import LatencyTable
+from chicorybridge.routing.workloads import WorkloadTable
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetResults:
+    """Update reputations, latencies and reports with results of requests."""
+
+    directory: TargetDirectory
+    reputations: ReputationTable
+    latencies: LatencyTable
+    workloads: WorkloadTable
+
+    def record_own(self, seen: TargetSeen, *, now: Millis) -> None:
+        """Record the result of an attempt of this host."""
+        self.reputations.record_own(seen, now=now)
+        self._record_latency(seen, now)
+        if seen.sign is Sign.answered:
+            self.workloads.record_answer(seen)
+
+    def record_of_zone(self, seen: TargetSeen, *, now: Millis) -> None:
+        """Record the result of an attempt of another host of the zone."""
+        self.record_remote(seen, now=now)
+        if seen.sign is Sign.answered:
+            self.workloads.record_answer(seen)
+
+    def record_remote(self, seen: TargetSeen, *, now: Millis) -> None:
+        """Record the result of an attempt of a host of any zone."""
+        self.reputations.record_remote(seen, now=now)
+        self._record_latency(seen, now)
+
+    def _record_latency(self, seen: TargetSeen, now: Millis) -> None:
+        entry = self.directory.entries_by_id.get(seen.target_id)
+        if entry is None or seen.sign is not Sign.answered:
+            return
+        self.latencies.of(entry.service_id).add(seen.latency_ms, now=now)
--- a/chicorybridge/routing/allowances.py
+++ b/chicorybridge/routing/allowances.py
@@ -1,6 +1,7 @@
 """Retries that this host may send, as its share of a fleet-wide limit."""
 
 import dataclasses
+import math
 from collections import deque
 
 from chicorybridge import settings
@@ -50,6 +51,10 @@
 
     def allows(self, *, hosts: int, now: Millis) -> bool:
         """Return whether the share of this host allows another retry."""
+        return self.spent_share(hosts=hosts, now=now) <= 1
+
+    def spent_share(self, *, hosts: int, now: Millis) -> float:
+        """Return how much of its share this host uses with another retry."""
         horizon = now - self.bound.window_ms
         for times in (self._requested_at, self._retried_at):
             while times and times[0] < horizon:
@@ -57,7 +62,8 @@
         allowed = self.bound.ratio * len(self._requested_at)
         allowed += self.bound.slack / max(1, hosts)
         used = len(self._retried_at) + 1
-        return used <= allowed * settings.RETRY_BOUND_SHARE
+        usable = allowed * settings.RETRY_BOUND_SHARE
+        return used / usable if usable else math.inf
 
     def record_sent(self, *, taken_at: Millis, now: Millis) -> None:
         """Move the count of a retry to when it is sent.
--- a/chicorybridge/routing/reputations.py
+++ b/chicorybridge/routing/reputations.py
@@ -9,7 +9,6 @@
 
 import dataclasses
 import math
-from collections import deque
 from collections.abc import Mapping
 from enum import Enum
 from types import MappingProxyType
@@ -82,10 +81,6 @@
     unreachable_until: Millis = Millis(-math.inf)
     unreachable_count: int = 0
     rejecting_until: Millis = Millis(-math.inf)
-    # When requests of any host were answered, and their latencies in ms.
-    completed: deque[tuple[Millis, float]] = dataclasses.field(
-        default_factory=deque
-    )
 
     def soundness_at(self, now: Millis) -> float:
         """Return the probability that the target is sound at `now`."""
@@ -106,13 +101,6 @@
         self.updated_at = now
         self.observed_at = now
 
-    def recent_latencies(self, now: Millis) -> list[float]:
-        """Return the latencies of recently answered requests, in ms."""
-        horizon = now - settings.LATENCY_WINDOW_MS
-        while self.completed and self.completed[0][0] < horizon:
-            self.completed.popleft()
-        return [latency for _, latency in self.completed]
-
 
 class ReputationTable:
     """Reputations of all targets; each host keeps one."""
@@ -149,9 +137,7 @@
         """Record the result of a request of another host."""
         reputation = self.of(seen.target_id)
         reputation.update(seen.sign, now)
-        if seen.sign is Sign.answered:
-            reputation.completed.append((now, seen.latency_ms))
-        elif seen.sign is Sign.rejected:
+        if seen.sign is Sign.rejected:
             self._pause_after_rejection(reputation, now)
 
     def record_own(self, seen: TargetSeen, *, now: Millis) -> None:
@@ -160,7 +146,6 @@
         reputation.update(seen.sign, now)
         match seen.sign:
             case Sign.answered:
-                reputation.completed.append((now, seen.latency_ms))
                 reputation.unreachable_count = 0
             case Sign.unreachable:
                 self._back_off(reputation, now)
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -10,7 +10,6 @@
 import dataclasses
 import math
 import random
-import statistics
 from collections.abc import (
     Callable,
     Collection,
@@ -150,22 +149,6 @@
         """Count a request that is sent to the target of `option`."""
         self._signs.take(option.entry, now=now)
 
-    def mean_latency_ms(
-        self, service_id: ServiceId, *, now: Millis
-    ) -> float | None:
-        """Return the recent mean latency of a service in ms.
-
-        It increases with the load; `None` without recent answers.
-        """
-        latencies = [
-            latency
-            for entry in self._directory.for_service(service_id)
-            for latency in self._reputations.of(
-                entry.target_id
-            ).recent_latencies(now)
-        ]
-        return statistics.fmean(latencies) if latencies else None
-
     def _listed_entries(
         self, service_id: ServiceId, excluded: Collection[TargetId]
     ) -> Iterator[TargetEntry]:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -406,8 +406,18 @@
 # The mean latency of a service is taken over requests that ended within this
 # window.
 LATENCY_WINDOW_MS = 1500.0
-# How long that mean is cached.
-MEAN_LATENCY_TTL_MS = 100.0
+# Its quantiles are taken over the same requests, or over the last
+# MIN_LATENCY_SAMPLES if those are more, but not over older ones than
+# LATENCY_HISTORY_MS; no more than MAX_LATENCY_SAMPLES are kept. Fewer than
+# MIN_QUANTILE_SAMPLES give no quantile.
+LATENCY_HISTORY_MS = 10_000.0
+MIN_LATENCY_SAMPLES = 40
+MAX_LATENCY_SAMPLES = 512
+MIN_QUANTILE_SAMPLES = 10
+# How long mean and quantiles are cached.
+LATENCY_SUMMARY_TTL_MS = 100.0
+# A target that is warming up takes about this many times as long to answer.
+WARMING_LATENCY_FACTOR = 2.0
 # A host with requests in flight reports them at least at this interval. After
 # two missed reports and a margin it counts as having none; so does a zone
 # whose sum is missing for two heartbeats.
@@ -584,11 +594,17 @@
 HOST_CONNECTION_IDLE_MS = 5000.0
 # Attempts of one request, including those that reached no target.
 MAX_HOST_ATTEMPTS = 6
-# A request that can be retried is hedged after the longer of two times: this
-# share of the target latency of its route, and this many times the mean
-# latency of the service. One request in fifty takes the latter without a fault.
-HEDGE_LATENCY_SHARE = 0.6
-SLOW_LATENCY_FACTOR = 3.0
+# A request that can be retried is hedged once its target is gray with this
+# probability, as no answer came from it, but not while more than this share of
+# the requests at sound targets would still be without an answer. With all
+# retries used up it waits until only this share of retries would still be
+# answered within the target latency.
+HEDGE_GRAY_PROBABILITY = 0.75
+MAX_HEDGED_SOUND_SHARE = 0.5
+RETRY_FIT_SHARE = 0.9
+# A request is not hedged when less than this share of retries would end in the
+# time that is left.
+MIN_HEDGE_FIT_SHARE = 0.5
 # Target latency of a route that names none.
 DEFAULT_TARGET_LATENCY_MS = 1500.0
 
--- a/chicorybridge/tests/hosts/test_hedges.py
+++ b/chicorybridge/tests/hosts/test_hedges.py
@@ -13,6 +13,7 @@
     on_curio,
     until,
 )
+from chicorybridge.tests.platform.rows import configuration_row, route
 
 # Between the hedging delay, 1 s, and the timeout of the route, 2 s.
 SLOW_S = 1.3
@@ -93,3 +94,27 @@
         ]
     assert bodies == [b'i-2'] * 4
     assert stuck.runs
+
+
+@on_curio
+async def test_silent_target_is_given_up_within_a_short_route_timeout():
+    """The timeout ends before the target latency of the route does."""
+    stuck, sound = (
+        Origin(target_id=f'i-{number}', delay_s=0.02) for number in (1, 2)
+    )
+    statuses = []
+    async with deployed(stuck, sound) as deployment:
+        deployment.store.put(
+            'op',
+            'config',
+            configuration_row(route(timeout_s=0.5), version='0000000d'),
+        )
+        await until(lambda: deployment.host.state.version == 0xD)
+        for number in range(20):
+            await deployment.send('/lookup/7', request_id=f'a{number}')
+        stuck.delay_s = 10
+        for request_id in ('b1', 'b2', 'b3', 'b4', 'b5', 'b6'):
+            answer = await deployment.send('/lookup/7', request_id=request_id)
+            statuses.append(answer.status)
+    assert stuck.in_flight + stuck.runs > 0
+    assert statuses == [200] * 6
--- a/chicorybridge/tests/hosts/test_reporters.py
+++ b/chicorybridge/tests/hosts/test_reporters.py
@@ -14,11 +14,13 @@
     TargetsChanged,
 )
 from chicorybridge.hosts.reporters import Reporter
+from chicorybridge.hosts.target_results import TargetResults
 from chicorybridge.routing.reputations import (
     ReputationTable,
     Sign,
     TargetSeen,
 )
+from chicorybridge.routing.service_latencies import LatencyTable
 from chicorybridge.routing.workloads import (
     HostWorkload,
     WorkloadTable,
@@ -37,6 +39,12 @@
         self.workloads = WorkloadTable(zone_id=ZONE_ID)
         self.reputations = ReputationTable()
         self.directory = TargetDirectory()
+        self.results = TargetResults(
+            directory=self.directory,
+            reputations=self.reputations,
+            latencies=LatencyTable(),
+            workloads=self.workloads,
+        )
         self.host_table = SimpleNamespace(zone_id=ZONE_ID)
         self.to_forward: list[Any] = []
         self.sent_to_zone: list[Any] = []
--- a/chicorybridge/tests/routing/test_reputations.py
+++ b/chicorybridge/tests/routing/test_reputations.py
@@ -55,15 +55,6 @@
     assert table.of(TARGET_ID).unreachable_until > START
 
 
-def test_latencies_of_other_hosts_expire():
-    table = ReputationTable()
-    for _ in range(6):
-        table.record_remote(_seen(Sign.answered, 500), now=START)
-    assert table.of(TARGET_ID).recent_latencies(START) == [500] * 6
-    later = Millis(START + settings.LATENCY_WINDOW_MS + 1)
-    assert not table.of(TARGET_ID).recent_latencies(later)
-
-
 def test_rejection_lowers_soundness():
     table = ReputationTable()
     table.record_own(_seen(Sign.answered), now=START)
