Doubt a target that stays silent while it has requests in flight

Cause: the first evidence was a stall, reported after the latency of 97 of 100 answers.

The time since the last result of a target that has had requests in flight without a break bounds the age of the oldest of them from below. Its reputation is multiplied by how likely such a silence is at a sound target, by the recent latencies. No message is added. While latencies are unknown, two attempts share the time of a request.

--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -17,7 +17,7 @@
 from chicorybridge.http.target_connections import TargetConnections
 from chicorybridge.platform.dialects import PLATFORM_DIALECT
 from chicorybridge.routing.allowances import RetryAllowances
-from chicorybridge.routing.selections import Selector
+from chicorybridge.routing.selections import Selector, TargetEstimates
 
 
 def build_dispatcher(
@@ -34,8 +34,11 @@
     """Return the dispatcher; it uses the header names of the platform."""
     selector = Selector(
         directory=fleet_view.directory,
-        reputations=fleet_view.reputations,
-        workloads=fleet_view.workloads,
+        estimates=TargetEstimates(
+            reputations=fleet_view.reputations,
+            workloads=fleet_view.workloads,
+            latencies=fleet_view.results.latencies,
+        ),
         zone_id=host_settings.zone_id,
         regions_by_zone=host_settings.regions_by_zone,
         rng=rng,
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -217,12 +217,12 @@
         attempt = SilentAttempt(
             soundness=option.soundness,
             aim_left_ms=call.started_at + target_latency_ms - now,
+            left_ms=call.deadline_at - now,
             spent_share=allowance.spent_share(
                 hosts=self._host_count(), now=now
             ),
         )
-        delay_ms = hedge_delay_ms(attempt, self._summary(service_id))
-        return target_latency_ms if delay_ms is None else delay_ms
+        return hedge_delay_ms(attempt, self._summary(service_id))
 
     def _may_hedge(self, call: Call, target_id: TargetId) -> bool:
         """Return whether another target can run the call now."""
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -36,12 +36,12 @@
 
     def attempt_started(self, target_id: TargetId) -> None:
         """Count an attempt as in flight."""
-        self._fleet_view.workloads.started(target_id)
+        self._fleet_view.workloads.started(target_id, now=self._clock.now())
         self._changed = True
 
     def attempt_finished(self, target_id: TargetId) -> None:
         """Stop counting an attempt that ended or was not made."""
-        self._fleet_view.workloads.finished(target_id)
+        self._fleet_view.workloads.finished(target_id, now=self._clock.now())
         self._changed = True
 
     def record(self, observation: TargetSeen) -> None:
--- a/chicorybridge/routing/hedging.py
+++ b/chicorybridge/routing/hedging.py
@@ -16,26 +16,29 @@
     """An attempt that is about to be sent.
 
     `soundness` is the probability that its target is sound, `aim_left_ms`
-    the time left until the target latency of the request, and
-    `spent_share` the share of the allowed retries that is used up.
+    the time left until the target latency of the request, `left_ms` that
+    until its deadline, and `spent_share` the share of the allowed retries
+    that is used up.
     """
 
     soundness: float
     aim_left_ms: float
+    left_ms: float
     spent_share: float
 
 
-def hedge_delay_ms(
-    attempt: SilentAttempt, summary: LatencySummary
-) -> float | None:
+def hedge_delay_ms(attempt: SilentAttempt, summary: LatencySummary) -> float:
     """Return how long to wait for an answer before another target is tried.
 
-    `None` if too few latencies are known.
+    While too few latencies are known, two attempts share the time, but none
+    is given up that takes little longer than an earlier one.
     """
     unusual_ms = summary.quantile_ms(1 - _silent_share(attempt.soundness))
     likely_ms = summary.quantile_ms(settings.RETRY_FIT_SHARE)
     if unusual_ms is None or likely_ms is None:
-        return None
+        half_ms = min(attempt.left_ms, max(0, attempt.aim_left_ms)) / 2
+        slowest_ms = max(summary.ordered_ms, default=0)
+        return max(half_ms, slowest_ms * settings.FEW_LATENCIES_FACTOR)
     latest_ms = max(unusual_ms, attempt.aim_left_ms - likely_ms)
     spent_share = min(1, attempt.spent_share)
     return unusual_ms + (latest_ms - unusual_ms) * spent_share
--- a/chicorybridge/routing/reputations.py
+++ b/chicorybridge/routing/reputations.py
@@ -89,6 +89,19 @@
         prior = settings.SOUND_SHARE
         return prior + (self.soundness - prior) * remaining
 
+    def soundness_in_silence(self, now: Millis, sound_share: float) -> float:
+        """Return the probability with a request in flight unanswered.
+
+        Of the requests at sound targets, `sound_share` take longer.
+        """
+        soundness = self.soundness_at(now)
+        gray_share = (
+            settings.GRAY_FAILED_SHARE
+            + (1 - settings.GRAY_FAILED_SHARE) * sound_share
+        )
+        sound = soundness * sound_share
+        return sound / (sound + (1 - soundness) * gray_share)
+
     def update(self, sign: Sign, now: Millis) -> None:
         """Update the probability with the result of a request."""
         likelihoods = LIKELIHOODS.get(sign)
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -29,6 +29,7 @@
 )
 from chicorybridge.fleet.directories import TargetDirectory, TargetEntry
 from chicorybridge.routing.reputations import Reputation, ReputationTable
+from chicorybridge.routing.service_latencies import LatencyTable
 from chicorybridge.routing.target_signs import TargetSigns
 from chicorybridge.routing.workloads import WorkloadTable
 
@@ -64,6 +65,35 @@
     result_age_ms: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetEstimates:
+    """What is known of targets from their answers and requests in flight."""
+
+    reputations: ReputationTable
+    workloads: WorkloadTable
+    latencies: LatencyTable
+
+    def soundness(
+        self, entry: TargetEntry, reputation: Reputation, now: Millis
+    ) -> float:
+        """Return the probability that a target is sound.
+
+        A target that has been silent for unusually long with a request in
+        flight is doubted before that request fails.
+        """
+        silent_ms = self.workloads.silent_ms(
+            entry.target_id, heard_at=reputation.observed_at, now=now
+        )
+        if not silent_ms:
+            return reputation.soundness_at(now)
+        if entry.warming:
+            silent_ms /= settings.WARMING_LATENCY_FACTOR
+        summary = self.latencies.of(entry.service_id).summary(now=now)
+        return reputation.soundness_in_silence(
+            now, summary.share_above(silent_ms)
+        )
+
+
 class Selector:
     """Choose targets for the requests of one availability zone."""
 
@@ -71,8 +101,7 @@
         self,
         *,
         directory: TargetDirectory,
-        reputations: ReputationTable,
-        workloads: WorkloadTable,
+        estimates: TargetEstimates,
         zone_id: ZoneId,
         regions_by_zone: Mapping[ZoneId, RegionId],
         rng: random.Random,
@@ -87,8 +116,7 @@
         self._has_idle_connection = has_idle_connection
         self._directory = directory
         self._signs = signs
-        self._reputations = reputations
-        self._workloads = workloads
+        self._estimates = estimates
         self._zone_id = zone_id
         self._regions_by_zone = regions_by_zone
         self._rng = rng
@@ -212,9 +240,9 @@
     def _option(
         self, entry: TargetEntry, body_bytes: int, now: Millis
     ) -> Option:
-        reputation = self._reputations.of(entry.target_id)
-        soundness = reputation.soundness_at(now)
-        in_flight = self._workloads.in_flight(entry.target_id)
+        reputation = self._estimates.reputations.of(entry.target_id)
+        soundness = self._estimates.soundness(entry, reputation, now)
+        in_flight = self._estimates.workloads.in_flight(entry.target_id)
         load = in_flight / max(1, entry.slots)
         loss = 1 - soundness
         loss += self._locality_loss(entry, body_bytes)
--- a/chicorybridge/routing/service_latencies.py
+++ b/chicorybridge/routing/service_latencies.py
@@ -1,5 +1,6 @@
 """Latencies of recent answers by service, from all hosts that report them."""
 
+import bisect
 import dataclasses
 import statistics
 from collections import deque
@@ -32,6 +33,17 @@
             return None
         return self.ordered_ms[min(count - 1, int(share * count))]
 
+    def share_above(self, latency_ms: float) -> float:
+        """Return the share of answers that take longer, 1 if unknown.
+
+        Never less than the share of sound targets' answers that stall.
+        """
+        count = len(self.ordered_ms)
+        if count < settings.MIN_QUANTILE_SAMPLES:
+            return 1
+        above = count - bisect.bisect_right(self.ordered_ms, latency_ms)
+        return max(settings.SOUND_STALLED_SHARE, above / count)
+
 
 class ServiceLatencies:
     """Latencies of the last answers of one service."""
--- a/chicorybridge/routing/workloads.py
+++ b/chicorybridge/routing/workloads.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from chicorybridge import settings
 from chicorybridge.common.clocks import Millis
@@ -78,13 +78,16 @@
         *,
         sender: HostId,
         now: Millis,
-    ) -> None:
-        """Record a report, unless a later one of `sender` was received."""
+    ) -> Collection[TargetId]:
+        """Record a report, unless a later one of `sender` was received.
+
+        Return the targets whose counts may have changed.
+        """
         previous = self._reports_by_source.get(source)
         if previous is not None:
             is_same = previous.sender == sender
             if is_same and previous.sent_at > workload.sent_at:
-                return
+                return ()
             self.total_by_id.subtract(previous.in_flight_by_id)
         self._reports_by_source[source] = WorkloadReport(
             sender=sender,
@@ -93,6 +96,9 @@
             received_at=now,
         )
         self.total_by_id.update(workload.in_flight_by_id)
+        if previous is None:
+            return workload.in_flight_by_id.keys()
+        return previous.in_flight_by_id.keys() | workload.in_flight_by_id.keys()
 
     def expire(self, *, now: Millis) -> None:
         """Drop the reports of sources that sent none within the timeout."""
@@ -116,6 +122,8 @@
             timeout_ms=settings.ZONE_WORKLOAD_TIMEOUT_MS
         )
         self._answered: list[TargetSeen] = []
+        # Since when targets have had requests in flight without a break.
+        self._busy_since_by_id: dict[TargetId, Millis] = {}
 
     @property
     def is_idle(self) -> bool:
@@ -129,15 +137,28 @@
         )
         return in_zone + self._zones.total_by_id[target_id]
 
-    def started(self, target_id: TargetId) -> None:
+    def silent_ms(
+        self, target_id: TargetId, *, heard_at: Millis, now: Millis
+    ) -> float:
+        """Return how long the oldest request in flight has been waiting.
+
+        It is a lower bound: the time since the last result of the target,
+        at `heard_at`, or since the target was last idle; 0 if it is idle.
+        """
+        busy_since = self._busy_since_by_id.get(target_id, now)
+        return max(0, now - max(busy_since, heard_at))
+
+    def started(self, target_id: TargetId, *, now: Millis) -> None:
         """Count an attempt of this host that starts."""
         self._own_by_id[target_id] += 1
+        self._update_busy((target_id,), now)
 
-    def finished(self, target_id: TargetId) -> None:
+    def finished(self, target_id: TargetId, *, now: Millis) -> None:
         """Remove an attempt of this host that ended."""
         self._own_by_id[target_id] -= 1
         if self._own_by_id[target_id] <= 0:
             self._own_by_id.pop(target_id)
+        self._update_busy((target_id,), now)
 
     def record_answer(self, seen: TargetSeen) -> None:
         """Add an answered request to the next report to other zones."""
@@ -167,15 +188,29 @@
         self, host_id: HostId, workload: HostWorkload, *, now: Millis
     ) -> None:
         """Record the report of another host of the zone."""
-        self._hosts.record(host_id, workload, sender=host_id, now=now)
+        changed = self._hosts.record(host_id, workload, sender=host_id, now=now)
+        self._update_busy(changed, now)
 
     def record_zone(
         self, workload: ZoneWorkload, *, sender: HostId, now: Millis
     ) -> None:
         """Record the report of another zone."""
-        self._zones.record(workload.zone_id, workload, sender=sender, now=now)
+        changed = self._zones.record(
+            workload.zone_id, workload, sender=sender, now=now
+        )
+        self._update_busy(changed, now)
 
     def expire(self, *, now: Millis) -> None:
         """Drop the reports of silent hosts and zones; runs at each tick."""
         self._hosts.expire(now=now)
         self._zones.expire(now=now)
+        self._update_busy(tuple(self._busy_since_by_id), now)
+
+    def _update_busy(
+        self, target_ids: Collection[TargetId], now: Millis
+    ) -> None:
+        for target_id in target_ids:
+            if self.in_flight(target_id) > 0:
+                self._busy_since_by_id.setdefault(target_id, now)
+            else:
+                self._busy_since_by_id.pop(target_id, None)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -414,6 +414,8 @@
 MIN_LATENCY_SAMPLES = 40
 MAX_LATENCY_SAMPLES = 512
 MIN_QUANTILE_SAMPLES = 10
+# With fewer an attempt is hedged after this many times the longest latency.
+FEW_LATENCIES_FACTOR = 1.5
 # How long mean and quantiles are cached.
 LATENCY_SUMMARY_TTL_MS = 100.0
 # A target that is warming up takes about this many times as long to answer.
