Drop messages between hosts whose fields have other types

An operator of a similar system saw one malformed message end a process. It could happen here: a report of requests in flight with a text for a count was decoded, was added to an empty sum without an error, and ended the process at the next tick. Decoding checked only the number of fields, and an error while a message was handled ended the task that receives all of them.

--- a/chicorybridge/common/codecs.py
+++ b/chicorybridge/common/codecs.py
@@ -3,7 +3,7 @@
 A message is a frozen dataclass registered with `wire` or `wire_as`.
 Its fields hold numbers, strings, bytes, booleans, `None`, registered
 enums, other messages, tuples and dicts of these. Sequences are decoded
-as tuples.
+as tuples. A message with a field of another type is malformed.
 """
 
 import dataclasses
@@ -15,6 +15,7 @@
 import msgpack
 
 from chicorybridge.common.errors import ErrorCode, StreamError
+from chicorybridge.common.type_checks import field_checks
 
 MESSAGE_EXTENSION = 1
 ENUM_EXTENSION = 2
@@ -112,6 +113,11 @@
     if extension == ENUM_EXTENSION:
         return registered(fields[0])
     names = _field_names(registered)
+    for check, field_name, content in zip(
+        field_checks(registered), names, fields, strict=True
+    ):
+        if not check(content):
+            raise TypeError(f'field {field_name} of {name} has another type')
     return registered(**dict(zip(names, fields, strict=True)))
 
 
--- a/chicorybridge/fleet/channels.py
+++ b/chicorybridge/fleet/channels.py
@@ -40,8 +40,9 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(sockets.split_address(address))
         self._socket.setblocking(False)
-        # Number of datagrams for which sendto() failed.
+        # Number of datagrams for which sendto() failed, and of received ones.
         self.unsent = 0
+        self.received = 0
 
     def send(self, message: Any, addresses: Iterable[str]) -> None:
         """Send a message to each address without blocking."""
@@ -71,6 +72,7 @@
             self._handle(body, source)
 
     def _handle(self, body: bytes, source: Any) -> None:
+        self.received += 1
         try:
             datagram = unpack(body)
         except ChicorybridgeError as error:
@@ -81,4 +83,8 @@
         if not isinstance(datagram, Datagram):
             logger.warning('dropped unexpected message from %s', source)
             return
-        self._on_message(datagram.message, datagram.sender)
+        try:
+            self._on_message(datagram.message, datagram.sender)
+        except Exception:
+            # Fields of the wrong type, say, must not end the process.
+            logger.exception('failed to handle a datagram from %s', source)
--- /dev/null
+++ b/chicorybridge/tests/fleet/test_channels.py
@@ -0,0 +1,85 @@
+"""Datagrams that can't be handled don't end the process of a host."""
+
+import random
+from typing import Any
+
+import curio
+
+from chicorybridge.common.identities import HostId
+from chicorybridge.fleet.channels import Channel
+from chicorybridge.fleet.store_reads import ReadInProgress
+from chicorybridge.routing.workloads import HostWorkload
+from chicorybridge.tests.hosts.deployments import (
+    Origin,
+    deployed,
+    on_curio,
+    until,
+)
+
+SENDER = HostId('edge-groningen-9')
+# Another port than those of the deployments of other tests.
+ADDRESS = '127.0.0.1:19871'
+MESSAGES = 40
+
+
+class Receiver:
+    """Raise an error on each message but the last one."""
+
+    def __init__(self) -> None:
+        """Start without messages."""
+        self.ended = False
+
+    def on_message(self, message: object, _sender: HostId) -> None:
+        """Handle a message."""
+        if isinstance(message, ReadInProgress):
+            self.ended = True
+            return
+        raise TypeError('a field has another type')
+
+
+@on_curio
+async def test_error_in_a_message_does_not_end_the_channel():
+    receiver = Receiver()
+    channel = Channel(
+        host_id=SENDER,
+        address=ADDRESS,
+        on_message=receiver.on_message,
+    )
+    async with curio.TaskGroup() as tasks:
+        await tasks.spawn(channel.run)
+        channel.send(HostWorkload(sent_at=1, in_flight_by_id={}), (ADDRESS,))
+        channel.send(ReadInProgress(), (ADDRESS,))
+        await until(lambda: receiver.ended)
+        await tasks.cancel_remaining()
+    assert channel.received == 2
+
+
+def _odd_value(rng: random.Random) -> Any:
+    return rng.choice((None, -1, 1.5, 'text', b'bytes', (), {}, True, 2**60))
+
+
+def _odd_report(rng: random.Random) -> HostWorkload:
+    in_flight = _odd_value(rng)
+    if isinstance(in_flight, dict):
+        in_flight = {'i-1': _odd_value(rng)}
+    return HostWorkload(
+        sent_at=_odd_value(rng),
+        in_flight_by_id=in_flight,
+        seen=_odd_value(rng),
+    )
+
+
+@on_curio
+async def test_fields_of_other_types_do_not_end_a_host():
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        rng = random.Random(1)
+        sender = Channel(
+            host_id=SENDER,
+            address='127.0.0.1:0',
+            on_message=Receiver().on_message,
+        )
+        for _ in range(MESSAGES):
+            message = _odd_report(rng)
+            sender.send(message, (deployment.settings.fleet_address,))
+        answer = await deployment.send('/lookup/7')
+    assert answer.status == 200
