Refuse requests that a planned stop would probably cut

An operator of a similar system saw requests taken and passed on late in the grace period of a planned stop, and cut at its end without an answer.

--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -183,6 +183,7 @@
         The part is `DRAIN_SERVE_SHARE`, but at most `MAX_DRAIN_SERVE_MS`.
         """
         ends_at = self._grace_ends_at()
+        self.state.stops_at = ends_at
         self.state.phase = HostPhase.draining
         self._announcer.announce()
         serve_ms = min(
--- a/chicorybridge/hosts/placements.py
+++ b/chicorybridge/hosts/placements.py
@@ -96,7 +96,7 @@
         now = self._clock.now()
         queue.checked_at = now
         mean_latency_ms = (
-            self._policies.mean_latency_ms(service_id) if len(queue) else 0
+            self._policies.latencies(service_id).mean_ms if len(queue) else 0
         )
         failed_count = 0
         for waiter in tuple(
@@ -149,9 +149,9 @@
         check_caller(call)
         self._check_closing(call)
         left_ms = call.deadline_at - self._clock.now()
-        mean_latency_ms = self._policies.mean_latency_ms(
+        mean_latency_ms = self._policies.latencies(
             call.service.service_id
-        )
+        ).mean_ms
         if left_ms < mean_latency_ms * settings.MIN_RUN_TIME_FACTOR:
             raise RefusalError(
                 code=ErrorCode.overloaded,
@@ -161,9 +161,18 @@
             )
 
     def _check_closing(self, call: Call) -> None:
-        """Refuse a call that has not run if the host is about to stop."""
-        not_run = call.outcome is RequestOutcome.not_run
-        if self._state.phase is HostPhase.closing and not_run:
+        """Refuse a call that has not run if the host is about to stop.
+
+        Nor is one started that would probably be cut by the stop.
+        """
+        if call.outcome is not RequestOutcome.not_run:
+            return
+        latencies = self._policies.latencies(call.service.service_id)
+        longest_ms = latencies.quantile_ms(1 - settings.SOUND_STALLED_SHARE)
+        is_too_late = (
+            self._clock.now() + (longest_ms or 0) > self._state.stops_at
+        )
+        if self._state.phase is HostPhase.closing or is_too_late:
             raise RefusalError(
                 code=ErrorCode.host_leaving,
                 detail='this host is stopping',
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -123,7 +123,7 @@
         It follows the current latencies of the service, so that its targets
         are not doubted while the service as a whole is slow.
         """
-        summary = self._summary(call.service.service_id)
+        summary = self.latencies(call.service.service_id)
         unusual_ms = summary.quantile_ms(1 - settings.SOUND_STALLED_SHARE)
         if unusual_ms is None:
             return _target_latency_ms(call)
@@ -131,9 +131,9 @@
             return unusual_ms * settings.WARMING_LATENCY_FACTOR
         return unusual_ms
 
-    def mean_latency_ms(self, service_id: ServiceId) -> float:
-        """Return the recent mean latency of a service, 0 if none is known."""
-        return self._summary(service_id).mean_ms
+    def latencies(self, service_id: ServiceId) -> LatencySummary:
+        """Return the latencies of recent answers of a service."""
+        return self._latencies.of(service_id).summary(now=self._clock.now())
 
     def record_attempt(
         self, attempt: Attempt, entry: TargetEntry, *, rate_per_s: float | None
@@ -206,9 +206,6 @@
         call.retry_taken_at = now
         return True
 
-    def _summary(self, service_id: ServiceId) -> LatencySummary:
-        return self._latencies.of(service_id).summary(now=self._clock.now())
-
     def _hedge_delay_ms(self, call: Call, option: Option) -> float:
         now = self._clock.now()
         service_id = call.service.service_id
@@ -222,7 +219,7 @@
                 hosts=self._host_count(), now=now
             ),
         )
-        return hedge_delay_ms(attempt, self._summary(service_id))
+        return hedge_delay_ms(attempt, self.latencies(service_id))
 
     def _may_hedge(self, call: Call, target_id: TargetId) -> bool:
         """Return whether another target can run the call now."""
@@ -231,7 +228,7 @@
             return False
         now = self._clock.now()
         service_id = call.service.service_id
-        fitting_ms = self._summary(service_id).quantile_ms(
+        fitting_ms = self.latencies(service_id).quantile_ms(
             settings.MIN_HEDGE_FIT_SHARE
         )
         min_ms = max(settings.MIN_RETRY_REMAINING_MS, fitting_ms or 0)
--- a/chicorybridge/hosts/states.py
+++ b/chicorybridge/hosts/states.py
@@ -1,9 +1,11 @@
 """State of a host process: its phase and its configuration."""
 
 import dataclasses
+import math
 from collections.abc import Callable
 from enum import Enum
 
+from chicorybridge.common.clocks import Millis
 from chicorybridge.common.errors import require
 from chicorybridge.common.identities import NO_VERSION, Version
 from chicorybridge.fleet.configurations import HostConfiguration
@@ -29,11 +31,13 @@
     """The phase and the active configuration of a host.
 
     `is_current` returns whether the configuration is as new as it should be.
+    `stops_at` is when a planned stop must be over.
     """
 
     phase: HostPhase = HostPhase.serving
     configuration: HostConfiguration | None = None
     is_current: Callable[[], bool] = _always
+    stops_at: Millis = Millis(math.inf)
 
     @property
     def version(self) -> Version:
--- a/chicorybridge/tests/hosts/test_placements.py
+++ b/chicorybridge/tests/hosts/test_placements.py
@@ -17,6 +17,7 @@
 from chicorybridge.hosts.placements import Placements
 from chicorybridge.hosts.states import HostState
 from chicorybridge.http.bodies import CallerError
+from chicorybridge.routing.service_latencies import LatencySummary
 from chicorybridge.tests.hosts.deployments import on_curio, until
 
 QUOTES = ServiceId('quotes')
@@ -50,9 +51,11 @@
             return None
         return SimpleNamespace(entry=SimpleNamespace(target_id='i-1'))
 
-    def mean_latency_ms(self, _service_id: ServiceId) -> float:
-        """Return the mean latency."""
-        return MEAN_LATENCY_MS
+    def latencies(self, _service_id: ServiceId) -> LatencySummary:
+        """Return latencies with the same mean at any time."""
+        return LatencySummary(
+            at=Millis(0), mean_ms=MEAN_LATENCY_MS, ordered_ms=()
+        )
 
     def _start(self, target_id: str) -> None:
         self.free -= 1
