Check that a host still handles messages after malformed ones

The test of odd fields only looked at a request after them, which the old code served as well while its channel had ended.

--- a/chicorybridge/tests/fleet/test_channels.py
+++ b/chicorybridge/tests/fleet/test_channels.py
@@ -5,8 +5,11 @@
 
 import curio
 
-from chicorybridge.common.identities import HostId
+from chicorybridge import settings
+from chicorybridge.common.clocks import as_seconds
+from chicorybridge.common.identities import HostId, Incarnation, ZoneId
 from chicorybridge.fleet.channels import Channel
+from chicorybridge.fleet.host_tables import FleetMember
 from chicorybridge.fleet.store_reads import ReadInProgress
 from chicorybridge.routing.workloads import HostWorkload
 from chicorybridge.tests.hosts.deployments import (
@@ -54,6 +57,18 @@
     assert channel.received == 2
 
 
+def _profile() -> FleetMember:
+    return FleetMember(
+        host_id=SENDER,
+        zone_id=ZoneId('groningen'),
+        incarnation=Incarnation(1),
+        serial=1,
+        front='127.0.0.1:1',
+        fleet_address='127.0.0.1:2',
+        serving=True,
+    )
+
+
 def _odd_value(rng: random.Random) -> Any:
     return rng.choice((None, -1, 1.5, 'text', b'bytes', (), {}, True, 2**60))
 
@@ -81,5 +96,10 @@
         for _ in range(MESSAGES):
             message = _odd_report(rng)
             sender.send(message, (deployment.settings.fleet_address,))
+        # A message after them is still handled, and so is the next tick.
+        sender.send(_profile(), (deployment.settings.fleet_address,))
+        await until(lambda: deployment.host.fleet_view.host_table.profiles())
+        await curio.sleep(as_seconds(2 * settings.TICK_MS))
+        sender.send(ReadInProgress(), (deployment.settings.fleet_address,))
         answer = await deployment.send('/lookup/7')
     assert answer.status == 200
