Send what a large zone has in flight through an aggregator

At 292 hosts each start and end of a request went to all hosts of the zone, each failure and each heartbeat to all of the region: some 100,000 datagrams a second by arithmetic, 3 to 9 s of processor time a second.

In a zone of 20 hosts or more, hosts tell the first-ranked one, which sends sums and results to the zone each 30 ms; sums of other zones go to two hosts of each zone, and the aggregator passes them on. A host that hears no sums for 350 ms uses the next in rank and repeats to it what it has in flight. Smaller zones go on as before.

--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -41,6 +41,7 @@
     host_returned = 303
     state_behind = 304
     snapshot_merged = 305
+    aggregator_changed = 306
 
     # 400: targets.
     target_ejected = 401
@@ -49,6 +50,7 @@
     target_listed = 404
     target_gone = 405
     target_sign_seen = 406
+    targets_listed = 407
     permit_taken = 410
     permit_given = 411
 
--- a/chicorybridge/fleet/host_tables.py
+++ b/chicorybridge/fleet/host_tables.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import functools
+import itertools
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
@@ -65,6 +67,7 @@
         self.zone_id = zone_id
         self.regions_by_zone = regions_by_zone
         self._records_by_id: dict[HostId, HostRecord] = {}
+        self._expired_at = Millis(-math.inf)
         # Hosts that timed out, and the incarnation that did.
         self._lost_by_id: dict[HostId, Incarnation] = {}
 
@@ -109,11 +112,30 @@
             )
 
     def expire(self, *, now: Millis) -> tuple[FleetMember, ...]:
-        """Remove and return the hosts that have timed out."""
+        """Remove and return the hosts that have timed out.
+
+        They are looked for every `HOST_EXPIRY_INTERVAL_MS` at most.
+        """
+        if now - self._expired_at < settings.HOST_EXPIRY_INTERVAL_MS:
+            return ()
+        self._expired_at = now
+        region_timeout_ms = settings.HOST_TIMEOUT_MS * heartbeat_turns(
+            len(self.in_other_zones()), settings.REGION_HOSTS_PER_HEARTBEAT
+        )
+        far_turns = heartbeat_turns(
+            len(self.in_other_regions()), settings.FAR_HOSTS_PER_HEARTBEAT
+        )
+        far_timeout_ms = max(
+            settings.OTHER_REGION_HOST_TIMEOUT_MS,
+            settings.HOST_TIMEOUT_MS * far_turns,
+        )
         silent = [
             record.profile
             for record in self._records_by_id.values()
-            if now - record.message_at > self._timeout_ms(record.profile)
+            if now - record.message_at
+            > self._timeout_ms(
+                record.profile, region_timeout_ms, far_timeout_ms
+            )
         ]
         for profile in silent:
             self._records_by_id.pop(profile.host_id)
@@ -148,6 +170,11 @@
             if not self.is_in_region(profile)
         )
 
+    def fleet_address(self, host_id: HostId) -> str | None:
+        """Return where a host takes messages, `None` if it is unknown."""
+        record = self._records_by_id.get(host_id)
+        return record.profile.fleet_address if record else None
+
     def is_in_other_region(self, host_id: HostId) -> bool:
         """Return whether a host of the table is in another region."""
         record = self._records_by_id.get(host_id)
@@ -186,10 +213,35 @@
         ]
         return tuple(sorted((*host_ids, self.host_id), key=_rank_hash))
 
-    def _timeout_ms(self, profile: FleetMember) -> float:
-        if self.is_in_region(profile):
+    def _timeout_ms(
+        self,
+        profile: FleetMember,
+        region_timeout_ms: float,
+        far_timeout_ms: float,
+    ) -> float:
+        if profile.zone_id == self.zone_id:
             return settings.HOST_TIMEOUT_MS
-        return settings.OTHER_REGION_HOST_TIMEOUT_MS
+        if self.is_in_region(profile):
+            return region_timeout_ms
+        return far_timeout_ms
+
+
+def heartbeat_turns(hosts: int, per_heartbeat: int) -> int:
+    """Return after how many heartbeats each of `hosts` has got one."""
+    return max(1, math.ceil(hosts / per_heartbeat))
+
+
+def zone_order(table: HostTable, *, serving: bool) -> tuple[HostId, ...]:
+    """Return the serving hosts of the zone by rank.
+
+    With this one, if it is `serving`, too.
+    """
+    host_ids = [
+        profile.host_id for profile in table.in_zone() if profile.serving
+    ]
+    if serving:
+        host_ids.append(table.host_id)
+    return tuple(sorted(host_ids, key=_rank_hash))
 
 
 def own_share_of_region(table: HostTable) -> tuple[FleetMember, ...]:
@@ -232,14 +284,15 @@
 
 
 def zone_representatives(
-    profiles: Iterable[FleetMember],
+    profiles: Iterable[FleetMember], *, per_zone: int = 1
 ) -> tuple[FleetMember, ...]:
-    """Return the first-ranked serving host of each zone."""
-    first_by_zone: dict[ZoneId, FleetMember] = {}
+    """Return the first-ranked serving hosts of each zone."""
+    first_by_zone: dict[ZoneId, list[FleetMember]] = {}
     for profile in sorted(profiles, key=_profile_rank_hash):
-        if profile.serving:
-            first_by_zone.setdefault(profile.zone_id, profile)
-    return tuple(first_by_zone.values())
+        first = first_by_zone.setdefault(profile.zone_id, [])
+        if profile.serving and len(first) < per_zone:
+            first.append(profile)
+    return tuple(itertools.chain.from_iterable(first_by_zone.values()))
 
 
 def _is_outdated(profile: FleetMember, current: FleetMember) -> bool:
@@ -255,6 +308,7 @@
     return _rank_hash(profile.host_id)
 
 
+@functools.lru_cache(maxsize=settings.MAX_LOST_HOSTS)
 def _rank_hash(host_id: HostId) -> int:
     return xxhash.xxh64_intdigest(host_id.encode())
 
--- a/chicorybridge/hosts/announcers.py
+++ b/chicorybridge/hosts/announcers.py
@@ -1,7 +1,7 @@
 """Messages of a host to the others, its profile and heartbeats included."""
 
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from typing import Any
 
 from chicorybridge import settings
@@ -35,7 +35,8 @@
         """Send from the host that `host_settings` describes."""
         self._incarnation = incarnation
         self._host_settings = host_settings
-        self._rng = rng
+        # Hosts that start together send to different hosts at a time.
+        self._heartbeats = rng.randrange(settings.MAX_LOST_HOSTS)
         self._state = state
         self._host_table = host_table
         self._channel = channel
@@ -55,26 +56,41 @@
         )
 
     def announce(self) -> None:
-        """Send a new version of the profile to all hosts."""
+        """Send a new version of the profile to those who use it most.
+
+        In a large fleet the other hosts get it by turns, with heartbeats.
+        """
         self._serial += 1
-        self.broadcast(self.profile())
+        profile = self.profile()
+        hosts = len(self._host_table.profiles())
+        if hosts <= settings.MAX_ANNOUNCED_HOSTS:
+            self.broadcast(profile)
+            return
+        self.send_to_zone(profile)
+        self.send_to_aggregators(profile, far=False)
+        self.send_to_aggregators(profile, far=True)
 
     def send_heartbeat(self, *, now: Millis) -> bool:
-        """Send the profile to the region if a heartbeat is due.
+        """Send the profile to the zone if a heartbeat is due.
 
-        It goes to a random host of another region, too. Return whether
-        it was due.
+        It goes to some hosts of other zones and regions, too, by turns.
+        Return whether it was due.
         """
         if now - self._heartbeat_at < settings.HOST_HEARTBEAT_INTERVAL_MS:
             return False
         self._heartbeat_at = now
-        profile = self.profile()
-        self.send_to_region(profile)
-        other_regions = self._host_table.in_other_regions()
-        if other_regions:
-            self._channel.send(
-                profile, [self._rng.choice(other_regions).fleet_address]
-            )
+        self._heartbeats += 1
+        table = self._host_table
+        recipients = (
+            *table.in_zone(),
+            *self._turn(
+                table.in_other_zones(), settings.REGION_HOSTS_PER_HEARTBEAT
+            ),
+            *self._turn(
+                table.in_other_regions(), settings.FAR_HOSTS_PER_HEARTBEAT
+            ),
+        )
+        self._channel.send(self.profile(), _fleet_addresses(recipients))
         return True
 
     def broadcast(self, message: Any) -> None:
@@ -89,6 +105,24 @@
         )
         self._channel.send(message, _fleet_addresses(representatives))
 
+    def send_to_host(self, message: Any, host_id: HostId) -> None:
+        """Send a message to one host, if it is known."""
+        address = self._host_table.fleet_address(host_id)
+        if address is not None:
+            self._channel.send(message, (address,))
+
+    def send_to_aggregators(self, message: Any, *, far: bool) -> None:
+        """Send a message to those who may be aggregators of other zones.
+
+        These are zones of other regions if `far`, else of this region.
+        """
+        table = self._host_table
+        profiles = table.in_other_regions() if far else table.in_other_zones()
+        representatives = zone_representatives(
+            profiles, per_zone=settings.AGGREGATORS_TOLD
+        )
+        self._channel.send(message, _fleet_addresses(representatives))
+
     def send_to_share_of_region(self, message: Any) -> None:
         """Send a message to this host's share of the region's other zones.
 
@@ -129,6 +163,20 @@
         region = self._host_table.in_region()
         self._channel.send(message, _fleet_addresses(region))
 
+    def _turn(
+        self, profiles: Sequence[FleetMember], count: int
+    ) -> Sequence[FleetMember]:
+        """Return the `count` hosts whose turn it is."""
+        if len(profiles) <= count:
+            return profiles
+        ordered = sorted(profiles, key=_host_id)
+        start = self._heartbeats * count % len(ordered)
+        return (*ordered, *ordered)[start : start + count]
+
 
 def _fleet_addresses(profiles: Iterable[FleetMember]) -> list[str]:
     return [profile.fleet_address for profile in profiles]
+
+
+def _host_id(profile: FleetMember) -> HostId:
+    return profile.host_id
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -22,6 +22,7 @@
 from chicorybridge.hosts.states import HostState
 from chicorybridge.hosts.target_lists import TargetList
 from chicorybridge.hosts.target_results import TargetResults
+from chicorybridge.hosts.zone_sums import WorkloadMessage, ZoneSums
 from chicorybridge.routing.quarantines import CrashReport, Quarantine
 from chicorybridge.routing.reputations import ReputationTable, TargetSeen
 from chicorybridge.routing.service_latencies import LatencyTable
@@ -34,7 +35,9 @@
 )
 from chicorybridge.routing.workloads import (
     HostWorkload,
+    RelayedWorkload,
     WorkloadTable,
+    ZoneTotals,
     ZoneWorkload,
 )
 
@@ -80,10 +83,20 @@
             latencies=LatencyTable(),
             workloads=self.workloads,
         )
+        self.zone_sums = ZoneSums(
+            clock=clock,
+            log=log,
+            state=state,
+            host_table=host_table,
+            results=self.results,
+            forward=lambda message: self.to_forward.append(message),
+        )
         self.quarantine = Quarantine()
         self.relay = StateRelay(host_id=host_table.host_id, rng=rng)
         # When the process last did its periodic work.
         self.ticked_at = clock.now()
+        # Hosts that are new to this one and were not logged yet.
+        self.peers_heard: list[HostId] = []
         # Messages of other regions to forward to the hosts of this zone.
         self.to_forward: list[Any] = []
 
@@ -164,14 +177,7 @@
         self, message: FleetMember, sender: HostId, now: Millis
     ) -> None:
         if self.host_table.record(message, now=now):
-            self._log.emit(
-                _event(
-                    EventKind.peer_heard,
-                    peer=message.host_id,
-                    zone=message.zone_id,
-                    serving=message.serving,
-                )
-            )
+            self.peers_heard.append(message.host_id)
 
     @_handle.register
     def _handle_observation(
@@ -179,25 +185,14 @@
     ) -> None:
         self.results.record_remote(message, now=now)
 
-    @_handle.register
+    @_handle.register(HostWorkload)
+    @_handle.register(ZoneWorkload)
+    @_handle.register(ZoneTotals)
+    @_handle.register(RelayedWorkload)
     def _handle_workload(
-        self, message: HostWorkload, sender: HostId, now: Millis
+        self, message: WorkloadMessage, sender: HostId, now: Millis
     ) -> None:
-        self.workloads.record_host(sender, message, now=now)
-        for seen in message.seen:
-            self.results.record_of_zone(seen, now=now)
-
-    @_handle.register
-    def _handle_zone_workload(
-        self, message: ZoneWorkload, sender: HostId, now: Millis
-    ) -> None:
-        self.workloads.record_zone(message, sender=sender, now=now)
-        for seen in message.seen:
-            self.results.record_remote(seen, now=now)
-        for target_id, soundness in message.soundness_by_id.items():
-            self.reputations.adopt_estimate(target_id, soundness, now=now)
-        if self.host_table.is_in_other_region(sender):
-            self.to_forward.append(message)
+        self.zone_sums.receive(message, sender)
 
     @_handle.register(CrashSuspected)
     @_handle.register(SuspectCleared)
--- a/chicorybridge/hosts/gauges.py
+++ b/chicorybridge/hosts/gauges.py
@@ -44,4 +44,6 @@
             'callers_connected': len(self._callers),
             'store_calls': self._reader.calls,
             'datagrams_unsent': self._channel.unsent,
+            'datagrams_received': self._channel.received,
+            'aggregator_changes': self._fleet_view.zone_sums.changes,
         }
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Sequence
 from typing import Any
 
 import curio
@@ -10,7 +11,7 @@
 from chicorybridge.common import sockets
 from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.common.events import Event, EventKind, EventLog
-from chicorybridge.common.identities import draw_incarnation
+from chicorybridge.common.identities import HostId, draw_incarnation
 from chicorybridge.common.log_streams import BoundedHandler
 from chicorybridge.common.tasks import run_all, wait_tick
 from chicorybridge.fleet.channels import Channel
@@ -148,6 +149,7 @@
             self._channel.run(),
             snapshots.run(sockets.listen(self._host_settings.fleet_address)),
             self._tick_forever(),
+            self.dispatcher.reporter.send_totals_forever(),
             self._merge_newer_forever(),
             self._register_and_read(),
         )
@@ -282,11 +284,14 @@
         self.fleet_view.ticked_at = now
         await self.callers.close_expired()
         await self._connections.close_stale()
-        for profile in self.fleet_view.host_table.expire(now=now):
-            self.log.emit(
-                Event(kind=EventKind.peer_lost, facts={'peer': profile.host_id})
-            )
+        lost = self.fleet_view.host_table.expire(now=now)
+        lost_ids = [profile.host_id for profile in lost]
+        _log_peers(self.log, EventKind.peer_lost, lost_ids)
         if self._announcer.send_heartbeat(now=now):
+            _log_peers(
+                self.log, EventKind.peer_heard, self.fleet_view.peers_heard
+            )
+            self.fleet_view.peers_heard.clear()
             self._report_dropped_lines()
             self.fleet_view.quarantine.tick(now=now)
         self.fleet_view.workloads.expire(now=now)
@@ -305,6 +310,12 @@
         self.log.emit(event)
 
 
+def _log_peers(log: EventLog, kind: EventKind, peers: Sequence[HostId]) -> None:
+    # One line for all: hosts of a large fleet start at the same time.
+    if peers:
+        log.emit(Event(kind=kind, facts={'peers': tuple(peers)}))
+
+
 async def _answer_no_path(exchange: Any, head: Any) -> bool:
     """Return `False`: the host itself answers no path."""
     return False
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -1,6 +1,9 @@
 """Reports of a host to others: its workload and results of attempts."""
 
 import dataclasses
+from collections.abc import Sequence
+
+import curio
 
 from chicorybridge import settings
 from chicorybridge.common.clocks import Clock, Millis
@@ -10,6 +13,7 @@
 from chicorybridge.hosts.fleet_views import FleetView
 from chicorybridge.routing.reputations import Sign, TargetSeen
 from chicorybridge.routing.target_signs import TargetSign
+from chicorybridge.routing.workloads import RelayedWorkload, ZoneWorkload
 
 # Decimal places of a probability in a report; more would make it larger.
 SOUNDNESS_DIGITS = 2
@@ -18,8 +22,9 @@
 class Reporter:
     """Record the workload of this host and report its changes.
 
-    Changes are batched until `flush` is called. Failures are reported to
-    the whole region, successes to the zone.
+    Changes are batched until `flush` is called. In a small zone failures are
+    reported to the whole region, successes to the zone; in a large one both
+    go to its aggregator.
     """
 
     def __init__(
@@ -32,6 +37,7 @@
         self._observations: list[TargetSeen] = []
         self._changed = False
         self._sent_at = Millis(0)
+        self._summary_sent_at = Millis(0)
         self._sent_to_regions_at = Millis(0)
 
     def attempt_started(self, target_id: TargetId) -> None:
@@ -73,16 +79,24 @@
         report = self._fleet_view.workloads.host_report(
             now=self._sent_at, seen=observations
         )
-        self._announcer.send_to_zone(report)
-        for observation in observations:
-            if observation.sign is not Sign.answered:
-                self._announcer.send_to_other_zones(observation)
+        aggregator = self._fleet_view.zone_sums.aggregator
+        if aggregator is None:
+            self._announcer.send_to_zone(report)
+            self._send_failures(observations)
+        elif self._fleet_view.zone_sums.is_own:
+            self._fleet_view.zone_sums.collect(aggregator, observations)
+        else:
+            self._announcer.send_to_host(report, aggregator)
 
     def repeat_if_due(self) -> None:
         """Resend the requests in flight to the zone; run at each tick.
 
-        Other hosts count this one as idle if no report arrives in time.
+        Other hosts count this one as idle if no report arrives in time. A
+        new aggregator knows nothing of this host yet.
         """
+        if self._fleet_view.zone_sums.update():
+            self._changed = True
+            self.flush()
         if self._fleet_view.workloads.is_idle:
             return
         if self._clock.now() - self._sent_at >= settings.WORKLOAD_INTERVAL_MS:
@@ -92,26 +106,72 @@
     def send_summaries(self) -> None:
         """Send the workload of the zone to other zones; run at each tick.
 
-        Each host of the zone sends it to some of the others, so that no
-        link carries all of it. Each host forwards the messages that it
-        received of other regions to its zone.
+        Each host of a small zone sends it to some of the others, so that no
+        link carries all of it; in a large one the aggregator does. Messages
+        of other zones that are to be forwarded go to this zone.
         """
         fleet_view = self._fleet_view
         while fleet_view.to_forward:
             self._announcer.send_to_zone(fleet_view.to_forward.pop())
+        if fleet_view.zone_sums.aggregator is None:
+            self._send_share_of_summaries()
+        elif fleet_view.zone_sums.is_own:
+            self._send_summaries_of_aggregator()
+        else:
+            fleet_view.workloads.zone_results.clear()
+
+    async def send_totals_forever(self) -> None:
+        """Send the sums of the zone to it while this host is to do so."""
+        while True:
+            await curio.sleep(self._fleet_view.zone_sums.pause_s())
+            self.send_totals()
+
+    def send_totals(self) -> None:
+        """Send the sums of the zone to it, if they are due."""
+        totals = self._fleet_view.zone_sums.take_due()
+        if totals is not None:
+            self._announcer.send_to_zone(totals)
+
+    def _send_failures(self, observations: Sequence[TargetSeen]) -> None:
+        for observation in observations:
+            if observation.sign is not Sign.answered:
+                self._announcer.send_to_other_zones(observation)
+
+    def _send_share_of_summaries(self) -> None:
         now = self._clock.now()
-        workload = fleet_view.workloads.zone_report(now=now)
+        workload = self._fleet_view.workloads.zone_report(now=now)
         self._announcer.send_to_share_of_region(workload)
-        if (
-            now - self._sent_to_regions_at
-            >= settings.REGION_SUMMARY_INTERVAL_MS
-        ):
-            self._sent_to_regions_at = now
-            region_workload = dataclasses.replace(
-                workload, seen=(), soundness_by_id=self._soundness_by_id(now)
-            )
+        region_workload = self._region_workload(workload, now)
+        if region_workload is not None:
             self._announcer.send_to_share_of_far_zones(region_workload)
 
+    def _send_summaries_of_aggregator(self) -> None:
+        now = self._clock.now()
+        if now - self._summary_sent_at < settings.ZONE_SUMMARY_INTERVAL_MS:
+            return
+        self._summary_sent_at = now
+        workload = self._fleet_view.workloads.zone_report(now=now)
+        self._announcer.send_to_aggregators(
+            RelayedWorkload(workload=workload), far=False
+        )
+        region_workload = self._region_workload(workload, now)
+        if region_workload is not None:
+            self._announcer.send_to_aggregators(
+                RelayedWorkload(workload=region_workload), far=True
+            )
+
+    def _region_workload(
+        self, workload: ZoneWorkload, now: Millis
+    ) -> ZoneWorkload | None:
+        """Return the report to other regions, `None` if none is due."""
+        elapsed_ms = now - self._sent_to_regions_at
+        if elapsed_ms < settings.REGION_SUMMARY_INTERVAL_MS:
+            return None
+        self._sent_to_regions_at = now
+        return dataclasses.replace(
+            workload, seen=(), soundness_by_id=self._soundness_by_id(now)
+        )
+
     def _soundness_by_id(self, now: Millis) -> dict[TargetId, float]:
         reputations = self._fleet_view.reputations
         return {
--- a/chicorybridge/hosts/target_lists.py
+++ b/chicorybridge/hosts/target_lists.py
@@ -2,8 +2,10 @@
 
 import functools
 import random
+from collections.abc import Sequence
 from typing import Any
 
+from chicorybridge import settings
 from chicorybridge.common.clocks import Clock
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.identities import TargetId
@@ -57,18 +59,7 @@
                 and previous.started_at_ms != entry.started_at_ms
             ):
                 self._reputations.remove(entry.target_id)
-            kind = EventKind.target_listed
-            if entry.leaving:
-                kind = EventKind.target_leaving
-            self._emit(
-                kind,
-                target=entry.target_id,
-                service=entry.service_id,
-                address=entry.address,
-                warming=entry.warming,
-                row_version=entry.row_version,
-                source=source,
-            )
+        self._log_entries(applied.entries, source=source)
         for target_id in applied.removed:
             self._remove(entries_before[target_id], source=source)
         return applied
@@ -119,6 +110,31 @@
             self.synced_version = max(self.synced_version or 0, synced_version)
         self.schedule.record_remote_read(age_ms=age_ms, now=self._clock.now())
 
+    def _log_entries(
+        self, entries: Sequence[TargetEntry], *, source: str
+    ) -> None:
+        if len(entries) > settings.MAX_LOGGED_TARGETS:
+            # At the start of the host, or after an outage of the store.
+            self._emit(
+                EventKind.targets_listed,
+                targets=tuple(entry.target_id for entry in entries),
+                source=source,
+            )
+            return
+        for entry in entries:
+            kind = EventKind.target_listed
+            if entry.leaving:
+                kind = EventKind.target_leaving
+            self._emit(
+                kind,
+                target=entry.target_id,
+                service=entry.service_id,
+                address=entry.address,
+                warming=entry.warming,
+                row_version=entry.row_version,
+                source=source,
+            )
+
     def _remove(self, entry: TargetEntry, *, source: str) -> None:
         may_return = self.outages.may_have_expired(now=self._clock.now())
         if may_return and not entry.leaving:
--- a/chicorybridge/hosts/target_results.py
+++ b/chicorybridge/hosts/target_results.py
@@ -27,13 +27,13 @@
         self.reputations.record_own(seen, now=now)
         self._record_latency(seen, now)
         if seen.sign is Sign.answered:
-            self.workloads.record_answer(seen)
+            self.workloads.zone_results.append(seen)
 
     def record_of_zone(self, seen: TargetSeen, *, now: Millis) -> None:
         """Record the result of an attempt of another host of the zone."""
         self.record_remote(seen, now=now)
         if seen.sign is Sign.answered:
-            self.workloads.record_answer(seen)
+            self.workloads.zone_results.append(seen)
 
     def record_remote(self, seen: TargetSeen, *, now: Millis) -> None:
         """Record the result of an attempt of a host of any zone."""
--- /dev/null
+++ b/chicorybridge/hosts/zone_sums.py
@@ -0,0 +1,185 @@
+"""Sums of the requests in flight of a large zone, sent by its aggregator."""
+
+import dataclasses
+import functools
+from collections.abc import Callable
+
+from chicorybridge import settings
+from chicorybridge.common.clocks import (
+    MILLIS_PER_SECOND,
+    Clock,
+    Millis,
+    as_seconds,
+)
+from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.identities import HostId
+from chicorybridge.fleet.aggregators import AggregatorChoice
+from chicorybridge.fleet.host_tables import HostTable, zone_order
+from chicorybridge.hosts.states import HostState
+from chicorybridge.hosts.target_results import TargetResults
+from chicorybridge.routing.reputations import Sign, TargetSeen
+from chicorybridge.routing.workloads import (
+    HostWorkload,
+    RelayedWorkload,
+    ZoneTotals,
+    ZoneWorkload,
+)
+
+WorkloadMessage = HostWorkload | ZoneWorkload | ZoneTotals | RelayedWorkload
+
+
+class ZoneSums:
+    """Choose the aggregator, receive its sums or make them."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        log: EventLog,
+        state: HostState,
+        host_table: HostTable,
+        results: TargetResults,
+        forward: Callable[[ZoneWorkload], None],
+    ) -> None:
+        """Sum up the workloads that `results` refers to.
+
+        `forward` sends a report of another zone to this one.
+        """
+        self._forward = forward
+        self._clock = clock
+        self._log = log
+        self._state = state
+        self._host_table = host_table
+        self._results = results
+        self._workloads = results.workloads
+        self._choice = AggregatorChoice(host_id=host_table.host_id)
+        self._seen_by_host: dict[HostId, tuple[TargetSeen, ...]] = {}
+        self._sent_at = Millis(0)
+        self._completed_at = Millis(0)
+
+    @property
+    def aggregator(self) -> HostId | None:
+        """Return the aggregator, `None` if hosts tell each other directly."""
+        return self._choice.current
+
+    @property
+    def is_own(self) -> bool:
+        """Return whether this host is the aggregator."""
+        return self._choice.is_own
+
+    @property
+    def changes(self) -> int:
+        """Return how often the aggregator has changed."""
+        return self._choice.changes
+
+    def update(self) -> bool:
+        """Choose the aggregator again; return whether it has changed.
+
+        Run at each tick.
+        """
+        now = self._clock.now()
+        order = zone_order(self._host_table, serving=self._state.ready)
+        previous = self.aggregator
+        if not self._choice.update(order, now=now):
+            return False
+        self._seen_by_host.clear()
+        self._completed_at = Millis(0)
+        self._workloads.follow_aggregator(
+            follows=self.aggregator is not None and not self.is_own, now=now
+        )
+        facts = {
+            'aggregator': self.aggregator,
+            'before': previous,
+            'hosts': len(order),
+        }
+        self._log.emit(Event(kind=EventKind.aggregator_changed, facts=facts))
+        return True
+
+    def collect(self, host_id: HostId, seen: tuple[TargetSeen, ...]) -> None:
+        """Add results of a host to the next sums, if this host sends them."""
+        if not self.is_own or not seen:
+            return
+        earlier = self._seen_by_host.get(host_id, ())
+        self._seen_by_host[host_id] = earlier + seen
+        for result in seen:
+            if result.sign is not Sign.answered:
+                # Direct messages bring these to other zones; sums do here.
+                self._workloads.zone_results.append(result)
+
+    @functools.singledispatchmethod
+    def receive(self, message: WorkloadMessage, sender: HostId) -> None:
+        """Handle a message about requests in flight."""
+        raise TypeError(f'{type(message).__name__} has no workload')
+
+    @receive.register
+    def receive_host(self, message: HostWorkload, sender: HostId) -> None:
+        """Count the requests of a host of the zone."""
+        now = self._clock.now()
+        self._workloads.record_host(sender, message, now=now)
+        for result in message.seen:
+            self._results.record_of_zone(result, now=now)
+        self.collect(sender, message.seen)
+
+    @receive.register
+    def receive_zone(self, message: ZoneWorkload, sender: HostId) -> None:
+        """Count the requests of another zone; forward those of far ones."""
+        now = self._clock.now()
+        self._workloads.record_zone(message, sender=sender, now=now)
+        for result in message.seen:
+            self._results.record_remote(result, now=now)
+        reputations = self._results.reputations
+        for target_id, soundness in message.soundness_by_id.items():
+            reputations.adopt_estimate(target_id, soundness, now=now)
+        if self._host_table.is_in_other_region(sender):
+            self._forward(message)
+
+    @receive.register
+    def receive_relayed(self, message: RelayedWorkload, sender: HostId) -> None:
+        """Count the requests of another zone and forward them to this one."""
+        self.receive_zone(message.workload, self._host_table.host_id)
+        if self.is_own or self.aggregator is None:
+            self._forward(message.workload)
+
+    @receive.register
+    def receive_totals(self, message: ZoneTotals, sender: HostId) -> None:
+        """Take over the sums of the aggregator and the results of others."""
+        now = self._clock.now()
+        if not self._choice.record_totals(sender, now=now):
+            return
+        self._workloads.record_totals(message, now=now)
+        for host_id, seen in message.seen_by_host.items():
+            if host_id == self._host_table.host_id:
+                continue
+            for result in seen:
+                self._results.record_remote(result, now=now)
+
+    def take_due(self) -> ZoneTotals | None:
+        """Return the sums that this host has to send now."""
+        if not self.is_own:
+            self._workloads.changed_ids.clear()
+            return None
+        now = self._clock.now()
+        complete = (
+            now - self._completed_at >= settings.COMPLETE_TOTALS_INTERVAL_MS
+        )
+        is_quiet = not (self._workloads.changed_ids or self._seen_by_host)
+        if not complete and is_quiet:
+            if now - self._sent_at < settings.TICK_MS:
+                return None
+        if complete:
+            self._completed_at = now
+        self._sent_at = now
+        totals = dataclasses.replace(
+            self._workloads.zone_totals(now=now, complete=complete),
+            seen_by_host=self._seen_by_host,
+        )
+        self._seen_by_host = {}
+        return totals
+
+    def pause_s(self) -> float:
+        """Return the time until `take_due` is to be called again."""
+        if not self.is_own:
+            return as_seconds(settings.TICK_MS)
+        hosts = len(self._host_table.in_zone())
+        interval_ms = hosts * MILLIS_PER_SECOND / settings.MAX_TOTALS_PER_SECOND
+        return as_seconds(max(settings.MIN_TOTALS_INTERVAL_MS, interval_ms))
--- a/chicorybridge/operators/explanations.py
+++ b/chicorybridge/operators/explanations.py
@@ -100,8 +100,11 @@
         - settings.EXPLANATION_WINDOW_MS
     )
     for record in records:
-        host_target = (record.get('host'), record.get('target'))
-        if host_target in host_targets and start <= record['at_ms'] <= end:
+        named = {
+            (record.get('host'), target_id)
+            for target_id in (record.get('target'), *record.get('targets', ()))
+        }
+        if named & host_targets and start <= record['at_ms'] <= end:
             if record not in request_records:
                 yield record
 
--- a/chicorybridge/routing/workloads.py
+++ b/chicorybridge/routing/workloads.py
@@ -1,8 +1,8 @@
 """Requests in flight at each target, from reports of other hosts.
 
-Hosts of an availability zone report every change to each other. Each of
-them reports the sum to some hosts of the other zones of the region and,
-less often, to one host in some zones of other regions, which forwards it.
+Hosts of a small availability zone report every change to each other, those
+of a large one to an aggregator, which sends the sums to the zone. The sums
+go to the other zones of the region, too, and less often to other regions.
 """
 
 import dataclasses
@@ -33,14 +33,30 @@
     seen: tuple[TargetSeen, ...] = ()
 
 
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ZoneTotals:
+    """Report the requests in flight of a large zone to its hosts.
+
+    Only targets whose sum has changed are listed, unless it is `complete`.
+    `seen_by_host` has the results of requests that have just ended.
+    """
+
+    sent_at: float
+    complete: bool
+    in_flight_by_id: Mapping[TargetId, int]
+    seen_by_host: Mapping[HostId, tuple[TargetSeen, ...]]
+
+
 @wire
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ZoneWorkload:
     """Report the requests in flight of a zone by target to other zones.
 
     `sent_at` is on the clock of the host that sums up. Within the region,
-    `seen` has the requests answered since the last report. Other regions
-    get the soundness of each target of the zone instead, from 0 to 1.
+    `seen` has the results since the last report, without those that were
+    sent at once. Other regions get the soundness of each target of the zone
+    instead, from 0 to 1.
     """
 
     zone_id: ZoneId
@@ -52,6 +68,14 @@
     )
 
 
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RelayedWorkload:
+    """Ask the aggregator of another zone to send a report to its zone."""
+
+    workload: ZoneWorkload
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WorkloadReport:
     """The last report of a source, who sent it and when it was received."""
@@ -100,14 +124,64 @@
             return workload.in_flight_by_id.keys()
         return previous.in_flight_by_id.keys() | workload.in_flight_by_id.keys()
 
-    def expire(self, *, now: Millis) -> None:
-        """Drop the reports of sources that sent none within the timeout."""
+    def expire(self, *, now: Millis) -> Collection[TargetId]:
+        """Drop the reports of sources that sent none within the timeout.
+
+        Return the targets whose counts have changed.
+        """
+        changed: set[TargetId] = set()
         for source, report in tuple(self._reports_by_source.items()):
             if now - report.received_at > self._timeout_ms:
                 self._reports_by_source.pop(source)
                 self.total_by_id.subtract(report.in_flight_by_id)
+                changed.update(report.in_flight_by_id)
         # Drops targets without requests, so that the table stays small.
         self.total_by_id = +self.total_by_id
+        return changed
+
+
+class ZoneTotalsTable:
+    """Sums of the aggregator, and what this host had in flight then."""
+
+    def __init__(self) -> None:
+        """Start without sums."""
+        self._sent_at: float = 0
+        self._total_by_id: Counter[TargetId] = Counter()
+        self._own_then_by_id: Counter[TargetId] = Counter()
+
+    def clear(self) -> None:
+        """Forget the sums of an earlier aggregator."""
+        self._sent_at = 0
+        self._total_by_id.clear()
+        self._own_then_by_id.clear()
+
+    def in_flight(self, target_id: TargetId, *, own: int) -> int:
+        """Return the requests in flight, `own` of which are of this host.
+
+        The sum includes those that this host had when it was received.
+        """
+        others = self._total_by_id[target_id] - self._own_then_by_id[target_id]
+        return own + max(0, others)
+
+    def record(
+        self, totals: ZoneTotals, *, own_by_id: Counter[TargetId]
+    ) -> Collection[TargetId]:
+        """Record sums that are not older than the last ones.
+
+        Return the targets whose sums may have changed.
+        """
+        if totals.sent_at < self._sent_at:
+            return ()
+        self._sent_at = totals.sent_at
+        changed = set(totals.in_flight_by_id)
+        if totals.complete:
+            changed.update(self._total_by_id)
+            self._total_by_id.clear()
+            self._own_then_by_id.clear()
+        for target_id, count in totals.in_flight_by_id.items():
+            self._total_by_id[target_id] = count
+            self._own_then_by_id[target_id] = own_by_id[target_id]
+        return changed
 
 
 class WorkloadTable:
@@ -121,7 +195,12 @@
         self._zones = WorkloadReports(
             timeout_ms=settings.ZONE_WORKLOAD_TIMEOUT_MS
         )
-        self._answered: list[TargetSeen] = []
+        # Results for the next report to other zones.
+        self.zone_results: list[TargetSeen] = []
+        self._totals = ZoneTotalsTable()
+        self._is_aggregated = False
+        # Targets whose sum has changed since the last `zone_totals`.
+        self.changed_ids: set[TargetId] = set()
         # Since when targets have had requests in flight without a break.
         self._busy_since_by_id: dict[TargetId, Millis] = {}
 
@@ -132,10 +211,14 @@
 
     def in_flight(self, target_id: TargetId) -> int:
         """Return the requests in flight at a target, own and reported ones."""
-        in_zone = (
-            self._own_by_id[target_id] + self._hosts.total_by_id[target_id]
-        )
-        return in_zone + self._zones.total_by_id[target_id]
+        return self._in_zone(target_id) + self._zones.total_by_id[target_id]
+
+    def follow_aggregator(self, *, follows: bool, now: Millis) -> None:
+        """Set whether the sums of an aggregator count, not those of hosts."""
+        self._is_aggregated = follows
+        self._totals.clear()
+        # What the sums before said to be busy may have become idle.
+        self._update_busy(tuple(self._busy_since_by_id), now)
 
     def silent_ms(
         self, target_id: TargetId, *, heard_at: Millis, now: Millis
@@ -160,10 +243,6 @@
             self._own_by_id.pop(target_id)
         self._update_busy((target_id,), now)
 
-    def record_answer(self, seen: TargetSeen) -> None:
-        """Add an answered request to the next report to other zones."""
-        self._answered.append(seen)
-
     def host_report(
         self, *, now: Millis, seen: tuple[TargetSeen, ...] = ()
     ) -> HostWorkload:
@@ -172,10 +251,33 @@
             sent_at=now, in_flight_by_id=dict(self._own_by_id), seen=seen
         )
 
+    def zone_totals(self, *, now: Millis, complete: bool) -> ZoneTotals:
+        """Return the changed sums of this zone, or all, without results."""
+        total_by_id = self._own_by_id + self._hosts.total_by_id
+        if not complete:
+            total_by_id = Counter(
+                {
+                    target_id: total_by_id[target_id]
+                    for target_id in self.changed_ids
+                }
+            )
+        self.changed_ids.clear()
+        return ZoneTotals(
+            sent_at=now,
+            complete=complete,
+            in_flight_by_id=dict(total_by_id),
+            seen_by_host={},
+        )
+
+    def record_totals(self, totals: ZoneTotals, *, now: Millis) -> None:
+        """Record the sums of the aggregator of this zone."""
+        changed = self._totals.record(totals, own_by_id=self._own_by_id)
+        self._update_busy(changed, now)
+
     def zone_report(self, *, now: Millis) -> ZoneWorkload:
-        """Return the report of this zone to other zones; clear its answers."""
-        seen = tuple(self._answered)
-        self._answered.clear()
+        """Return the report of this zone to other zones; clear its results."""
+        seen = tuple(self.zone_results)
+        self.zone_results.clear()
         total_by_id = self._own_by_id + self._hosts.total_by_id
         return ZoneWorkload(
             zone_id=self._zone_id,
@@ -202,13 +304,19 @@
 
     def expire(self, *, now: Millis) -> None:
         """Drop the reports of silent hosts and zones; runs at each tick."""
-        self._hosts.expire(now=now)
-        self._zones.expire(now=now)
-        self._update_busy(tuple(self._busy_since_by_id), now)
+        self._update_busy(self._hosts.expire(now=now), now)
+        self._update_busy(self._zones.expire(now=now), now)
+
+    def _in_zone(self, target_id: TargetId) -> int:
+        own = self._own_by_id[target_id]
+        if self._is_aggregated:
+            return self._totals.in_flight(target_id, own=own)
+        return own + self._hosts.total_by_id[target_id]
 
     def _update_busy(
         self, target_ids: Collection[TargetId], now: Millis
     ) -> None:
+        self.changed_ids.update(target_ids)
         for target_id in target_ids:
             if self.in_flight(target_id) > 0:
                 self._busy_since_by_id.setdefault(target_id, now)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -426,6 +426,27 @@
 WORKLOAD_INTERVAL_MS = 500.0
 WORKLOAD_TIMEOUT_MS = 1300.0
 ZONE_WORKLOAD_TIMEOUT_MS = 2500.0
+# Hosts of a zone tell each other directly what they have in flight, unless the
+# zone has at least this many: then one of them, the aggregator, sends the sums.
+# The zone returns to direct messages this many hosts below.
+MIN_AGGREGATED_HOSTS = 20
+AGGREGATION_HYSTERESIS_HOSTS = 6
+# Interval of the sums, longer in a zone with so many hosts that more datagrams
+# than this would be sent in a second.
+MIN_TOTALS_INTERVAL_MS = 30.0
+MAX_TOTALS_PER_SECOND = 2000.0
+# The aggregator sends sums at least at each tick, all of them at the longer
+# interval, to make up for lost datagrams.
+COMPLETE_TOTALS_INTERVAL_MS = 500.0
+# An aggregator that is silent for the first time, three ticks and a margin, is
+# not used again for the second one.
+AGGREGATOR_TIMEOUT_MS = 350.0
+AGGREGATOR_AVOIDED_MS = 2000.0
+# Hosts of each other zone that an aggregator tells, as the first one may be
+# silent.
+AGGREGATORS_TOLD = 2
+# Interval of the sums that an aggregator sends to other zones.
+ZONE_SUMMARY_INTERVAL_MS = 200.0
 # Interval of the summaries that a zone sends to other regions.
 REGION_SUMMARY_INTERVAL_MS = 500.0
 # A target that this host can't reach is avoided for this time, doubled with
@@ -520,13 +541,19 @@
 # Longest time for which a host leaves a target alone at its request.
 MAX_TARGET_PAUSE_MS = 600_000.0
 
-# Hosts on the platform. Each sends a heartbeat to its region at this interval,
-# and one that is silent for three intervals is lost. The timeout for hosts of
-# other regions is longer, as each heartbeat goes to only one random host
-# outside the region.
+# Hosts on the platform. Each sends a heartbeat to its zone at this interval.
+# One that is silent for three intervals is lost, as the next check shows. Hosts
+# of other zones are told by turns, this many of the region and of other regions
+# at a time, and the timeouts grow with the number of turns.
 HOST_HEARTBEAT_INTERVAL_MS = 1000.0
 HOST_TIMEOUT_MS = 3500.0
+HOST_EXPIRY_INTERVAL_MS = 300.0
+REGION_HOSTS_PER_HEARTBEAT = 16
+FAR_HOSTS_PER_HEARTBEAT = 1
 OTHER_REGION_HOST_TIMEOUT_MS = 30_000.0
+# In a fleet with more hosts, a changed profile is sent to the zone and to some
+# hosts of each other zone at once, and by turns to the others.
+MAX_ANNOUNCED_HOSTS = 64
 # Lost hosts that are remembered, so that reports of others do not add them.
 MAX_LOST_HOSTS = 4096
 # Limits of messages between hosts: size of a datagram, and the time in which a
@@ -635,6 +662,8 @@
 # host has memory for some hundred of them.
 HOST_BODY_BUFFER_BYTES = 512 * 1024
 
+# A host names more new targets than this in one log line.
+MAX_LOGGED_TARGETS = 16
 # Logs of a host: the rate limit, which is the rate that operators keep; the
 # burst; and the bytes that are buffered while nobody reads them.
 LOG_BYTES_PER_SECOND = 30_000.0
--- a/chicorybridge/tests/hosts/test_reporters.py
+++ b/chicorybridge/tests/hosts/test_reporters.py
@@ -45,6 +45,9 @@
             latencies=LatencyTable(),
             workloads=self.workloads,
         )
+        self.zone_sums = SimpleNamespace(
+            aggregator=None, is_own=False, update=bool
+        )
         self.host_table = SimpleNamespace(zone_id=ZONE_ID)
         self.to_forward: list[Any] = []
         self.sent_to_zone: list[Any] = []
--- a/chicorybridge/tests/operators/test_explanations.py
+++ b/chicorybridge/tests/operators/test_explanations.py
@@ -42,6 +42,15 @@
     assert [record['at_ms'] for record in explanation.target_records] == [9_500]
 
 
+def test_line_that_names_many_targets_is_a_record_of_each():
+    lines = (*LINES, _log_line(9_600, 'targets_listed', targets=['i-7', 'i-1']))
+    explanation = explain('abc', lines)
+    assert [record['at_ms'] for record in explanation.target_records] == [
+        9_500,
+        9_600,
+    ]
+
+
 def test_lines_without_a_record_are_counted():
     assert explain('abc', LINES).unreadable_lines == 1
 
--- a/chicorybridge/tests/routing/test_workloads.py
+++ b/chicorybridge/tests/routing/test_workloads.py
@@ -8,6 +8,7 @@
 from chicorybridge.routing.workloads import (
     HostWorkload,
     WorkloadTable,
+    ZoneTotals,
     ZoneWorkload,
 )
 
@@ -79,7 +80,7 @@
     seen = TargetSeen(target_id=FIRST_ID, sign=Sign.answered, latency_ms=20)
     table.started(FIRST_ID, now=NOW)
     table.record_host(HOST_ID, _report(1, i_1=2, i_2=1), now=NOW)
-    table.record_answer(seen)
+    table.zone_results.append(seen)
     summary = unpack(pack(table.zone_report(now=NOW)))
     assert summary == ZoneWorkload(
         zone_id=ZONE_ID,
@@ -143,3 +144,18 @@
     assert table.silent_ms(FIRST_ID, heard_at=never, now=now) == 300
     table.record_host(HOST_ID, _report(2), now=now)
     assert table.silent_ms(FIRST_ID, heard_at=never, now=now) == 0
+
+
+def test_target_that_became_idle_unseen_is_not_silent():
+    """The aggregator that reported its requests was replaced meanwhile."""
+    table = WorkloadTable(zone_id=ZONE_ID)
+    table.follow_aggregator(follows=True, now=NOW)
+    totals = ZoneTotals(
+        sent_at=1, complete=True, in_flight_by_id={FIRST_ID: 2}, seen_by_host={}
+    )
+    table.record_totals(totals, now=NOW)
+    now = Millis(NOW + 300)
+    assert table.silent_ms(FIRST_ID, heard_at=Millis(0), now=now) == 300
+    table.follow_aggregator(follows=True, now=now)
+    later = Millis(now + 300)
+    assert table.silent_ms(FIRST_ID, heard_at=Millis(0), now=later) == 0
--- a/chicorybridge/tools/measurements/workload_costs.py
+++ b/chicorybridge/tools/measurements/workload_costs.py
@@ -25,6 +25,7 @@
 from chicorybridge.routing.workloads import (
     HostWorkload,
     WorkloadTable,
+    ZoneTotals,
     ZoneWorkload,
 )
 from chicorybridge.tools.measurements.slopes import Slope, fit, measure_each
@@ -75,6 +76,16 @@
     )
 
 
+def measure_totals_size() -> Slope:
+    """Return the bytes of sums of an aggregator by changed targets."""
+    return fit(
+        'bytes of sums of an aggregator by targets with a result',
+        unit='bytes',
+        size_unit='targets',
+        points=measure_each(TARGET_COUNTS, _totals_bytes),
+    )
+
+
 def measure_receiving() -> float:
     """Return the processor time of receiving one report, in microseconds.
 
@@ -129,6 +140,26 @@
     return len(pack(_report(count)))
 
 
+def _totals_bytes(count: int) -> float:
+    target_ids = _target_ids(count)
+    totals = ZoneTotals(
+        sent_at=SENT_AT,
+        complete=False,
+        in_flight_by_id=dict.fromkeys(target_ids, 1),
+        seen_by_host={
+            HostId(f'{SENDER}-{number}'): (
+                TargetSeen(
+                    target_id=target_id,
+                    sign=Sign.answered,
+                    latency_ms=LATENCY_MS,
+                ),
+            )
+            for number, target_id in enumerate(target_ids)
+        },
+    )
+    return len(pack(Datagram(sender=SENDER, message=totals)))
+
+
 def _summary_bytes(count: int) -> float:
     target_ids = _target_ids(count)
     workload = ZoneWorkload(
@@ -146,7 +177,7 @@
 
 def main() -> int:
     """Measure and print sizes and processing time."""
-    for slope in measure_sizes():
+    for slope in (*measure_sizes(), measure_totals_size()):
         line = '{0.name}: {0.per_unit:.1f} each, {0.fixed:.0f} fixed\n'
         sys.stdout.write(line.format(slope))
     micros = round(measure_receiving())
