--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -122,6 +122,8 @@
                 channel=self._channel,
             )
         )
+        # Sends sums while this host is the aggregator of its zone.
+        self._totals_task: curio.Task | None = None
         self._addresses = AddressDirectory(
             host_table=self.fleet_view.host_table,
             state=self.state,
@@ -149,7 +151,6 @@
             self._channel.run(),
             snapshots.run(sockets.listen(self._host_settings.fleet_address)),
             self._tick_forever(),
-            self.dispatcher.reporter.send_totals_forever(),
             self._merge_newer_forever(),
             self._register_and_read(),
         )
@@ -296,8 +297,13 @@
             self.fleet_view.quarantine.tick(now=now)
         self.fleet_view.workloads.expire(now=now)
         self.fleet_view.signs.expire(now=now)
-        self.dispatcher.reporter.repeat_if_due()
-        self.dispatcher.reporter.send_summaries()
+        reporter = self.dispatcher.reporter
+        reporter.repeat_if_due()
+        if self.fleet_view.zone_sums.is_own and _has_ended(self._totals_task):
+            self._totals_task = await curio.spawn(
+                reporter.send_totals_while_own, daemon=True
+            )
+        reporter.send_summaries()
         self._logs.flush()
 
     def _report_dropped_lines(self) -> None:
@@ -310,6 +316,10 @@
         self.log.emit(event)
 
 
+def _has_ended(task: curio.Task | None) -> bool:
+    return task is None or task.terminated
+
+
 def _log_peers(log: EventLog, kind: EventKind, peers: Sequence[HostId]) -> None:
     # One line for all: hosts of a large fleet start at the same time.
     if peers:
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -120,11 +120,11 @@
         else:
             fleet_view.workloads.zone_results.clear()
 
-    async def send_totals_forever(self) -> None:
+    async def send_totals_while_own(self) -> None:
         """Send the sums of the zone to it while this host is to do so."""
-        while True:
-            await curio.sleep(self._fleet_view.zone_sums.pause_s())
+        while self._fleet_view.zone_sums.is_own:
             self.send_totals()
+            await curio.sleep(self._fleet_view.zone_sums.pause_s())
 
     def send_totals(self) -> None:
         """Send the sums of the zone to it, if they are due."""
--- a/chicorybridge/hosts/zone_sums.py
+++ b/chicorybridge/hosts/zone_sums.py
@@ -80,6 +80,8 @@
         now = self._clock.now()
         order = zone_order(self._host_table, serving=self._state.ready)
         previous = self.aggregator
+        if not self.is_own:
+            self._workloads.changed_ids.clear()
         if not self._choice.update(order, now=now):
             return False
         self._seen_by_host.clear()
@@ -156,7 +158,6 @@
     def take_due(self) -> ZoneTotals | None:
         """Return the sums that this host has to send now."""
         if not self.is_own:
-            self._workloads.changed_ids.clear()
             return None
         now = self._clock.now()
         complete = (
@@ -178,8 +179,6 @@
 
     def pause_s(self) -> float:
         """Return the time until `take_due` is to be called again."""
-        if not self.is_own:
-            return as_seconds(settings.TICK_MS)
         hosts = len(self._host_table.in_zone())
         interval_ms = hosts * MILLIS_PER_SECOND / settings.MAX_TOTALS_PER_SECOND
         return as_seconds(max(settings.MIN_TOTALS_INTERVAL_MS, interval_ms))
