--- a/chicorybridge/tests/hosts/zones.py
+++ b/chicorybridge/tests/hosts/zones.py
@@ -50,7 +50,7 @@
         self.state = HostState()
         # A host without a configuration does not serve.
         self.state.configuration = zone.configuration
-        host_settings = _host_settings(self.host_id, number)
+        host_settings = host_settings_of(self.host_id, number)
         self.address = host_settings.fleet_address
         table = HostTable(
             host_id=self.host_id, zone_id=ZONE_ID, regions_by_zone=REGIONS
@@ -205,7 +205,8 @@
     view.directory.merge(TargetsChanged(store_version=1, entries=(entry,)))
 
 
-def _host_settings(host_id: HostId, number: int) -> HostSettings:
+def host_settings_of(host_id: HostId, number: int) -> HostSettings:
+    """Return settings of a host with addresses of its own."""
     ip_number = str(ipaddress.IPv4Address('10.0.0.1') + number)
     return HostSettings(
         host_id=host_id,
