Replace an aggregator that sends sums but hears nothing

Found on reading: an aggregator cut off one way, so that reports to it are lost, went on sending sums of its own requests alone, and the zone took its targets for idle until it had lost all hosts after 3.5 s. A host whose requests two complete sums lack uses the next in rank now, and a host sends sums while others report to it, whatever it takes for the aggregator itself.

--- a/chicorybridge/fleet/aggregators.py
+++ b/chicorybridge/fleet/aggregators.py
@@ -27,6 +27,7 @@
         self.current: HostId | None = None
         self.changes = 0
         self._heard_at = Millis(0)
+        self._incomplete_sums = 0
         self._avoided_until_by_id: dict[HostId, Millis] = {}
 
     @property
@@ -41,6 +42,16 @@
         self._heard_at = now
         return True
 
+    def check_complete_sums(self, *, has_own: bool, now: Millis) -> None:
+        """Avoid an aggregator that does not hear this host.
+
+        `has_own` is whether its complete sums have the requests of this
+        host. Sums that crossed a report may lack them once.
+        """
+        self._incomplete_sums = 0 if has_own else self._incomplete_sums + 1
+        if self._incomplete_sums >= settings.MAX_INCOMPLETE_SUMS:
+            self._avoid_current(now)
+
     def update(self, order: Sequence[HostId], *, now: Millis) -> bool:
         """Choose again; return whether the aggregator has changed.
 
@@ -52,6 +63,7 @@
             return False
         self.current = chosen
         self._heard_at = now
+        self._incomplete_sums = 0
         self.changes += 1
         return True
 
@@ -59,6 +71,10 @@
         if self.current is None or self.is_own:
             return
         if now - self._heard_at > settings.AGGREGATOR_TIMEOUT_MS:
+            self._avoid_current(now)
+
+    def _avoid_current(self, now: Millis) -> None:
+        if self.current is not None:
             self._avoided_until_by_id[self.current] = Millis(
                 now + settings.AGGREGATOR_AVOIDED_MS
             )
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -299,9 +299,10 @@
         self.fleet_view.signs.expire(now=now)
         reporter = self.dispatcher.reporter
         reporter.repeat_if_due()
-        if self.fleet_view.zone_sums.is_own and _has_ended(self._totals_task):
+        is_sending = self.fleet_view.zone_sums.is_sending
+        if is_sending and _has_ended(self._totals_task):
             self._totals_task = await curio.spawn(
-                reporter.send_totals_while_own, daemon=True
+                reporter.send_totals_while_due, daemon=True
             )
         reporter.send_summaries()
         self._logs.flush()
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -120,9 +120,9 @@
         else:
             fleet_view.workloads.zone_results.clear()
 
-    async def send_totals_while_own(self) -> None:
+    async def send_totals_while_due(self) -> None:
         """Send the sums of the zone to it while this host is to do so."""
-        while self._fleet_view.zone_sums.is_own:
+        while self._fleet_view.zone_sums.is_sending:
             self.send_totals()
             await curio.sleep(self._fleet_view.zone_sums.pause_s())
 
--- a/chicorybridge/hosts/zone_sums.py
+++ b/chicorybridge/hosts/zone_sums.py
@@ -54,6 +54,7 @@
         self._workloads = results.workloads
         self._choice = AggregatorChoice(host_id=host_table.host_id)
         self._seen_by_host: dict[HostId, tuple[TargetSeen, ...]] = {}
+        self._asked_until = Millis(0)
         self._sent_at = Millis(0)
         self._completed_at = Millis(0)
 
@@ -67,6 +68,15 @@
         """Return whether this host is the aggregator."""
         return self._choice.is_own
 
+    @property
+    def is_sending(self) -> bool:
+        """Return whether this host sends sums to the zone.
+
+        It is the aggregator, or another host holds it for that and reports
+        to it, having found the one before in rank silent or deaf.
+        """
+        return self.is_own or self._clock.now() < self._asked_until
+
     @property
     def changes(self) -> int:
         """Return how often the aggregator has changed."""
@@ -80,7 +90,7 @@
         now = self._clock.now()
         order = zone_order(self._host_table, serving=self._state.ready)
         previous = self.aggregator
-        if not self.is_own:
+        if not self.is_sending:
             self._workloads.changed_ids.clear()
         if not self._choice.update(order, now=now):
             return False
@@ -99,7 +109,7 @@
 
     def collect(self, host_id: HostId, seen: tuple[TargetSeen, ...]) -> None:
         """Add results of a host to the next sums, if this host sends them."""
-        if not self.is_own or not seen:
+        if not self.is_sending or not seen:
             return
         earlier = self._seen_by_host.get(host_id, ())
         self._seen_by_host[host_id] = earlier + seen
@@ -117,6 +127,8 @@
     def receive_host(self, message: HostWorkload, sender: HostId) -> None:
         """Count the requests of a host of the zone."""
         now = self._clock.now()
+        if self.aggregator is not None:
+            self._asked_until = Millis(now + settings.AGGREGATOR_ASKED_MS)
         self._workloads.record_host(sender, message, now=now)
         for result in message.seen:
             self._results.record_of_zone(result, now=now)
@@ -148,7 +160,9 @@
         now = self._clock.now()
         if not self._choice.record_totals(sender, now=now):
             return
-        self._workloads.record_totals(message, now=now)
+        has_own = self._workloads.record_totals(message, now=now)
+        if message.complete:
+            self._choice.check_complete_sums(has_own=has_own, now=now)
         for host_id, seen in message.seen_by_host.items():
             if host_id == self._host_table.host_id:
                 continue
@@ -157,7 +171,7 @@
 
     def take_due(self) -> ZoneTotals | None:
         """Return the sums that this host has to send now."""
-        if not self.is_own:
+        if not self.is_sending:
             return None
         now = self._clock.now()
         complete = (
--- a/chicorybridge/routing/workloads.py
+++ b/chicorybridge/routing/workloads.py
@@ -269,10 +269,17 @@
             seen_by_host={},
         )
 
-    def record_totals(self, totals: ZoneTotals, *, now: Millis) -> None:
-        """Record the sums of the aggregator of this zone."""
+    def record_totals(self, totals: ZoneTotals, *, now: Millis) -> bool:
+        """Record the sums of the aggregator of this zone.
+
+        Return whether they have the requests of this host.
+        """
         changed = self._totals.record(totals, own_by_id=self._own_by_id)
         self._update_busy(changed, now)
+        return all(
+            totals.in_flight_by_id.get(target_id, 0) >= count
+            for target_id, count in self._own_by_id.items()
+        )
 
     def zone_report(self, *, now: Millis) -> ZoneWorkload:
         """Return the report of this zone to other zones; clear its results."""
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -442,6 +442,12 @@
 # not used again for the second one.
 AGGREGATOR_TIMEOUT_MS = 350.0
 AGGREGATOR_AVOIDED_MS = 2000.0
+# So is one whose complete sums lacked requests of a host this many times in
+# succession: it does not hear that host.
+MAX_INCOMPLETE_SUMS = 2
+# A host that others take for the aggregator sends sums for this time after each
+# of their reports, which come at least each WORKLOAD_INTERVAL_MS.
+AGGREGATOR_ASKED_MS = 1300.0
 # Hosts of each other zone that an aggregator tells, as the first one may be
 # silent.
 AGGREGATORS_TOLD = 2
--- a/chicorybridge/tests/hosts/test_zone_sums.py
+++ b/chicorybridge/tests/hosts/test_zone_sums.py
@@ -16,6 +16,13 @@
 KNOWN_MS = 100
 # Longest time until the hosts use another aggregator and know all again.
 REPLACED_MS = settings.AGGREGATOR_TIMEOUT_MS + 3 * settings.TICK_MS
+# The same if the aggregator sends sums, but hears nothing: the last reports that
+# it has count until they expire, then complete sums lack those of its zone.
+DEAF_MS = (
+    settings.WORKLOAD_TIMEOUT_MS
+    + settings.MAX_INCOMPLETE_SUMS * settings.COMPLETE_TOTALS_INTERVAL_MS
+    + 3 * settings.TICK_MS
+)
 
 
 @pytest.fixture(name='zone')
@@ -88,6 +95,21 @@
     assert _seen_by(others) == {6}
 
 
+def test_aggregator_that_hears_nothing_is_replaced(zone):
+    """It is cut off one way: what it sends arrives."""
+    busy = _start_attempts(zone, 5)
+    zone.run(ms=KNOWN_MS)
+    deaf = zone.aggregator
+    deaf.deaf = True
+    for host in busy:
+        host.start_attempt()
+    zone.run(ms=DEAF_MS)
+    assert _seen_by(busy) == {10}
+    # Hosts without requests follow it until it has lost all of them.
+    zone.run(ms=settings.HOST_TIMEOUT_MS)
+    assert _seen_by([host for host in zone.hosts if not host.deaf]) == {10}
+
+
 def test_frozen_aggregator_that_returns_does_not_undo_newer_sums(zone):
     _start_attempts(zone, 5)
     zone.run(ms=KNOWN_MS)
--- a/chicorybridge/tests/hosts/zones.py
+++ b/chicorybridge/tests/hosts/zones.py
@@ -37,7 +37,7 @@
 
 
 class ZoneHost:
-    """The reports of one host; `frozen` and `mute` are faults."""
+    """The reports of one host; `frozen`, `mute`, `deaf` are faults."""
 
     def __init__(self, *, number: int, zone: 'Zone') -> None:
         """Register with `zone`, which delivers its datagrams."""
@@ -45,6 +45,8 @@
         self.frozen = False
         # Its datagrams are lost; it still receives others.
         self.mute = False
+        # It receives nothing, but its datagrams arrive.
+        self.deaf = False
         self.received: Counter[type] = Counter()
         self._zone = zone
         self.state = HostState()
@@ -156,7 +158,7 @@
         host_id = next(
             host.view.zone_sums.aggregator
             for host in self.hosts
-            if not (host.frozen or host.mute)
+            if not (host.frozen or host.mute or host.deaf)
         )
         return next(host for host in self.hosts if host.host_id == host_id)
 
@@ -186,7 +188,7 @@
             host = self._by_address[address]
             if host.frozen:
                 self.in_transit.append((address, body, sender))
-            else:
+            elif not host.deaf:
                 host.receive(body, sender)
 
 
