Keep the last sums until another aggregator has sent all of its own

A host that changed to another aggregator dropped what it knew of the zone and took its targets for idle for up to half a second, again each time it went back to one that was silent. The sums before, or what hosts reported, count until complete sums arrive.

--- a/chicorybridge/routing/workloads.py
+++ b/chicorybridge/routing/workloads.py
@@ -149,11 +149,12 @@
         self._total_by_id: Counter[TargetId] = Counter()
         self._own_then_by_id: Counter[TargetId] = Counter()
 
-    def clear(self) -> None:
-        """Forget the sums of an earlier aggregator."""
+    def expect_another(self) -> None:
+        """Expect sums of another aggregator, which has another clock.
+
+        The sums of the earlier one count until complete ones arrive.
+        """
         self._sent_at = 0
-        self._total_by_id.clear()
-        self._own_then_by_id.clear()
 
     def in_flight(self, target_id: TargetId, *, own: int) -> int:
         """Return the requests in flight, `own` of which are of this host.
@@ -214,11 +215,16 @@
         return self._in_zone(target_id) + self._zones.total_by_id[target_id]
 
     def follow_aggregator(self, *, follows: bool, now: Millis) -> None:
-        """Set whether the sums of an aggregator count, not those of hosts."""
-        self._is_aggregated = follows
-        self._totals.clear()
-        # What the sums before said to be busy may have become idle.
-        self._update_busy(tuple(self._busy_since_by_id), now)
+        """Set whether the sums of an aggregator are to count.
+
+        Until it has sent complete sums those of the earlier one count, or
+        what other hosts reported.
+        """
+        self._totals.expect_another()
+        if not follows:
+            self._is_aggregated = False
+            # Other counts apply now, by which targets may be idle.
+            self._update_busy(tuple(self._busy_since_by_id), now)
 
     def silent_ms(
         self, target_id: TargetId, *, heard_at: Millis, now: Millis
@@ -275,6 +281,9 @@
         Return whether they have the requests of this host.
         """
         changed = self._totals.record(totals, own_by_id=self._own_by_id)
+        if totals.complete and not self._is_aggregated:
+            self._is_aggregated = True
+            changed = {*changed, *self._busy_since_by_id}
         self._update_busy(changed, now)
         return all(
             totals.in_flight_by_id.get(target_id, 0) >= count
--- a/chicorybridge/tests/hosts/test_zone_sums.py
+++ b/chicorybridge/tests/hosts/test_zone_sums.py
@@ -16,7 +16,7 @@
 KNOWN_MS = 100
 # Longest time until the hosts use another aggregator and know all again.
 REPLACED_MS = settings.AGGREGATOR_TIMEOUT_MS + 3 * settings.TICK_MS
-# The same if the aggregator sends sums, but hears nothing: the last reports that
+# The same if the aggregator sends sums but hears nothing: the last reports that
 # it has count until they expire, then complete sums lack those of its zone.
 DEAF_MS = (
     settings.WORKLOAD_TIMEOUT_MS
--- a/chicorybridge/tests/routing/test_workloads.py
+++ b/chicorybridge/tests/routing/test_workloads.py
@@ -146,16 +146,34 @@
     assert table.silent_ms(FIRST_ID, heard_at=never, now=now) == 0
 
 
-def test_target_that_became_idle_unseen_is_not_silent():
-    """The aggregator that reported its requests was replaced meanwhile."""
+def _complete_totals(sent_at: float, in_flight: int) -> ZoneTotals:
+    return ZoneTotals(
+        sent_at=sent_at,
+        complete=True,
+        in_flight_by_id={FIRST_ID: in_flight} if in_flight else {},
+        seen_by_host={},
+    )
+
+
+def test_sums_count_until_another_aggregator_has_sent_complete_ones():
     table = WorkloadTable(zone_id=ZONE_ID)
     table.follow_aggregator(follows=True, now=NOW)
-    totals = ZoneTotals(
-        sent_at=1, complete=True, in_flight_by_id={FIRST_ID: 2}, seen_by_host={}
-    )
-    table.record_totals(totals, now=NOW)
+    table.record_totals(_complete_totals(900, 2), now=NOW)
     now = Millis(NOW + 300)
-    assert table.silent_ms(FIRST_ID, heard_at=Millis(0), now=now) == 300
     table.follow_aggregator(follows=True, now=now)
+    assert table.in_flight(FIRST_ID) == 2
+    assert table.silent_ms(FIRST_ID, heard_at=Millis(0), now=now) == 300
+    # Its clock differs.
+    table.record_totals(_complete_totals(100, 0), now=now)
+    assert table.in_flight(FIRST_ID) == 0
     later = Millis(now + 300)
     assert table.silent_ms(FIRST_ID, heard_at=Millis(0), now=later) == 0
+
+
+def test_target_that_only_an_aggregator_held_busy_is_idle_without_it():
+    table = WorkloadTable(zone_id=ZONE_ID)
+    table.follow_aggregator(follows=True, now=NOW)
+    table.record_totals(_complete_totals(900, 2), now=NOW)
+    now = Millis(NOW + 300)
+    table.follow_aggregator(follows=False, now=now)
+    assert table.silent_ms(FIRST_ID, heard_at=Millis(0), now=now) == 0
