--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -593,6 +593,7 @@
         self.arrivals: list = []
         self.runs: list = []
         self.crashes: list = []
+        self.sent_at: dict[str, float] = {}
         self.store_address = lambda host: self.store.address
         self._version = 0
 
@@ -652,6 +653,7 @@
             'X-Request-Id': request_id,
             'X-Deadline-Ms': str(int(deadline_s * 1000)),
         }
+        self.sent_at[request_id] = now()
         self.record(f'client sends {request_id} {method} {path} to {host.name}')
         got = None
         detail = 'closed'
