--- a/review/standins/crashers.py
+++ b/review/standins/crashers.py
@@ -19,8 +19,11 @@
 class Crashers:
     """A fleet, clients, and requests that crash each server that runs them."""
 
-    def __init__(self, world, *, hosts: int, servers: int) -> None:
+    def __init__(self, world, *, hosts: int, servers: int, crash='crash', back_s=SERVER_BACK_S, timeout_s=4.0) -> None:
         self.world = world
+        self._crash = crash
+        self._back_s = back_s
+        self._timeout_s = timeout_s
         self._hosts = hosts
         self._servers = servers
         self._tasks: set = set()
@@ -43,14 +46,14 @@
             server.behave = self._behave
         world.configure(
             [
-                route('r-1', '/lookup/', 'offertes', 'idempotent'),
-                route('r-2', '/accept/', 'offertes', 'non_idempotent'),
+                route('r-1', '/lookup/', 'offertes', 'idempotent', timeout_s=self._timeout_s),
+                route('r-2', '/accept/', 'offertes', 'non_idempotent', timeout_s=self._timeout_s),
             ],
             ['offertes'],
         )
 
     def _behave(self, request_id, method, path, body):
-        return 'crash' if path.startswith('/accept/crashes') else None
+        return self._crash if path.startswith('/accept/crashes') else None
 
     def start_traffic(self) -> None:
         """Start the other clients, and the restarts of crashed servers."""
@@ -141,7 +144,7 @@
                 if server.up:
                     continue
                 if server not in back_at:
-                    back_at[server] = now() + SERVER_BACK_S
+                    back_at[server] = now() + self._back_s
                 elif now() >= back_at[server]:
                     back_at.pop(server)
                     await server.start()
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -298,9 +298,12 @@
         self._writers: set = set()
         self._tasks: set = set()
         self._beat_task = None
+        self._dark = None
+        self._fillers: list = []
 
     async def start(self) -> None:
         """Start, or start again as a new incarnation at the same address."""
+        self.end_silence()
         self.id = f'i-{random.getrandbits(40):010x}'
         self._sequence = 0
         self._born = int(time.time() * 1000)
@@ -357,14 +360,51 @@
             3 * BEAT_S, self.world.store.remove, 'servers', old_id
         )
 
+    def fall_silent(self) -> None:
+        """Crash like a machine without power: nothing is answered any more.
+
+        Open connections stay open without an answer, new ones hang: the queue
+        of a listener that accepts nothing is full.
+        """
+        self.up = False
+        self._beat_task.cancel()
+        self._listener.close()
+        self._dark = socket.socket()
+        self._dark.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._dark.bind((self.ip, self.port))
+        self._dark.listen(0)
+        self._fillers = []
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self.ip, self.port))
+            self._fillers.append(filler)
+        # Never closed: a machine without power sends no end of a connection.
+        self.world.silenced.extend(self._writers)
+        self._writers = set()
+        old_id = self.id
+        asyncio.get_running_loop().call_later(
+            3 * BEAT_S, self.world.store.remove, 'servers', old_id
+        )
+
+    def end_silence(self) -> None:
+        """Free the address, so that the server can start again."""
+        if self._dark is not None:
+            for sock in (*self._fillers, self._dark):
+                sock.close()
+            self._dark = None
+
     async def _serve(self, reader, writer) -> None:
         task = asyncio.current_task()
         self._tasks.add(task)
         self._writers.add(writer)
         try:
             while (message := await read_message(reader)) is not None:
+                incarnation = self.id
                 answered = await self._answer(message)
-                if answered is None or not self.up:
+                if writer in self.world.silenced:
+                    await asyncio.Event().wait()
+                if answered is None or not self.up or self.id != incarnation:
                     reset(writer)
                     return
                 writer.write(answered)
@@ -399,10 +439,13 @@
         incarnation = self.id
         world.runs.append((now(), request_id, self.id, path))
         world.record(f'server {self.id} runs {request_id} {method} {path}')
-        if verdict == 'crash':
+        if verdict in {'crash', 'fall silent'}:
             world.record.say(f'server {self.id} crashes on {request_id}')
             world.crashes.append((now(), request_id, self.id, path))
-            self.crash()
+            if verdict == 'crash':
+                self.crash()
+            else:
+                self.fall_silent()
             return None
         try:
             await asyncio.sleep(self.work_s * random.uniform(0.7, 1.3))
@@ -593,6 +636,8 @@
         self.arrivals: list = []
         self.runs: list = []
         self.crashes: list = []
+        # Connections of servers that fell silent.
+        self.silenced: list = []
         self.sent_at: dict[str, float] = {}
         self.store_address = lambda host: self.store.address
         self._version = 0
