--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -273,7 +273,7 @@
     """A server: slots, a queue, beats in the store, crashes and restarts.
 
     `behave`, if set, is called with the request id, method, path and body of
-    a request that is about to run; it returns 'crash', 'shed' or `None`.
+    a request that arrives; it returns 'crash', 'fall silent', 'shed' or `None`.
     `extra_headers` are added to every answer.
     """
 
