--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -47,6 +47,8 @@
     'floor_share': 0.7,
 }
 STARTED = time.monotonic()
+# Exit status of a case that broke its rule; `run.sh` turns it into 1.
+BROKEN_STATUS = 10
 
 
 class CannotRunError(Exception):
@@ -745,6 +747,9 @@
     world = World(folder)
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         await world.start_store()
         return await asyncio.wait_for(case(world), limit_s)
 
@@ -755,9 +760,13 @@
         world.record.say(f'the case could not run: {error}')
     except asyncio.TimeoutError:
         world.record.say('the case could not run: out of time')
+    except BaseException as error:
+        # Not a result: an error of the stand-ins, or the script was ended.
+        world.record.say(f'the case could not run: {error!r}')
     finally:
         world.close()
     world.record.say({0: 'the rule held', 1: 'the rule was broken', 2: 'no result'}[status])
     sys.stdout.flush()
-    # Connections that are still open are left to the kernel.
-    os._exit(status)
+    # Connections that are still open are left to the kernel. An error of
+    # Python itself exits with 1, so `run.sh` expects another status here.
+    os._exit({0: 0, 1: BROKEN_STATUS, 2: 2}[status])
