Log stalls of a process and count the scope of directory answers

Event process_stalled names for how long the periodic work was delayed, peer_lost the longest silence, and address_answers_total counts answers by whose hosts they name. No decision changes.

--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -27,6 +27,7 @@
     process_failed = 103
     settings_reloaded = 104
     log_lines_dropped = 105
+    process_stalled = 106
 
     # 200: configuration.
     configuration_received = 200
--- a/chicorybridge/fleet/host_tables.py
+++ b/chicorybridge/fleet/host_tables.py
@@ -111,7 +111,7 @@
                 profile=profile, message_at=now, heard=False
             )
 
-    def expire(self, *, now: Millis) -> tuple[FleetMember, ...]:
+    def expire(self, *, now: Millis) -> tuple[HostRecord, ...]:
         """Remove and return the hosts that have timed out.
 
         They are looked for every `HOST_EXPIRY_INTERVAL_MS` at most.
@@ -130,14 +130,15 @@
             settings.HOST_TIMEOUT_MS * far_turns,
         )
         silent = [
-            record.profile
+            record
             for record in self._records_by_id.values()
             if now - record.message_at
             > self._timeout_ms(
                 record.profile, region_timeout_ms, far_timeout_ms
             )
         ]
-        for profile in silent:
+        for record in silent:
+            profile = record.profile
             self._records_by_id.pop(profile.host_id)
             self._lost_by_id[profile.host_id] = profile.incarnation
         while len(self._lost_by_id) > settings.MAX_LOST_HOSTS:
--- a/chicorybridge/hosts/address_directories.py
+++ b/chicorybridge/hosts/address_directories.py
@@ -1,6 +1,7 @@
 """Addresses of hosts that callers may connect to."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from enum import Enum
 
 from chicorybridge import settings
 from chicorybridge.common.identities import RegionId, ZoneId
@@ -8,6 +9,18 @@
 from chicorybridge.hosts.states import HostState
 
 
+class AnswerScope(Enum):
+    """Whose hosts an answer names."""
+
+    zone = 'zone'
+    region = 'region'
+    fleet = 'fleet'
+
+
+def _ignore(scope: AnswerScope) -> None:
+    """Do nothing."""
+
+
 class AddressDirectory:
     """List the hosts that serve callers of a zone."""
 
@@ -19,8 +32,13 @@
         zone_id: ZoneId,
         front: str,
         regions_by_zone: Mapping[ZoneId, RegionId],
+        on_answer: Callable[[AnswerScope], None] = _ignore,
     ) -> None:
-        """List this host, too: `front` is its IP:PORT for callers."""
+        """List this host, too: `front` is its IP:PORT for callers.
+
+        `on_answer` is called with the scope of each answer.
+        """
+        self._on_answer = on_answer
         self._host_table = host_table
         self._state = state
         self._zone_id = zone_id
@@ -48,11 +66,17 @@
             for zone, front in fronts
             if self._regions_by_zone.get(zone) == region_id
         ]
-        everywhere = [front for _, front in fronts]
-        large_enough = (
-            addresses
-            for addresses in (in_zone, in_region)
-            if len(addresses) >= settings.MIN_DIRECTORY_ADDRESSES
+        addresses_by_scope = {
+            AnswerScope.zone: in_zone,
+            AnswerScope.region: in_region,
+        }
+        scope, addresses = next(
+            (
+                (scope, addresses)
+                for scope, addresses in addresses_by_scope.items()
+                if len(addresses) >= settings.MIN_DIRECTORY_ADDRESSES
+            ),
+            (AnswerScope.fleet, [front for _, front in fronts]),
         )
-        addresses = next(large_enough, everywhere)
+        self._on_answer(scope)
         return tuple(addresses[: settings.MAX_DIRECTORY_ADDRESSES])
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import random
-from collections.abc import Sequence
 from typing import Any
 
 import curio
@@ -11,7 +10,7 @@
 from chicorybridge.common import sockets
 from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.common.events import Event, EventKind, EventLog
-from chicorybridge.common.identities import HostId, draw_incarnation
+from chicorybridge.common.identities import draw_incarnation
 from chicorybridge.common.log_streams import BoundedHandler
 from chicorybridge.common.tasks import run_all, wait_tick
 from chicorybridge.fleet.channels import Channel
@@ -27,6 +26,7 @@
 from chicorybridge.hosts.settings_files import HostSettings
 from chicorybridge.hosts.states import HostPhase, HostState
 from chicorybridge.hosts.store_readers import StoreReader
+from chicorybridge.hosts.tick_reports import TickReports
 from chicorybridge.http.caller_connections import CallerConnections
 from chicorybridge.http.target_connections import TargetConnections
 from chicorybridge.platform.watchers import open_watcher
@@ -89,6 +89,9 @@
             send_far=self._announcer.send_to_other_regions,
         )
         self.metrics = HostMetrics()
+        self._reports = TickReports(
+            log=self.log, logs=logs, metrics=self.metrics
+        )
         self._connections = TargetConnections(
             clock=clock, allow_close_delimited=True
         )
@@ -130,6 +133,9 @@
             zone_id=host_settings.zone_id,
             front=host_settings.front,
             regions_by_zone=host_settings.regions_by_zone,
+            on_answer=lambda scope: self.metrics.count(
+                'address_answers', scope.value
+            ),
         )
 
     async def run(self, listener: curio.io.Socket) -> None:
@@ -282,18 +288,16 @@
 
     async def _tick(self) -> None:
         now = self._clock.now()
+        self._reports.report_stall(ticked_at=self.fleet_view.ticked_at, now=now)
         self.fleet_view.ticked_at = now
         await self.callers.close_expired()
         await self._connections.close_stale()
         lost = self.fleet_view.host_table.expire(now=now)
-        lost_ids = [profile.host_id for profile in lost]
-        _log_peers(self.log, EventKind.peer_lost, lost_ids)
+        self._reports.report_lost(lost, now=now)
         if self._announcer.send_heartbeat(now=now):
-            _log_peers(
-                self.log, EventKind.peer_heard, self.fleet_view.peers_heard
-            )
+            self._reports.report_heard(self.fleet_view.peers_heard)
             self.fleet_view.peers_heard.clear()
-            self._report_dropped_lines()
+            self._reports.report_dropped_lines()
             self.fleet_view.quarantine.tick(now=now)
         self.fleet_view.workloads.expire(now=now)
         self.fleet_view.signs.expire(now=now)
@@ -307,26 +311,11 @@
         reporter.send_summaries()
         self._logs.flush()
 
-    def _report_dropped_lines(self) -> None:
-        counts_by_kind = self._logs.take_dropped()
-        if not counts_by_kind:
-            return
-        for kind, count in counts_by_kind.items():
-            self.metrics.count('log_lines_dropped', kind, by=count)
-        event = Event(kind=EventKind.log_lines_dropped, facts=counts_by_kind)
-        self.log.emit(event)
-
 
 def _has_ended(task: curio.Task | None) -> bool:
     return task is None or task.terminated
 
 
-def _log_peers(log: EventLog, kind: EventKind, peers: Sequence[HostId]) -> None:
-    # One line for all: hosts of a large fleet start at the same time.
-    if peers:
-        log.emit(Event(kind=kind, facts={'peers': tuple(peers)}))
-
-
 async def _answer_no_path(exchange: Any, head: Any) -> bool:
     """Return `False`: the host itself answers no path."""
     return False
--- a/chicorybridge/hosts/metrics.py
+++ b/chicorybridge/hosts/metrics.py
@@ -33,6 +33,10 @@
             'ending',
             'Connections of callers that the host ended, by why.',
         ),
+        'address_answers': (
+            'scope',
+            'Answers of the address directory, by whose hosts they name.',
+        ),
         'log_lines_dropped': ('kind', 'Log lines above the rate, by kind.'),
     }
 )
--- a/chicorybridge/tests/fleet/test_host_tables.py
+++ b/chicorybridge/tests/fleet/test_host_tables.py
@@ -144,7 +144,7 @@
 def test_silent_hosts_expire_later_in_other_regions(members):
     table = _host_table('a', *members)
     later = Millis(NOW + settings.HOST_TIMEOUT_MS + 1)
-    gone = {profile.host_id for profile in table.expire(now=later)}
+    gone = {record.profile.host_id for record in table.expire(now=later)}
     assert gone == {'b', 'c'}
 
 
--- a/chicorybridge/tests/hosts/test_announcers.py
+++ b/chicorybridge/tests/hosts/test_announcers.py
@@ -118,13 +118,13 @@
         table.touch(member.host_id, now=Millis(NOW + 3 * one_turn_ms))
     assert not table.expire(now=Millis(NOW + 3 * one_turn_ms))
     lost = table.expire(now=Millis(NOW + 4 * one_turn_ms))
-    assert {member.zone_id for member in lost} == {'leeuwarden'}
+    assert {record.profile.zone_id for record in lost} == {'leeuwarden'}
 
 
 def test_hosts_of_the_own_zone_are_lost_as_soon_as_in_a_small_fleet():
     table = _table(PER_ZONE)
     lost = table.expire(now=Millis(NOW + settings.HOST_TIMEOUT_MS + 1))
-    assert {member.zone_id for member in lost} == {OWN_ZONE}
+    assert {record.profile.zone_id for record in lost} == {OWN_ZONE}
 
 
 @pytest.mark.parametrize('per_zone', [4, PER_ZONE])
