--- a/chicorybridge/tests/hosts/zones.py
+++ b/chicorybridge/tests/hosts/zones.py
@@ -1,8 +1,9 @@
-"""Hosts of a zone that send each other datagrams in memory."""
+"""Hosts of one or more zones that send each other datagrams in memory."""
 
 import ipaddress
 import random
 from collections import Counter
+from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any, cast
 
@@ -21,6 +22,7 @@
 from chicorybridge.fleet.channels import Channel
 from chicorybridge.fleet.directories import TargetEntry, TargetsChanged
 from chicorybridge.fleet.host_tables import HostTable
+from chicorybridge.hosts.address_directories import AddressDirectory
 from chicorybridge.hosts.announcers import Announcer
 from chicorybridge.hosts.fleet_views import FleetView
 from chicorybridge.hosts.reporters import Reporter
@@ -37,12 +39,18 @@
 
 
 class ZoneHost:
-    """The reports of one host; `frozen`, `mute`, `deaf` are faults."""
+    """One host; `frozen`, `off`, `mute`, `deaf` are faults."""
 
-    def __init__(self, *, number: int, zone: 'Zone') -> None:
+    def __init__(
+        self, *, number: int, zone: 'Zone', zone_id: ZoneId = ZONE_ID
+    ) -> None:
         """Register with `zone`, which delivers its datagrams."""
         self.host_id = HostId(f'edge-{number}')
+        self.zone_id = zone_id
+        # It stands still; datagrams wait in its socket.
         self.frozen = False
+        # It has no power; datagrams to it are lost.
+        self.off = False
         # Its datagrams are lost; it still receives others.
         self.mute = False
         # It receives nothing, but its datagrams arrive.
@@ -52,10 +60,13 @@
         self.state = HostState()
         # A host without a configuration does not serve.
         self.state.configuration = zone.configuration
-        host_settings = host_settings_of(self.host_id, number)
+        host_settings = host_settings_of(self.host_id, number, zone_id)
         self.address = host_settings.fleet_address
+        self.front = host_settings.front
         table = HostTable(
-            host_id=self.host_id, zone_id=ZONE_ID, regions_by_zone=REGIONS
+            host_id=self.host_id,
+            zone_id=zone_id,
+            regions_by_zone=zone.regions_by_zone,
         )
         self.view = FleetView(
             clock=zone.clock,
@@ -80,6 +91,13 @@
         self.reporter = Reporter(
             clock=zone.clock, fleet_view=self.view, announcer=self.announcer
         )
+        self.directory = AddressDirectory(
+            host_table=table,
+            state=self.state,
+            zone_id=zone_id,
+            front=self.front,
+            regions_by_zone=zone.regions_by_zone,
+        )
 
     def send(self, message: Any, addresses: Any) -> None:
         """Send a datagram to each address."""
@@ -112,7 +130,7 @@
 
     def step(self, number: int) -> None:
         """Do what the process does periodically, at the step `number`."""
-        if self.frozen:
+        if self.frozen or self.off:
             return
         if not number % STEPS_PER_TICK:
             self._tick()
@@ -129,15 +147,24 @@
 
 
 class Zone:
-    """The hosts of a zone, all heard by all others."""
+    """The hosts of a zone, or of several, all heard by all others."""
 
-    def __init__(self, hosts: int, configuration: Any) -> None:
-        """Start `hosts` hosts and let them choose their aggregator."""
+    def __init__(
+        self,
+        hosts: int,
+        configuration: Any,
+        *,
+        regions_by_zone: Mapping[ZoneId, RegionId] = REGIONS,
+    ) -> None:
+        """Start `hosts` hosts in each zone and let them choose aggregators."""
+        self.regions_by_zone = regions_by_zone
         self.clock = ManualClock(start=10_000)
         self.configuration = configuration
         self.in_transit: list[tuple[str, bytes, HostId]] = []
+        zone_ids = tuple(regions_by_zone) * hosts
         self.hosts = [
-            ZoneHost(number=number, zone=self) for number in range(hosts)
+            ZoneHost(number=number, zone=self, zone_id=zone_id)
+            for number, zone_id in enumerate(zone_ids)
         ]
         self._by_address = {host.address: host for host in self.hosts}
         self._steps = 0
@@ -158,7 +185,7 @@
         host_id = next(
             host.view.zone_sums.aggregator
             for host in self.hosts
-            if not (host.frozen or host.mute or host.deaf)
+            if not (host.frozen or host.mute or host.deaf or host.off)
         )
         return next(host for host in self.hosts if host.host_id == host_id)
 
@@ -188,7 +215,7 @@
             host = self._by_address[address]
             if host.frozen:
                 self.in_transit.append((address, body, sender))
-            elif not host.deaf:
+            elif not (host.deaf or host.off):
                 host.receive(body, sender)
 
 
@@ -207,13 +234,15 @@
     view.directory.merge(TargetsChanged(store_version=1, entries=(entry,)))
 
 
-def host_settings_of(host_id: HostId, number: int) -> HostSettings:
+def host_settings_of(
+    host_id: HostId, number: int, zone_id: ZoneId = ZONE_ID
+) -> HostSettings:
     """Return settings of a host with addresses of its own."""
     ip_number = str(ipaddress.IPv4Address('10.0.0.1') + number)
     return HostSettings(
         host_id=host_id,
         ip_number=ip_number,
-        zone_id=ZONE_ID,
+        zone_id=zone_id,
         region_id=REGIONS[ZONE_ID],
         front=f'{ip_number}:1',
         readiness=f'{ip_number}:2',
