Tell other zones which hosts a zone has lost

Hosts of other zones stay in a table for 7 s and more after they are gone, those of other regions for 30 s to three minutes, as they send heartbeats by turns. Until then they are picked to pass on sums of what is in flight, marks and changes to their zones, which get none.

Cause: only the own zone hears a host every second, and kept the loss to itself. The first two hosts of a zone now send it to other zones with their heartbeats, for ten seconds, and whoever learns of it tells its own zone.

--- a/chicorybridge/fleet/host_tables.py
+++ b/chicorybridge/fleet/host_tables.py
@@ -167,13 +167,27 @@
             )
         ]
         for record in silent:
-            profile = record.profile
-            self._records_by_id.pop(profile.host_id)
-            self._lost_by_id[profile.host_id] = profile.incarnation
-        while len(self._lost_by_id) > settings.MAX_LOST_HOSTS:
-            self._lost_by_id.pop(next(iter(self._lost_by_id)))
+            self._records_by_id.pop(record.profile.host_id)
+            _remember(self._lost_by_id, record.profile)
         return tuple(silent)
 
+    def drop(
+        self, host_id: HostId, incarnation: Incarnation, *, silent_since: Millis
+    ) -> bool:
+        """Remove a host that others have lost; return whether it was here.
+
+        It stays if this host has heard it a while after `silent_since`, when
+        the others did for the last time: it may send to this one more often.
+        """
+        record = self._records_by_id.get(host_id)
+        if record is None or record.profile.incarnation != incarnation:
+            return False
+        if record.arrived_after > silent_since + settings.LOSS_SLACK_MS:
+            return False
+        self._records_by_id.pop(host_id)
+        _remember(self._lost_by_id, record.profile)
+        return True
+
     def profiles(self) -> tuple[FleetMember, ...]:
         """Return all hosts that sent a message or were reported recently."""
         return tuple(record.profile for record in self._records_by_id.values())
@@ -245,18 +259,6 @@
             if profile.zone_id != self.zone_id
         )
 
-    def region_order(self) -> tuple[HostId, ...]:
-        """Return the serving hosts of the region and this one by rank.
-
-        Hosts are ordered by a hash of their id, as in rendezvous hashing:
-        all hosts compute the same order, and a host that leaves does not
-        change the order of the others.
-        """
-        host_ids = [
-            profile.host_id for profile in self.in_region() if profile.serving
-        ]
-        return tuple(sorted((*host_ids, self.host_id), key=_rank_hash))
-
 
 def _timeout_ms(
     table: HostTable,
@@ -276,6 +278,19 @@
     return max(1, math.ceil(hosts / per_heartbeat))
 
 
+def region_order(table: HostTable) -> tuple[HostId, ...]:
+    """Return the serving hosts of the region and this one by rank.
+
+    Hosts are ordered by a hash of their id, as in rendezvous hashing:
+    all hosts compute the same order, and a host that leaves does not
+    change the order of the others.
+    """
+    host_ids = [
+        profile.host_id for profile in table.in_region() if profile.serving
+    ]
+    return tuple(sorted((*host_ids, table.host_id), key=_rank_hash))
+
+
 def zone_order(table: HostTable, *, serving: bool) -> tuple[HostId, ...]:
     """Return the serving hosts of the zone by rank.
 
@@ -340,6 +355,14 @@
     return tuple(itertools.chain.from_iterable(first_by_zone.values()))
 
 
+def _remember(
+    lost_by_id: dict[HostId, Incarnation], profile: FleetMember
+) -> None:
+    lost_by_id[profile.host_id] = profile.incarnation
+    while len(lost_by_id) > settings.MAX_LOST_HOSTS:
+        lost_by_id.pop(next(iter(lost_by_id)))
+
+
 def _is_outdated(profile: FleetMember, current: FleetMember) -> bool:
     """Return whether a profile is older than the current one."""
     if profile.incarnation != current.incarnation:
--- a/chicorybridge/hosts/announcers.py
+++ b/chicorybridge/hosts/announcers.py
@@ -15,6 +15,7 @@
     own_share_of_region,
     zone_representatives,
 )
+from chicorybridge.fleet.losses import LossReports
 from chicorybridge.hosts.settings_files import HostSettings
 from chicorybridge.hosts.states import HostState
 
@@ -42,6 +43,7 @@
         self._channel = channel
         self._serial = 0
         self._heartbeat_at = Millis(0)
+        self.losses = LossReports(host_table=host_table)
 
     def profile(self) -> FleetMember:
         """Return the current profile of this host."""
@@ -81,16 +83,22 @@
         self._heartbeat_at = now
         self._heartbeats += 1
         table = self._host_table
-        recipients = (
-            *table.in_zone(),
-            *self._turn(
-                table.in_other_zones(), settings.REGION_HOSTS_PER_HEARTBEAT
-            ),
-            *self._turn(
-                table.in_other_regions(), settings.FAR_HOSTS_PER_HEARTBEAT
-            ),
+        elsewhere = _fleet_addresses(
+            (
+                *self._turn(
+                    table.in_other_zones(), settings.REGION_HOSTS_PER_HEARTBEAT
+                ),
+                *self._turn(
+                    table.in_other_regions(), settings.FAR_HOSTS_PER_HEARTBEAT
+                ),
+            )
         )
-        self._channel.send(self.profile(), _fleet_addresses(recipients))
+        in_zone = _fleet_addresses(table.in_zone())
+        self._channel.send(self.profile(), (*in_zone, *elsewhere))
+        report = self.losses.report(serving=self._state.ready, now=now)
+        if report is not None:
+            self._channel.send(report, elsewhere)
+            self.send_to_aggregators(report, far=True)
         return True
 
     def broadcast(self, message: Any) -> None:
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -15,7 +15,12 @@
     patch_configuration,
 )
 from chicorybridge.fleet.directories import TargetsChanged
-from chicorybridge.fleet.host_tables import FleetMember, HostTable
+from chicorybridge.fleet.host_tables import (
+    FleetMember,
+    HostTable,
+    region_order,
+)
+from chicorybridge.fleet.losses import HostsLost, drop_lost
 from chicorybridge.fleet.relays import StateRelay
 from chicorybridge.fleet.snapshots import Snapshot
 from chicorybridge.fleet.store_reads import ReadInProgress, StoreMark
@@ -193,6 +198,14 @@
         if is_new:
             self.peers_heard.append(message.host_id)
 
+    @_handle.register
+    def _handle_losses(
+        self, message: HostsLost, sender: HostId, now: Millis
+    ) -> None:
+        is_news = drop_lost(self.host_table, message, now=self._arrived_after)
+        if is_news and not _is_in_zone(self.host_table, sender):
+            self.to_forward.append(message)
+
     @_handle.register
     def _handle_observation(
         self, message: TargetSeen, sender: HostId, now: Millis
@@ -283,7 +296,11 @@
         )
         # Its state is smaller than what the store would send.
         self.targets.schedule.postpone(now=now)
-        self.relay.offer(sender, order=self.host_table.region_order(), now=now)
+        self.relay.offer(sender, order=region_order(self.host_table), now=now)
+
+
+def _is_in_zone(host_table: HostTable, host_id: HostId) -> bool:
+    return any(profile.host_id == host_id for profile in host_table.in_zone())
 
 
 def _event(kind: EventKind, **facts: Any) -> Event:
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -14,7 +14,7 @@
 from chicorybridge.common.log_streams import BoundedHandler
 from chicorybridge.common.tasks import run_all, wait_tick
 from chicorybridge.fleet.channels import Channel
-from chicorybridge.fleet.host_tables import HostTable
+from chicorybridge.fleet.host_tables import HostTable, region_order
 from chicorybridge.fleet.snapshots import SnapshotServer, fetch_snapshot
 from chicorybridge.hosts.address_directories import AddressDirectory
 from chicorybridge.hosts.announcers import Announcer
@@ -266,7 +266,7 @@
         if not addresses or not await self._merge_from(addresses[0]):
             fleet_view.relay.retry(fetch, now=self._clock.now())
             return
-        order = fleet_view.host_table.region_order()
+        order = region_order(fleet_view.host_table)
         if fetch.origin in order:
             below = fleet_view.relay.hosts_below(fetch, order=order)
             self._announcer.send_to_hosts(fleet_view.store_mark(), below)
@@ -295,8 +295,7 @@
         self._channel.receive_waiting()
         await self.callers.close_expired()
         await self._connections.close_stale()
-        lost = self.fleet_view.host_table.expire(now=now)
-        self._reports.report_lost(lost, now=now)
+        self._expire_hosts(now)
         if self._announcer.send_heartbeat(now=now):
             self._reports.report_heard(self.fleet_view.peers_heard)
             self.fleet_view.peers_heard.clear()
@@ -314,6 +313,11 @@
         reporter.send_summaries()
         self._logs.flush()
 
+    def _expire_hosts(self, now: Millis) -> None:
+        lost = self.fleet_view.host_table.expire(now=now)
+        self._reports.report_lost(lost, now=now)
+        self._announcer.losses.add(lost)
+
 
 def _has_ended(task: curio.Task | None) -> bool:
     return task is None or task.terminated
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -15,7 +15,7 @@
     diff_configurations,
 )
 from chicorybridge.fleet.directories import TargetsChanged
-from chicorybridge.fleet.host_tables import FleetMember
+from chicorybridge.fleet.host_tables import FleetMember, region_order
 from chicorybridge.fleet.store_reads import ReadInProgress
 from chicorybridge.hosts.fleet_views import FleetView
 
@@ -110,7 +110,7 @@
         if not self._targets.schedule.may_be_due(now=self._clock.now()):
             return False
         host_table = self._fleet_view.host_table
-        order = host_table.region_order()
+        order = region_order(host_table)
         return self._targets.schedule.is_due(
             rank=order.index(host_table.host_id),
             hosts=len(order),
@@ -126,7 +126,7 @@
         await notices.cancel(blocking=False)
         if change is None:
             self._targets.schedule.record_failure(
-                hosts=len(self._fleet_view.host_table.region_order()),
+                hosts=len(region_order(self._fleet_view.host_table)),
                 now=self._clock.now(),
             )
             return
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -560,6 +560,15 @@
 REGION_HOSTS_PER_HEARTBEAT = 16
 FAR_HOSTS_PER_HEARTBEAT = 1
 OTHER_REGION_HOST_TIMEOUT_MS = 30_000.0
+# How many hosts of a zone tell other zones of the hosts that it lost, for how
+# long after the last message of a lost host, and how many at a time. With each
+# heartbeat they tell those whose turn it is, which tell their zones.
+LOSS_REPORTERS = 2
+LOSS_REPORTED_MS = 10_000.0
+MAX_REPORTED_LOSSES = 256
+# A host that sent something to this one so long after the last message to those
+# that report it as lost is kept: at least one more heartbeat was due.
+LOSS_SLACK_MS = 2000.0
 # In a fleet with more hosts, a changed profile is sent to the zone and to some
 # hosts of each other zone at once, and by turns to the others.
 MAX_ANNOUNCED_HOSTS = 64
--- a/chicorybridge/tests/fleet/test_host_tables.py
+++ b/chicorybridge/tests/fleet/test_host_tables.py
@@ -18,6 +18,7 @@
     HostTable,
     own_share_of_far_zones,
     own_share_of_region,
+    region_order,
     zone_representatives,
 )
 
@@ -88,7 +89,7 @@
 
 
 def test_hosts_agree_on_the_order_of_a_region(members):
-    orders = {_host_table(name, *members).region_order() for name in ('a', 'b')}
+    orders = {region_order(_host_table(name, *members)) for name in ('a', 'b')}
     assert len(orders) == 1
     representatives = zone_representatives(member for member in members)
     assert sorted(member.zone_id for member in representatives) == sorted(
@@ -138,7 +139,7 @@
     ]
     assert not zone_representatives(stopping)
     table = _host_table('a', _member('b', OWN_ZONE, serving=False))
-    assert table.region_order() == ('a',)
+    assert region_order(table) == ('a',)
 
 
 def test_silent_hosts_expire_later_in_other_regions(members):
--- /dev/null
+++ b/chicorybridge/tests/hosts/test_lost_hosts.py
@@ -0,0 +1,80 @@
+"""Hosts of other zones that are gone, in the tables of a fleet."""
+
+from types import MappingProxyType
+from typing import Any, cast
+
+import pytest
+
+from chicorybridge.common.identities import RegionId, ZoneId
+from chicorybridge.tests.hosts.zones import Zone, ZoneHost
+
+ZONES = MappingProxyType(
+    {
+        ZoneId('groningen'): RegionId('noord'),
+        ZoneId('leeuwarden'): RegionId('noord'),
+        ZoneId('assen'): RegionId('noord'),
+        ZoneId('eindhoven'): RegionId('zuid'),
+        ZoneId('maastricht'): RegionId('zuid'),
+    }
+)
+PER_ZONE = 12
+# Twice `contact_s` of the platform.
+SETTLED_MS = 6000
+
+
+class _AnyConfiguration:
+    version = 1
+    limits = None
+
+
+@pytest.fixture(name='fleet')
+def _fleet() -> Zone:
+    fleet = Zone(
+        PER_ZONE, cast(Any, _AnyConfiguration()), regions_by_zone=ZONES
+    )
+    fleet.run(ms=SETTLED_MS)
+    return fleet
+
+
+def _still_counted(fleet: Zone, lost: list[ZoneHost]) -> int:
+    """Return how many entries of lost hosts the tables of live ones have."""
+    lost_ids = {host.host_id for host in lost}
+    return sum(
+        profile.host_id in lost_ids
+        for host in fleet.hosts
+        if host not in lost
+        for profile in host.view.host_table.profiles()
+    )
+
+
+def test_lost_host_of_another_region_is_forgotten_as_soon_as_settled(fleet):
+    lost = fleet.hosts[:1]
+    lost[0].off = True
+    fleet.run(ms=SETTLED_MS)
+    assert not _still_counted(fleet, lost)
+
+
+def test_hosts_lost_together_are_forgotten_in_all_zones(fleet):
+    lost = fleet.hosts[::2]
+    for host in lost:
+        host.off = True
+    fleet.run(ms=SETTLED_MS)
+    assert not _still_counted(fleet, lost)
+
+
+def test_host_that_its_zone_does_not_hear_stays_where_it_is_heard(fleet):
+    unheard = fleet.hosts[0]
+    fleet.cut_zone_of(unheard)
+    fleet.run(ms=SETTLED_MS)
+    counting = [
+        host
+        for host in fleet.hosts
+        if host.zone_id != unheard.zone_id
+        and host.view.host_table.fleet_address(unheard.host_id)
+    ]
+    in_region = [
+        host
+        for host in counting
+        if ZONES[host.zone_id] == ZONES[unheard.zone_id]
+    ]
+    assert len(in_region) == 2 * PER_ZONE
--- a/chicorybridge/tests/hosts/zones.py
+++ b/chicorybridge/tests/hosts/zones.py
@@ -144,7 +144,7 @@
 
     def _tick(self) -> None:
         now = self._zone.clock.now()
-        self.view.host_table.expire(now=now)
+        self.announcer.losses.add(self.view.host_table.expire(now=now))
         self.announcer.send_heartbeat(now=now)
         self.view.workloads.expire(now=now)
         self.reporter.repeat_if_due()
@@ -166,6 +166,8 @@
         self.clock = ManualClock(start=10_000)
         self.configuration = configuration
         self.in_transit: list[tuple[str, bytes, HostId]] = []
+        # Pairs of sender and receiver whose datagrams are lost.
+        self._cut: set[tuple[HostId, HostId]] = set()
         zone_ids = tuple(regions_by_zone) * hosts
         self.hosts = [
             ZoneHost(number=number, zone=self, zone_id=zone_id)
@@ -208,11 +210,24 @@
             for host in self.hosts:
                 host.step(self._steps)
 
+    def cut_zone_of(self, sender: ZoneHost) -> None:
+        """Lose all datagrams of a host to the others of its zone."""
+        self._cut.update(
+            (sender.host_id, host.host_id)
+            for host in self.hosts
+            if host.zone_id == sender.zone_id
+        )
+
     def stop(self, host: ZoneHost) -> None:
         """Begin a planned stop of a host."""
         host.state.phase = HostPhase.draining
         host.announcer.announce()
 
+    def _arrives(self, host: ZoneHost, sender: HostId) -> bool:
+        if host.deaf or host.off:
+            return False
+        return (sender, host.host_id) not in self._cut
+
     def _deliver(self) -> None:
         waiting = tuple(self.in_transit)
         self.in_transit.clear()
@@ -220,7 +235,7 @@
             host = self._by_address[address]
             if host.frozen:
                 self.in_transit.append((address, body, sender))
-            elif not (host.deaf or host.off):
+            elif self._arrives(host, sender):
                 host.receive(body, sender)
 
 
