Test that endless answers don't fill the memory of a host

Other operators' report: a server sent bytes without end, in a head or a body, and the host that had called it kept them all.

With no limit on what is buffered of an answer, the cases of endless failures fail.

--- a/chicorybridge/tests/hosts/test_endless_answers.py
+++ b/chicorybridge/tests/hosts/test_endless_answers.py
@@ -1,6 +1,8 @@
 """Targets whose answers never end, as seen by the callers of a host."""
 
+import contextlib
 import time
+import tracemalloc
 from http import HTTPStatus
 
 import curio
@@ -31,6 +33,15 @@
 # 0.5 s more than the timeout of the route.
 MAX_ELAPSED_S = 1.5
 
+CONCURRENT = 8
+ACCEPT = (
+    b'POST /accept/7 HTTP/1.1\r\nHost: quotes.example\r\nX-Request-Id: r\r\n'
+    b'X-Deadline-Ms: 4000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
+)
+# What a request may take in the memory of a host: the buffer of its answer, the
+# bytes that it is joined from, and as much again for all else.
+MAX_HELD_BYTES = 4 * settings.HOST_BODY_BUFFER_BYTES
+
 ENDLESS_HEADS = (
     (b'', b'no answer' * 100),
     (b'', b'\r\n'),
@@ -132,6 +143,45 @@
     assert soundness < settings.SOUND_SHARE
 
 
+async def _discard_answer(front: str) -> None:
+    """Send a request and read what is answered without keeping it."""
+    ip_number, _, port = front.rpartition(':')
+    sock = await curio.open_connection(ip_number, int(port))
+    async with sock:
+        await sock.sendall(ACCEPT)
+        with contextlib.suppress(ConnectionError):
+            while await sock.recv(settings.RECEIVE_BYTES):
+                await curio.sleep(0)
+
+
+@pytest.mark.parametrize(
+    ('first', 'repeated'),
+    (
+        (b'', BLOCK),
+        (OK + SIGNED, b'Name: of a header\r\n' * 3000),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 2000),
+        (STALE + b'\r\n', BLOCK),
+        *ENDLESS_FAILURES,
+        *ENDLESS_SUCCESSES,
+    ),
+)
+@on_curio
+async def test_endless_answers_do_not_fill_the_memory(first, repeated):
+    origin = _endless(first, repeated)
+    origin.slots = CONCURRENT
+    tracemalloc.start()
+    try:
+        async with deployed(origin) as deployment:
+            async with curio.TaskGroup() as callers:
+                for _ in range(CONCURRENT):
+                    await callers.spawn(_discard_answer, deployment.front)
+            await until(lambda: origin.closed == CONCURRENT)
+            held_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert held_bytes < CONCURRENT * MAX_HELD_BYTES
+
+
 @pytest.mark.parametrize('repeated', [b'x', BLOCK])
 @on_curio
 async def test_connection_with_bytes_after_its_answer_is_closed(repeated):
