Pass sums of other zones on by turns, not by the aggregator

Hosts of a zone counted the requests of another one as none for seconds after its first hosts had gone, and sent more to targets than fits.

Cause: the sums went to the two first-ranked hosts of a zone, until those timed out, and only the aggregator passed them on.

The sums now go to one serving host of each zone at random, which passes them on.

Evidence: the new test of test_lost_hosts.py fails before (0 requests known in place of 20, two hosts gone) and passes now. Between builds: an older host that is no aggregator does not pass them on.

--- a/chicorybridge/fleet/host_tables.py
+++ b/chicorybridge/fleet/host_tables.py
@@ -319,16 +319,24 @@
     The zones are dealt to the serving hosts of its zone, and each zone has
     another host for each zone that informs it.
     """
-    profiles_by_zone: dict[ZoneId, list[FleetMember]] = {}
-    for profile in table.in_other_regions():
-        if profile.serving:
-            profiles_by_zone.setdefault(profile.zone_id, []).append(profile)
+    profiles_by_zone = serving_by_zone(table.in_other_regions())
     return tuple(
         _informed_host(table.zone_id, profiles_by_zone[zone_id])
         for zone_id in _own_share(table, sorted(profiles_by_zone))
     )
 
 
+def serving_by_zone(
+    profiles: Iterable[FleetMember],
+) -> dict[ZoneId, list[FleetMember]]:
+    """Return the serving hosts by zone."""
+    profiles_by_zone: dict[ZoneId, list[FleetMember]] = {}
+    for profile in profiles:
+        if profile.serving:
+            profiles_by_zone.setdefault(profile.zone_id, []).append(profile)
+    return profiles_by_zone
+
+
 def _informed_host(
     own_zone_id: ZoneId, profiles: Iterable[FleetMember]
 ) -> FleetMember:
--- a/chicorybridge/hosts/announcers.py
+++ b/chicorybridge/hosts/announcers.py
@@ -13,6 +13,7 @@
     HostTable,
     own_share_of_far_zones,
     own_share_of_region,
+    serving_by_zone,
     zone_representatives,
 )
 from chicorybridge.fleet.losses import LossReports
@@ -38,6 +39,7 @@
         self._host_settings = host_settings
         # Hosts that start together send to different hosts at a time.
         self._heartbeats = rng.randrange(settings.MAX_LOST_HOSTS)
+        self._rng = rng
         self._state = state
         self._host_table = host_table
         self._channel = channel
@@ -131,6 +133,21 @@
         )
         self._channel.send(message, _fleet_addresses(representatives))
 
+    def send_to_relays(self, message: Any, *, far: bool) -> None:
+        """Send a message to one host of each other zone, by turns.
+
+        These are zones of other regions if `far`, else of this region. No host
+        is told always: one that is gone, or at the end of its link, would keep
+        the messages from its zone.
+        """
+        table = self._host_table
+        profiles = table.in_other_regions() if far else table.in_other_zones()
+        relays = (
+            self._rng.choice(in_zone)
+            for in_zone in serving_by_zone(profiles).values()
+        )
+        self._channel.send(message, _fleet_addresses(relays))
+
     def send_to_share_of_region(self, message: Any) -> None:
         """Send a message to this host's share of the region's other zones.
 
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -151,12 +151,12 @@
             return
         self._summary_sent_at = now
         workload = self._fleet_view.workloads.zone_report(now=now)
-        self._announcer.send_to_aggregators(
+        self._announcer.send_to_relays(
             RelayedWorkload(workload=workload), far=False
         )
         region_workload = self._region_workload(workload, now)
         if region_workload is not None:
-            self._announcer.send_to_aggregators(
+            self._announcer.send_to_relays(
                 RelayedWorkload(workload=region_workload), far=True
             )
 
--- a/chicorybridge/hosts/zone_sums.py
+++ b/chicorybridge/hosts/zone_sums.py
@@ -151,8 +151,7 @@
     def receive_relayed(self, message: RelayedWorkload, sender: HostId) -> None:
         """Count the requests of another zone and forward them to this one."""
         self.receive_zone(message.workload, self._host_table.host_id)
-        if self.is_own or self.aggregator is None:
-            self._forward(message.workload)
+        self._forward(message.workload)
 
     @receive.register
     def receive_totals(self, message: ZoneTotals, sender: HostId) -> None:
--- a/chicorybridge/tests/hosts/test_lost_hosts.py
+++ b/chicorybridge/tests/hosts/test_lost_hosts.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from chicorybridge import settings
 from chicorybridge.common.identities import RegionId, ZoneId
+from chicorybridge.fleet.host_tables import zone_representatives
 from chicorybridge.tests.hosts.zones import Zone, ZoneHost
 
 ZONES = MappingProxyType(
@@ -17,6 +19,12 @@
         ZoneId('maastricht'): RegionId('zuid'),
     }
 )
+LARGE_ZONES = MappingProxyType(
+    {
+        ZoneId('groningen'): RegionId('noord'),
+        ZoneId('leeuwarden'): RegionId('noord'),
+    }
+)
 PER_ZONE = 12
 # Twice `contact_s` of the platform.
 SETTLED_MS = 6000
@@ -78,3 +86,31 @@
         if ZONES[host.zone_id] == ZONES[unheard.zone_id]
     ]
     assert len(in_region) == 2 * PER_ZONE
+
+
+def test_zone_hears_of_requests_elsewhere_though_its_first_hosts_are_gone():
+    fleet = Zone(
+        settings.MIN_AGGREGATED_HOSTS,
+        cast(Any, _AnyConfiguration()),
+        regions_by_zone=LARGE_ZONES,
+    )
+    fleet.run(ms=SETTLED_MS)
+    hosts = [host for host in fleet.hosts if host.zone_id == 'groningen']
+    others = [host for host in fleet.hosts if host.zone_id == 'leeuwarden']
+    while hosts:
+        hosts.pop().start_attempt()
+    representatives = zone_representatives(
+        fleet.hosts[0].view.host_table.in_other_zones(),
+        per_zone=settings.AGGREGATORS_TOLD,
+    )
+    gone_ids = {profile.host_id for profile in representatives}
+    live = []
+    for other in others:
+        other.off = other.host_id in gone_ids
+        if not other.off:
+            live.append(other)
+    fleet.run(ms=settings.ZONE_WORKLOAD_TIMEOUT_MS)
+    for _ in range(10):
+        fleet.run(ms=settings.ZONE_SUMMARY_INTERVAL_MS)
+        counts = {hearing.in_flight for hearing in live}
+        assert counts == {settings.MIN_AGGREGATED_HOSTS}
