Keep sending heartbeats to lost hosts, so that both ends of a cut meet again

A host that was cut off for longer than 3.5 s was never found by its zone again, nor did it find the zone: it named itself alone to callers, its share of the retry budget was that of a fleet of its own, and it took no part in sums, marks and reports of crashes there.

Cause: both ends drop each other when they are silent, heartbeats go only to hosts in the table, and reports of others don't bring a lost incarnation back.

Each heartbeat now goes to eight lost hosts of the zone and two of others, too, by turns. A lost host that answers is in the table again.

Evidence: two tests of test_lost_hosts.py, a host cut off for 5.5 s and regions parted for 40 s, fail with no heartbeats to lost hosts, with and without reports of losses, and pass with them.

--- a/chicorybridge/fleet/host_tables.py
+++ b/chicorybridge/fleet/host_tables.py
@@ -77,8 +77,8 @@
         self.regions_by_zone = regions_by_zone
         self._records_by_id: dict[HostId, HostRecord] = {}
         self._expired_at = Millis(-math.inf)
-        # Hosts that timed out, and the incarnation that did.
-        self._lost_by_id: dict[HostId, Incarnation] = {}
+        # Profiles of hosts that timed out or were reported as lost.
+        self.lost_by_id: dict[HostId, FleetMember] = {}
 
     def record(
         self,
@@ -101,7 +101,7 @@
             message_at=now,
             arrived_after=now if arrived_after is None else arrived_after,
         )
-        self._lost_by_id.pop(profile.host_id, None)
+        self.lost_by_id.pop(profile.host_id, None)
         return current is None
 
     def touch(
@@ -134,7 +134,7 @@
             host_id = profile.host_id
             if host_id == self.host_id or host_id in self._records_by_id:
                 continue
-            if self._lost_by_id.get(host_id) == profile.incarnation:
+            if _is_lost(self.lost_by_id, profile):
                 continue
             self._records_by_id[host_id] = HostRecord(
                 profile=profile, message_at=now, arrived_after=NEVER
@@ -168,7 +168,7 @@
         ]
         for record in silent:
             self._records_by_id.pop(record.profile.host_id)
-            _remember(self._lost_by_id, record.profile)
+            _remember(self.lost_by_id, record.profile)
         return tuple(silent)
 
     def drop(
@@ -185,7 +185,7 @@
         if record.arrived_after > silent_since + settings.LOSS_SLACK_MS:
             return False
         self._records_by_id.pop(host_id)
-        _remember(self._lost_by_id, record.profile)
+        _remember(self.lost_by_id, record.profile)
         return True
 
     def profiles(self) -> tuple[FleetMember, ...]:
@@ -363,10 +363,17 @@
     return tuple(itertools.chain.from_iterable(first_by_zone.values()))
 
 
+def _is_lost(
+    lost_by_id: Mapping[HostId, FleetMember], profile: FleetMember
+) -> bool:
+    lost = lost_by_id.get(profile.host_id)
+    return lost is not None and lost.incarnation == profile.incarnation
+
+
 def _remember(
-    lost_by_id: dict[HostId, Incarnation], profile: FleetMember
+    lost_by_id: dict[HostId, FleetMember], profile: FleetMember
 ) -> None:
-    lost_by_id[profile.host_id] = profile.incarnation
+    lost_by_id[profile.host_id] = profile
     while len(lost_by_id) > settings.MAX_LOST_HOSTS:
         lost_by_id.pop(next(iter(lost_by_id)))
 
--- a/chicorybridge/hosts/announcers.py
+++ b/chicorybridge/hosts/announcers.py
@@ -77,8 +77,8 @@
     def send_heartbeat(self, *, now: Millis) -> bool:
         """Send the profile to the zone if a heartbeat is due.
 
-        It goes to some hosts of other zones and regions, too, by turns.
-        Return whether it was due.
+        It goes to some hosts of other zones and regions, too, by turns, and to
+        some that are lost. Return whether it was due.
         """
         if now - self._heartbeat_at < settings.HOST_HEARTBEAT_INTERVAL_MS:
             return False
@@ -87,16 +87,21 @@
         table = self._host_table
         elsewhere = _fleet_addresses(
             (
-                *self._turn(
-                    table.in_other_zones(), settings.REGION_HOSTS_PER_HEARTBEAT
+                *_in_turn(
+                    table.in_other_zones(),
+                    settings.REGION_HOSTS_PER_HEARTBEAT,
+                    self._heartbeats,
                 ),
-                *self._turn(
-                    table.in_other_regions(), settings.FAR_HOSTS_PER_HEARTBEAT
+                *_in_turn(
+                    table.in_other_regions(),
+                    settings.FAR_HOSTS_PER_HEARTBEAT,
+                    self._heartbeats,
                 ),
             )
         )
         in_zone = _fleet_addresses(table.in_zone())
-        self._channel.send(self.profile(), (*in_zone, *elsewhere))
+        lost = _fleet_addresses(_lost_in_turn(table, self._heartbeats))
+        self._channel.send(self.profile(), (*in_zone, *elsewhere, *lost))
         report = self.losses.report(serving=self._state.ready, now=now)
         if report is not None:
             self._channel.send(report, elsewhere)
@@ -188,15 +193,30 @@
         region = self._host_table.in_region()
         self._channel.send(message, _fleet_addresses(region))
 
-    def _turn(
-        self, profiles: Sequence[FleetMember], count: int
-    ) -> Sequence[FleetMember]:
-        """Return the `count` hosts whose turn it is."""
-        if len(profiles) <= count:
-            return profiles
-        ordered = sorted(profiles, key=_host_id)
-        start = self._heartbeats * count % len(ordered)
-        return (*ordered, *ordered)[start : start + count]
+
+def _lost_in_turn(table: HostTable, turn: int) -> tuple[FleetMember, ...]:
+    """Return the lost hosts that get a heartbeat at this turn.
+
+    After a cut each side has lost the other: neither would send anything.
+    """
+    lost = tuple(table.lost_by_id.values())
+    in_zone = [host for host in lost if host.zone_id == table.zone_id]
+    elsewhere = [host for host in lost if host.zone_id != table.zone_id]
+    return (
+        *_in_turn(in_zone, settings.LOST_ZONE_HOSTS_PER_HEARTBEAT, turn),
+        *_in_turn(elsewhere, settings.LOST_HOSTS_PER_HEARTBEAT, turn),
+    )
+
+
+def _in_turn(
+    profiles: Sequence[FleetMember], count: int, turn: int
+) -> Sequence[FleetMember]:
+    """Return the `count` hosts whose turn it is."""
+    if len(profiles) <= count:
+        return profiles
+    ordered = sorted(profiles, key=_host_id)
+    start = turn * count % len(ordered)
+    return (*ordered, *ordered)[start : start + count]
 
 
 def _fleet_addresses(profiles: Iterable[FleetMember]) -> list[str]:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -560,6 +560,10 @@
 REGION_HOSTS_PER_HEARTBEAT = 16
 FAR_HOSTS_PER_HEARTBEAT = 1
 OTHER_REGION_HOST_TIMEOUT_MS = 30_000.0
+# Lost hosts of the own zone and of others that get a heartbeat at a time: they
+# may have been cut off, and have lost this host as well.
+LOST_ZONE_HOSTS_PER_HEARTBEAT = 8
+LOST_HOSTS_PER_HEARTBEAT = 2
 # How many hosts of a zone tell other zones of the hosts that it lost, for how
 # long after the last message of a lost host, and how many at a time. With each
 # heartbeat they tell those whose turn it is, which tell their zones.
--- a/chicorybridge/tests/hosts/test_lost_hosts.py
+++ b/chicorybridge/tests/hosts/test_lost_hosts.py
@@ -26,8 +26,12 @@
     }
 )
 PER_ZONE = 12
-# Twice `contact_s` of the platform.
+# Bound `contact_s` of the platform, and twice it.
+CONTACT_MS = 3000
 SETTLED_MS = 6000
+# Longer than a silent host is kept in the tables, in its zone and in any.
+CUT_MS = 5500
+PARTED_MS = 40_000
 
 
 class _AnyConfiguration:
@@ -114,3 +118,32 @@
         fleet.run(ms=settings.ZONE_SUMMARY_INTERVAL_MS)
         counts = {hearing.in_flight for hearing in live}
         assert counts == {settings.MIN_AGGREGATED_HOSTS}
+
+
+def test_host_that_was_cut_off_is_found_again_by_its_zone(fleet):
+    cut = fleet.hosts[0]
+    fleet.cut_off(cut)
+    fleet.run(ms=CUT_MS)
+    fleet.heal()
+    fleet.run(ms=CONTACT_MS)
+    in_zone = [
+        host
+        for host in fleet.hosts
+        if host.zone_id == cut.zone_id and host is not cut
+    ]
+    for host in in_zone:
+        assert cut.front in host.directory.addresses(cut.zone_id)
+        assert host.front in cut.directory.addresses(cut.zone_id)
+
+
+def test_regions_that_were_parted_find_each_other_again():
+    fleet = Zone(3, cast(Any, _AnyConfiguration()), regions_by_zone=ZONES)
+    north = [host for host in fleet.hosts if ZONES[host.zone_id] == 'noord']
+    south = [host for host in fleet.hosts if ZONES[host.zone_id] == 'zuid']
+    fleet.part(north, south)
+    fleet.run(ms=PARTED_MS)
+    assert not north[0].view.host_table.in_other_regions()
+    fleet.heal()
+    fleet.run(ms=2 * CONTACT_MS)
+    for host in fleet.hosts:
+        assert host.view.host_table.in_other_regions()
--- a/chicorybridge/tests/hosts/zones.py
+++ b/chicorybridge/tests/hosts/zones.py
@@ -1,9 +1,10 @@
 """Hosts of one or more zones that send each other datagrams in memory."""
 
 import ipaddress
+import itertools
 import random
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 from typing import Any, cast
 
@@ -218,6 +219,22 @@
             if host.zone_id == sender.zone_id
         )
 
+    def cut_off(self, host: ZoneHost) -> None:
+        """Lose all datagrams from and to a host."""
+        self.part([host], [other for other in self.hosts if other is not host])
+
+    def part(
+        self, some: Sequence[ZoneHost], others: Sequence[ZoneHost]
+    ) -> None:
+        """Lose all datagrams between two groups of hosts."""
+        for one, other in itertools.product(some, others):
+            self._cut.add((one.host_id, other.host_id))
+            self._cut.add((other.host_id, one.host_id))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cut.clear()
+
     def stop(self, host: ZoneHost) -> None:
         """Begin a planned stop of a host."""
         host.state.phase = HostPhase.draining
