Register a host that started while the store was away

Cause: the profile was written and the others read once, at the start, and a failure was not made good.

The reader now registers again once it has read the store, or after 5 s, as others may read it for this host.

The two tests of test_fleet_views.py need the new method; before, register was called once by host_processes.py.

--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -86,6 +86,7 @@
             log=self.log,
             fleet_view=self.fleet_view,
             watcher=open_watcher(host_settings.store),
+            announcer=self._announcer,
             send=self._announcer.send_to_region,
             send_far=self._announcer.send_to_other_regions,
         )
@@ -161,7 +162,7 @@
             snapshots.run(sockets.listen(self._host_settings.fleet_address)),
             self._tick_forever(),
             self._merge_newer_forever(),
-            self._register_and_read(),
+            self._reader.run(),
         )
 
     def reload(self, host_settings: HostSettings) -> None:
@@ -238,12 +239,6 @@
                 break
         await self.callers.finish(ends_at=ends_at)
 
-    async def _register_and_read(self) -> None:
-        """Register in the store, announce this host, then read the store."""
-        await self._reader.register(self._announcer.profile())
-        self._announcer.announce()
-        await self._reader.run()
-
     async def _merge_newer_forever(self) -> None:
         """Fetch and merge snapshots of hosts with newer state, seeds first."""
         for seed in self._host_settings.seeds:
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -1,12 +1,13 @@
 """Periodic reads of the platform's store, shared between hosts."""
 
+import math
 from collections.abc import Awaitable, Callable, Collection
 from typing import Any, Protocol
 
 import curio
 
 from chicorybridge import settings
-from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.common.errors import ChicorybridgeError
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.identities import TargetId
@@ -21,6 +22,8 @@
 
 Send = Callable[[Any], None]
 
+NEVER = Millis(math.inf)
+
 
 class Watcher(Protocol):
     """Client of the store; methods raise `ChicorybridgeError`."""
@@ -51,6 +54,16 @@
         """Write the profile of this host."""
 
 
+class HostAnnouncer(Protocol):
+    """Tells the other hosts of this one."""
+
+    def profile(self) -> FleetMember:
+        """Return the profile of this host."""
+
+    def announce(self) -> None:
+        """Send it to the hosts that are known."""
+
+
 class StoreReader:
     """Read the store unless another host did so recently.
 
@@ -64,13 +77,16 @@
         log: EventLog,
         fleet_view: FleetView,
         watcher: Watcher,
+        announcer: HostAnnouncer,
         send: Send,
         send_far: Send,
     ) -> None:
         """Send changes with `send`, which reaches the hosts of the region.
 
-        `send_far` reaches some hosts of each other region.
+        `send_far` reaches some hosts of each other region. `announcer` has
+        the profile of this host.
         """
+        self._announcer = announcer
         self._send_far = send_far
         self._clock = clock
         self._log = log
@@ -79,6 +95,8 @@
         self._watcher = watcher
         self._send = send
         self._store_failing = False
+        # When the host is to be registered; never once it is.
+        self._register_at = Millis(0)
 
     @property
     def calls(self) -> int:
@@ -86,23 +104,33 @@
         return self._watcher.calls
 
     async def run(self) -> None:
-        """Read the store whenever it is due, until cancelled."""
+        """Register and read the store whenever it is due, until cancelled."""
         while True:
+            await self.register_if_due()
             if self._is_due():
                 await self._read_store()
             await curio.sleep(as_seconds(settings.READ_CHECK_INTERVAL_MS))
 
-    async def register(self, profile: FleetMember) -> None:
-        """Write the profile of this host and read those of the others."""
-        profiles = await self._call_store(self._write_and_read_hosts(profile))
-        if profiles:
-            now = self._clock.now()
+    async def register_if_due(self) -> None:
+        """Write the profile of this host and read those of the others.
+
+        Announce the host to them. This is due at the start; if the store
+        fails, again once it has been read, or after a while, as other hosts
+        may read it for this one.
+        """
+        if self._clock.now() < self._register_at:
+            return
+        profiles = await self._call_store(self._write_and_read_hosts())
+        now = self._clock.now()
+        if profiles is None:
+            self._register_at = Millis(now + settings.REGISTER_RETRY_MS)
+        else:
+            self._register_at = NEVER
             self._fleet_view.host_table.add_unknown(profiles, now=now)
+        self._announcer.announce()
 
-    async def _write_and_read_hosts(
-        self, profile: FleetMember
-    ) -> tuple[FleetMember, ...]:
-        await self._watcher.write_host(profile)
+    async def _write_and_read_hosts(self) -> tuple[FleetMember, ...]:
+        await self._watcher.write_host(self._announcer.profile())
         return await self._watcher.read_hosts()
 
     def _is_due(self) -> bool:
@@ -131,6 +159,8 @@
             )
             return
         self._targets.schedule.record_success(started_at=started_at)
+        if self._register_at != NEVER:
+            self._register_at = self._clock.now()
         self._targets.observe_store_age()
         mark = self._fleet_view.store_mark()
         self._send(mark)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -667,6 +667,9 @@
 MAX_DIRECTORY_ADDRESSES = 64
 # A host logs that its periodic work, due at each tick, was this late.
 MIN_LOGGED_STALL_MS = 1000.0
+# A host that could not register tries again after this time, or as soon as it
+# has read the store.
+REGISTER_RETRY_MS = 5000.0
 # How often a host checks whether a read of the store is due, and whether
 # another host has newer state to fetch as a snapshot.
 READ_CHECK_INTERVAL_MS = 100.0
--- a/chicorybridge/tests/hosts/test_fleet_views.py
+++ b/chicorybridge/tests/hosts/test_fleet_views.py
@@ -9,6 +9,7 @@
 
 from chicorybridge import settings
 from chicorybridge.common.clocks import ManualClock
+from chicorybridge.common.errors import ErrorCode, RequestError
 from chicorybridge.common.events import EventLog
 from chicorybridge.common.identities import (
     HostId,
@@ -51,6 +52,8 @@
         """Start without changes."""
         self.skipped_to: int | None = None
         self.change = TargetsChanged(store_version=0)
+        self.profiles_by_id: dict[HostId, FleetMember] = {}
+        self.away = False
         self.configuration: HostConfiguration | None = None
 
     async def read_configuration(self) -> HostConfiguration | None:
@@ -66,11 +69,16 @@
         return self.change
 
     async def read_hosts(self) -> tuple[FleetMember, ...]:
-        """Return no hosts."""
-        return ()
+        """Return the hosts that registered."""
+        return tuple(self.profiles_by_id.values())
 
     async def write_host(self, profile: FleetMember) -> None:
-        """Ignore the profile."""
+        """Keep the profile, unless the store is away."""
+        if self.away:
+            raise RequestError(
+                code=ErrorCode.overloaded, detail='the store is away'
+            )
+        self.profiles_by_id[profile.host_id] = profile
 
 
 class HostModel:
@@ -85,6 +93,7 @@
         self.clock = clock
         self.sent: list[Any] = []
         self.sent_far: list[Any] = []
+        self.announced = 0
         self.watcher = ScriptedWatcher()
         log = EventLog(
             clock=clock,
@@ -106,6 +115,7 @@
             log=log,
             fleet_view=self.view,
             watcher=self.watcher,
+            announcer=self,
             send=self.sent.append,
             send_far=self.sent_far.append,
         )
@@ -136,6 +146,10 @@
             serving=True,
         )
 
+    def announce(self) -> None:
+        """Count the announcements."""
+        self.announced += 1
+
     def read(self, change: TargetsChanged) -> None:
         """Read `change` from the store."""
         self.watcher.change = change
@@ -365,3 +379,35 @@
     second.view.on_message(mark, first.name)
     second.read(TargetsChanged(store_version=9))
     assert second.watcher.skipped_to is None
+
+
+def test_host_that_starts_without_the_store_registers_when_it_is_back(
+    first, second
+):
+    first.watcher.profiles_by_id = second.watcher.profiles_by_id
+    curio.run(second.reader.register_if_due)
+    first.watcher.away = True
+    curio.run(first.reader.register_if_due)
+    assert not first.view.host_table.profiles()
+    first.watcher.away = False
+    first.read(TargetsChanged(store_version=1))
+    curio.run(first.reader.register_if_due)
+    assert first.view.host_table.profiles() == (second.profile(),)
+    assert first.name in second.watcher.profiles_by_id
+    assert first.announced == 2
+    # It is registered once.
+    curio.run(first.reader.register_if_due)
+    assert first.announced == 2
+
+
+def test_host_for_which_others_read_the_store_registers_after_a_while(
+    clock, first
+):
+    first.watcher.away = True
+    curio.run(first.reader.register_if_due)
+    first.watcher.away = False
+    curio.run(first.reader.register_if_due)
+    assert first.name not in first.watcher.profiles_by_id
+    clock.advance(by_ms=settings.REGISTER_RETRY_MS)
+    curio.run(first.reader.register_if_due)
+    assert first.name in first.watcher.profiles_by_id
