Tell a host that starts which requests crash targets

Cause: each report of a crash is sent once, and held only in the memory of those that ran then. A host that starts got configuration, targets and hosts from the others, but no suspects.

The first two hosts of its zone, or else of its region, now send what they know of requests that crash targets to a host that is new to them or has restarted.

--- a/chicorybridge/fleet/host_tables.py
+++ b/chicorybridge/fleet/host_tables.py
@@ -87,7 +87,7 @@
         now: Millis,
         arrived_after: Millis | None = None,
     ) -> bool:
-        """Store a host's own profile; return whether the host is new.
+        """Store a host's own profile; return if it is new or has restarted.
 
         It arrived later than `arrived_after`, by default just now.
         """
@@ -102,7 +102,9 @@
             arrived_after=now if arrived_after is None else arrived_after,
         )
         self.lost_by_id.pop(profile.host_id, None)
-        return current is None
+        if current is None:
+            return True
+        return current.profile.incarnation != profile.incarnation
 
     def touch(
         self,
@@ -304,6 +306,32 @@
     return tuple(sorted(host_ids, key=_rank_hash))
 
 
+def informs_newcomer(table: HostTable, newcomer: FleetMember) -> bool:
+    """Return whether this host tells a host that has started what it knows.
+
+    The first serving hosts of its zone do, or else those of the region.
+    """
+    if not table.is_in_region(newcomer):
+        return False
+    others = [
+        profile
+        for profile in table.in_region()
+        if profile.serving and profile.host_id != newcomer.host_id
+    ]
+    host_ids = [
+        profile.host_id
+        for profile in others
+        if profile.zone_id == newcomer.zone_id
+    ]
+    if table.zone_id == newcomer.zone_id:
+        host_ids.append(table.host_id)
+    if not host_ids:
+        host_ids = [profile.host_id for profile in others]
+        host_ids.append(table.host_id)
+    order = sorted(host_ids, key=_rank_hash)
+    return table.host_id in order[: settings.NEWCOMER_INFORMANTS]
+
+
 def own_share_of_region(table: HostTable) -> tuple[FleetMember, ...]:
     """Return the hosts of the region's other zones that this host informs.
 
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -18,6 +18,7 @@
 from chicorybridge.fleet.host_tables import (
     FleetMember,
     HostTable,
+    informs_newcomer,
     region_order,
 )
 from chicorybridge.fleet.losses import HostsLost, drop_lost
@@ -31,7 +32,11 @@
 from chicorybridge.routing.quarantines import CrashReport, Quarantine
 from chicorybridge.routing.reputations import ReputationTable, TargetSeen
 from chicorybridge.routing.service_latencies import LatencyTable
-from chicorybridge.routing.suspects import CrashSuspected, SuspectCleared
+from chicorybridge.routing.suspects import (
+    CrashSuspected,
+    SuspectCleared,
+    SuspectsKnown,
+)
 from chicorybridge.routing.target_limits import LimitSeen, TargetLimits
 from chicorybridge.routing.target_signs import (
     LeavingSeen,
@@ -104,6 +109,8 @@
         self.peers_heard: list[HostId] = []
         # Messages of other regions to forward to the hosts of this zone.
         self.to_forward: list[Any] = []
+        # Messages for single hosts.
+        self.to_hosts: list[tuple[HostId, Any]] = []
 
     def apply_configuration(
         self, configuration: HostConfiguration, *, source: str
@@ -195,8 +202,12 @@
         is_new = self.host_table.record(
             message, now=now, arrived_after=self._arrived_after
         )
-        if is_new:
-            self.peers_heard.append(message.host_id)
+        if not is_new:
+            return
+        self.peers_heard.append(message.host_id)
+        known = self.quarantine.known()
+        if known and informs_newcomer(self.host_table, message):
+            self.to_hosts.append((message.host_id, known))
 
     @_handle.register
     def _handle_losses(
@@ -223,8 +234,12 @@
 
     @_handle.register(CrashSuspected)
     @_handle.register(SuspectCleared)
+    @_handle.register(SuspectsKnown)
     def _handle_suspect(
-        self, message: CrashReport, sender: HostId, now: Millis
+        self,
+        message: CrashReport | SuspectsKnown,
+        sender: HostId,
+        now: Millis,
     ) -> None:
         self.quarantine.receive(message, now=now)
 
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -113,6 +113,9 @@
         fleet_view = self._fleet_view
         while fleet_view.to_forward:
             self._announcer.send_to_zone(fleet_view.to_forward.pop())
+        while fleet_view.to_hosts:
+            host_id, message = fleet_view.to_hosts.pop()
+            self._announcer.send_to_host(message, host_id)
         if fleet_view.zone_sums.aggregator is None:
             self._send_share_of_summaries()
         elif fleet_view.zone_sums.is_own:
--- a/chicorybridge/routing/quarantines.py
+++ b/chicorybridge/routing/quarantines.py
@@ -29,6 +29,7 @@
 from chicorybridge.routing.suspects import (
     CrashSuspected,
     SuspectCleared,
+    SuspectsKnown,
     SuspectTable,
 )
 
@@ -94,6 +95,14 @@
                 self._suspects.add(message, now=now)
             case SuspectCleared():
                 self._suspects.clear(message.digest)
+            case SuspectsKnown():
+                for suspected in message.reports:
+                    self._suspects.add(suspected, now=now)
+
+    def known(self) -> SuspectsKnown | None:
+        """Return what a host that has started should know, if anything."""
+        reports = self._suspects.reports(limit=settings.MAX_KNOWN_SUSPECTS)
+        return SuspectsKnown(reports=reports) if reports else None
 
     def tick(self, *, now: Millis) -> None:
         """Drop expired reports."""
--- a/chicorybridge/routing/suspects.py
+++ b/chicorybridge/routing/suspects.py
@@ -41,6 +41,14 @@
     digest: Digest
 
 
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SuspectsKnown:
+    """Tell a host that has started which reports were sent before."""
+
+    reports: tuple[CrashSuspected, ...]
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Suspect:
     """A request, and when the targets that ran it crashed."""
@@ -119,6 +127,15 @@
             self._suspects_by_victim[victim].discard(digest)
         return True
 
+    def reports(self, *, limit: int) -> tuple[CrashSuspected, ...]:
+        """Return the last reports about requests that were not cleared."""
+        current = [
+            suspected
+            for suspected in self._received_at
+            if suspected.digest in self._suspects_by_digest
+        ]
+        return tuple(current[-limit:])
+
     def victims_of(self, digest: Digest) -> tuple[Victim, ...]:
         """Return the targets that crashed while they ran a request."""
         suspect = self._suspects_by_digest.get(digest)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -353,6 +353,10 @@
 # as many targets crashed without it as under it.
 CRASH_WINDOW_MS = 60_000
 OTHER_CRASHES_FACTOR = 5
+# Hosts that tell one that has started of the reports before, and how many
+# reports, so that they fit in a datagram.
+NEWCOMER_INFORMANTS = 2
+MAX_KNOWN_SUSPECTS = 256
 # Peers that a host sends a new report to, and the pause before the retry of a
 # request that may have crashed a target, in which reports of others arrive.
 SUSPECT_RELAYS = 6
--- a/chicorybridge/tests/hosts/zones.py
+++ b/chicorybridge/tests/hosts/zones.py
@@ -34,6 +34,7 @@
 ZONE_ID = ZoneId('groningen')
 REGIONS = MappingProxyType({ZONE_ID: RegionId('noord')})
 TARGET_ID = TargetId('i-1')
+FIRST_INCARNATION = Incarnation(1)
 STEP_MS = 10
 STEPS_PER_TICK = round(settings.TICK_MS / STEP_MS)
 STEPS_PER_TOTALS = 4
@@ -43,11 +44,17 @@
     """One host; `frozen`, `off`, `mute`, `deaf` are faults."""
 
     def __init__(
-        self, *, number: int, zone: 'Zone', zone_id: ZoneId = ZONE_ID
+        self,
+        *,
+        number: int,
+        zone: 'Zone',
+        zone_id: ZoneId = ZONE_ID,
+        incarnation: Incarnation = FIRST_INCARNATION,
     ) -> None:
         """Register with `zone`, which delivers its datagrams."""
         self.host_id = HostId(f'edge-{number}')
         self.zone_id = zone_id
+        self.incarnation = incarnation
         # It stands still; datagrams wait in its socket.
         self.frozen = False
         # It has no power; datagrams to it are lost.
@@ -77,7 +84,7 @@
                 clock=zone.clock,
                 host_id=self.host_id,
                 process='host',
-                incarnation=Incarnation(1),
+                incarnation=incarnation,
             ),
             rng=random.Random(number),
             state=self.state,
@@ -85,7 +92,7 @@
         )
         self.announcer = Announcer(
             host_settings=host_settings,
-            incarnation=Incarnation(1),
+            incarnation=incarnation,
             rng=random.Random(number),
             state=self.state,
             host_table=table,
@@ -211,6 +218,25 @@
             for host in self.hosts:
                 host.step(self._steps)
 
+    def restart(self, host: ZoneHost) -> None:
+        """Replace a host by one that has just started and announces itself."""
+        number = self.hosts.index(host)
+        started = ZoneHost(
+            number=number,
+            zone=self,
+            zone_id=host.zone_id,
+            incarnation=Incarnation(host.incarnation + 1),
+        )
+        self.hosts[number] = started
+        self._by_address[started.address] = started
+        _list_target(started.view)
+        for other in self.hosts:
+            if other is not started:
+                started.view.host_table.add_unknown(
+                    [other.announcer.profile()], now=self.clock.now()
+                )
+        started.announcer.announce()
+
     def cut_zone_of(self, sender: ZoneHost) -> None:
         """Lose all datagrams of a host to the others of its zone."""
         self._cut.update(
