Count no crash as unexplained that another request probably caused

Cause: a request is not refused while five times as many other targets crashed without it, and the crashes of the other requests counted as that.

Targets under a request with three victims or more no longer count for others. One victim each still excuses, as in a power failure.

--- a/chicorybridge/routing/suspects.py
+++ b/chicorybridge/routing/suspects.py
@@ -183,12 +183,21 @@
             self._suspects_by_digest.pop(suspected.digest)
 
     def _crashed_elsewhere(self, suspect: Suspect, now: Millis) -> int:
-        """Count recently crashed targets that did not run this request."""
-        own_target_ids = {victim.target_id for victim in suspect.victims}
+        """Count recently crashed targets that this request does not explain.
+
+        Those that another request probably crashed say nothing about this
+        one, so that several such requests don't excuse each other.
+        """
+        explained_ids = {victim.target_id for victim in suspect.victims}
+        for other in self._suspects_by_digest.values():
+            if len(other.victims) >= settings.MIN_VICTIMS_IF_AMBIGUOUS:
+                explained_ids.update(
+                    victim.target_id for victim in other.victims
+                )
         return sum(
             now - crashed_at < settings.CRASH_WINDOW_MS
             for target_id, crashed_at in self._crashed_at_by_target.items()
-            if target_id not in own_target_ids
+            if target_id not in explained_ids
         )
 
     def _count_sharing(self, suspect: Suspect, min_common: int) -> int:
--- a/chicorybridge/tests/routing/test_suspects.py
+++ b/chicorybridge/tests/routing/test_suspects.py
@@ -8,6 +8,7 @@
 from chicorybridge.routing.suspects import CrashSuspected, SuspectTable, Victim
 
 NOW = Millis(1000)
+CRASHED_TOGETHER = ('123', '456', '789', 'ABC', 'DEF', 'GHI')
 
 
 def _table(victims_by_digest):
@@ -43,6 +44,8 @@
         ({'a': '12', 'b': '3', 'c': '4'}, set()),
         # A whole zone fails three times with many requests in flight.
         (dict.fromkeys('abcdefgh', '123'), set()),
+        # Several requests crash targets, each others.
+        (dict(zip('abcdef', CRASHED_TOGETHER, strict=True)), set('abcdef')),
         # Many targets crash without `a`: its three crashes are chance.
         ({'a': '123', **{one: one for one in 'ABCDEFGHIJKLMNO'}}, set()),
     ],
