Suspect requests after which a target is silent and takes no connections

Cause: only an attempt whose connection ended made a suspect, one that timed out never did.

After an attempt that timed out at a target of which no host has had an answer in its second half, the host checks whether the target takes connections, as after one that was cut. Other time-outs open no connection and make no suspect.

One more test: three time-outs at live targets make no suspect.

--- a/chicorybridge/hosts/crash_checks.py
+++ b/chicorybridge/hosts/crash_checks.py
@@ -6,9 +6,10 @@
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
-from chicorybridge.common.attempts import Attempt
-from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.attempts import Attempt, AttemptOutcome
+from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.common.events import Event, EventKind, EventLog
+from chicorybridge.common.identities import TargetId
 from chicorybridge.common.outcomes import COMPLETE_OUTCOMES
 from chicorybridge.entry.calls import Call
 from chicorybridge.routing.quarantines import (
@@ -31,9 +32,15 @@
         clock: Clock,
         log: EventLog,
         quarantine: Quarantine,
+        answered_since: Callable[[TargetId, Millis], bool],
         broadcast: Callable[[CrashReport], None],
     ) -> None:
-        """Send reports with `broadcast`, which reaches all hosts."""
+        """Send reports with `broadcast`, which reaches all hosts.
+
+        `answered_since` returns whether any host has had an answer of a
+        target since a time.
+        """
+        self._answered_since = answered_since
         self._clock = clock
         self._log = log
         self._quarantine = quarantine
@@ -49,16 +56,33 @@
         self, call: Call, attempt: Attempt, address: str
     ) -> None:
         """Check an ended attempt; `address` of its target is IP:PORT."""
-        if may_have_crashed(attempt):
+        if may_have_crashed(attempt) or self._is_silent(attempt):
             await curio.spawn(self._check, call, attempt, address, daemon=True)
         elif attempt.outcome in COMPLETE_OUTCOMES:
             if self._quarantine.contains(call):
                 self._report(call, attempt)
 
+    def _is_silent(self, attempt: Attempt) -> bool:
+        """Return whether a target became silent during an attempt.
+
+        A target that crashes may leave its connections open. Answers of
+        before the crash may still arrive after the attempt began.
+        """
+        if attempt.outcome is not AttemptOutcome.timed_out:
+            return False
+        if not attempt.sent_bytes or attempt.first_byte_ms is not None:
+            return False
+        half_at = Millis(attempt.started_at + attempt.elapsed_ms / 2)
+        return not self._answered_since(attempt.target_id, half_at)
+
     async def _check(self, call: Call, attempt: Attempt, address: str) -> None:
         if await _accepts_connections(address):
             return
-        self._report(call, attempt)
+        self._broadcast(
+            self._quarantine.suspect(
+                call.digest, attempt.target_id, now=self._clock.now()
+            )
+        )
         facts = {'digest': call.digest, 'target': attempt.target_id}
         self._log.emit(Event(kind=EventKind.crash_suspected, facts=facts))
 
--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -72,6 +72,7 @@
             clock=clock,
             log=log,
             quarantine=fleet_view.quarantine,
+            answered_since=fleet_view.reputations.answered_since,
             broadcast=announcer.broadcast,
         ),
         placements=Placements(
--- a/chicorybridge/routing/quarantines.py
+++ b/chicorybridge/routing/quarantines.py
@@ -16,7 +16,7 @@
 from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.events import Event, EventKind
-from chicorybridge.common.identities import Digest, HostId
+from chicorybridge.common.identities import Digest, HostId, TargetId
 from chicorybridge.common.outcomes import COMPLETE_OUTCOMES
 from chicorybridge.common.systems import (
     Effect,
@@ -76,18 +76,22 @@
     ) -> CrashReport | None:
         """Record an attempt; return a report for the control process."""
         if may_have_crashed(attempt):
-            victim = self._suspects.next_victim(
-                digest, attempt.target_id, now=now
-            )
-            suspected = CrashSuspected(digest=digest, victim=victim)
-            self._suspects.add(suspected, now=now)
-            return suspected
+            return self.suspect(digest, attempt.target_id, now=now)
         if attempt.outcome not in COMPLETE_OUTCOMES:
             return None
         if self._suspects.clear(digest):
             return SuspectCleared(digest=digest)
         return None
 
+    def suspect(
+        self, digest: Digest, target_id: TargetId, *, now: Millis
+    ) -> CrashSuspected:
+        """Record that a target crashed under a request; return the report."""
+        victim = self._suspects.next_victim(digest, target_id, now=now)
+        suspected = CrashSuspected(digest=digest, victim=victim)
+        self._suspects.add(suspected, now=now)
+        return suspected
+
     def receive(self, message: Any, *, now: Millis) -> None:
         """Handle a report from the control process."""
         match message:
--- a/chicorybridge/routing/reputations.py
+++ b/chicorybridge/routing/reputations.py
@@ -77,6 +77,7 @@
     soundness: float = settings.SOUND_SHARE
     updated_at: Millis = Millis(-math.inf)
     observed_at: Millis = Millis(-math.inf)
+    answered_at: Millis = Millis(-math.inf)
     # From attempts of this host only: other hosts may reach the target.
     unreachable_until: Millis = Millis(-math.inf)
     unreachable_count: int = 0
@@ -113,6 +114,8 @@
         self.soundness = min(settings.MAX_SOUNDNESS, bounded)
         self.updated_at = now
         self.observed_at = now
+        if sign is Sign.answered:
+            self.answered_at = now
 
 
 class ReputationTable:
@@ -134,6 +137,10 @@
         """Remove a target that was deleted or restarted."""
         self._reputations_by_id.pop(target_id, None)
 
+    def answered_since(self, target_id: TargetId, at: Millis) -> bool:
+        """Return whether an answer of a target has been seen since `at`."""
+        return self.of(target_id).answered_at >= at
+
     def adopt_estimate(
         self, target_id: TargetId, soundness: float, *, now: Millis
     ) -> None:
--- a/chicorybridge/tests/hosts/deployments.py
+++ b/chicorybridge/tests/hosts/deployments.py
@@ -66,6 +66,8 @@
     # Crashes (stops listening) when it runs a request with this path.
     crashing_path: str = ''
     crashed: bool = False
+    # Its connections stay open when it crashes.
+    crashes_into_silence: bool = False
     listener: curio.io.Socket | None = None
     serving: curio.Task | None = None
     requests: list[Request] = dataclasses.field(default_factory=list)
@@ -117,6 +119,8 @@
             await self.serving.cancel()
         if self.listener is not None:
             await self.listener.close()
+        if self.crashes_into_silence:
+            await curio.sleep(FETCH_TIMEOUT_MS)
         await connection.close()
 
 
--- a/chicorybridge/tests/hosts/test_host_processes.py
+++ b/chicorybridge/tests/hosts/test_host_processes.py
@@ -251,6 +251,44 @@
     assert other.status == HTTPStatus.OK
 
 
+@on_curio
+async def test_request_that_crashes_targets_into_silence_is_quarantined():
+    origins = [
+        Origin(target_id=f'i-{number}', crashes_into_silence=True)
+        for number in range(6)
+    ]
+    async with deployed(*origins) as deployment:
+        for origin in origins:
+            origin.crashing_path = '/accept/bad'
+        for number in range(4):
+            response = await deployment.send(
+                '/accept/bad', method='POST', request_id=f'r{number}'
+            )
+            await curio.sleep(0.4)
+        other = await deployment.send('/accept/good', method='POST')
+    assert response.status == HTTPStatus.SERVICE_UNAVAILABLE
+    assert sum(origin.crashed for origin in origins) <= 3
+    assert other.status == HTTPStatus.OK
+
+
+@on_curio
+async def test_request_that_times_out_at_live_targets_is_not_quarantined():
+    origins = [
+        Origin(target_id=f'i-{number}', delay_s=1.5) for number in range(3)
+    ]
+    async with deployed(*origins) as deployment:
+        for number in range(3):
+            response = await deployment.send(
+                '/accept/7', method='POST', request_id=f'r{number}'
+            )
+            assert response.status == HTTPStatus.GATEWAY_TIMEOUT
+            await curio.sleep(0.1)
+        for origin in origins:
+            origin.delay_s = 0
+        response = await deployment.send('/accept/7', method='POST')
+    assert response.status == HTTPStatus.OK
+
+
 @on_curio
 async def test_request_at_a_resetting_target_is_not_quarantined():
     first, second = _origins()
