Leave the slack of the retry budget to the process before a restart

Cause: retries are counted in the memory of each process, and one that starts had its whole share again.

In the first window after its start a process has no part of the slack, only the ratio to its own requests, unless the settings say that the whole fleet starts for the first time.

--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -16,7 +16,7 @@
 from chicorybridge.hosts.settings_files import HostSettings
 from chicorybridge.http.target_connections import TargetConnections
 from chicorybridge.platform.dialects import PLATFORM_DIALECT
-from chicorybridge.routing.allowances import RetryAllowances
+from chicorybridge.routing.allowances import LONG_AGO, RetryAllowances
 from chicorybridge.routing.selections import Selector, TargetEstimates
 
 
@@ -48,7 +48,10 @@
     policies = HostPolicies(
         clock=clock,
         selector=selector,
-        allowances=RetryAllowances(bound=host_settings.bounds.retries),
+        allowances=RetryAllowances(
+            bound=host_settings.bounds.retries,
+            started_at=LONG_AGO if host_settings.bootstrap else clock.now(),
+        ),
         host_count=lambda: len(fleet_view.host_table.profiles()) + 1,
         reporter=Reporter(
             clock=clock, fleet_view=fleet_view, announcer=announcer
--- a/chicorybridge/hosts/settings_files.py
+++ b/chicorybridge/hosts/settings_files.py
@@ -13,6 +13,7 @@
     AddressField,
     Field,
     FieldError,
+    FlagField,
     NumberField,
 )
 from chicorybridge.common.identities import HostId, RegionId, ZoneId
@@ -72,6 +73,7 @@
         'directory': AddressField(required=True),
         'fleet_ports': PortsField(required=True),
         'seeds': AddressesField(),
+        'bootstrap': FlagField(),
         'store': AddressField(required=True),
         'metrics': AddressField(required=True),
     }
@@ -128,6 +130,8 @@
     store: str
     regions_by_zone: dict[ZoneId, RegionId]
     bounds: HostBounds
+    # The fleet starts for the first time: there was no earlier process.
+    bootstrap: bool = False
 
     @property
     def fleet_address(self) -> str:
@@ -201,6 +205,7 @@
         store=values_by_key['store'],
         regions_by_zone={zone_id: region_id, **regions},
         bounds=_bounds(values_by_key),
+        bootstrap=bool(values_by_key.get('bootstrap')),
     )
 
 
--- a/chicorybridge/routing/allowances.py
+++ b/chicorybridge/routing/allowances.py
@@ -8,6 +8,8 @@
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import ServiceId
 
+LONG_AGO = Millis(-math.inf)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RetryBound:
@@ -26,12 +28,17 @@
 
     Requests and retries are counted in a sliding window. The share of this
     host is `ratio` times its own requests plus an equal part of `slack`; only
-    `RETRY_BOUND_SHARE` of it is used.
+    `RETRY_BOUND_SHARE` of it is used. There is no part of `slack` in the
+    first window after `started_at`: an earlier process of this host, of whose
+    retries nothing is left, may have used it.
     """
 
-    def __init__(self, *, bound: RetryBound) -> None:
-        """Start without requests."""
+    def __init__(
+        self, *, bound: RetryBound, started_at: Millis = LONG_AGO
+    ) -> None:
+        """Start without requests; `started_at` is when the process did."""
         self.bound = bound
+        self._started_at = started_at
         self._requested_at: deque[Millis] = deque()
         self._retried_at: deque[Millis] = deque()
 
@@ -60,7 +67,8 @@
             while times and times[0] < horizon:
                 times.popleft()
         allowed = self.bound.ratio * len(self._requested_at)
-        allowed += self.bound.slack / max(1, hosts)
+        if horizon >= self._started_at:
+            allowed += self.bound.slack / max(1, hosts)
         used = len(self._retried_at) + 1
         usable = allowed * settings.RETRY_BOUND_SHARE
         return used / usable if usable else math.inf
@@ -79,9 +87,16 @@
 class RetryAllowances:
     """The retry allowances of all services."""
 
-    def __init__(self, *, bound: RetryBound) -> None:
-        """Start without services; `bound` applies to each."""
+    def __init__(
+        self, *, bound: RetryBound, started_at: Millis = LONG_AGO
+    ) -> None:
+        """Start without services; `bound` applies to each.
+
+        `started_at` is when the process started, if it may have had a
+        predecessor.
+        """
         self._bound = bound
+        self._started_at = started_at
         self._allowances_by_id: dict[ServiceId, RetryAllowance] = {}
 
     def update_bound(self, bound: RetryBound) -> None:
@@ -94,6 +109,8 @@
         """Return the allowance of a service, created on first use."""
         allowance = self._allowances_by_id.get(service_id)
         if allowance is None:
-            allowance = RetryAllowance(bound=self._bound)
+            allowance = RetryAllowance(
+                bound=self._bound, started_at=self._started_at
+            )
             self._allowances_by_id[service_id] = allowance
         return allowance
--- a/chicorybridge/tests/hosts/deployments.py
+++ b/chicorybridge/tests/hosts/deployments.py
@@ -276,6 +276,7 @@
         seeds=(),
         store=store_address,
         regions_by_zone={ZoneId(ZONE): RegionId('noord')},
+        bootstrap=True,
         bounds=HostBounds(
             grace_ms=2000,
             ttl_ms=1000,
