Let hosts with large links sum up what a large zone has in flight

Hosts of a large zone left their aggregator about once a second, all at the same moment, and did without its sums and results for 0.4 s each time.

Cause: the aggregator was the first by hash, mostly a host on a link of 10 Mbit/s. It went on sending, but nothing arrived for 370 ms while bodies of uploads filled the link.

Hosts tell new hosts of their zone, and all of it with each tenth heartbeat, what their link carries, from their settings; the aggregator is the serving host with the largest one. Where that is not known the order is as before. Between builds, an older host still goes by the hash: some sums then come from two aggregators.

--- a/chicorybridge/fleet/host_tables.py
+++ b/chicorybridge/fleet/host_tables.py
@@ -42,6 +42,14 @@
     serving: bool
 
 
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HostLink:
+    """Tell the zone how much the link of the sender carries, in Mbit/s."""
+
+    bandwidth_mbps: float
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class HostRecord:
     """A host, and when it last sent a message.
@@ -77,6 +85,8 @@
         self.regions_by_zone = regions_by_zone
         self._records_by_id: dict[HostId, HostRecord] = {}
         self._expired_at = Millis(-math.inf)
+        # Mbit/s of the links of hosts of the zone that are known.
+        self.bandwidth_by_id: dict[HostId, float] = {}
         # Profiles of hosts that timed out or were reported as lost.
         self.lost_by_id: dict[HostId, FleetMember] = {}
 
@@ -332,6 +342,25 @@
     return table.host_id in order[: settings.NEWCOMER_INFORMANTS]
 
 
+def own_link(table: HostTable) -> HostLink:
+    """Return what the link of this host carries."""
+    return HostLink(bandwidth_mbps=table.bandwidth_by_id.get(table.host_id, 0))
+
+
+def aggregator_order(table: HostTable, *, serving: bool) -> tuple[HostId, ...]:
+    """Return the serving hosts of the zone, those with large links first.
+
+    The aggregator sends the sums of a zone to all of it; beside the bodies of
+    requests a small link can't carry them. Equal ones are ordered by rank.
+    """
+    return tuple(
+        sorted(
+            zone_order(table, serving=serving),
+            key=lambda host_id: -table.bandwidth_by_id.get(host_id, 0),
+        )
+    )
+
+
 def own_share_of_region(table: HostTable) -> tuple[FleetMember, ...]:
     """Return the hosts of the region's other zones that this host informs.
 
--- a/chicorybridge/hosts/announcers.py
+++ b/chicorybridge/hosts/announcers.py
@@ -11,6 +11,7 @@
 from chicorybridge.fleet.host_tables import (
     FleetMember,
     HostTable,
+    own_link,
     own_share_of_far_zones,
     own_share_of_region,
     serving_by_zone,
@@ -46,6 +47,9 @@
         self._serial = 0
         self._heartbeat_at = Millis(0)
         self.losses = LossReports(host_table=host_table)
+        host_table.bandwidth_by_id[host_table.host_id] = (
+            host_settings.bandwidth_mbps
+        )
 
     def profile(self) -> FleetMember:
         """Return the current profile of this host."""
@@ -102,6 +106,8 @@
         in_zone = _fleet_addresses(table.in_zone())
         lost = _fleet_addresses(_lost_in_turn(table, self._heartbeats))
         self._channel.send(self.profile(), (*in_zone, *elsewhere, *lost))
+        if not self._heartbeats % settings.LINK_HEARTBEATS:
+            self._channel.send(own_link(table), in_zone)
         report = self.losses.report(serving=self._state.ready, now=now)
         if report is not None:
             self._channel.send(report, elsewhere)
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -17,8 +17,10 @@
 from chicorybridge.fleet.directories import TargetsChanged
 from chicorybridge.fleet.host_tables import (
     FleetMember,
+    HostLink,
     HostTable,
     informs_newcomer,
+    own_link,
     region_order,
 )
 from chicorybridge.fleet.losses import HostsLost, drop_lost
@@ -205,14 +207,20 @@
         if not is_new:
             return
         self.peers_heard.append(message.host_id)
+        if message.zone_id == self.host_table.zone_id:
+            self.to_hosts.append((message.host_id, own_link(self.host_table)))
         known = self.quarantine.known()
         if known and informs_newcomer(self.host_table, message):
             self.to_hosts.append((message.host_id, known))
 
-    @_handle.register
-    def _handle_losses(
-        self, message: HostsLost, sender: HostId, now: Millis
+    @_handle.register(HostsLost)
+    @_handle.register(HostLink)
+    def _handle_hosts(
+        self, message: HostsLost | HostLink, sender: HostId, now: Millis
     ) -> None:
+        if isinstance(message, HostLink):
+            self.host_table.bandwidth_by_id[sender] = message.bandwidth_mbps
+            return
         is_news = drop_lost(self.host_table, message, now=self._arrived_after)
         if is_news and not _is_in_zone(self.host_table, sender):
             self.to_forward.append(message)
--- a/chicorybridge/hosts/settings_files.py
+++ b/chicorybridge/hosts/settings_files.py
@@ -74,6 +74,7 @@
         'fleet_ports': PortsField(required=True),
         'seeds': AddressesField(),
         'bootstrap': FlagField(),
+        'bandwidth_mbps': NumberField(low=0, high=MAX_NUMBER),
         'store': AddressField(required=True),
         'metrics': AddressField(required=True),
     }
@@ -130,6 +131,8 @@
     store: str
     regions_by_zone: dict[ZoneId, RegionId]
     bounds: HostBounds
+    # What the link of the host carries; 0 if it is not known.
+    bandwidth_mbps: float = 0
     # The fleet starts for the first time: there was no earlier process.
     bootstrap: bool = False
 
@@ -205,6 +208,7 @@
         store=values_by_key['store'],
         regions_by_zone={zone_id: region_id, **regions},
         bounds=_bounds(values_by_key),
+        bandwidth_mbps=values_by_key.get('bandwidth_mbps') or 0,
         bootstrap=bool(values_by_key.get('bootstrap')),
     )
 
--- a/chicorybridge/hosts/zone_sums.py
+++ b/chicorybridge/hosts/zone_sums.py
@@ -14,7 +14,7 @@
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.identities import HostId
 from chicorybridge.fleet.aggregators import AggregatorChoice
-from chicorybridge.fleet.host_tables import HostTable, zone_order
+from chicorybridge.fleet.host_tables import HostTable, aggregator_order
 from chicorybridge.hosts.states import HostState
 from chicorybridge.hosts.target_results import TargetResults
 from chicorybridge.routing.reputations import Sign, TargetSeen
@@ -88,7 +88,7 @@
         Run at each tick.
         """
         now = self._clock.now()
-        order = zone_order(self._host_table, serving=self._state.ready)
+        order = aggregator_order(self._host_table, serving=self._state.ready)
         previous = self.aggregator
         if not self.is_sending:
             self._workloads.changed_ids.clear()
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -564,6 +564,9 @@
 REGION_HOSTS_PER_HEARTBEAT = 16
 FAR_HOSTS_PER_HEARTBEAT = 1
 OTHER_REGION_HOST_TIMEOUT_MS = 30_000.0
+# Each of so many heartbeats brings the zone what the link of the host carries,
+# which a host that is new to this one is told at once.
+LINK_HEARTBEATS = 10
 # Lost hosts of the own zone and of others that get a heartbeat at a time: they
 # may have been cut off, and have lost this host as well.
 LOST_ZONE_HOSTS_PER_HEARTBEAT = 8
--- a/chicorybridge/tests/hosts/test_zone_sums.py
+++ b/chicorybridge/tests/hosts/test_zone_sums.py
@@ -14,6 +14,10 @@
 HOSTS = settings.MIN_AGGREGATED_HOSTS + 4
 # Longest time until all hosts know of a change.
 KNOWN_MS = 100
+# Longest time until hosts know of each other's links.
+LINKS_KNOWN_MS = settings.LINK_HEARTBEATS * (
+    settings.HOST_HEARTBEAT_INTERVAL_MS + settings.TICK_MS
+)
 # Longest time until the hosts use another aggregator and know all again.
 REPLACED_MS = settings.AGGREGATOR_TIMEOUT_MS + 3 * settings.TICK_MS
 # The same if the aggregator sends sums but hears nothing: the last reports that
@@ -186,3 +190,19 @@
 
 def _never(*_: Any) -> bool:
     return False
+
+
+def test_hosts_with_large_links_sum_up_first():
+    large = {3: 200.0, 8: 200.0}
+    small = {number: 10.0 for number in range(HOSTS) if number not in large}
+    zone = Zone(HOSTS, _AnyConfiguration(), bandwidths_mbps={**small, **large})
+    zone.run(ms=LINKS_KNOWN_MS)
+    first = zone.aggregator
+    assert first.host_id in {'edge-3', 'edge-8'}
+    first.off = True
+    zone.run(ms=REPLACED_MS)
+    second = zone.aggregator
+    assert {first.host_id, second.host_id} == {'edge-3', 'edge-8'}
+    second.off = True
+    zone.run(ms=REPLACED_MS)
+    assert zone.aggregator.host_id not in {'edge-3', 'edge-8'}
--- a/chicorybridge/tests/hosts/zones.py
+++ b/chicorybridge/tests/hosts/zones.py
@@ -1,5 +1,6 @@
 """Hosts of one or more zones that send each other datagrams in memory."""
 
+import dataclasses
 import ipaddress
 import itertools
 import random
@@ -34,6 +35,7 @@
 ZONE_ID = ZoneId('groningen')
 REGIONS = MappingProxyType({ZONE_ID: RegionId('noord')})
 TARGET_ID = TargetId('i-1')
+NO_BANDWIDTHS: Mapping[int, float] = MappingProxyType({})
 FIRST_INCARNATION = Incarnation(1)
 STEP_MS = 10
 STEPS_PER_TICK = round(settings.TICK_MS / STEP_MS)
@@ -50,6 +52,7 @@
         zone: 'Zone',
         zone_id: ZoneId = ZONE_ID,
         incarnation: Incarnation = FIRST_INCARNATION,
+        bandwidth_mbps: float = 0,
     ) -> None:
         """Register with `zone`, which delivers its datagrams."""
         self.host_id = HostId(f'edge-{number}')
@@ -70,7 +73,10 @@
         self.state = HostState()
         # A host without a configuration does not serve.
         self.state.configuration = zone.configuration
-        host_settings = host_settings_of(self.host_id, number, zone_id)
+        host_settings = dataclasses.replace(
+            host_settings_of(self.host_id, number, zone_id),
+            bandwidth_mbps=bandwidth_mbps,
+        )
         self.address = host_settings.fleet_address
         self.front = host_settings.front
         table = HostTable(
@@ -168,8 +174,12 @@
         configuration: Any,
         *,
         regions_by_zone: Mapping[ZoneId, RegionId] = REGIONS,
+        bandwidths_mbps: Mapping[int, float] = NO_BANDWIDTHS,
     ) -> None:
-        """Start `hosts` hosts in each zone and let them choose aggregators."""
+        """Start `hosts` hosts in each zone and let them choose aggregators.
+
+        `bandwidths_mbps` has the links of hosts by number, 0 if not known.
+        """
         self.regions_by_zone = regions_by_zone
         self.clock = ManualClock(start=10_000)
         self.configuration = configuration
@@ -178,7 +188,12 @@
         self._cut: set[tuple[HostId, HostId]] = set()
         zone_ids = tuple(regions_by_zone) * hosts
         self.hosts = [
-            ZoneHost(number=number, zone=self, zone_id=zone_id)
+            ZoneHost(
+                number=number,
+                zone=self,
+                zone_id=zone_id,
+                bandwidth_mbps=bandwidths_mbps.get(number, 0),
+            )
             for number, zone_id in enumerate(zone_ids)
         ]
         self._by_address = {host.address: host for host in self.hosts}
