--- a/chicorybridge/tests/hosts/test_reporters.py
+++ b/chicorybridge/tests/hosts/test_reporters.py
@@ -50,6 +50,7 @@
         )
         self.host_table = SimpleNamespace(zone_id=ZONE_ID)
         self.to_forward: list[Any] = []
+        self.to_hosts: list[Any] = []
         self.sent_to_zone: list[Any] = []
         self.sent_to_other_zones: list[Any] = []
         self.sent_to_other_regions: list[Any] = []
