Read the store in time when newer state can't be fetched

Cause, by test: a host that is told of newer state leaves the next read of the store to others, again with each mark, until its data are as old as the whole limit. If it can't fetch that state, its own read ends after the limit. Hosts that leave the read to others now read between 0.6 and 0.8 of the limit.

Evidence: the new test of test_fleet_views.py, the last of 40 hosts with a mark each 500 ms, reads at 2,000 ms of 2,000 ms before.

--- a/chicorybridge/fleet/store_reads.py
+++ b/chicorybridge/fleet/store_reads.py
@@ -74,14 +74,14 @@
             return False
         share = _due_share(rank=rank, hosts=hosts)
         if rank and now < self._postponed_until:
-            # After all hosts that don't postpone it.
-            share += 1 - settings.READ_LATEST_SHARE
+            share = _postponed_share(share)
         return self.age_ms(now=now) >= self.spread_limit_ms * share
 
     def postpone(self, *, now: Millis) -> None:
         """Leave the next read to another host, which has newer data or reads.
 
-        Until the data are almost as old as the limit.
+        For a while, and no longer than a read of this host still ends
+        within the limit.
         """
         pause_ms = self.spread_limit_ms * settings.READ_STALE_SHARE
         self._postponed_until = Millis(now + pause_ms)
@@ -126,6 +126,19 @@
     return share + min(tail, 1) * settings.READ_TAIL_SHARE
 
 
+def _postponed_share(share: float) -> float:
+    """Return the share at which a host reads that leaves it to others.
+
+    Those that don't are mostly earlier; `share` is when this one would be due.
+    """
+    first, last = settings.READ_STALE_SHARE, settings.READ_LATEST_SHARE
+    delay = (share - first) / (last - first)
+    postponed_span = (
+        settings.READ_POSTPONED_LATEST_SHARE - settings.READ_POSTPONED_SHARE
+    )
+    return settings.READ_POSTPONED_SHARE + delay * postponed_span
+
+
 class OutageMonitor:
     """Detect outages of the store, in which entries of targets may expire.
 
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -616,6 +616,10 @@
 MAX_READ_RANK = 6
 READ_TAIL_SHARE = 0.16
 READ_LATEST_SHARE = 0.75
+# Hosts that leave the read to another host, which has newer state or is
+# reading, read between these shares if they have not got it by then.
+READ_POSTPONED_SHARE = 0.6
+READ_POSTPONED_LATEST_SHARE = 0.8
 # While an answer of the store is arriving, the other hosts are told of it at
 # this interval, and leave the read to this host.
 READ_NOTICE_INTERVAL_MS = 150.0
--- a/chicorybridge/tests/hosts/test_fleet_views.py
+++ b/chicorybridge/tests/hosts/test_fleet_views.py
@@ -24,7 +24,11 @@
     HostConfiguration,
 )
 from chicorybridge.fleet.directories import TargetEntry, TargetsChanged
-from chicorybridge.fleet.host_tables import FleetMember, HostTable
+from chicorybridge.fleet.host_tables import (
+    FleetMember,
+    HostTable,
+    region_order,
+)
 from chicorybridge.fleet.snapshots import Snapshot
 from chicorybridge.fleet.store_reads import ReadInProgress
 from chicorybridge.hosts.fleet_views import FleetView
@@ -411,3 +415,42 @@
     clock.advance(by_ms=settings.REGISTER_RETRY_MS)
     curio.run(first.reader.register_if_due)
     assert first.name in first.watcher.profiles_by_id
+
+
+MARK_INTERVAL_MS = 500
+CHECK_MS = 100
+# What is left of the bound for the read itself: two calls to the store.
+READ_MS = 300
+
+
+def _last_of_region(clock, hosts: int) -> HostModel:
+    """Return the host of the last rank in a region of `hosts`."""
+    models = [HostModel(f'edge-{number}', clock) for number in range(hosts)]
+    _introduce(models, models[0])
+    order = region_order(models[0].view.host_table)
+    last = next(host for host in models if host.name == order[-1])
+    _introduce(models, last)
+    return last
+
+
+def _introduce(models: list[HostModel], to: HostModel) -> None:
+    for model in models:
+        to.view.on_message(model.profile(), model.name)
+
+
+def test_host_that_can_not_fetch_what_is_new_reads_the_store_in_time(
+    clock, first
+):
+    last = _last_of_region(clock, 40)
+    last.read(_listed(1))
+    read_at = clock.now()
+    version = 1
+    while not last.reader._is_due():
+        clock.advance(by_ms=CHECK_MS)
+        if not clock.now() % MARK_INTERVAL_MS:
+            version += 1
+            entry = _entry(version, leaving=True)
+            first.read(TargetsChanged(store_version=version, entries=(entry,)))
+            last.view.on_message(first.view.store_mark(), first.name)
+    limit_ms = last.view.targets.schedule.spread_limit_ms
+    assert clock.now() - read_at + CHECK_MS + READ_MS <= limit_ms
