Let a host that hears nothing report no losses

A host that hears nobody, as datagrams to it are lost one way, told other regions that its whole zone was lost, and they dropped it until they heard its hosts again by turns.

Cause: it takes the silence for that of the others, and is then the first host of a zone of one. A host that has heard no other for two heartbeats reports nothing; that is sooner than it can lose any.

--- a/chicorybridge/fleet/losses.py
+++ b/chicorybridge/fleet/losses.py
@@ -53,9 +53,15 @@
 
         `serving` is whether this host serves; only the first ones that do
         send reports. They are repeated, as datagrams may be lost and the
-        receivers may be gone, too.
+        receivers may be gone, too. A host that hears nothing at all has lost
+        all others by itself.
         """
         self._forget_old(now)
+        hears_others = self._host_table.in_touch(
+            now=now, within_ms=settings.MAX_REPORTER_SILENCE_MS
+        )
+        if not hears_others:
+            return None
         order = zone_order(self._host_table, serving=serving)
         if self._host_table.host_id not in order[: settings.LOSS_REPORTERS]:
             return None
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -574,7 +574,9 @@
 # How many hosts of a zone tell other zones of the hosts that it lost, for how
 # long after the last message of a lost host, and how many at a time. With each
 # heartbeat they tell those whose turn it is, which tell their zones.
+# A host that has heard no other one for the longest silence reports nothing.
 LOSS_REPORTERS = 2
+MAX_REPORTER_SILENCE_MS = 2000.0
 LOSS_REPORTED_MS = 10_000.0
 MAX_REPORTED_LOSSES = 256
 # A host that sent something to this one so long after the last message to those
--- a/chicorybridge/tests/fleet/test_lost_hosts.py
+++ b/chicorybridge/tests/fleet/test_lost_hosts.py
@@ -147,3 +147,17 @@
     fleet.run(ms=2 * CONTACT_MS)
     for host in fleet.hosts:
         assert host.view.host_table.in_other_regions()
+
+
+def test_host_that_hears_nothing_reports_no_losses(fleet):
+    deaf = fleet.hosts[0]
+    deaf.deaf = True
+    live = [host for host in fleet.hosts if host.zone_id == deaf.zone_id]
+    fleet.run(ms=SETTLED_MS)
+    for host in fleet.hosts:
+        if host.zone_id == deaf.zone_id:
+            continue
+        listed = {
+            profile.host_id for profile in host.view.host_table.profiles()
+        }
+        assert {other.host_id for other in live} <= listed
