--- a/chicorybridge/hosts/announcers.py
+++ b/chicorybridge/hosts/announcers.py
@@ -145,11 +145,11 @@
         self._channel.send(message, _fleet_addresses(representatives))
 
     def send_to_relays(self, message: Any, *, far: bool) -> None:
-        """Send a message to one host of each other zone, by turns.
+        """Send a message to a random serving host of each other zone.
 
-        These are zones of other regions if `far`, else of this region. No host
-        is told always: one that is gone, or at the end of its link, would keep
-        the messages from its zone.
+        These are zones of other regions if `far`, else of this region. If it
+        were always the same host, one that is gone or has a full link would
+        keep the messages from its zone.
         """
         table = self._host_table
         profiles = table.in_other_regions() if far else table.in_other_zones()
