--- a/chicorybridge/fleet/aggregators.py
+++ b/chicorybridge/fleet/aggregators.py
@@ -55,7 +55,8 @@
     def update(self, order: Sequence[HostId], *, now: Millis) -> bool:
         """Choose again; return whether the aggregator has changed.
 
-        `order` has the serving hosts of the zone by rank, this one included.
+        `order` has the serving hosts of the zone, this one included, in the
+        order in which they are preferred.
         """
         self._avoid_silent(now)
         chosen = self._choose(order, now)
