Log how old the list of targets is when a host learns of a leaving one

Callers reached targets 3.4 s after these had said that they leave, and no line told by which way a host hears of it, how late, nor how old its list is when it chooses. target_leaving and target_gone name the age of the list and the way, attempt_ended the age at the choice, store_read each read of the store with rank, age and time, process_stalled late ticks from 300 ms on (from a second before). No logic changes.

--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -74,6 +74,7 @@
     store_back = 601
     removals_held = 602
     removals_released = 603
+    store_read = 604
 
     # 900: violated invariants.
     promise_broken = 900
--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -58,6 +58,7 @@
         ),
         state=fleet_view.state,
         latencies=fleet_view.results.latencies,
+        targets=fleet_view.targets,
     )
     return HostDispatcher(
         clock=clock,
--- a/chicorybridge/hosts/gauges.py
+++ b/chicorybridge/hosts/gauges.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from chicorybridge.common.clocks import Clock, as_seconds
+from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.fleet.channels import Channel
 from chicorybridge.hosts.dispatchers import HostDispatcher
 from chicorybridge.hosts.fleet_views import FleetView
@@ -37,6 +37,9 @@
         return {
             'configuration_version': self._fleet_view.state.version,
             'store_age_seconds': as_seconds(age_ms),
+            'leaving_learnt_age_seconds': as_seconds(
+                Millis(self._fleet_view.targets.max_leaving_age_ms)
+            ),
             'targets': len(self._fleet_view.directory.entries_by_id),
             'hosts_heard': len(self._fleet_view.host_table.profiles()),
             'requests_in_flight': len(self._dispatcher.calls_by_number),
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -1,5 +1,6 @@
 """Decisions on one request: its next target, timeouts, hedging, retries."""
 
+import dataclasses
 import functools
 import math
 from collections.abc import Callable, Collection
@@ -16,6 +17,7 @@
 from chicorybridge.fleet.directories import TargetEntry
 from chicorybridge.hosts.reporters import Reporter
 from chicorybridge.hosts.states import HostPhase, HostState
+from chicorybridge.hosts.target_lists import TargetList
 from chicorybridge.routing.allowances import RetryAllowances, RetryBound
 from chicorybridge.routing.hedging import SilentAttempt, hedge_delay_ms
 from chicorybridge.routing.reputations import Sign, TargetSeen
@@ -38,6 +40,7 @@
         reporter: Reporter,
         state: HostState,
         latencies: LatencyTable,
+        targets: TargetList,
     ) -> None:
         """Combine the components.
 
@@ -50,6 +53,7 @@
         self._host_count = host_count
         self._state = state
         self._latencies = latencies
+        self._targets = targets
         self.reporter = reporter
         self._retryable_at_by_id: dict[ServiceId, Millis] = {}
 
@@ -95,9 +99,11 @@
         )
         if option is None:
             self._check_available(call, excluded, now)
-        else:
-            self._selector.take(option, now=now)
-        return option
+            return None
+        self._selector.take(option, now=now)
+        return dataclasses.replace(
+            option, list_age_ms=self._targets.list_age_ms
+        )
 
     def attempt_limits(self, call: Call, option: Option) -> AttemptLimits:
         """Return the timeouts of an attempt and when it may be hedged."""
--- a/chicorybridge/hosts/request_logs.py
+++ b/chicorybridge/hosts/request_logs.py
@@ -99,6 +99,7 @@
             'load': round(option.load, 2),
             'placed_after_ms': round(attempt.started_at - call.started_at),
             'seen_ms_ago': _rounded_age(option.result_age_ms),
+            'list_age_ms': option.list_age_ms,
         }
         self._log.emit(Event(kind=EventKind.attempt_ended, facts=facts))
 
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -147,16 +147,23 @@
 
     async def _read_store(self) -> None:
         started_at = self._clock.now()
+        age_ms = self._targets.list_age_ms
         if self._targets.synced_version is not None:
             self._watcher.skip_to(self._targets.synced_version)
         notices = await curio.spawn(self._send_notices, daemon=True)
         change = await self._call_store(self._read_all())
         await notices.cancel(blocking=False)
+        now = self._clock.now()
+        order = region_order(self._fleet_view.host_table)
+        self._emit(
+            EventKind.store_read,
+            rank=order.index(self._fleet_view.host_table.host_id),
+            list_age_ms=age_ms,
+            took_ms=round(now - started_at),
+            failed=change is None,
+        )
         if change is None:
-            self._targets.schedule.record_failure(
-                hosts=len(region_order(self._fleet_view.host_table)),
-                now=self._clock.now(),
-            )
+            self._targets.schedule.record_failure(hosts=len(order), now=now)
             return
         self._targets.schedule.record_success(started_at=started_at)
         if self._register_at != NEVER:
--- a/chicorybridge/hosts/target_lists.py
+++ b/chicorybridge/hosts/target_lists.py
@@ -47,6 +47,17 @@
         self._is_retaining = False
         # The version of the store up to which nothing is missing here.
         self.synced_version: int | None = None
+        # Greatest age of the list when this host learnt of a leaving target.
+        self.max_leaving_age_ms = 0
+
+    @property
+    def list_age_ms(self) -> int | None:
+        """Return the age of the list in whole ms, `None` if it was never read.
+
+        A change that is not in the list was made since then.
+        """
+        age_ms = self.schedule.age_ms(now=self._clock.now())
+        return None if age_ms >= settings.NEVER_READ_AGE_MS else round(age_ms)
 
     def apply(self, change: TargetsChanged, *, source: str) -> TargetsChanged:
         """Apply a change of targets and return the part that was new."""
@@ -113,12 +124,19 @@
     def _log_entries(
         self, entries: Sequence[TargetEntry], *, source: str
     ) -> None:
+        leaving = tuple(entry.target_id for entry in entries if entry.leaving)
+        if leaving:
+            self.max_leaving_age_ms = max(
+                self.max_leaving_age_ms, self.list_age_ms or 0
+            )
         if len(entries) > settings.MAX_LOGGED_TARGETS:
             # At the start of the host, or after an outage of the store.
             self._emit(
                 EventKind.targets_listed,
                 targets=tuple(entry.target_id for entry in entries),
+                leaving=leaving,
                 source=source,
+                list_age_ms=self.list_age_ms,
             )
             return
         for entry in entries:
@@ -133,6 +151,7 @@
                 warming=entry.warming,
                 row_version=entry.row_version,
                 source=source,
+                list_age_ms=self.list_age_ms,
             )
 
     def _remove(self, entry: TargetEntry, *, source: str) -> None:
@@ -149,6 +168,7 @@
             target=target_id,
             store_version=self.directory.store_version,
             source=source,
+            list_age_ms=self.list_age_ms,
         )
 
     def _emit(self, kind: EventKind, **facts: Any) -> None:
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -63,6 +63,8 @@
     # Milliseconds since the last result of a request at the target, on any
     # host; infinite without one.
     result_age_ms: float
+    # Age of the list of targets, `None` if that is not known.
+    list_age_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -679,7 +679,7 @@
 MIN_DIRECTORY_ADDRESSES = 3
 MAX_DIRECTORY_ADDRESSES = 64
 # A host logs that its periodic work, due at each tick, was this late.
-MIN_LOGGED_STALL_MS = 1000.0
+MIN_LOGGED_STALL_MS = 300.0
 # A host that could not register tries again after this time, or as soon as it
 # has read the store.
 REGISTER_RETRY_MS = 5000.0
--- a/chicorybridge/tests/hosts/test_fleet_views.py
+++ b/chicorybridge/tests/hosts/test_fleet_views.py
@@ -99,7 +99,7 @@
         self.sent_far: list[Any] = []
         self.announced = 0
         self.watcher = ScriptedWatcher()
-        log = EventLog(
+        self.log = EventLog(
             clock=clock,
             host_id=self.name,
             process='host',
@@ -107,7 +107,7 @@
         )
         self.view = FleetView(
             clock=clock,
-            log=log,
+            log=self.log,
             rng=random.Random(1),
             state=HostState(),
             host_table=HostTable(
@@ -116,7 +116,7 @@
         )
         self.reader = StoreReader(
             clock=clock,
-            log=log,
+            log=self.log,
             fleet_view=self.view,
             watcher=self.watcher,
             announcer=self,
@@ -365,6 +365,42 @@
     assert second.watcher.skipped_to == 5
 
 
+def _age_and_source(host: HostModel) -> tuple[int, str]:
+    event = next(
+        event
+        for event in host.log.recent()
+        if event['event'] == 'target_leaving'
+    )
+    return (event['list_age_ms'], event['source'])
+
+
+def test_late_news_of_a_leaving_target_is_logged_with_its_age_and_way(
+    clock, first, second
+):
+    first.read(_listed(1))
+    second.hear(first)
+    clock.advance(by_ms=700)
+    leaving = TargetsChanged(
+        store_version=2, entries=(_entry(2, leaving=True),)
+    )
+    first.read(leaving)
+    second.view.on_message(leaving, first.name)
+    assert _age_and_source(first) == (700, 'store')
+    assert _age_and_source(second) == (700, first.name)
+    assert second.view.targets.max_leaving_age_ms == 700
+
+
+def test_reads_of_the_store_are_logged_with_the_age_before(clock, first):
+    first.read(_listed(1))
+    clock.advance(by_ms=700)
+    first.read(TargetsChanged(store_version=2))
+    reads = [
+        event for event in first.log.recent() if event['event'] == 'store_read'
+    ]
+    assert [event['list_age_ms'] for event in reads] == [None, 700]
+    assert not any(event['failed'] for event in reads)
+
+
 def test_read_is_left_to_a_host_whose_answer_is_arriving(clock, first):
     first.read(TargetsChanged(store_version=1))
     schedule = first.view.targets.schedule
