Add a failing test of leaving targets in a region of 146 hosts

Users saw requests at targets 3.4 s after these had said that they leave. The test plays bursts of leaving beside configurations, lost datagrams, failed reads of the store and hosts that stand still, with the bounds of the largest deployment.

--- /dev/null
+++ b/chicorybridge/tests/hosts/regions.py
@@ -0,0 +1,427 @@
+"""A region of hosts that read the store and tell each other, in memory.
+
+Views, schedules, relays and selectors are those of the program. Modelled are
+the store, datagrams, fetches, and processes that stand still.
+"""
+
+import dataclasses
+import functools
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable, Collection, Iterable
+from types import SimpleNamespace
+from typing import Any, cast
+
+from chicorybridge.common.clocks import (
+    MILLIS_PER_SECOND,
+    ManualClock,
+    Millis,
+)
+from chicorybridge.common.identities import HostId, ServiceId, TargetId, Version
+from chicorybridge.fleet.configurations import diff_configurations
+from chicorybridge.fleet.directories import TargetEntry, TargetsChanged
+from chicorybridge.fleet.host_tables import region_order
+from chicorybridge.fleet.relays import PendingFetch
+from chicorybridge.platform.formats import decode_configuration
+from chicorybridge.routing.selections import (
+    SelectionMode,
+    Selector,
+    TargetEstimates,
+)
+from chicorybridge.tests.hosts.zones import REGIONS, ZONE_ID, Zone, ZoneHost
+from chicorybridge.tests.platform.rows import configuration_row, route
+
+SERVICE_ID = ServiceId('quotes')
+TARGETS = 300
+STEP_MS = 10
+# Steps between two looks at the schedule of reads, and at fetches.
+READ_CHECK_STEPS = 10
+FETCH_CHECK_STEPS = 5
+# The bounds of the platform in `large`, and its heartbeats of targets.
+BOUND_MS = 3000
+HEARTBEAT_MS = 1500
+# Time of a datagram, of a read and of a fetch that succeed.
+TRANSIT_MS = 15
+READ_MS = 100
+FETCH_MS = 100
+FETCH_TIMEOUT_MS = 1500
+MAX_SENDS = 8
+MIN_STALL_MS = 200
+MAX_STALL_MS = 1200
+BURST_LOSS_MS = 1500
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Faults:
+    """Faults of a region; `loss` and `failed_reads` are shares.
+
+    Each slow host stands still `stalls_per_s` times a second; every host
+    loses all datagrams for a while `burst_losses_per_s` times.
+    """
+
+    loss: float = 0
+    burst_losses_per_s: float = 0
+    failed_reads: float = 0
+    slow_hosts: float = 0
+    stalls_per_s: float = 0
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class RegionHost:
+    """A host and what it is doing."""
+
+    host: ZoneHost
+    selector: Selector
+    is_slow: bool
+    waiting: list[tuple[Any, HostId]] = dataclasses.field(default_factory=list)
+    is_reading: bool = False
+    is_fetching: bool = False
+    stalled_until: float = 0
+    deaf_until: float = 0
+    # When its socket was last empty.
+    emptied_at: Millis = Millis(0)
+    sends: int = 0
+
+    @property
+    def view(self) -> Any:
+        """Return the fleet as this host sees it."""
+        return self.host.view
+
+
+class Region:
+    """Hosts of one region, the store, and the network between them."""
+
+    def __init__(self, *, hosts: int, faults: Faults, seed: int) -> None:
+        """Start with all hosts up to date."""
+        self.clock = ManualClock(start=10_000)
+        self.faults = faults
+        self.counts: Counter[str] = Counter()
+        # The store answers no read.
+        self.store_away = False
+        self._rng = random.Random(seed)
+        self._events: list[Any] = []
+        self._serials = itertools.count()
+        self._steps = 0
+        self._version = 1
+        self._entries_by_id = {
+            entry.target_id: entry for entry in map(_entry, range(TARGETS))
+        }
+        self._configuration = _configuration(1)
+        self.left_at_by_id: dict[TargetId, Millis] = {}
+        zone = SimpleNamespace(
+            regions_by_zone=REGIONS,
+            clock=self.clock,
+            in_transit=[],
+            configuration=None,
+        )
+        self.hosts = [
+            self._start(ZoneHost(number=number, zone=cast(Zone, zone)))
+            for number in range(hosts)
+        ]
+        self._by_id = {host.host.host_id: host for host in self.hosts}
+        self._introduce()
+
+    def run(self, *, ms: float) -> None:
+        """Let time pass."""
+        for _ in range(round(ms / STEP_MS)):
+            self.clock.advance(by_ms=STEP_MS)
+            self._steps += 1
+            while self._events and self._events[0][0] <= self.clock.now():
+                heapq.heappop(self._events)[2]()
+            for number, host in enumerate(self.hosts):
+                self._step(host, self._steps + number)
+
+    def leave(self, count: int) -> None:
+        """Let the store acknowledge that the next targets leave."""
+        first = len(self.left_at_by_id)
+        for number in range(first, min(first + count, TARGETS)):
+            self._version += 1
+            target_id = _target_id(number)
+            self._entries_by_id[target_id] = dataclasses.replace(
+                self._entries_by_id[target_id],
+                leaving=True,
+                row_version=self._version,
+            )
+            self.left_at_by_id[target_id] = self.clock.now()
+
+    def configure(self) -> None:
+        """Let the store acknowledge a new configuration."""
+        self._version += 1
+        self._configuration = _configuration(self._configuration.version + 1)
+
+    def running(self) -> Iterable[RegionHost]:
+        """Yield the hosts that do not stand still."""
+        now = self.clock.now()
+        return (host for host in self.hosts if host.stalled_until <= now)
+
+    def late_choices(self) -> Collection[tuple[HostId, TargetId]]:
+        """Return hosts that would use a target that left too long ago."""
+        latest = self.clock.now() - BOUND_MS
+        late_ids = {
+            target_id
+            for target_id, left_at in self.left_at_by_id.items()
+            if left_at < latest
+        }
+        choices = []
+        for host in self.running():
+            listed = host.view.directory.entries_by_id
+            if all(listed[target_id].leaving for target_id in late_ids):
+                continue
+            option = host.selector.choose(
+                SERVICE_ID,
+                SelectionMode.safest,
+                excluded=self._entries_by_id.keys() - late_ids,
+                now=self.clock.now(),
+            )
+            if option is not None:
+                choices.append((host.host.host_id, option.entry.target_id))
+        return choices
+
+    def holding(self) -> int:
+        """Return how many hosts would let every request wait."""
+        return sum(
+            host.selector.choose(
+                SERVICE_ID,
+                SelectionMode.safest,
+                excluded=(),
+                now=self.clock.now(),
+            )
+            is None
+            for host in self.running()
+        )
+
+    def _start(self, host: ZoneHost) -> RegionHost:
+        view = host.view
+        view.targets.schedule.spread_limit_ms = BOUND_MS
+        view.targets.schedule.read_at = self.clock.now()
+        view.targets.outages.heartbeat_ms = HEARTBEAT_MS
+        view.directory.merge(self._stored())
+        view.state.configuration = self._configuration
+        return RegionHost(
+            host=host,
+            selector=_selector(host),
+            is_slow=self._rng.random() < self.faults.slow_hosts,
+        )
+
+    def _introduce(self) -> None:
+        profiles = [host.host.announcer.profile() for host in self.hosts]
+        for host in self.hosts:
+            host.view.host_table.add_unknown(profiles, now=self.clock.now())
+        self._order = region_order(self.hosts[0].view.host_table)
+
+    def _stored(self) -> TargetsChanged:
+        return TargetsChanged(
+            store_version=self._version,
+            entries=tuple(self._entries_by_id.values()),
+        )
+
+    def _after(self, ms: float, action: Callable[[], None]) -> None:
+        due_at = self.clock.now() + ms
+        heapq.heappush(self._events, (due_at, next(self._serials), action))
+
+    def _send(
+        self, sender: RegionHost, message: Any, receivers: Iterable[HostId]
+    ) -> None:
+        for host_id in receivers:
+            receiver = self._by_id[host_id]
+            is_lost = self._rng.random() < self.faults.loss
+            if receiver is sender or is_lost:
+                continue
+            if receiver.deaf_until > self.clock.now():
+                continue
+            deliver = functools.partial(
+                receiver.waiting.append, (message, sender.host.host_id)
+            )
+            self._after(TRANSIT_MS * self._rng.uniform(0.5, 1.5), deliver)
+
+    def _step(self, host: RegionHost, step: int) -> None:
+        now = self.clock.now()
+        if self._happens(self.faults.burst_losses_per_s):
+            host.deaf_until = now + BURST_LOSS_MS
+        if host.stalled_until > now:
+            return
+        if host.is_slow and self._happens(self.faults.stalls_per_s):
+            stall_ms = self._rng.uniform(MIN_STALL_MS, MAX_STALL_MS)
+            host.stalled_until = now + stall_ms
+            return
+        waiting = tuple(host.waiting)
+        host.waiting.clear()
+        for message, sender in waiting:
+            host.view.on_message(message, sender, host.emptied_at)
+        host.emptied_at = now
+        if not step % READ_CHECK_STEPS:
+            self._read_if_due(host)
+        if not step % FETCH_CHECK_STEPS:
+            self._fetch_if_due(host)
+
+    def _happens(self, per_s: float) -> bool:
+        return self._rng.random() < per_s * STEP_MS / MILLIS_PER_SECOND
+
+    def _read_if_due(self, host: RegionHost) -> None:
+        host.view.targets.observe_store_age()
+        if host.is_reading:
+            return
+        is_due = host.view.targets.schedule.is_due(
+            rank=self._order.index(host.host.host_id),
+            hosts=len(self._order),
+            now=self.clock.now(),
+        )
+        if is_due:
+            self._read(host)
+
+    def _read(self, host: RegionHost) -> None:
+        host.is_reading = True
+        self.counts['reads'] += 1
+        started_at = self.clock.now()
+        seen: list[tuple[TargetsChanged, Any]] = []
+        read_ms = READ_MS * self._rng.uniform(0.5, 1.5)
+        self._after(
+            read_ms / 2,
+            lambda: seen.append((self._stored(), self._configuration)),
+        )
+        is_failed = (
+            self.store_away or self._rng.random() < self.faults.failed_reads
+        )
+        self._when_running(
+            host,
+            read_ms,
+            lambda: self._end_read(
+                host, started_at, None if is_failed else seen[0]
+            ),
+        )
+
+    def _when_running(
+        self, host: RegionHost, ms: float, action: Callable[[], None]
+    ) -> None:
+        """Run `action` after `ms`, or once the process runs again."""
+        self._after(ms, functools.partial(self._run_or_wait, host, action))
+
+    def _run_or_wait(
+        self, host: RegionHost, action: Callable[[], None]
+    ) -> None:
+        left_ms = host.stalled_until - self.clock.now()
+        if left_ms > 0:
+            self._when_running(host, left_ms, action)
+        else:
+            action()
+
+    def _end_read(
+        self, host: RegionHost, started_at: Millis, answer: Any
+    ) -> None:
+        host.is_reading = False
+        schedule = host.view.targets.schedule
+        if answer is None:
+            self.counts['failed reads'] += 1
+            schedule.record_failure(
+                hosts=len(self._order), now=self.clock.now()
+            )
+            return
+        stored, configuration = answer
+        change = host.view.directory.diff(stored)
+        applied = host.view.targets.apply(change, source='store')
+        if applied:
+            self._send(host, applied, self._order)
+        before = host.view.state.configuration
+        if host.view.apply_configuration(configuration, source='store'):
+            delta = diff_configurations(before, configuration)
+            self._send(host, delta, self._order)
+        schedule.record_success(started_at=started_at)
+        host.view.targets.observe_store_age()
+        self._send(host, host.view.store_mark(), self._order)
+
+    def _fetch_if_due(self, host: RegionHost) -> None:
+        if host.is_fetching:
+            return
+        fetch = host.view.relay.take_due(now=self.clock.now())
+        if fetch is not None:
+            self._fetch(host, fetch)
+
+    def _fetch(self, host: RegionHost, fetch: PendingFetch) -> None:
+        host.is_fetching = True
+        requested_at = self.clock.now()
+        self.counts['fetches'] += 1
+        source = self._by_id[fetch.source]
+        stalled_ms = max(0, source.stalled_until - requested_at)
+        if source.sends >= MAX_SENDS or stalled_ms > FETCH_TIMEOUT_MS:
+            failed_after_ms = (
+                TRANSIT_MS if source.sends >= MAX_SENDS else FETCH_TIMEOUT_MS
+            )
+            self._when_running(
+                host, failed_after_ms, lambda: self._fail_fetch(host, fetch)
+            )
+            return
+        source.sends += 1
+        fetch_ms = stalled_ms + FETCH_MS * self._rng.uniform(0.5, 1.5)
+        self._when_running(
+            host,
+            fetch_ms,
+            lambda: self._end_fetch(host, fetch, source, requested_at),
+        )
+
+    def _fail_fetch(self, host: RegionHost, fetch: PendingFetch) -> None:
+        self.counts['failed fetches'] += 1
+        host.is_fetching = False
+        host.view.relay.retry(fetch, now=self.clock.now())
+
+    def _end_fetch(
+        self,
+        host: RegionHost,
+        fetch: PendingFetch,
+        source: RegionHost,
+        requested_at: Millis,
+    ) -> None:
+        source.sends -= 1
+        host.is_fetching = False
+        host.view.merge_snapshot(
+            source.view.build_snapshot(),
+            source=fetch.source,
+            requested_at=requested_at,
+        )
+        below = host.view.relay.hosts_below(fetch, order=self._order)
+        self._send(host, host.view.store_mark(), below)
+
+
+def _target_id(number: int) -> TargetId:
+    return TargetId(f'i-{number}')
+
+
+def _entry(number: int) -> TargetEntry:
+    return TargetEntry(
+        target_id=_target_id(number),
+        row_version=1,
+        service_id=SERVICE_ID,
+        address=f'127.0.0.1:{number + 1}',
+        zone_id=ZONE_ID,
+        slots=6,
+        leaving=False,
+        warming=False,
+        started_at_ms=1,
+    )
+
+
+def _configuration(version: int) -> Any:
+    row = configuration_row(
+        route(name='r-1', prefix='/quotes/'), version=format(version, '08x')
+    )
+    configuration = decode_configuration(row)
+    assert configuration.version == Version(version)
+    return configuration
+
+
+def _selector(host: ZoneHost) -> Selector:
+    view = host.view
+    return Selector(
+        directory=view.directory,
+        estimates=TargetEstimates(
+            reputations=view.reputations,
+            workloads=view.workloads,
+            latencies=view.results.latencies,
+        ),
+        zone_id=ZONE_ID,
+        regions_by_zone=REGIONS,
+        rng=random.Random(1),
+        has_idle_connection=lambda _address: False,
+        signs=view.signs,
+    )
--- /dev/null
+++ b/chicorybridge/tests/hosts/test_leaving_targets.py
@@ -0,0 +1,45 @@
+"""How late the hosts of a large region stop using targets that leave."""
+
+import pytest
+
+from chicorybridge.tests.hosts.regions import BOUND_MS, Faults, Region
+
+# Half of the 292 hosts of the largest deployment: those of one region.
+HOSTS = 146
+CHECK_MS = 50
+BURST_MS = 800
+LEAVING_AT_ONCE = 10
+BURSTS = 10
+
+KNOWN_RED = pytest.mark.xfail(strict=True, reason='KNOWN-RED: hosts learn late')
+FAULTS = (
+    pytest.param(
+        Faults(loss=0.1, slow_hosts=1, stalls_per_s=1), marks=KNOWN_RED
+    ),
+    Faults(loss=0.3, failed_reads=0.3, slow_hosts=0.3, stalls_per_s=1),
+    pytest.param(
+        Faults(
+            loss=0.1,
+            burst_losses_per_s=0.2,
+            failed_reads=0.2,
+            slow_hosts=0.3,
+            stalls_per_s=1,
+        ),
+        marks=KNOWN_RED,
+    ),
+)
+
+
+@pytest.mark.parametrize('faults', FAULTS)
+@pytest.mark.parametrize('seed', [1, 2])
+def test_no_host_uses_a_target_later_than_the_bound_after_it_left(faults, seed):
+    region = Region(hosts=HOSTS, faults=faults, seed=seed)
+    late = set()
+    for burst in range(BURSTS + BOUND_MS // BURST_MS + 1):
+        if burst < BURSTS:
+            region.leave(LEAVING_AT_ONCE)
+            region.configure()
+        for _ in range(BURST_MS // CHECK_MS):
+            region.run(ms=CHECK_MS)
+            late.update(region.late_choices())
+    assert not late
