Leave time for a retry after the latest read of the store

Callers saw requests at targets that had left 3.4 s before, where 3 s are allowed. With bounds of 3 s the shares of the read schedule refer to 3,000 ms: a host that had lost a change, and saw that by a mark, left the read to others and read at 1.8 to 2.4 s, so that one failed read, or standing still for a second, was too much. The pause was meant for configurations, of which the store sends all to each reader; of targets it sends only what changed.

Hosts that lack targets no longer pause; the last host reads at 0.55 of the limit (0.75 before), one that waits for a configuration by 0.7 (0.8).

A new test of the schedule fails before (due at 2.4 s).

--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -307,8 +307,9 @@
                     age_ms=round(self.targets.schedule.age_ms(now=now)),
                 )
             )
-            # Its state is smaller than what the store would send.
-            self.targets.schedule.postpone(now=now)
+            if lacks_configuration:
+                # The store would send all of it to each host that reads.
+                self.targets.schedule.postpone(now=now)
             order = region_order(self.host_table)
             self.relay.offer(sender, order=order, now=now)
         elif relation is ListRelation.complete:
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -609,19 +609,19 @@
 # region reads when its data have the age READ_INTERVAL_SHARE. In case it fails,
 # the host of rank n reads at READ_STALE_SHARE + n * READ_RANK_STEP_SHARE, with
 # n at most MAX_READ_RANK; hosts of higher ranks follow one after the other
-# within READ_TAIL_SHARE, until READ_LATEST_SHARE. A read, its retry and the
-# messages about it fit in what is left.
+# within READ_TAIL_SHARE, until READ_LATEST_SHARE. What is left is for a read,
+# its retry, and a process that gets little processor time.
 CHANGE_SPREAD_LIMIT_MS = 2000.0
 READ_INTERVAL_SHARE = 0.25
 READ_STALE_SHARE = 0.35
-READ_RANK_STEP_SHARE = 0.04
+READ_RANK_STEP_SHARE = 0.02
 MAX_READ_RANK = 6
-READ_TAIL_SHARE = 0.16
-READ_LATEST_SHARE = 0.75
+READ_TAIL_SHARE = 0.08
+READ_LATEST_SHARE = 0.55
 # Hosts that leave the read to another host, which has newer state or is
 # reading, read between these shares if they have not got it by then.
 READ_POSTPONED_SHARE = 0.6
-READ_POSTPONED_LATEST_SHARE = 0.8
+READ_POSTPONED_LATEST_SHARE = 0.7
 # While an answer of the store is arriving, the other hosts are told of it at
 # this interval, and leave the read to this host.
 READ_NOTICE_INTERVAL_MS = 150.0
--- a/chicorybridge/tests/hosts/regions.py
+++ b/chicorybridge/tests/hosts/regions.py
@@ -217,7 +217,7 @@
             entries=tuple(self._entries_by_id.values()),
         )
 
-    def _after(self, ms: float, action: Callable[[], None]) -> None:
+    def _after(self, ms: float, action: Callable[[], object]) -> None:
         due_at = self.clock.now() + ms
         heapq.heappush(self._events, (due_at, next(self._serials), action))
 
--- a/chicorybridge/tests/hosts/test_fleet_views.py
+++ b/chicorybridge/tests/hosts/test_fleet_views.py
@@ -521,3 +521,22 @@
             last.view.on_message(first.view.store_mark(), first.name)
     limit_ms = last.view.targets.schedule.spread_limit_ms
     assert clock.now() - read_at + CHECK_MS + READ_MS <= limit_ms
+
+
+def test_read_of_lost_targets_that_fails_is_repeated_within_the_bound(
+    clock, first
+):
+    last = _last_of_region(clock, 40)
+    last.view.targets.schedule.spread_limit_ms = 3000
+    last.read(_listed(1))
+    read_at = clock.now()
+    version = 1
+    while not last.reader._is_due():
+        clock.advance(by_ms=CHECK_MS)
+        version += 1
+        entry = _entry(version, leaving=True)
+        first.read(TargetsChanged(store_version=version, entries=(entry,)))
+        last.view.on_message(first.view.store_mark(), first.name)
+    # The pause after a read that fails, and the read that repeats it.
+    retry_ms = 2 * settings.MIN_READ_BACKOFF_MS + CHECK_MS + READ_MS
+    assert clock.now() - read_at + READ_MS + retry_ms <= 3000
--- a/chicorybridge/tests/hosts/test_leaving_targets.py
+++ b/chicorybridge/tests/hosts/test_leaving_targets.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from chicorybridge.common.identities import HostId, TargetId
 from chicorybridge.tests.hosts.regions import BOUND_MS, Faults, Region
 
 # Half of the 292 hosts of the largest deployment: those of one region.
@@ -28,17 +29,18 @@
 @pytest.mark.parametrize(
     ('faults', 'seed'),
     [
-        pytest.param(STALLS, 1, marks=KNOWN_RED),
-        pytest.param(STALLS, 2, marks=KNOWN_RED),
+        (STALLS, 1),
+        (STALLS, 2),
         (FAILED_READS, 1),
         (FAILED_READS, 2),
-        pytest.param(BURST_LOSSES, 1, marks=KNOWN_RED),
+        (BURST_LOSSES, 1),
         (BURST_LOSSES, 2),
+        pytest.param(BURST_LOSSES, 3, marks=KNOWN_RED),
     ],
 )
 def test_no_host_uses_a_target_later_than_the_bound_after_it_left(faults, seed):
     region = Region(hosts=HOSTS, faults=faults, seed=seed)
-    late = set()
+    late: set[tuple[HostId, TargetId]] = set()
     for burst in range(BURSTS + BOUND_MS // BURST_MS + 1):
         if burst < BURSTS:
             region.leave(LEAVING_AT_ONCE)
