--- /dev/null
+++ b/chicorybridge/tests/regions/__init__.py
@@ -0,0 +1,1 @@
+"""Whole regions of hosts: what all of them know in time."""
--- a/chicorybridge/tests/hosts/test_leaving_targets.py
+++ b/chicorybridge/tests/regions/test_leaving_targets.py
@@ -3,7 +3,7 @@
 import pytest
 
 from chicorybridge.common.identities import HostId, TargetId
-from chicorybridge.tests.hosts.regions import BOUND_MS, Faults, Region
+from chicorybridge.tests.regions.regions import BOUND_MS, Faults, Region
 
 # Half of the 292 hosts of the largest deployment: those of one region.
 HOSTS = 146
