Tell how far a list is complete, not the newest change in it

A mark named the version of the newest change that its sender had heard of, even if it had lost one before; hosts that had lost the same one took themselves for up to date by it, and left the change out of their own reads for good.

The fields on the wire are the same.

A test fails before (a host skips to version 8, its list has a gap at 5).

--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -142,7 +142,10 @@
         now = self._clock.now()
         return Snapshot(
             configuration=self.state.configuration,
-            targets=self.directory.full_state(),
+            targets=dataclasses.replace(
+                self.directory.full_state(),
+                store_version=self.targets.complete_version,
+            ),
             hosts=self.host_table.heard_profiles(),
             age_ms=self.targets.schedule.age_ms(now=now),
         )
@@ -169,14 +172,15 @@
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration, source=source)
         if not may_lack_removals:
-            self.targets.schedule.record_remote_read(
-                age_ms=snapshot.age_ms, now=requested_at
+            self.targets.credit_read(
+                store_version=snapshot.targets.store_version,
+                read_at=Millis(requested_at - snapshot.age_ms),
             )
 
     def store_mark(self) -> StoreMark:
         """Return the version and age of the store data of this host."""
         return StoreMark(
-            store_version=self.directory.store_version,
+            store_version=self.targets.complete_version,
             targets_digest=self.directory.digest,
             configuration_version=self.state.version,
             age_ms=round(self.targets.schedule.age_ms(now=self._clock.now())),
@@ -324,7 +328,7 @@
             self.relay.offer(sender, order=order, now=now)
         elif relation is ListRelation.complete:
             self.targets.credit_read(
-                store_version=message.store_version, age_ms=age_ms
+                store_version=message.store_version, read_at=read_at
             )
             if is_far:
                 self.to_forward.append(_forwarded(message, age_ms=age_ms))
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -221,8 +221,12 @@
 
     def _state_key(self) -> tuple[int, int, int]:
         """Return versions that differ whenever a snapshot would."""
-        directory = self.fleet_view.directory
-        return (self.state.version, directory.store_version, directory.digest)
+        targets = self.fleet_view.targets
+        return (
+            self.state.version,
+            targets.complete_version,
+            targets.directory.digest,
+        )
 
     def _grace_ends_at(self) -> Millis:
         share = 1 - settings.DRAIN_MARGIN_SHARE
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -19,6 +19,7 @@
 from chicorybridge.fleet.host_tables import FleetMember, region_order
 from chicorybridge.fleet.store_reads import ReadFailed, ReadInProgress
 from chicorybridge.hosts.fleet_views import FleetView
+from chicorybridge.hosts.target_lists import NO_VERSION
 
 Send = Callable[[Any], None]
 
@@ -148,8 +149,8 @@
     async def _read_store(self) -> None:
         started_at = self._clock.now()
         age_ms = self._targets.list_age_ms
-        if self._targets.synced_version is not None:
-            self._watcher.skip_to(self._targets.synced_version)
+        if self._targets.complete_version != NO_VERSION:
+            self._watcher.skip_to(self._targets.complete_version)
         notices = await curio.spawn(self._send_notices, daemon=True)
         change = await self._call_store(self._read_all())
         await notices.cancel(blocking=False)
@@ -169,6 +170,9 @@
                 self._send(ReadFailed())
             return
         self._targets.schedule.record_success(started_at=started_at)
+        self._targets.credit_read(
+            store_version=change.store_version, read_at=started_at
+        )
         if self._register_at != NEVER:
             self._register_at = self._clock.now()
         self._targets.observe_store_age()
--- a/chicorybridge/hosts/target_lists.py
+++ b/chicorybridge/hosts/target_lists.py
@@ -25,6 +25,10 @@
 from chicorybridge.routing.reputations import ReputationTable
 
 
+# Of a host that has read nothing; below all versions of the store.
+NO_VERSION = -1
+
+
 class ListRelation(Enum):
     """How the list of this host relates to that of another one."""
 
@@ -59,8 +63,9 @@
         self._log = log
         self._reputations = reputations
         self._is_retaining = False
-        # The version of the store up to which nothing is missing here.
-        self.synced_version: int | None = None
+        # The version of the store up to which nothing is missing here. The
+        # directory may have single changes of later versions.
+        self.complete_version = NO_VERSION
         # When the list had all that the store had. The configuration may be
         # older, so that `schedule` has an earlier time.
         self._listed_at = self.schedule.read_at
@@ -160,19 +165,20 @@
             return ListRelation.complete
         if mark.store_version >= self.directory.store_version:
             return ListRelation.behind
-        if mark.store_version <= (self.synced_version or -1):
+        if mark.store_version <= self.complete_version:
             return ListRelation.complete
         return ListRelation.unknown
 
-    def credit_read(self, *, store_version: int, age_ms: float) -> None:
-        """Record that this host has all that another one read before.
+    def credit_read(self, *, store_version: int, read_at: Millis) -> None:
+        """Record that this host has all that was read at `read_at`.
 
-        The other one read the store `age_ms` ago, at `store_version`.
+        By itself or by another host, at `store_version` of the store or later.
         """
         self.observe_store_age()
-        if store_version >= self.directory.store_version:
-            self.synced_version = max(self.synced_version or 0, store_version)
-        self.schedule.record_remote_read(age_ms=age_ms, now=self._clock.now())
+        self.complete_version = max(self.complete_version, store_version)
+        self.schedule.record_remote_read(
+            age_ms=self._clock.now() - read_at, now=self._clock.now()
+        )
 
     def _log_entries(
         self, entries: Sequence[TargetEntry], *, source: str
--- a/chicorybridge/tests/hosts/test_fleet_views.py
+++ b/chicorybridge/tests/hosts/test_fleet_views.py
@@ -436,6 +436,24 @@
     assert second.age_ms == 500
 
 
+def test_host_does_not_skip_a_change_that_its_peer_lost_as_well(
+    clock, first, second
+):
+    third = HostModel('third', clock)
+    first.read(_listed(1))
+    for host in (second, third):
+        host.hear(first)
+    first.read(
+        TargetsChanged(store_version=5, entries=(_entry(5, leaving=True),))
+    )
+    # Both lose that change, and get a later one.
+    for host in (second, third):
+        host.view.on_message(TargetsChanged(store_version=8), first.name)
+    second.view.on_message(third.view.store_mark(), third.name)
+    second.read(TargetsChanged(store_version=9))
+    assert second.watcher.skipped_to == 1
+
+
 def test_state_without_a_removal_that_this_host_missed_is_not_current(
     clock, first, second
 ):
--- a/chicorybridge/tests/regions/regions.py
+++ b/chicorybridge/tests/regions/regions.py
@@ -198,6 +198,7 @@
         view.targets.schedule.read_at = self.clock.now()
         view.targets.outages.heartbeat_ms = HEARTBEAT_MS
         view.directory.merge(self._stored())
+        view.targets.complete_version = self._version
         view.state.configuration = self._configuration
         return RegionHost(
             host=host,
@@ -331,7 +332,9 @@
             delta = diff_configurations(before, configuration)
             self._send(host, delta, self._order)
         schedule.record_success(started_at=started_at)
-        host.view.targets.observe_store_age()
+        host.view.targets.credit_read(
+            store_version=stored.store_version, read_at=started_at
+        )
         self._send(host, host.view.store_mark(), self._order)
 
     def _fetch_if_due(self, host: RegionHost) -> None:
