Count a fetched state as a sign that the store answers

A host whose reads fail takes the store for away unless it knows of an answer to another host. A state that it fetched says when its sender had one, also if the state can't show all removals, but only marks counted.

--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -171,10 +171,11 @@
         self.targets.apply(change, source=source)
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration, source=source)
+        read_at = Millis(requested_at - snapshot.age_ms)
+        self.targets.schedule.record_answer(at=read_at)
         if not may_lack_removals:
             self.targets.credit_read(
-                store_version=snapshot.targets.store_version,
-                read_at=Millis(requested_at - snapshot.age_ms),
+                store_version=snapshot.targets.store_version, read_at=read_at
             )
 
     def store_mark(self) -> StoreMark:
