--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -147,16 +147,18 @@
         """
         if not self._is_list_usable():
             return None
-        options = self._options(
-            service_id, excluded=excluded, body_bytes=body_bytes, now=now
-        )
+        entries = self._available_entries(service_id, excluded, now)
+        if not any(
+            self._load(entry) < settings.MAX_TARGET_LOAD for entry in entries
+        ):
+            # Queued requests ask often while all targets are full.
+            return None
+        options = [self._option(entry, body_bytes, now) for entry in entries]
         free = [
             option
             for option in options
             if option.load < settings.MAX_TARGET_LOAD
         ]
-        if not free:
-            return None
         preferred = self._least_recently_observed(free, mode)
         if preferred is not None:
             return preferred
@@ -194,21 +196,22 @@
                 continue
             yield entry
 
-    def _options(
-        self,
-        service_id: ServiceId,
-        *,
-        excluded: Collection[TargetId],
-        body_bytes: int,
-        now: Millis,
-    ) -> list[Option]:
+    def _available_entries(
+        self, service_id: ServiceId, excluded: Collection[TargetId], now: Millis
+    ) -> list[TargetEntry]:
+        """Return the targets that may be used now."""
         return [
-            self._option(entry, body_bytes, now)
+            entry
             for entry in self._directory.for_service(service_id)
             if entry.target_id not in excluded
             and self._signs.available_at(entry, now=now) <= now
         ]
 
+    def _load(self, entry: TargetEntry) -> float:
+        """Return the requests in flight at a target by its slots."""
+        in_flight = self._estimates.workloads.in_flight(entry.target_id)
+        return in_flight / max(1, entry.slots)
+
     def _safest(self, options: Sequence[Option]) -> Option:
         lowest_loss = min(option.loss for option in options)
         similar = [
@@ -258,8 +261,7 @@
     ) -> Option:
         reputation = self._estimates.reputations.of(entry.target_id)
         soundness = self._estimates.soundness(entry, reputation, now)
-        in_flight = self._estimates.workloads.in_flight(entry.target_id)
-        load = in_flight / max(1, entry.slots)
+        load = self._load(entry)
         loss = 1 - soundness
         loss += self._locality_loss(entry, body_bytes)
         loss += _pause_loss(reputation, now)
