--- a/chicorybridge/tests/regions/test_leaving_targets.py
+++ b/chicorybridge/tests/regions/test_leaving_targets.py
@@ -86,3 +86,16 @@
     region.leave(LEAVING_AT_ONCE)
     region.run(ms=2 * BOUND_MS)
     assert not region.late_choices()
+
+
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED: hosts hold requests')
+def test_few_hosts_let_requests_wait_when_the_store_falls_silent():
+    region = Region(hosts=HOSTS, faults=Faults(loss=0.1), seed=1)
+    region.run(ms=BOUND_MS)
+    region.store_away = True
+    region.read_ms = READ_TIMEOUT_MS
+    held: set[HostId] = set()
+    for _ in range(2 * BOUND_MS // CHECK_MS):
+        region.run(ms=CHECK_MS)
+        held.update(region.holding())
+    assert len(held) < HOSTS / 10
