--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -34,6 +34,7 @@
     configuration_active = 201
     configuration_confirmed = 202
     configuration_accepted = 203
+    configuration_use_changed = 204
 
     # 300: membership.
     peer_heard = 300
--- a/chicorybridge/entry/calls.py
+++ b/chicorybridge/entry/calls.py
@@ -38,6 +38,9 @@
     deadline_at: Millis
     workspace_id: WorkspaceId | None = None
     key: RequestKey | None = None
+    # Age of the store data behind `configuration` when the request was routed;
+    # `None` if hosts don't track it.
+    configuration_age_ms: int | None = None
     # Whether this request was granted the claim on its key.
     claimed: bool = False
     # The caller's IP address; empty if callers are not distinguished by it.
--- a/chicorybridge/fleet/store_reads.py
+++ b/chicorybridge/fleet/store_reads.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 from collections import deque
+from enum import Enum
 
 from chicorybridge import settings
 from chicorybridge.common.clocks import Millis
@@ -33,6 +34,16 @@
     """Report to other hosts that the store did not answer a read."""
 
 
+class DataUse(Enum):
+    """Whether data of the store may be used, and why."""
+
+    # The data are as new as the bound on their use asks.
+    current = 'current'
+    # They are older, but the store answers no host, as far as is known.
+    store_away = 'store-away'
+    outdated = 'outdated'
+
+
 class ReadSchedule:
     """Decide when this host reads the store itself.
 
@@ -77,7 +88,7 @@
         """Return how long ago the store answered a host."""
         return now - max(self._answered_at, self.read_at)
 
-    def is_usable(self, *, known_at: Millis, now: Millis) -> bool:
+    def data_use(self, *, known_at: Millis, now: Millis) -> DataUse:
         """Return whether data that were current at `known_at` may be used.
 
         They may be old if the store answers no host, as far as is known. A
@@ -85,11 +96,22 @@
         """
         max_age_ms = self.spread_limit_ms * settings.DATA_USE_SHARE
         if now - known_at < max_age_ms:
-            return True
+            return DataUse.current
         answered_at = max(self._answered_latest, self.read_at)
         if now - answered_at < max_age_ms:
-            return False
-        return self._is_away(since=answered_at)
+            return DataUse.outdated
+        if self._is_away(since=answered_at):
+            return DataUse.store_away
+        return DataUse.outdated
+
+    def failed_hosts(self) -> tuple[HostId, ...]:
+        """Return the other hosts whose reads failed since an answer."""
+        since = max(self._answered_latest, self.read_at)
+        return tuple(
+            host_id
+            for host_id, failed_at in self._failed_at_by_id.items()
+            if failed_at > since
+        )
 
     def is_current(self, *, now: Millis) -> bool:
         """Return whether the data are as new as they should be."""
@@ -167,7 +189,7 @@
         own_count = sum(at > since for at in self._failed_at)
         if not self._is_alone:
             own_count = min(own_count, 1)
-        others = sum(at > since for at in self._failed_at_by_id.values())
+        others = len(self.failed_hosts())
         return own_count + others >= settings.MIN_STORE_AWAY_FAILURES
 
 
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -28,10 +28,12 @@
 from chicorybridge.fleet.relays import StateRelay
 from chicorybridge.fleet.snapshots import Snapshot
 from chicorybridge.fleet.store_reads import (
+    DataUse,
     ReadFailed,
     ReadInProgress,
     StoreMark,
 )
+from chicorybridge.hosts.data_uses import DataUseMonitor
 from chicorybridge.hosts.states import HostState
 from chicorybridge.hosts.target_lists import ListRelation, TargetList
 from chicorybridge.hosts.target_results import TargetResults
@@ -84,9 +86,17 @@
             now=clock.now()
         )
         # The list of targets may be newer than the configuration.
-        state.is_usable = lambda: self.targets.schedule.is_usable(
-            known_at=self.targets.schedule.read_at, now=clock.now()
+        uses = DataUseMonitor(
+            clock=clock,
+            log=log,
+            schedule=self.targets.schedule,
+            known_at=lambda: self.targets.schedule.read_at,
+            kinds_by_use=dict.fromkeys(
+                DataUse, EventKind.configuration_use_changed
+            ),
         )
+        state.is_usable = uses.is_usable
+        state.age_ms = lambda: uses.age_ms
         self.directory = self.targets.directory
         self.signs = TargetSigns(
             directory=self.directory,
--- a/chicorybridge/hosts/request_logs.py
+++ b/chicorybridge/hosts/request_logs.py
@@ -89,6 +89,7 @@
             'service': call.service.service_id,
             'idempotent': call.idempotent,
             'version': call.configuration.version,
+            'configuration_age_ms': call.configuration_age_ms,
             'turn': len(call.attempts),
             'target': attempt.target_id,
             'outcome': attempt.outcome.value,
--- a/chicorybridge/hosts/request_readers.py
+++ b/chicorybridge/hosts/request_readers.py
@@ -145,6 +145,7 @@
             idempotent=bool(route.idempotent),
             started_at=arrived_at,
             deadline_at=self._deadline(head, route, arrived_at),
+            configuration_age_ms=self._state.age_ms(),
             dialect=self._dialect,
             caller_ip=exchange.caller_ip,
         )
--- a/chicorybridge/hosts/states.py
+++ b/chicorybridge/hosts/states.py
@@ -31,7 +31,8 @@
     """The phase and the active configuration of a host.
 
     `is_current` returns whether the configuration is as new as it should be,
-    `is_usable` whether requests may be routed by it.
+    `is_usable` whether requests may be routed by it, `age_ms` how old the store
+    data are that it is part of.
     `stops_at` is when a planned stop must be over.
     """
 
@@ -39,6 +40,7 @@
     configuration: HostConfiguration | None = None
     is_current: Callable[[], bool] = _always
     is_usable: Callable[[], bool] = _always
+    age_ms: Callable[[], int | None] = lambda: None
     stops_at: Millis = Millis(math.inf)
 
     @property
--- a/chicorybridge/hosts/target_lists.py
+++ b/chicorybridge/hosts/target_lists.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Sequence
 from enum import Enum
+from types import MappingProxyType
 from typing import Any
 
 from chicorybridge import settings
@@ -17,14 +18,24 @@
     TargetsChanged,
 )
 from chicorybridge.fleet.store_reads import (
+    DataUse,
     OutageMonitor,
     ReadFailed,
     ReadInProgress,
     ReadSchedule,
     StoreMark,
 )
+from chicorybridge.hosts.data_uses import DataUseMonitor
 from chicorybridge.routing.reputations import ReputationTable
 
+LIST_EVENTS = MappingProxyType(
+    {
+        DataUse.current: EventKind.list_usable,
+        DataUse.store_away: EventKind.list_usable,
+        DataUse.outdated: EventKind.list_outdated,
+    }
+)
+
 
 class ListRelation(Enum):
     """How the list of this host relates to that of another one."""
@@ -66,7 +77,13 @@
         # When the list had all that the store had. The configuration may be
         # older, so that `schedule` has an earlier time.
         self._listed_at = self.schedule.read_at
-        self._is_usable = True
+        self._uses = DataUseMonitor(
+            clock=clock,
+            log=log,
+            schedule=self.schedule,
+            known_at=lambda: max(self._listed_at, self.schedule.read_at),
+            kinds_by_use=LIST_EVENTS,
+        )
         # How many changes had something new.
         self.applied_changes = 0
         # Greatest age of the list when this host learnt of a leaving target.
@@ -78,8 +95,7 @@
 
         A change that is not in the list was made since then.
         """
-        age_ms = self._clock.now() - max(self._listed_at, self.schedule.read_at)
-        return None if age_ms >= settings.NEVER_READ_AGE_MS else round(age_ms)
+        return self._uses.age_ms
 
     def is_usable(self) -> bool:
         """Return whether a target may be chosen by this list.
@@ -87,17 +103,7 @@
         Not if it is so old that a target may have left too long ago, unless
         the store answers no host.
         """
-        is_usable = self.schedule.is_usable(
-            known_at=max(self._listed_at, self.schedule.read_at),
-            now=self._clock.now(),
-        )
-        if is_usable is not self._is_usable:
-            self._is_usable = is_usable
-            kind = (
-                EventKind.list_usable if is_usable else EventKind.list_outdated
-            )
-            self._emit(kind, list_age_ms=self.list_age_ms)
-        return is_usable
+        return self._uses.is_usable()
 
     def record_listed(self, *, at: Millis) -> None:
         """Record that this list had all that the store had at `at`."""
