--- a/chicorybridge/tests/freshness/test_silent_stores.py
+++ b/chicorybridge/tests/freshness/test_silent_stores.py
@@ -110,3 +110,12 @@
     for other in others:
         host.view.on_message(ReadFailed(), other.name, arrived_after)
     assert not host.view.targets.is_usable()
+
+
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED: failures of refused hosts')
+def test_failures_of_refused_hosts_do_not_make_old_data_usable(host, others):
+    _meet(host, others)
+    for other in others:
+        host.view.on_message(ReadFailed(), other.name)
+    _fail_to_read(host)
+    assert not host.view.targets.is_usable()
--- a/chicorybridge/tests/regions/links.py
+++ b/chicorybridge/tests/regions/links.py
@@ -28,6 +28,10 @@
         self._mbps = mbps
         self._free_at: float = 0
 
+    def backlog_ms(self, *, now: Millis) -> float:
+        """Return after how many ms the link is idle."""
+        return max(0, self._free_at - now)
+
     def carry(self, size: int, *, now: Millis) -> float:
         """Send `size` bytes; return after how many ms the last one arrives."""
         bytes_per_ms = self._mbps * BYTES_PER_MS_AND_MBPS
--- a/chicorybridge/tests/regions/regions.py
+++ b/chicorybridge/tests/regions/regions.py
@@ -84,10 +84,12 @@
     """Faults of a region; `loss` and `failed_reads` are shares.
 
     Each slow host stands still `stalls_per_s` times a second; every host
-    loses all datagrams for a while `burst_losses_per_s` times.
+    loses all datagrams for a while `burst_losses_per_s` times. The store
+    refuses the share `refused_hosts` of the hosts.
     """
 
     loss: float = 0
+    refused_hosts: float = 0
     burst_losses_per_s: float = 0
     failed_reads: float = 0
     slow_hosts: float = 0
@@ -105,6 +107,7 @@
     inbound: Link
     outbound: Link
     is_slow: bool
+    is_refused: bool
     # Version of the store up to which it has read the configuration.
     configuration_read_to: int = 1
     waiting: list[tuple[Any, HostId]] = dataclasses.field(default_factory=list)
@@ -159,6 +162,8 @@
         # Whether the store sends all versions that a host has not read, or
         # only the last one.
         self.feeds_all_versions = False
+        # The most hosts that read the store at the same time.
+        self.most_reading = 0
         # Calls to the store, bytes of configurations that it sends, and bytes
         # that each host sends.
         self.calls = Rates()
@@ -167,6 +172,7 @@
         self._links = links
         self._store_link = Link(mbps=links.store_mbps)
         self._rng = random.Random(seed)
+        self._fault_rng = random.Random(seed)
         self._events: list[Any] = []
         self._serials = itertools.count()
         self._steps = 0
@@ -337,6 +343,7 @@
             inbound=Link(mbps=self._links.host_mbps),
             outbound=Link(mbps=self._links.host_mbps),
             is_slow=self._rng.random() < self.faults.slow_hosts,
+            is_refused=self._fault_rng.random() < self.faults.refused_hosts,
         )
 
     def _introduce(self) -> None:
@@ -419,6 +426,9 @@
         host.is_reading = True
         self.counts['reads'] += 1
         self.calls.add('all', CALLS_PER_READ, now=self.clock.now())
+        self.most_reading = max(
+            self.most_reading, sum(other.is_reading for other in self.hosts)
+        )
         started_at = self.clock.now()
         seen: list[tuple[TargetsChanged, Any]] = []
         read_ms = self.read_ms * self._rng.uniform(0.5, 1.5)
@@ -427,7 +437,9 @@
             lambda: seen.append((self._stored(), self._configuration)),
         )
         is_failed = (
-            self.store_away or self._rng.random() < self.faults.failed_reads
+            self.store_away
+            or host.is_refused
+            or self._rng.random() < self.faults.failed_reads
         )
         self._when_running(
             host,
@@ -456,14 +468,7 @@
         self, host: RegionHost, started_at: Millis, answer: Any
     ) -> None:
         if answer is None:
-            host.is_reading = False
-            schedule = host.view.targets.schedule
-            self.counts['failed reads'] += 1
-            schedule.record_failure(
-                hosts=len(self._order), now=self.clock.now()
-            )
-            self._tell_region(host, ReadFailed())
-            host.view.relay.ask_any(order=self._order, now=self.clock.now())
+            self._fail_read(host)
             return
         stored, configuration = answer
         change = host.view.directory.diff(stored)
@@ -474,6 +479,10 @@
         end = functools.partial(
             self._end_configuration, host, started_at, stored, configuration
         )
+        if self._store_link.backlog_ms(now=self.clock.now()) > READ_TIMEOUT_MS:
+            fail = functools.partial(self._fail_read, host)
+            self._when_running(host, READ_TIMEOUT_MS, fail)
+            return
         left_ms = self._carry_rows(host, configuration.version)
         if left_ms < STEP_MS:
             end()
@@ -483,6 +492,16 @@
             self._when_running(host, notice * NOTICE_MS, tell)
         self._when_running(host, left_ms, end)
 
+    def _fail_read(self, host: RegionHost) -> None:
+        host.is_reading = False
+        now = self.clock.now()
+        self.counts['failed reads'] += 1
+        host.view.targets.schedule.record_failure(
+            hosts=len(self._order), now=now
+        )
+        self._tell_region(host, ReadFailed())
+        host.view.relay.ask_any(order=self._order, now=now)
+
     def _carry_rows(self, host: RegionHost, version: Version) -> float:
         """Return how long the answer takes that has the configuration."""
         read_to = max(
--- /dev/null
+++ b/chicorybridge/tests/regions/test_store_pressure.py
@@ -0,0 +1,85 @@
+"""What the hosts of a region ask of the store when all hear nothing."""
+
+import functools
+from collections.abc import Collection
+
+import pytest
+
+from chicorybridge import settings
+from chicorybridge.common.identities import HostId
+from chicorybridge.tests.regions.links import Links
+from chicorybridge.tests.regions.regions import (
+    BOUND_MS,
+    READ_MS,
+    READ_TIMEOUT_MS,
+    Faults,
+    Region,
+)
+
+CHECK_MS = 50
+# Hosts of the regions of the platform's deployments, and of their aim.
+SIZES = (18, 66, 146, 650)
+# The configuration is large, and the store in another region.
+MANY_ROUTES = 1400
+FAR_STORE = Links(host_mbps=10, store_mbps=30)
+CHANGE_MS = 2000
+CHANGES = 5
+REFUSED = Faults(loss=0.1, refused_hosts=0.35)
+
+
+def _fall_silent(region: Region) -> None:
+    """Let no read be answered for as long as a read waits."""
+    region.store_away = True
+    region.read_ms = READ_TIMEOUT_MS
+    region.run(ms=READ_TIMEOUT_MS)
+    region.store_away = False
+    region.read_ms = READ_MS
+
+
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED: all hosts read the store')
+@pytest.mark.parametrize('hosts', SIZES)
+def test_few_hosts_read_the_store_while_it_is_silent(hosts):
+    region = Region(hosts=hosts, faults=Faults(loss=0.01), seed=1)
+    region.run(ms=BOUND_MS)
+    region.most_reading = 0
+    _fall_silent(region)
+    region.run(ms=BOUND_MS)
+    assert region.most_reading <= settings.MAX_READ_RANK + 1
+
+
+@functools.cache
+def _late_routes(*, hosts: int, faults: Faults) -> Collection[HostId]:
+    """Return hosts that use an old configuration after the store was silent.
+
+    All of them would read the configuration over one link.
+    """
+    region = Region(hosts=hosts, faults=faults, seed=1, links=FAR_STORE)
+    region.configure(routes=MANY_ROUTES)
+    region.run(ms=2 * BOUND_MS)
+    region.configure(routes=MANY_ROUTES)
+    _fall_silent(region)
+    late: set[HostId] = set()
+    for _ in range(CHANGES):
+        region.configure(routes=MANY_ROUTES)
+        for _ in range(CHANGE_MS // CHECK_MS):
+            region.run(ms=CHECK_MS)
+            late.update(region.late_routes())
+    return late
+
+
+@pytest.mark.parametrize('hosts', (66, 146))
+@pytest.mark.parametrize(
+    'faults',
+    [
+        pytest.param(Faults(loss=0.01), id='prompt'),
+        pytest.param(
+            REFUSED,
+            id='refused',
+            marks=pytest.mark.xfail(
+                strict=True, reason='KNOWN-RED: failures of refused hosts'
+            ),
+        ),
+    ],
+)
+def test_reads_that_fill_a_link_make_no_old_configuration_usable(hosts, faults):
+    assert not _late_routes(hosts=hosts, faults=faults)
