--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -162,7 +162,7 @@
     def _pass_on(self, news: RegionNews) -> None:
         below = hosts_below(
             self._host_table.host_id,
-            origin=news.origin,
+            news=news,
             order=self._host_table.groups.all_by_rank,
         )
         self._sender.send_to_hosts(news, below)
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -613,9 +613,12 @@
 # larger ones.
 MAX_DELTA_BYTES = 4096
 # What is read from the store passes through a tree of the hosts of the region,
-# in which each sends it to so many others. Larger news are fetched. The mark of
-# that read follows after so many ticks, when most hosts have the news.
+# in which each sends it to so many others; half as many in each of two trees if
+# it has at most SMALL_NEWS_BYTES, which fit into a packet. News of more than
+# MAX_NEWS_BYTES are fetched. The mark of a read follows its news after so many
+# ticks, when most hosts have them.
 NEWS_FAN_OUT = 8
+SMALL_NEWS_BYTES = 1400
 MAX_NEWS_BYTES = 32_768
 NEWS_TICKS = 2
 # Snapshots that a host sends at the same time; it refuses to send more.
@@ -655,7 +658,7 @@
 STORE_QUERY_INTERVAL_MS = 200.0
 STORE_REPORT_TTL_MS = 1000.0
 # For how long the shortest transit of a host's messages is kept at least. What
-# seems to have taken longer than the other figure was sent after the clock of its
+# seems to have taken longer than MAX_TRANSIT_MS was sent after the clock of its
 # sender started anew.
 TRANSIT_WINDOW_MS = 60_000.0
 MAX_TRANSIT_MS = 10_000.0
--- a/chicorybridge/tests/regions/regions.py
+++ b/chicorybridge/tests/regions/regions.py
@@ -128,6 +128,11 @@
         """Return the fleet as this host sees it."""
         return self.host.view
 
+    def knows_leaving(self, target_ids: Collection[TargetId]) -> bool:
+        """Return whether this host knows that all of these targets leave."""
+        entries_by_id = self.view.directory.entries_by_id
+        return all(entries_by_id[target].leaving for target in target_ids)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SenderOfHost:
--- a/chicorybridge/tests/regions/test_store_pressure.py
+++ b/chicorybridge/tests/regions/test_store_pressure.py
@@ -24,6 +24,9 @@
 FAR_STORE = Links(host_mbps=10, store_mbps=30)
 CHANGE_MS = 2000
 CHANGES = 5
+# A hop takes 15 ms and a step of the model.
+NEWS_MS = 200
+MAX_LATE_SHARE = 0.05
 REFUSED = Faults(loss=0.1, refused_hosts=0.35)
 
 
@@ -70,3 +73,18 @@
 @pytest.mark.parametrize('faults', (Faults(loss=0.01), REFUSED), ids=str)
 def test_reads_that_fill_a_link_make_no_old_configuration_usable(hosts, faults):
     assert not _late_routes(hosts=hosts, faults=faults)
+
+
+@pytest.mark.parametrize('hosts', SIZES)
+def test_lost_datagrams_keep_news_from_few_hosts(hosts):
+    region = Region(hosts=hosts, faults=Faults(loss=0.05), seed=1)
+    late = 0
+    for _ in range(CHANGES):
+        region.run(ms=BOUND_MS)
+        region.leave(1)
+        left_ids = set(region.left_at_by_id)
+        while not any(host.knows_leaving(left_ids) for host in region.hosts):
+            region.run(ms=CHECK_MS)
+        region.run(ms=NEWS_MS)
+        late += sum(not host.knows_leaving(left_ids) for host in region.hosts)
+    assert late <= CHANGES * hosts * MAX_LATE_SHARE
