--- a/chicorybridge/fleet/relays.py
+++ b/chicorybridge/fleet/relays.py
@@ -36,6 +36,7 @@
         self._host_id = host_id
         self._rng = rng
         self._pending: PendingFetch | None = None
+        self._is_fetching = False
 
     def offer(
         self, source: HostId, *, order: Sequence[HostId], now: Millis
@@ -53,6 +54,18 @@
         if source == pending.parent:
             pending.due_at = now
 
+    def hurry(self, source: HostId, *, now: Millis) -> None:
+        """Fetch from `source` now, which this host drew to ask it for news.
+
+        Hosts that draw at random all ask others, so that none has to wait for
+        the host above it. A fetch that is under way is left to its end.
+        """
+        pending = self._pending
+        if self._is_fetching or pending is None or pending.due_at <= now:
+            return
+        pending.source = source
+        pending.due_at = now
+
     def ask_any(self, *, order: Sequence[HostId], now: Millis) -> None:
         """Fetch from a random host of the region now.
 
@@ -78,8 +91,13 @@
         if pending is None or now < pending.due_at:
             return None
         self._pending = None
+        self._is_fetching = True
         return pending
 
+    def end(self) -> None:
+        """Record that the fetch under way has ended."""
+        self._is_fetching = False
+
     def retry(self, fetch: PendingFetch, *, now: Millis) -> None:
         """Record that `fetch` failed; it is due again after a while."""
         if self._pending is not None:
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -265,7 +265,9 @@
             for profile in fleet_view.host_table.profiles()
             if profile.host_id == fetch.source
         ]
-        if not addresses or not await self._merge_from(addresses[0]):
+        is_merged = bool(addresses) and await self._merge_from(addresses[0])
+        fleet_view.relay.end()
+        if not is_merged:
             fleet_view.relay.retry(fetch, now=self._clock.now())
             return
         order = region_order(fleet_view.host_table)
--- a/chicorybridge/hosts/store_marks.py
+++ b/chicorybridge/hosts/store_marks.py
@@ -123,6 +123,11 @@
         is_silent = message.answer_age_ms >= self._silent_ms()
         self.inquiry.record(source, asked_at=asked_at, silent=is_silent)
         self.receive(message.mark, source=source, arrived_after=asked_at)
+        now = self._clock.now()
+        hurry_ms = schedule.spread_limit_ms * settings.RELAY_HURRY_SHARE
+        is_late = schedule.age_ms(now=now) >= hurry_ms
+        if is_late and message.mark.configuration_version > self._state.version:
+            self._relay.hurry(source, now=now)
 
     @receive.register
     def receive_mark(
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -629,6 +629,9 @@
 RELAY_FAN_OUT = 4
 RELAY_WAIT_MS = 400.0
 RELAY_JITTER_MS = 200.0
+# A host whose data are older than this share of CHANGE_SPREAD_LIMIT_MS waits no
+# longer, and fetches from a host that it drew at random and that has more.
+RELAY_HURRY_SHARE = 0.6
 # Reads of the platform's store. All hosts are to receive a change within
 # CHANGE_SPREAD_LIMIT_MS; the shares are of this time. The first host of a
 # region reads when its data have the age READ_INTERVAL_SHARE. In case it fails,
--- a/chicorybridge/tests/regions/regions.py
+++ b/chicorybridge/tests/regions/regions.py
@@ -667,6 +667,7 @@
     def _fail_fetch(self, host: RegionHost, fetch: PendingFetch) -> None:
         self.counts['failed fetches'] += 1
         host.is_fetching = False
+        host.view.relay.end()
         host.view.relay.retry(fetch, now=self.clock.now())
 
     def _end_fetch(
@@ -679,6 +680,7 @@
     ) -> None:
         source.sends -= 1
         host.is_fetching = False
+        host.view.relay.end()
         host.view.merge_snapshot(
             snapshot,
             source=fetch.source,
--- a/chicorybridge/tests/regions/test_store_pressure.py
+++ b/chicorybridge/tests/regions/test_store_pressure.py
@@ -88,3 +88,14 @@
         region.run(ms=NEWS_MS)
         late += sum(not host.knows_leaving(left_ids) for host in region.hosts)
     assert late <= CHANGES * hosts * MAX_LATE_SHARE
+
+
+@pytest.mark.parametrize('hosts', SIZES)
+def test_lost_datagrams_keep_no_host_from_a_configuration_for_long(hosts):
+    region = Region(hosts=hosts, faults=Faults(loss=0.05), seed=1)
+    late: list[HostId] = []
+    for _ in range(CHANGES):
+        region.configure()
+        region.run(ms=BOUND_MS + CHECK_MS)
+        late.extend(host.host.host_id for host in region.outdated())
+    assert not late
