--- a/chicorybridge/tests/regions/test_leaving_targets.py
+++ b/chicorybridge/tests/regions/test_leaving_targets.py
@@ -45,6 +45,7 @@
         (BURST_LOSSES, 1),
         (BURST_LOSSES, 2),
         (BURST_LOSSES, 3),
+        (BURST_LOSSES, 7),
     ],
 )
 def test_no_host_uses_a_target_later_than_the_bound_after_it_left(faults, seed):
