--- a/chicorybridge/hosts/store_marks.py
+++ b/chicorybridge/hosts/store_marks.py
@@ -115,6 +115,9 @@
     ) -> None:
         """Take the mark of a report, and whether the store is silent."""
         asked_at = Millis(message.asked_at)
+        if asked_at > self._clock.now():
+            # Asked before the clock of this machine started anew.
+            return
         schedule = self._targets.schedule
         # Not later: among hosts that ask each other the time that reports are
         # on their way would add up.
--- a/chicorybridge/tests/freshness/test_silent_stores.py
+++ b/chicorybridge/tests/freshness/test_silent_stores.py
@@ -8,7 +8,11 @@
 from chicorybridge.common.errors import ErrorCode, RequestError
 from chicorybridge.common.identities import TargetId
 from chicorybridge.fleet.directories import TargetEntry, TargetsChanged
-from chicorybridge.fleet.store_reads import ReadFailed, StoreQuery
+from chicorybridge.fleet.store_reads import (
+    ReadFailed,
+    StoreQuery,
+    StoreReport,
+)
 from chicorybridge.tests.hosts.test_fleet_views import (
     SERVICE_ID,
     ZONE_ID,
@@ -150,6 +154,16 @@
     assert not host.view.targets.is_usable()
 
 
+def test_report_to_an_earlier_clock_makes_no_data_current(clock, host, others):
+    others[0].read(TargetsChanged(store_version=1))
+    mark = others[0].view.store_mark()
+    asked_at = clock.now() + BOUND_MS
+    report = StoreReport(asked_at=asked_at, mark=mark, answer_age_ms=0)
+    host.view.on_message(report, others[0].name)
+    assert host.age_ms >= BOUND_MS
+    assert not host.view.targets.is_usable()
+
+
 def test_old_data_are_not_used_long_after_others_reported(clock, host, others):
     _meet(host, others)
     host.view.on_message(ReadFailed(), others[0].name)
