--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -71,6 +71,8 @@
     request_quarantined = 503
     claim_decided = 510
     request_failed = 511
+    suspect_sent = 512
+    suspect_cleared = 513
 
     # 600: platform.
     store_lost = 600
--- a/chicorybridge/hosts/crash_checks.py
+++ b/chicorybridge/hosts/crash_checks.py
@@ -52,6 +52,17 @@
             return False
         return self._quarantine.refuses(call.digest, now=self._clock.now())
 
+    def log_sending(self, call: Call, target_id: TargetId) -> None:
+        """Log that a suspect is sent to a target."""
+        if not self._quarantine.contains(call):
+            return
+        facts = {
+            'digest': call.digest,
+            'victims': self._quarantine.victim_count(call.digest),
+            'target': target_id,
+        }
+        self._log.emit(Event(kind=EventKind.suspect_sent, facts=facts))
+
     async def record_attempt(
         self, call: Call, attempt: Attempt, address: str
     ) -> None:
@@ -87,6 +98,13 @@
         self._log.emit(Event(kind=EventKind.crash_suspected, facts=facts))
 
     def _report(self, call: Call, attempt: Attempt) -> None:
+        facts = {
+            'digest': call.digest,
+            'victims': self._quarantine.victim_count(call.digest),
+            'target': attempt.target_id,
+            'outcome': attempt.outcome.value,
+        }
+        self._log.emit(Event(kind=EventKind.suspect_cleared, facts=facts))
         report = self._quarantine.record_attempt(
             call.digest, attempt, now=self._clock.now()
         )
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -165,6 +165,7 @@
             if option is None:
                 return None
             self._policies.record_retry(call)
+            self._crash_checks.log_sending(call, option.entry.target_id)
             runner = self._build_runner(call, option)
             outcome = await self._run_attempt(call, runner, option)
             if outcome is not AttemptOutcome.withheld:
--- a/chicorybridge/routing/quarantines.py
+++ b/chicorybridge/routing/quarantines.py
@@ -67,6 +67,10 @@
         """Return whether the request with `digest` is suspect."""
         return digest in self._suspects
 
+    def victim_count(self, digest: Digest) -> int:
+        """Return how many targets crashed while they ran a request."""
+        return len(self._suspects.victims_of(digest))
+
     def refuses(self, digest: Digest, *, now: Millis) -> bool:
         """Return whether a request is blamed for crashes and refused."""
         return self._suspects.is_blamed(digest, now=now)
