--- /dev/null
+++ b/chicorybridge/tests/hosts/test_crashing_requests.py
@@ -0,0 +1,86 @@
+"""Requests that crash targets, through a running host process."""
+
+import dataclasses
+from http import HTTPStatus
+
+import curio
+import pytest
+
+from chicorybridge.http.servers import Request, ServerConnection
+from chicorybridge.tests.hosts.deployments import Origin, deployed, on_curio
+from chicorybridge.tests.platform.rows import server_row
+
+CRASHING_PATH = '/accept/bad'
+# Crashes, and retries after the third of them.
+MAX_RUNS = 6
+REQUESTS = 12
+
+
+@dataclasses.dataclass(kw_only=True)
+class RestartingOrigin(Origin):
+    """A target that ends under a request and is back at once."""
+
+    starts: int = 0
+    crashing_path: str = CRASHING_PATH
+
+    async def answer(
+        self, connection: ServerConnection, request: Request
+    ) -> None:
+        """Answer one request."""
+        if request.path != self.crashing_path:
+            await super().answer(connection, request)
+            return
+        await connection.read_body()
+        self.runs += 1
+        self.starts += 1
+        await connection.close()
+
+
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED: quick restarts hide crashes')
+@on_curio
+async def test_request_that_crashes_targets_that_restart_at_once_is_refused():
+    origins = [RestartingOrigin(target_id=f'i-{number}') for number in range(8)]
+    async with deployed(*origins) as deployment:
+        for number in range(REQUESTS):
+            response = await deployment.send(
+                CRASHING_PATH, method='POST', request_id=f'r{number}'
+            )
+            for origin in origins:
+                born = 1_790_000_000_000 + origin.starts
+                entry = server_row(address=origin.address, born=born)
+                deployment.store.put('servers', origin.target_id, entry)
+            await curio.sleep(0.1)
+        other = await deployment.send('/accept/good', method='POST')
+    assert response.status == HTTPStatus.SERVICE_UNAVAILABLE
+    assert sum(origin.runs for origin in origins) <= MAX_RUNS
+    assert other.status == HTTPStatus.OK
+
+
+@pytest.mark.xfail(
+    strict=True, reason='KNOWN-RED: refused before it waits only'
+)
+@on_curio
+async def test_request_that_waits_is_checked_again_before_it_is_sent():
+    origin = Origin(target_id='i-1', slots=1, delay_s=0.6)
+    async with deployed(origin) as deployment:
+        slow = await curio.spawn(
+            deployment.send('/accept/slow', method='POST', request_id='slow')
+        )
+        await curio.sleep(0.1)
+        waiting = await curio.spawn(
+            deployment.send(CRASHING_PATH, method='POST', request_id='bad')
+        )
+        await curio.sleep(0.2)
+        call = next(
+            call
+            for call in deployment.host.dispatcher.calls_by_number.values()
+            if call.head.path == CRASHING_PATH.encode()
+        )
+        quarantine = deployment.host.fleet_view.quarantine
+        for number in range(3):
+            now = call.started_at
+            quarantine.suspect(call.digest, f'gone-{number}', now=now)
+        answer = await waiting.join()
+        await slow.join()
+    assert answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+    assert [request.path for request in origin.requests] == ['/accept/slow']
--- a/chicorybridge/tests/platform/row_stores.py
+++ b/chicorybridge/tests/platform/row_stores.py
@@ -21,6 +21,8 @@
     calls: int = 0
     # A feed that starts before this version is answered with 410.
     first_history_version: int = 0
+    # How often the store came back from an older copy; told in its answers.
+    era: int = 0
     # If set, answer every call with this status and change nothing.
     error_status: HTTPStatus | None = None
     # Close connections instead of answering; writes take effect.
@@ -48,6 +50,19 @@
             'ver': self.version,
         }
 
+    def copy(self) -> 'RowStore':
+        """Return a copy that the store may come back from."""
+        return RowStore(
+            rows_by_table_and_key=dict(self.rows_by_table_and_key),
+            version=self.version,
+        )
+
+    def restore(self, copy: 'RowStore') -> None:
+        """Come back from a copy; what was written since is gone."""
+        self.rows_by_table_and_key = dict(copy.rows_by_table_and_key)
+        self.version = copy.version
+        self.era += 1
+
     async def answer(
         self, connection: ServerConnection, request: Request
     ) -> None:
@@ -55,7 +70,12 @@
         self.calls += 1
         body = await connection.read_body()
         if self.error_status is not None:
-            await connection.respond(Response(status=self.error_status))
+            await connection.respond(
+                Response(
+                    status=self.error_status,
+                    headers_by_name=self._headers_by_name(),
+                )
+            )
             return
         url = urlsplit(request.path)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
@@ -63,9 +83,16 @@
         if self.drops_answers:
             await connection.close()
             return
-        response = Response(status=status, body=json.dumps(document).encode())
+        response = Response(
+            status=status,
+            headers_by_name=self._headers_by_name(),
+            body=json.dumps(document).encode(),
+        )
         await connection.respond(response)
 
+    def _headers_by_name(self) -> dict[str, str]:
+        return {'Store-Era': str(self.era)} if self.era else {}
+
     def _execute(
         self, path: str, query: dict[str, str], body: bytes
     ) -> tuple[HTTPStatus, dict[str, Any]]:
@@ -83,7 +110,7 @@
                 remaining[:limit], has_more=has_more
             )
         after = int(query['after'])
-        if after < self.first_history_version:
+        if after < self.first_history_version or after > self.version:
             return HTTPStatus.GONE, {}
         changed = [row for row in rows if row['ver'] > after]
         changed.sort(key=lambda row: row['ver'])
