--- a/chicorybridge/tests/quarantine/test_crash_sums.py
+++ b/chicorybridge/tests/quarantine/test_crash_sums.py
@@ -25,12 +25,12 @@
     {
         'calm': CALM,
         'many-such-requests': dataclasses.replace(CALM, crashing=8),
-        'waves': dataclasses.replace(CALM, wave=0.35, per_second=100),
+        'waves': dataclasses.replace(CALM, wave=0.35, per_target=4, crashing=4),
         'failing-gray-targets': dataclasses.replace(
             CALM, gray=0.4, grayness=Grayness.fails
         ),
         'resetting-gray-targets': dataclasses.replace(
-            CALM, gray=0.4, grayness=Grayness.resets, per_second=50
+            CALM, gray=0.4, grayness=Grayness.resets, per_target=0.3
         ),
         'quick-restarts': dataclasses.replace(CALM, restart_ms=QUICK_MS),
         'slow-repeats': dataclasses.replace(
@@ -41,13 +41,13 @@
         'restarted-hosts': dataclasses.replace(CALM, host_restarts=4),
         'lost-reports': dataclasses.replace(CALM, loss=0.3),
         'few-targets': dataclasses.replace(
-            CALM, targets=3, restart_ms=QUICK_MS, crashing=1
+            CALM, targets=3, restart_ms=QUICK_MS, crashing=4
         ),
         'all': dataclasses.replace(
             CALM,
             crashing=4,
             wave=0.35,
-            per_second=100,
+            per_target=2,
             gray=0.3,
             grayness=Grayness.fails,
             restart_ms=(10.0, 5000.0),
@@ -90,7 +90,7 @@
 @pytest.mark.parametrize('wave', [0.1, 0.35])
 def test_waves_of_crashes_refuse_few_harmless_requests(wave):
     """Each failed request comes again three times."""
-    plan = CrashFleetPlan(crashing=0, wave=wave, per_second=200, for_ms=10_000)
+    plan = CrashFleetPlan(crashing=0, wave=wave, per_target=6, for_ms=10_000)
     fleet = CrashFleet(plan, seed=1)
     fleet.run()
     assert fleet.refused_harmless <= len(fleet.harmless) / 1000
--- a/chicorybridge/tools/models/crash_fleets.py
+++ b/chicorybridge/tools/models/crash_fleets.py
@@ -23,7 +23,7 @@
 
 CONNECT_MS = (0.5, 25.0)
 CLIENT_PAUSE_MS = (10.0, 60.0)
-FIRST_SENDING_MS = (1000.0, 4000.0)
+FIRST_SENDING_MS = (1000.0, 9000.0)
 # A process that restarted is not bound by the rule for this time, which is
 # also the time in which the fleet has to learn of the last victim.
 CONTACT_MS = 3000
@@ -66,7 +66,7 @@
                 self._rng.uniform(*FIRST_SENDING_MS), self._repeat, request
             )
         self._targets.start_wave()
-        if self._plan.per_second:
+        if self._plan.per_target:
             self._later(0, self._arrive)
         self._hosts.start()
         self._schedule.run(until=self._plan.for_ms)
@@ -97,7 +97,8 @@
         )
         self.harmless.append(request)
         self._send(request, self._hosts.draw())
-        pause_s = self._rng.expovariate(self._plan.per_second)
+        per_second = self._plan.per_target * self._plan.targets
+        pause_s = self._rng.expovariate(per_second)
         self._later(pause_s * MILLIS_PER_SECOND, self._arrive)
 
     def _send(
--- a/chicorybridge/tools/models/crashing_targets.py
+++ b/chicorybridge/tools/models/crashing_targets.py
@@ -48,7 +48,8 @@
     at a time within `wave_ms`. `restart_ms` is how long a target is down;
     after a share `taken_over` of the crashes another one has its address at
     once. Crashes are silent with `dark`. `host_restarts` is the rate of
-    restarts of hosts. A caller sends a harmless request that failed up to
+    restarts of hosts, `per_target` that of harmless requests for each target.
+    A caller sends a harmless request that failed up to
     `repeats` times more.
     """
 
@@ -66,7 +67,7 @@
     dark: bool = False
     host_restarts: float = 0
     loss: float = 0.025
-    per_second: float = 0
+    per_target: float = 0
     repeats: int = 3
 
 
