--- a/chicorybridge/http/target_exchanges.py
+++ b/chicorybridge/http/target_exchanges.py
@@ -21,6 +21,8 @@
     protocol_error,
 )
 
+# Statuses of final answers are below this.
+STATUS_LIMIT = 600
 # Answers with these statuses never have a body.
 BODILESS_STATUSES = frozenset((204, 304))
 
@@ -189,6 +191,8 @@
         return await self.read_chunk()
 
     def _answer_head(self, response: h11.Response) -> Head:
+        if response.status_code >= STATUS_LIMIT:
+            raise protocol_error('the status is not one of HTTP')
         headers = list(response.headers)
         bodiless = (
             self._method == HEAD_METHOD
