--- a/chicorybridge/tests/quarantine/test_crashing_requests.py
+++ b/chicorybridge/tests/quarantine/test_crashing_requests.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 import curio
+from chicorybridge.common.errors import ErrorCode
 from chicorybridge.common.identities import TargetId
 from chicorybridge.http.servers import Request, ServerConnection
 from chicorybridge.quarantine.crash_evidence import CrashedRun
@@ -64,7 +65,7 @@
 
 @on_curio
 async def test_request_that_waits_is_checked_again_before_it_is_sent():
-    origin = Origin(target_id='i-1', slots=1, delay_s=0.6)
+    origin = Origin(target_id='i-1', slots=1, delay_s=0.15)
     async with deployed(origin) as deployment:
         slow = [
             await curio.spawn(
@@ -96,5 +97,5 @@
         answer = await waiting.join()
         for sent in slow:
             await sent.join()
-    assert answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+    assert ErrorCode.request_quarantined.value in answer.body.decode()
     assert CRASHING_PATH not in {request.path for request in origin.requests}
