--- a/chicorybridge/common/events.py
+++ b/chicorybridge/common/events.py
@@ -80,6 +80,7 @@
     removals_held = 602
     removals_released = 603
     store_read = 604
+    store_restored = 605
 
     # 900: violated invariants.
     promise_broken = 900
--- a/chicorybridge/fleet/store_reads.py
+++ b/chicorybridge/fleet/store_reads.py
@@ -334,6 +334,13 @@
                 store_read_at + settings.OUTAGE_RECOVERY_MS
             )
 
+    def record_restore(self, *, now: Millis) -> None:
+        """Record that the store came back from a copy that may be older.
+
+        Targets that registered since the copy write their entries again.
+        """
+        self._recovered_at = Millis(now + settings.OUTAGE_RECOVERY_MS)
+
     def may_have_expired(self, *, now: Millis) -> bool:
         """Return whether a removed entry may belong to a live target."""
         return self._in_outage or now < self._recovered_at
--- a/chicorybridge/hosts/store_marks.py
+++ b/chicorybridge/hosts/store_marks.py
@@ -14,13 +14,10 @@
 from chicorybridge.fleet.relays import StateRelay
 from chicorybridge.fleet.store_inquiries import StoreInquiry
 from chicorybridge.fleet.store_reads import StoreMark, StoreQuery, StoreReport
+from chicorybridge.fleet.store_versions import NO_VERSION
 from chicorybridge.fleet.transits import TransitTable
 from chicorybridge.hosts.states import HostState
-from chicorybridge.hosts.target_lists import (
-    NO_VERSION,
-    ListRelation,
-    TargetList,
-)
+from chicorybridge.hosts.target_lists import ListRelation, TargetList
 
 
 class StoreMarks:
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -27,8 +27,8 @@
     StoreMark,
     rank_of_reader,
 )
+from chicorybridge.fleet.store_versions import NO_VERSION, era_of
 from chicorybridge.hosts.fleet_views import FleetView
-from chicorybridge.hosts.target_lists import NO_VERSION
 
 Send = Callable[[Any], None]
 
@@ -203,6 +203,8 @@
         self._store_failing = False
         # When the host is to be registered; never once it is.
         self._register_at = Millis(0)
+        # The era of the store in which it was, as far as is known.
+        self._registered_era = era_of(NO_VERSION)
 
     @property
     def calls(self) -> int:
@@ -222,8 +224,10 @@
 
         Announce the host to them. This is due at the start; if the store
         fails, again once it has been read, or after a while, as other hosts
-        may read it for this one.
+        may read it for this one. A store that came back from a copy may have
+        lost the profile.
         """
+        self._observe_era()
         if self._clock.now() < self._register_at:
             return
         profiles = await self._call_store(self._write_and_read_hosts())
@@ -235,6 +239,18 @@
             self._fleet_view.host_table.add_unknown(profiles, now=now)
         self._announcer.announce()
 
+    def _observe_era(self) -> None:
+        """Register again after a while if the store starts a new era."""
+        era = era_of(self._targets.complete_version)
+        if era == self._registered_era or self._register_at != NEVER:
+            return
+        if self._registered_era != era_of(NO_VERSION):
+            rank, _ = self._rank()
+            self._register_at = Millis(
+                self._clock.now() + rank * settings.REGISTER_SPREAD_MS
+            )
+        self._registered_era = era
+
     async def _write_and_read_hosts(self) -> tuple[FleetMember, ...]:
         await self._watcher.write_host(self._announcer.profile())
         return await self._watcher.read_hosts()
--- a/chicorybridge/hosts/target_lists.py
+++ b/chicorybridge/hosts/target_lists.py
@@ -12,7 +12,6 @@
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.identities import HostId, TargetId
 from chicorybridge.fleet.directories import (
-    NO_VERSION,
     TargetDirectory,
     TargetEntry,
     TargetsChanged,
@@ -25,6 +24,7 @@
     ReadSchedule,
     StoreMark,
 )
+from chicorybridge.fleet.store_versions import NO_VERSION
 from chicorybridge.hosts.data_uses import DataUseMonitor
 from chicorybridge.routing.reputations import ReputationTable
 
@@ -111,6 +111,14 @@
 
     def apply(self, change: TargetsChanged, *, source: str) -> TargetsChanged:
         """Apply a change of targets and return the part that was new."""
+        if self.directory.is_of_earlier_era(change.store_version):
+            self.outages.record_restore(now=self._clock.now())
+            self.observe_store_age()
+            self._emit(
+                EventKind.store_restored,
+                store_version=change.store_version,
+                known_version=self.directory.store_version,
+            )
         entries_before = dict(self.directory.entries_by_id)
         applied = self.directory.merge(
             change, complete_version=self.complete_version
--- a/chicorybridge/platform/formats.py
+++ b/chicorybridge/platform/formats.py
@@ -30,6 +30,7 @@
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.fleet.directories import TargetEntry
 from chicorybridge.fleet.host_tables import FleetMember
+from chicorybridge.fleet.store_versions import version_in_era
 from chicorybridge.http.caller_limits import CallerLimits
 
 IDEMPOTENT_ROUTE_TYPE = 'idempotent'
@@ -82,20 +83,21 @@
     has_more: bool = False
 
 
-def decode_rows(body: bytes) -> StoredRows:
+def decode_rows(body: bytes, *, era: int = 0) -> StoredRows:
     """Decode the answer to a table read or a feed; raise `FormatError`.
 
-    Rows whose key is no text that can be encoded are left out.
+    Its versions are of `era`. Rows whose key is no text that can be encoded
+    are left out.
     """
     try:
         document = json.loads(body)
         return StoredRows(
             rows=tuple(
-                _decode_row(row)
+                _decode_row(row, era)
                 for row in document['rows']
                 if _is_plain_text(row['key'])
             ),
-            version=int(document['ver']),
+            version=version_in_era(era=era, number=int(document['ver'])),
             has_more=bool(document.get('has_more')),
         )
     except DECODE_ERRORS as error:
@@ -241,11 +243,12 @@
     )
 
 
-def _decode_row(row: Mapping[str, Any]) -> StoredRow:
+def _decode_row(row: Mapping[str, Any], era: int) -> StoredRow:
     is_deleted = bool(row.get('deleted'))
     text = row.get('value') or ''
     body = None if is_deleted else _decode_value(text)
-    return StoredRow(key=row['key'], version=int(row['ver']), body=body)
+    version = version_in_era(era=era, number=int(row['ver']))
+    return StoredRow(key=row['key'], version=version, body=body)
 
 
 def _decode_value(text: str) -> bytes:
--- a/chicorybridge/platform/stores.py
+++ b/chicorybridge/platform/stores.py
@@ -7,8 +7,15 @@
 
 from chicorybridge.common.addresses import parse_address
 from chicorybridge.common.errors import ChicorybridgeError, ErrorCode
+from chicorybridge.fleet.store_versions import era_of, number_of
 from chicorybridge.http.clients import Client
-from chicorybridge.http.servers import AnswerLostError, NotSentError, Request
+from chicorybridge.http.exchanges import parse_integer
+from chicorybridge.http.servers import (
+    AnswerLostError,
+    NotSentError,
+    Request,
+    Response,
+)
 from chicorybridge.platform.formats import (
     StoredRow,
     StoredRows,
@@ -32,6 +39,9 @@
 # Rows per answer; the platform returns at most 500.
 PAGE_ROWS = 500
 
+# Rises by one each time the store comes back from an older copy.
+ERA_HEADER = 'store-era'
+
 # Time without a byte of the answer after which a call has failed, in addition
 # to the wait that it requests: the slowest answers of a working store.
 # The whole answer may take longer over a slow link.
@@ -63,6 +73,8 @@
         self._address = parse_address(address)
         self._client = Client(max_answer_bytes=MAX_ANSWER_BYTES)
         self.calls = 0
+        # The last era that the store named in an answer.
+        self._era = 0
 
     @property
     def received_bytes(self) -> int:
@@ -82,9 +94,15 @@
             query: Query = {'table': table, 'part': '', 'limit': PAGE_ROWS}
             if start:
                 query['from'] = start
-            page = decode_rows(await self._get('/rows-get', query))
+            body = await self._get('/rows-get', query)
+            page = decode_rows(body, era=self._era)
             rows.extend(page.rows)
             versions.append(page.version)
+            if era_of(page.version) != era_of(versions[0]):
+                raise StoreError(
+                    code=ErrorCode.store_unavailable,
+                    detail='store came back from a copy between two pages',
+                )
             if not page.has_more or not page.rows:
                 return StoredRows(rows=tuple(rows), version=versions[0])
             # The smallest key that sorts after the last one.
@@ -101,11 +119,18 @@
         """
         query: Query = {
             'table': table,
-            'after': after,
+            'after': number_of(after),
             'wait_ms': wait_ms,
         }
         body = await self._get('/rows-feed', query, wait_ms=wait_ms)
-        return decode_rows(body)
+        rows = decode_rows(body, era=self._era)
+        if era_of(rows.version) != era_of(after):
+            # The changes since another version of that number.
+            raise HistoryGoneError(
+                code=ErrorCode.store_unavailable,
+                detail='store came back from a copy',
+            )
+        return rows
 
     async def put(self, *, table: str, key: str, body: bytes) -> None:
         """Set a row unconditionally."""
@@ -117,9 +142,24 @@
 
     async def _get(self, path: str, query: Query, *, wait_ms: int = 0) -> bytes:
         request = Request(method='GET', path=f'{path}?{urlencode(query)}')
-        return await self._call(
+        response = await self._call(
             request, idle_timeout_ms=CALL_IDLE_TIMEOUT_MS + wait_ms
         )
+        self._observe_era(response)
+        return response.body
+
+    def _observe_era(self, response: Response) -> None:
+        """Take over the era of an answer; raise if it is of an earlier one."""
+        text = response.headers_by_name.get(ERA_HEADER, '')
+        era = parse_integer(text.encode())
+        if era is None:
+            return
+        if era < self._era:
+            raise StoreError(
+                code=ErrorCode.store_unavailable,
+                detail=f'answer of era {era} after one of era {self._era}',
+            )
+        self._era = era
 
     async def _transact(self, body: bytes) -> None:
         request = Request(
@@ -130,7 +170,9 @@
         )
         await self._call(request, idle_timeout_ms=CALL_IDLE_TIMEOUT_MS)
 
-    async def _call(self, request: Request, *, idle_timeout_ms: int) -> bytes:
+    async def _call(
+        self, request: Request, *, idle_timeout_ms: int
+    ) -> Response:
         self.calls += 1
         try:
             response = await self._client.fetch_large(
@@ -150,4 +192,4 @@
                 code=ErrorCode.store_unavailable,
                 detail=f'store answered with status {response.status}',
             )
-        return response.body
+        return response
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -781,3 +781,9 @@
 # Observations of a target within this time before a request are part of the
 # explanation of the request.
 EXPLANATION_WINDOW_MS = 3000
+# Targets that left or were removed, of which a host remembers the last entry:
+# a store that comes back from an older copy may list them as they were before.
+MAX_ENDED_TARGETS = 20_000
+# After such a return the hosts of a region write their profiles again, one by
+# one at this interval.
+REGISTER_SPREAD_MS = 10
