--- a/chicorybridge/hosts/store_marks.py
+++ b/chicorybridge/hosts/store_marks.py
@@ -72,7 +72,9 @@
         stale_ms = schedule.spread_limit_ms * settings.READ_STALE_SHARE
         if schedule.age_ms(now=now) < stale_ms:
             return
-        asked = self.inquiry.hosts_to_ask(silent_ms=self._silent_ms(), now=now)
+        asked = self.inquiry.hosts_to_ask(
+            silent_ms=schedule.spread_limit_ms, now=now
+        )
         query = StoreQuery(asked_at=now)
         self.to_hosts.extend((host_id, query) for host_id in asked)
 
--- a/chicorybridge/tests/freshness/test_silent_stores.py
+++ b/chicorybridge/tests/freshness/test_silent_stores.py
@@ -14,6 +14,7 @@
     StoreReport,
 )
 from chicorybridge.tests.hosts.test_fleet_views import (
+    FAR_ZONE_ID,
     SERVICE_ID,
     ZONE_ID,
     HostModel,
@@ -77,7 +78,7 @@
     host.view.marks.ask_if_due()
     others_by_name = {other.name: other for other in others}
     for name, message in host.view.to_hosts:
-        if isinstance(message, StoreQuery):
+        if isinstance(message, StoreQuery) and name in others_by_name:
             other = others_by_name[name]
             other.view.on_message(message, host.name)
             _, report = other.view.to_hosts[-1]
@@ -179,3 +180,20 @@
         host.view.on_message(ReadFailed(), other.name)
     _fail_to_read(host)
     assert not host.view.targets.is_usable()
+
+
+@pytest.mark.parametrize(
+    ('silent_ms', 'usable'), [(BOUND_MS - 100, False), (BOUND_MS + 100, True)]
+)
+def test_own_region_does_not_suffice_if_another_was_heard_within_the_bound(
+    clock, host, others, silent_ms, usable
+):
+    """A full link between the regions may lose its reports for a while."""
+    _meet(host, [HostModel('far-1', clock, FAR_ZONE_ID)])
+    clock.advance(by_ms=silent_ms)
+    others = [*others, HostModel('edge-4', clock)]
+    _meet(host, others)
+    host.view.on_message(ReadFailed(), others[0].name)
+    _fail_to_read(host)
+    _ask(host, others)
+    assert host.view.targets.is_usable() is usable
