--- a/chicorybridge/fleet/relays.py
+++ b/chicorybridge/fleet/relays.py
@@ -36,7 +36,10 @@
         self._host_id = host_id
         self._rng = rng
         self._pending: PendingFetch | None = None
-        self._is_fetching = False
+        # When the fetch under way began.
+        self._fetching_since: Millis | None = None
+        # Whether the last fetch hung.
+        self._hung = False
 
     def offer(
         self, source: HostId, *, order: Sequence[HostId], now: Millis
@@ -61,7 +64,11 @@
         the host above it. A fetch that is under way is left to its end.
         """
         pending = self._pending
-        if self._is_fetching or pending is None or pending.due_at <= now:
+        if (
+            self._fetching_since is not None
+            or pending is None
+            or pending.due_at <= now
+        ):
             return
         pending.source = source
         pending.due_at = now
@@ -91,12 +98,28 @@
         if pending is None or now < pending.due_at:
             return None
         self._pending = None
-        self._is_fetching = True
+        self._fetching_since = now
         return pending
 
-    def end(self) -> None:
+    def end(self, *, now: Millis) -> None:
         """Record that the fetch under way has ended."""
-        self._is_fetching = False
+        self._hung = self._hangs(now)
+        self._fetching_since = None
+
+    @property
+    def is_fetching(self) -> bool:
+        """Return whether a fetch is under way."""
+        return self._fetching_since is not None
+
+    def is_cut_off(self, *, now: Millis) -> bool:
+        """Return whether the fetch under way hangs, or else the last one hung.
+
+        One that another host breaks off at once, as it sends to others, shows
+        that the host is reached.
+        """
+        if self._fetching_since is None:
+            return self._hung
+        return self._hangs(now)
 
     def retry(self, fetch: PendingFetch, *, now: Millis) -> None:
         """Record that `fetch` failed; it is due again after a while."""
@@ -116,6 +139,11 @@
         first = (members.index(self._host_id) + 1) * settings.RELAY_FAN_OUT
         return members[first : first + settings.RELAY_FAN_OUT]
 
+    def _hangs(self, now: Millis) -> bool:
+        if self._fetching_since is None:
+            return False
+        return now - self._fetching_since >= settings.FETCH_HANGS_MS
+
     def _new_fetch(
         self, source: HostId, order: Sequence[HostId], now: Millis
     ) -> PendingFetch:
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -266,7 +266,7 @@
             if profile.host_id == fetch.source
         ]
         is_merged = bool(addresses) and await self._merge_from(addresses[0])
-        fleet_view.relay.end()
+        fleet_view.relay.end(now=self._clock.now())
         if not is_merged:
             fleet_view.relay.retry(fetch, now=self._clock.now())
             return
--- a/chicorybridge/hosts/store_marks.py
+++ b/chicorybridge/hosts/store_marks.py
@@ -77,16 +77,26 @@
         )
         query = StoreQuery(asked_at=now)
         self.to_hosts.extend((host_id, query) for host_id in asked)
+        if self.inquiry.is_isolated(now=now) and not self._relay.is_fetching:
+            # Datagrams are lost, which streams may not be.
+            self._fetch_from_any(now)
 
     def relies_on_others(self) -> bool:
         """Return whether this host gets new data without reading the store.
 
         Targets that it lacks are few, so that it may read them itself; a
-        configuration is so large that others send it.
+        configuration is so large that others send it. A host that no datagram
+        reaches fetches from them before it reads.
         """
         if self._lacks_targets:
             return False
-        return not self.inquiry.is_isolated(now=self._clock.now())
+        now = self._clock.now()
+        if not self.inquiry.is_isolated(now=now):
+            return True
+        schedule = self._targets.schedule
+        latest_ms = schedule.spread_limit_ms * settings.ISOLATED_READ_SHARE
+        is_late = schedule.age_ms(now=now) >= latest_ms
+        return not (is_late or self._relay.is_cut_off(now=now))
 
     @functools.singledispatchmethod
     def receive(
@@ -182,6 +192,19 @@
             sent_after = min(arrived_after, Millis(now - waited_ms))
         return Millis(sent_after - mark.age_ms)
 
+    def _fetch_from_any(self, now: Millis) -> None:
+        """Fetch from one of the first hosts, as this one hears of no other.
+
+        They have what is new first; if all hosts fetched from those that read
+        the store, these would send too much.
+        """
+        order = region_order(self._host_table)
+        first = max(
+            settings.MAX_READ_RANK + 1,
+            round(len(order) * settings.ISOLATED_SOURCES_SHARE),
+        )
+        self._relay.ask_any(order=order[:first], now=now)
+
     def _silent_ms(self) -> float:
         """Return for how long a silent store has answered nobody."""
         limit_ms = self._targets.schedule.spread_limit_ms
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -636,6 +636,12 @@
 # A host whose data are older than this share of CHANGE_SPREAD_LIMIT_MS waits no
 # longer, and fetches from a host that it drew at random and that has more.
 RELAY_HURRY_SHARE = 0.6
+# A host that hears nothing of the others fetches from this share of its region,
+# the first by rank. It reads the store itself if that hangs for longer, or once
+# its data are older than this share of the limit.
+ISOLATED_SOURCES_SHARE = 1 / 6
+FETCH_HANGS_MS = 400
+ISOLATED_READ_SHARE = 0.72
 # Reads of the platform's store. All hosts are to receive a change within
 # CHANGE_SPREAD_LIMIT_MS; the shares are of this time. The first host of a
 # region reads when its data have the age READ_INTERVAL_SHARE. In case it fails,
--- a/chicorybridge/tests/regions/regions.py
+++ b/chicorybridge/tests/regions/regions.py
@@ -667,7 +667,7 @@
     def _fail_fetch(self, host: RegionHost, fetch: PendingFetch) -> None:
         self.counts['failed fetches'] += 1
         host.is_fetching = False
-        host.view.relay.end()
+        host.view.relay.end(now=self.clock.now())
         host.view.relay.retry(fetch, now=self.clock.now())
 
     def _end_fetch(
@@ -680,7 +680,7 @@
     ) -> None:
         source.sends -= 1
         host.is_fetching = False
-        host.view.relay.end()
+        host.view.relay.end(now=self.clock.now())
         host.view.merge_snapshot(
             snapshot,
             source=fetch.source,
--- a/chicorybridge/tests/regions/test_store_pressure.py
+++ b/chicorybridge/tests/regions/test_store_pressure.py
@@ -49,6 +49,38 @@
     assert region.most_reading <= settings.MAX_READ_RANK + 1
 
 
+@pytest.mark.parametrize(
+    'hosts',
+    (
+        18,
+        66,
+        pytest.param(
+            146,
+            marks=pytest.mark.xfail(
+                strict=True, reason='KNOWN-RED: fetches of all take too long'
+            ),
+        ),
+    ),
+)
+def test_few_hosts_read_the_store_while_all_datagrams_are_lost(hosts):
+    """The configuration changes, so that each read would take all of it."""
+    region = Region(
+        hosts=hosts, faults=Faults(loss=0.01), seed=1, links=FAR_STORE
+    )
+    region.configure(routes=MANY_ROUTES)
+    region.run(ms=2 * BOUND_MS)
+    region.most_reading = 0
+    region.deafen(ms=2 * BOUND_MS)
+    late: set[HostId] = set()
+    for _ in range(3):
+        region.configure(routes=MANY_ROUTES)
+        for _ in range(CHANGE_MS // CHECK_MS):
+            region.run(ms=CHECK_MS)
+            late.update(region.late_routes())
+    assert region.most_reading <= settings.MAX_READ_RANK + 1
+    assert not late
+
+
 @functools.cache
 def _late_routes(*, hosts: int, faults: Faults) -> Collection[HostId]:
     """Return hosts that use an old configuration after the store was silent.
