--- a/chicorybridge/entry/calls.py
+++ b/chicorybridge/entry/calls.py
@@ -14,6 +14,7 @@
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.dialects import DEFAULT_DIALECT, Dialect
 from chicorybridge.http.exchanges import Head
+from chicorybridge.quarantine.crash_reports import CrashPossible
 
 WORKSPACE_HEADER = b'chicorybridge-workspace'
 DIGEST_HEADER = b'content-digest'
@@ -55,6 +56,12 @@
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     # Whether an attempt has started that is not yet in `attempts`.
     attempt_in_progress: bool = False
+    # Targets that broke off this call and may have crashed, of which no other
+    # host knows, and whether they accept connections, if that is known.
+    untold_crashes: dict[CrashPossible, bool] = dataclasses.field(
+        default_factory=dict
+    )
+    is_over: bool = False
 
     @property
     def outcome(self) -> RequestOutcome:
--- a/chicorybridge/hosts/crash_checks.py
+++ b/chicorybridge/hosts/crash_checks.py
@@ -94,7 +94,7 @@
             return
         facts = {
             'digest': call.digest,
-            'victims': self._quarantine.victim_count(call.digest),
+            'victims': len(self._quarantine.victims(call.digest)),
             'target': target_id,
         }
         self._log.emit(Event(kind=EventKind.suspect_sent, facts=facts))
@@ -130,14 +130,25 @@
             possible = self._quarantine.suspect_possibly(
                 run, now=self._clock.now()
             )
+            call.untold_crashes[possible] = False
             await curio.spawn(
-                self._check_cut, run, possible, entry, daemon=True
+                self._check_cut, call, run, possible, entry, daemon=True
             )
         elif self._is_silent(call, attempt):
             await curio.spawn(
                 self._check_silent, call, attempt, entry, daemon=True
             )
 
+    def end(self, call: Call) -> None:
+        """Tell the others which targets may have crashed under a call.
+
+        Not if another target has answered it.
+        """
+        call.is_over = True
+        for possible, is_checked in call.untold_crashes.items():
+            if is_checked:
+                self._tell(possible)
+
     def _proves_nothing(self, call: Call, attempt: Attempt) -> bool:
         """Return whether a request that may be blamed soon was sent in vain.
 
@@ -148,7 +159,7 @@
             return False
         if attempt.outcome is AttemptOutcome.cancelled:
             return False
-        victims = self._quarantine.victim_count(call.digest)
+        victims = len(self._quarantine.victims(call.digest))
         return victims >= settings.MAX_VICTIMS
 
     def _is_silent(self, call: Call, attempt: Attempt) -> bool:
@@ -169,13 +180,24 @@
         return not self._answered_since(attempt.target_id, half_at)
 
     async def _check_cut(
-        self, run: CrashedRun, possible: CrashPossible, entry: TargetEntry
+        self,
+        call: Call,
+        run: CrashedRun,
+        possible: CrashPossible,
+        entry: TargetEntry,
     ) -> None:
         if await self._is_alive(entry):
-            self._broadcast(possible)
+            call.untold_crashes[possible] = True
+            if call.is_over:
+                self._tell(possible)
             return
+        call.untold_crashes.pop(possible, None)
         self._suspect(run)
 
+    def _tell(self, possible: CrashPossible) -> None:
+        if self._quarantine.is_suspect(possible.digest):
+            self._broadcast(possible)
+
     async def _check_silent(
         self, call: Call, attempt: Attempt, entry: TargetEntry
     ) -> None:
@@ -195,21 +217,23 @@
         facts = {
             'digest': run.digest,
             'target': run.target_id,
-            'victims': self._quarantine.victim_count(run.digest),
+            'victims': len(self._quarantine.victims(run.digest)),
         }
         self._log.emit(Event(kind=EventKind.crash_suspected, facts=facts))
 
     def _clear(self, call: Call, attempt: Attempt) -> None:
         if not self._quarantine.contains(call):
             return
+        untold = {possible.victim for possible in call.untold_crashes}
+        is_known = not untold.issuperset(self._quarantine.victims(call.digest))
         facts = {
             'digest': call.digest,
-            'victims': self._quarantine.victim_count(call.digest),
+            'victims': len(self._quarantine.victims(call.digest)),
             'target': attempt.target_id,
             'outcome': attempt.outcome.value,
         }
         report = self._quarantine.clear(call.digest, now=self._clock.now())
-        if report is None:
+        if report is None or not is_known:
             return
         self._log.emit(Event(kind=EventKind.suspect_cleared, facts=facts))
         self._broadcast(report)
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -85,6 +85,7 @@
             raise
         finally:
             self.calls_by_number.pop(number)
+            self._crash_checks.end(call)
         self._request_log.log_end(call, status=status, now=self._clock.now())
 
     @property
--- a/chicorybridge/quarantine/quarantines.py
+++ b/chicorybridge/quarantine/quarantines.py
@@ -54,9 +54,9 @@
         """Return whether the request with `digest` is suspect."""
         return digest in self._suspects
 
-    def victim_count(self, digest: Digest) -> int:
-        """Return how many targets ended while they ran a request."""
-        return len(self._suspects.victims_of(digest))
+    def victims(self, digest: Digest) -> tuple[Victim, ...]:
+        """Return the targets that ended, or may have, under a request."""
+        return self._suspects.victims_of(digest)
 
     def refuses(self, digest: Digest, *, now: Millis) -> bool:
         """Return whether a request is blamed for crashes and refused."""
--- a/chicorybridge/tools/models/crash_fleets.py
+++ b/chicorybridge/tools/models/crash_fleets.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Sequence
 from typing import Any
 
 from chicorybridge import settings
@@ -102,18 +103,23 @@
         self._later(pause_s * MILLIS_PER_SECOND, self._arrive)
 
     def _send(
-        self, request: ModelRequest, host_id: HostId, attempt: int = 1
+        self,
+        request: ModelRequest,
+        host_id: HostId,
+        attempt: int = 1,
+        untold: list[CrashPossible] | None = None,
     ) -> None:
         now = self._schedule.now
         quarantine = self._hosts.by_id[host_id].quarantine
         if quarantine.refuses(request.digest, now=now):
             request.refused = True
+            self._tell(host_id, untold or ())
             return
         entry = self._targets.draw()
         if not self._targets.is_reached(entry):
             # Nothing was sent, or another target says that it didn't run it.
             delay_ms = self._rng.uniform(*CONNECT_MS)
-            self._later(delay_ms, self._send, request, host_id, attempt)
+            self._later(delay_ms, self._send, request, host_id, attempt, untold)
             return
         self._count_sending(request, self._hosts.by_id[host_id])
         self._targets.start_run(
@@ -123,6 +129,7 @@
                 entry=entry,
                 started_at=now,
                 attempt=attempt,
+                untold=[] if untold is None else untold,
             )
         )
 
@@ -142,7 +149,7 @@
             if cleared is not None:
                 self._hosts.broadcast(run.host_id, cleared)
             return
-        if quarantine.victim_count(digest) >= settings.MAX_VICTIMS:
+        if len(quarantine.victims(digest)) >= settings.MAX_VICTIMS:
             self._suspect(run)
         self._try_again(run)
 
@@ -168,17 +175,30 @@
         entries_by_id = self._targets.directory.entries_by_id
         is_listed = entries_by_id.get(run.entry.target_id) == run.entry
         if is_listed and self._targets.accepts_connections(run.entry):
-            self._hosts.broadcast(run.host_id, possible)
+            run.untold.append(possible)
+            self._tell_if_over(run)
             return
         quarantine = self._hosts.by_id[run.host_id].quarantine
         suspected = quarantine.suspect(crashed, now=self._schedule.now)
         self._hosts.broadcast(run.host_id, suspected)
 
+    def _tell_if_over(self, run: ModelRun) -> None:
+        if not _may_try_again(run):
+            self._tell(run.host_id, run.untold)
+
+    def _tell(self, host_id: HostId, untold: Sequence[CrashPossible]) -> None:
+        for possible in untold:
+            self._hosts.broadcast(host_id, possible)
+
     def _try_again(self, run: ModelRun) -> None:
         request = run.request
-        if request.idempotent and run.attempt < MAX_ATTEMPTS:
-            self._send(request, run.host_id, run.attempt + 1)
+        if _may_try_again(run):
+            self._send(request, run.host_id, run.attempt + 1, run.untold)
         elif request.repeats_left:
             request.repeats_left -= 1
             pause_ms = self._rng.uniform(*CLIENT_PAUSE_MS)
             self._later(pause_ms, self._send, request, self._hosts.draw())
+
+
+def _may_try_again(run: ModelRun) -> bool:
+    return run.request.idempotent and run.attempt < MAX_ATTEMPTS
--- a/chicorybridge/tools/models/crashing_targets.py
+++ b/chicorybridge/tools/models/crashing_targets.py
@@ -15,6 +15,7 @@
     ZoneId,
 )
 from chicorybridge.fleet.directories import TargetDirectory, TargetEntry
+from chicorybridge.quarantine.crash_reports import CrashPossible
 from chicorybridge.tools.models.schedules import Schedule
 
 # Time from a change of a target to its entry on all hosts.
@@ -106,6 +107,8 @@
     entry: TargetEntry
     started_at: Millis
     attempt: int
+    # Reports on earlier attempts of which no other host knows.
+    untold: list[CrashPossible]
 
 
 class CrashingTargets:
