--- a/chicorybridge/hosts/crash_checks.py
+++ b/chicorybridge/hosts/crash_checks.py
@@ -19,7 +19,7 @@
 from chicorybridge.fleet.directories import TargetDirectory, TargetEntry
 from chicorybridge.http.exchanges import Head
 from chicorybridge.quarantine.crash_evidence import CrashedRun
-from chicorybridge.quarantine.crash_reports import CrashPossible, CrashReport
+from chicorybridge.quarantine.crash_reports import CrashMessage, CrashPossible
 from chicorybridge.quarantine.quarantines import Quarantine, may_have_crashed
 
 
@@ -39,10 +39,13 @@
         quarantine: Quarantine,
         directory: TargetDirectory,
         answered_since: Callable[[TargetId, Millis], bool],
-        broadcast: Callable[[CrashReport], None],
+        broadcast: Callable[[CrashMessage], None],
+        tell_witnesses: Callable[[CrashPossible], None],
     ) -> None:
         """Send reports with `broadcast`, which reaches all hosts.
 
+        Most possible crashes go to a few with `tell_witnesses`.
+
         `answered_since` returns whether any host has had an answer of a
         target since a time.
         """
@@ -52,6 +55,7 @@
         self._quarantine = quarantine
         self._directory = directory
         self._broadcast = broadcast
+        self._tell_witnesses = tell_witnesses
 
     def is_quarantined(self, call: Call) -> bool:
         """Return whether a request must not reach another target."""
@@ -195,8 +199,13 @@
         self._suspect(run)
 
     def _tell(self, possible: CrashPossible) -> None:
-        if self._quarantine.is_suspect(possible.digest):
-            self._broadcast(possible)
+        if not self._quarantine.is_suspect(possible.digest):
+            return
+        shared = self._quarantine.shared(possible.digest)
+        if shared is None:
+            self._tell_witnesses(possible)
+        else:
+            self._broadcast(shared)
 
     async def _check_silent(
         self, call: Call, attempt: Attempt, entry: TargetEntry
--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -68,6 +68,9 @@
         directory=fleet_view.directory,
         answered_since=fleet_view.reputations.answered_since,
         broadcast=announcer.broadcast,
+        tell_witnesses=lambda possible: announcer.send_to_hosts(
+            possible, fleet_view.suspects.witnesses(possible.digest)
+        ),
     )
     return HostDispatcher(
         clock=clock,
--- a/chicorybridge/quarantine/quarantines.py
+++ b/chicorybridge/quarantine/quarantines.py
@@ -134,13 +134,21 @@
         suspected = split_reports(reports).suspected
         return SuspectsKnown(reports=suspected) if suspected else None
 
-    def shared(self) -> SuspectsShared | None:
-        """Return what every host should know, if anything."""
-        reports = self._suspects.reports(
-            limit=settings.MAX_SHARED_SUSPECTS,
-            min_victims=settings.MIN_VICTIMS,
-        )
-        return split_reports(reports) if reports else None
+    def shared(self, digest: Digest | None = None) -> SuspectsShared | None:
+        """Return what every host should know, of a request or of all.
+
+        That is of those with several victims, if there are any.
+        """
+        if digest is None:
+            reports = self._suspects.reports(
+                limit=settings.MAX_SHARED_SUSPECTS,
+                min_victims=settings.MIN_VICTIMS,
+            )
+        else:
+            reports = self._suspects.reports_on(digest)
+        if len(reports) < settings.MIN_VICTIMS:
+            return None
+        return split_reports(reports)
 
     def tick(
         self,
--- a/chicorybridge/quarantine/suspect_views.py
+++ b/chicorybridge/quarantine/suspect_views.py
@@ -1,11 +1,15 @@
 """What a host knows of requests that crash targets, shared with the others."""
 
+import heapq
 import random
+from collections.abc import Collection
 from typing import Any
 
+import xxhash
+
 from chicorybridge import settings
 from chicorybridge.common.clocks import Clock
-from chicorybridge.common.identities import HostId
+from chicorybridge.common.identities import Digest, HostId
 from chicorybridge.fleet.directories import TargetDirectory
 from chicorybridge.fleet.host_tables import (
     FleetMember,
@@ -15,6 +19,7 @@
 from chicorybridge.fleet.store_reads import ReadSchedule
 from chicorybridge.quarantine.crash_reports import (
     CrashMessage,
+    CrashPossible,
     SuspectsShared,
     Victim,
 )
@@ -48,9 +53,27 @@
         self._directory = directory
         self._schedule = schedule
 
+    def witnesses(self, digest: Digest) -> Collection[HostId]:
+        """Return the hosts that are told of a possible crash."""
+        return heapq.nsmallest(
+            settings.CRASH_WITNESSES,
+            (profile.host_id for profile in self._host_table.profiles()),
+            key=lambda host_id: xxhash.xxh64_intdigest(
+                f'{digest} {host_id}'.encode()
+            ),
+        )
+
     def receive(self, message: CrashMessage) -> None:
         """Handle a report of another host."""
         passed_on = self.quarantine.receive(message, now=self._clock.now())
+        if isinstance(message, CrashPossible):
+            shared = self.quarantine.shared(message.digest)
+            if shared is not None:
+                self.to_hosts.extend(
+                    (profile.host_id, shared)
+                    for profile in self._host_table.profiles()
+                )
+                return
         if passed_on is None:
             return
         profiles = self._host_table.profiles()
--- a/chicorybridge/settings.py
+++ b/chicorybridge/settings.py
@@ -353,6 +353,10 @@
 # shares this many of them, and if fewer targets crashed without it in a time.
 MIN_VICTIMS = 2
 CRASH_WINDOW_MS = 60_000
+# Hosts that are told of a possible crash, the same for each request. They tell
+# all others once a request has several victims: most have one, and a fleet has
+# many failed requests.
+CRASH_WITNESSES = 8
 # Hosts that get what every host should know of blamed requests from each other
 # one at each heartbeat, and how many reports, the newest ones.
 SUSPECT_SHARES = 3
--- a/chicorybridge/tools/models/crash_fleets.py
+++ b/chicorybridge/tools/models/crash_fleets.py
@@ -187,8 +187,13 @@
             self._tell(run.host_id, run.untold)
 
     def _tell(self, host_id: HostId, untold: Sequence[CrashPossible]) -> None:
+        view = self._hosts.by_id[host_id].view
         for possible in untold:
-            self._hosts.broadcast(host_id, possible)
+            shared = view.quarantine.shared(possible.digest)
+            if shared is not None:
+                self._hosts.broadcast(host_id, shared)
+                return
+            self._hosts.send(possible, view.witnesses(possible.digest))
 
     def _try_again(self, run: ModelRun) -> None:
         request = run.request
--- a/chicorybridge/tools/models/crashing_hosts.py
+++ b/chicorybridge/tools/models/crashing_hosts.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from typing import Any, cast
 
 from chicorybridge import settings
@@ -93,6 +93,11 @@
             if host_id != sender:
                 self._tell(host_id, message)
 
+    def send(self, message: CrashMessage, host_ids: Iterable[HostId]) -> None:
+        """Send a message to some hosts."""
+        for host_id in host_ids:
+            self._tell(host_id, message)
+
     @property
     def _restart_pause_ms(self) -> float:
         return settings.HOST_HEARTBEAT_INTERVAL_MS / self._plan.host_restarts
