--- a/chicorybridge/entry/calls.py
+++ b/chicorybridge/entry/calls.py
@@ -62,6 +62,7 @@
         default_factory=dict
     )
     is_over: bool = False
+    known_digest: Digest | None = None
 
     @property
     def outcome(self) -> RequestOutcome:
@@ -95,8 +96,14 @@
         """Return a digest that is equal for repetitions of the request.
 
         A body that is not held in memory is represented by its length and
-        its Content-Digest header.
+        its Content-Digest header. The first result is kept, as the whole body
+        goes into it.
         """
+        if self.known_digest is None:
+            self.known_digest = self._compute_digest()
+        return self.known_digest
+
+    def _compute_digest(self) -> Digest:
         body = self.body.buffered
         if body is None:
             digest = self.head.header(DIGEST_HEADER) or b''
--- a/chicorybridge/tests/quarantine/test_crashing_requests.py
+++ b/chicorybridge/tests/quarantine/test_crashing_requests.py
@@ -4,10 +4,13 @@
 from http import HTTPStatus
 
 import curio
+import pytest
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.common.identities import TargetId
+from chicorybridge.hosts.announcers import Announcer
 from chicorybridge.http.servers import Request, ServerConnection
 from chicorybridge.quarantine.crash_evidence import CrashedRun
+from chicorybridge.quarantine.crash_reports import CrashMessage
 from chicorybridge.tests.hosts.deployments import (
     Origin,
     deployed,
@@ -99,3 +102,29 @@
             await sent.join()
     assert ErrorCode.request_quarantined.value in answer.body.decode()
     assert CRASHING_PATH not in {request.path for request in origin.requests}
+
+
+@pytest.mark.parametrize(
+    ('method', 'is_told'), [('GET', False), ('POST', True)]
+)
+@on_curio
+async def test_only_requests_that_fail_in_the_end_are_told_to_others(
+    method, is_told, monkeypatch
+):
+    """The second target answers what the first one breaks off."""
+    told: list[CrashMessage] = []
+
+    def record(_announcer, message, *_):  # noqa: WPS430
+        if isinstance(message, CrashMessage):
+            told.append(message)
+
+    monkeypatch.setattr(Announcer, 'broadcast', record)
+    monkeypatch.setattr(Announcer, 'send_to_hosts', record)
+    first = Origin(target_id='i-1', resets=True)
+    second = Origin(target_id='i-2')
+    async with deployed(first, second) as deployment:
+        path = '/lookup/7' if method == 'GET' else '/accept/7'
+        while not first.runs:
+            await deployment.send(path, method=method)
+        await curio.sleep(0.2)
+    assert bool(told) is is_told
