--- a/chicorybridge/tests/regions/test_sums.py
+++ b/chicorybridge/tests/regions/test_sums.py
@@ -86,9 +86,6 @@
     assert region.sent_bytes.peak() <= host_mbps * BYTES_PER_S_AND_MBPS
 
 
-@pytest.mark.xfail(
-    strict=True, reason='KNOWN-RED: all late hosts read all of the row'
-)
 @pytest.mark.parametrize(('hosts', 'host_mbps', 'store_mbps'), LINKS)
 def test_late_hosts_get_a_large_configuration_over_the_link_between_regions(
     hosts, host_mbps, store_mbps
