Don't report hosts as lost that were never heard

If one of them was gone already and timed out, the time since its last message was infinite, and rounding it ended the process with an OverflowError. The new test fails with that error before the change.

--- a/chicorybridge/fleet/losses.py
+++ b/chicorybridge/fleet/losses.py
@@ -43,9 +43,14 @@
         self._lost_by_id: dict[HostId, HostRecord] = {}
 
     def add(self, lost: Iterable[HostRecord]) -> None:
-        """Add the hosts of the own zone that have timed out."""
+        """Add the hosts of the own zone that have timed out.
+
+        Hosts that this one never heard are left out: when they were last
+        heard is known to others only.
+        """
         for record in lost:
-            if record.profile.zone_id == self._host_table.zone_id:
+            is_in_zone = record.profile.zone_id == self._host_table.zone_id
+            if is_in_zone and record.heard:
                 self._lost_by_id[record.profile.host_id] = record
 
     def report(self, *, serving: bool, now: Millis) -> HostsLost | None:
--- a/chicorybridge/tests/fleet/test_lost_hosts.py
+++ b/chicorybridge/tests/fleet/test_lost_hosts.py
@@ -6,8 +6,19 @@
 import pytest
 
 from chicorybridge import settings
-from chicorybridge.common.identities import RegionId, ZoneId
-from chicorybridge.fleet.host_tables import zone_representatives
+from chicorybridge.common.clocks import Millis
+from chicorybridge.common.identities import (
+    HostId,
+    Incarnation,
+    RegionId,
+    ZoneId,
+)
+from chicorybridge.fleet.host_tables import (
+    FleetMember,
+    HostTable,
+    zone_representatives,
+)
+from chicorybridge.fleet.losses import LossReports
 from chicorybridge.tests.hosts.zones import Zone, ZoneHost
 
 ZONES = MappingProxyType(
@@ -161,3 +172,32 @@
             profile.host_id for profile in host.view.host_table.profiles()
         }
         assert {other.host_id for other in live} <= listed
+
+
+def test_host_known_from_a_snapshot_only_is_not_reported_as_lost():
+    """Guards against an overflow that ended the process of the reporter.
+
+    A restarted host knows hosts of its zone from the snapshot of another. One
+    of them was gone already, so the time since its last message is infinite.
+    """
+    zone_id = ZoneId('groningen')
+    table = HostTable(
+        host_id=HostId('a'), zone_id=zone_id, regions_by_zone=dict(ZONES)
+    )
+    gone, live = (
+        FleetMember(
+            host_id=HostId(name),
+            zone_id=zone_id,
+            incarnation=Incarnation(1),
+            serial=1,
+            front='127.0.0.1:1',
+            fleet_address='127.0.0.1:2',
+            serving=True,
+        )
+        for name in ('b', 'c')
+    )
+    table.add_unknown((gone,), now=Millis(0))
+    table.record(live, now=Millis(SETTLED_MS), arrived_after=Millis(SETTLED_MS))
+    reports = LossReports(host_table=table)
+    reports.add(table.expire(now=Millis(SETTLED_MS)))
+    assert reports.report(serving=True, now=Millis(SETTLED_MS)) is None
