Use a target again once its row is known to be of the new era

A row that was written between the store's return from a copy and the first read of a host counted as one of the copy, so that the target got no work until it wrote its row once more. Its number tells more: a copy that has a number at or above that of the row by which the target left has that row as well. A target that the copy lacks also needed two writes, as its removal was recorded with the version of its row rather than of the read that lacked it. A target that left twice is now compared with its last row.

A lower number may be of the copy, as the store does not say where the copy ends; such a target waits for its next write, as before.

--- a/chicorybridge/fleet/directories.py
+++ b/chicorybridge/fleet/directories.py
@@ -3,9 +3,9 @@
 import dataclasses
 import zlib
 
-from chicorybridge import settings
 from chicorybridge.common.codecs import pack, wire
 from chicorybridge.common.identities import ServiceId, TargetId, ZoneId
+from chicorybridge.fleet.ended_targets import EndedTargets
 from chicorybridge.fleet.store_versions import NO_VERSION, era_of
 
 
@@ -84,9 +84,7 @@
         self._retained_by_id: dict[TargetId, TargetEntry] = {}
         self.store_version = NO_VERSION
         self._removal_versions_by_id: dict[TargetId, int] = {}
-        # Entries that were removed, or left, before the store came back from
-        # a copy that may be older; it may list them as they were before.
-        self._ended_by_id: dict[TargetId, TargetEntry] = {}
+        self._ended = EndedTargets()
         self._digest: int | None = None
         # Built on demand, dropped with each change.
         self._entries_by_service: dict[ServiceId, tuple[TargetEntry, ...]] = {}
@@ -161,6 +159,7 @@
                 if self._remove(target_id, change.store_version)
             )
         self.store_version = max(self.store_version, change.store_version)
+        self._ended.observe(change.store_version)
         return TargetsChanged(
             store_version=change.store_version,
             entries=entries,
@@ -206,7 +205,8 @@
     def _upsert(
         self, entry: TargetEntry, store_version: int, complete_version: int
     ) -> bool:
-        entry = self._as_known(entry)
+        is_listed_leaving = entry.leaving
+        entry = self._ended.as_known(entry)
         current = self.entries_by_id.get(entry.target_id)
         # Up to which versions the entry and what is here are known to hold.
         known_version = max(entry.row_version, store_version)
@@ -224,34 +224,14 @@
         self._removal_versions_by_id.pop(entry.target_id, None)
         self._retained_by_id.pop(entry.target_id, None)
         self.entries_by_id[entry.target_id] = entry
-        if entry.leaving and entry.target_id not in self._ended_by_id:
-            self._remember_ended(entry)
+        if is_listed_leaving:
+            self._ended.remember(entry, version=entry.row_version)
         self._entries_by_service.clear()
         differs = entry.differs_from(current)
         if differs:
             self._digest = None
         return differs
 
-    def _remember_ended(self, entry: TargetEntry) -> None:
-        if len(self._ended_by_id) >= settings.MAX_ENDED_TARGETS:
-            self._ended_by_id.pop(next(iter(self._ended_by_id)))
-        self._ended_by_id[entry.target_id] = entry
-
-    def _as_known(self, entry: TargetEntry) -> TargetEntry:
-        """Return an entry, leaving if it is one that has ended.
-
-        It holds as it is once its row was written in the current era.
-        """
-        ended = self._ended_by_id.get(entry.target_id)
-        if ended is None or ended.started_at_ms != entry.started_at_ms:
-            return entry
-        if era_of(ended.row_version) < era_of(entry.row_version):
-            # The first that is known of the row in this era.
-            self._ended_by_id[entry.target_id] = entry
-        elif entry.row_version > ended.row_version:
-            return entry
-        return dataclasses.replace(entry, leaving=True)
-
     def _changed_version(self, target_id: TargetId) -> int:
         """Return the version of the last change of a target."""
         current = self.entries_by_id.get(target_id)
@@ -273,7 +253,9 @@
         )
         if current is None:
             return False
-        self._remember_ended(self.entries_by_id.pop(target_id))
+        self._ended.remember(
+            self.entries_by_id.pop(target_id), version=store_version
+        )
         self._entries_by_service.clear()
         self._digest = None
         return True
--- a/chicorybridge/tests/fleet/test_store_versions.py
+++ b/chicorybridge/tests/fleet/test_store_versions.py
@@ -82,3 +82,57 @@
     written = dataclasses.replace(copied, row_version=copied_version + 9)
     directory.merge(_change(written, written.row_version))
     assert not directory.entries_by_id[ENTRY.target_id].leaving
+
+
+@pytest.mark.parametrize(
+    ('era', 'number', 'leaving'),
+    [(2, 99, True), (2, 100, False), (2, 101, False), (3, 150, True)],
+)
+def test_entry_that_no_copy_can_list_takes_effect_at_once(era, number, leaving):
+    """The number 100 of era 1 is that of the entry that says it leaves."""
+    directory = TargetDirectory()
+    left = dataclasses.replace(ENTRY, leaving=True)
+    directory.merge(_change(left, left.row_version))
+    version = version_in_era(era=era, number=number)
+    ready = dataclasses.replace(ENTRY, row_version=version)
+    directory.merge(_change(ready, version))
+    assert directory.entries_by_id[ENTRY.target_id].leaving is leaving
+
+
+def test_target_that_left_twice_is_compared_with_its_last_entry():
+    """The copy may list it as it was between the two."""
+    directory = TargetDirectory()
+    for number, leaving in ((100, True), (105, False), (110, True)):
+        version = version_in_era(era=1, number=number)
+        entry = dataclasses.replace(ENTRY, row_version=version, leaving=leaving)
+        directory.merge(_change(entry, version))
+    copied_version = version_in_era(era=2, number=105)
+    copied = dataclasses.replace(ENTRY, row_version=copied_version)
+    directory.merge(_change(copied, copied_version))
+    assert directory.entries_by_id[ENTRY.target_id].leaving
+
+
+def test_copy_of_an_era_before_the_last_lists_no_target_again():
+    directory = TargetDirectory()
+    earlier = version_in_era(era=0, number=120)
+    directory.merge(
+        _change(dataclasses.replace(ENTRY, row_version=90), earlier)
+    )
+    left = dataclasses.replace(ENTRY, leaving=True)
+    directory.merge(_change(left, left.row_version))
+    copied_version = version_in_era(era=2, number=115)
+    copied = dataclasses.replace(ENTRY, row_version=copied_version)
+    directory.merge(_change(copied, copied_version))
+    assert directory.entries_by_id[ENTRY.target_id].leaving
+
+
+def test_target_that_a_copy_lacks_is_used_once_it_is_written():
+    directory = TargetDirectory()
+    directory.merge(_change(ENTRY, ENTRY.row_version))
+    copied_version = version_in_era(era=2, number=50)
+    directory.merge(
+        TargetsChanged(store_version=copied_version, removed=(ENTRY.target_id,))
+    )
+    written = dataclasses.replace(ENTRY, row_version=copied_version + 1)
+    directory.merge(_change(written, written.row_version))
+    assert not directory.entries_by_id[ENTRY.target_id].leaving
--- a/chicorybridge/tests/platform/test_store_eras.py
+++ b/chicorybridge/tests/platform/test_store_eras.py
@@ -88,6 +88,25 @@
         await until(lambda: not entries[TARGET_ID].leaving)
 
 
+@on_curio
+async def test_target_that_is_ready_before_the_first_read_of_an_era_is_used():
+    """Guards against waiting for a further write of a row that is current."""
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        store = deployment.store
+        entries = deployment.host.fleet_view.directory.entries_by_id
+        profile = ('hosts', deployment.settings.host_id)
+        await until(lambda: profile in store.rows_by_table_and_key)
+        address = deployment.origins['i-1'].address
+        copy = store.copy()
+        leaving = server_row(address=address, state='draining')
+        store.put('servers', 'i-1', leaving)
+        await until(lambda: entries[TARGET_ID].leaving)
+        # The host runs no task, and so reads nothing, between these two.
+        store.restore(copy)
+        store.put('servers', 'i-1', server_row(address=address))
+        await until(lambda: not entries[TARGET_ID].leaving)
+
+
 @on_curio
 async def test_host_writes_its_profile_again_in_a_new_era():
     async with deployed(Origin(target_id='i-1')) as deployment:
