Require keys of workspaces where the configuration lists them

Callers were distinguished by address only, and X-Key and X-Tenant-Id were forwarded like any header. With tenants in the configuration a request needs one valid key unless its route is public; without one it gets 401 and nothing is forwarded. Keys are kept and sent between hosts as digests; targets get the name of the workspace. Keys are checked again before each attempt, and fail_closed refuses them once the store data are older than revoke_s. A key table or delta is another message than before, so configurations without tenants keep their encoded form. Call.rank is the pair of workspace and route urgency. Routes of type download are idempotent. Error details no longer quote malformed header lines, which may contain a key.

--- a/chicorybridge/common/errors.py
+++ b/chicorybridge/common/errors.py
@@ -42,6 +42,7 @@
     workspace_unknown = 'CB4015'
     body_timeout = 'CB4016'
     host_failed = 'CB4017'
+    key_rejected = 'CB4018'
 
     # Operations.
     apply_conflict = 'CB5001'
--- a/chicorybridge/entry/answers.py
+++ b/chicorybridge/entry/answers.py
@@ -52,7 +52,13 @@
     `body` is the complete body, or `None` if the body is streamed.
     """
     dialect = call.dialect
-    replaced = (dialect.deadline, dialect.target, CONTENT_LENGTH)
+    replaced: tuple[bytes | None, ...] = (
+        dialect.deadline,
+        dialect.target,
+        CONTENT_LENGTH,
+    )
+    if call.is_keyed:
+        replaced = (*replaced, dialect.key, dialect.workspace)
     headers = [
         pair
         for pair in end_to_end_headers(call.head.headers)
@@ -62,6 +68,9 @@
     headers.append((dialect.deadline, str(remaining_ms).encode()))
     if dialect.target is not None:
         headers.append((dialect.target, target_id.encode()))
+    if call.caller_workspace is not None and dialect.workspace is not None:
+        workspace_id = call.caller_workspace.workspace_id
+        headers.append((dialect.workspace, workspace_id.encode()))
     length = call.head.length if body is None else len(body)
     if length is None:
         headers.append(CHUNKED_HEADER)
--- a/chicorybridge/entry/calls.py
+++ b/chicorybridge/entry/calls.py
@@ -14,7 +14,9 @@
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.dialects import DEFAULT_DIALECT, Dialect
 from chicorybridge.http.exchanges import Head
+from chicorybridge.quotas.keys import CallerWorkspace
 from chicorybridge.quarantine.crash_reports import CrashPossible
+from chicorybridge.routing.ranks import Rank
 
 WORKSPACE_HEADER = b'chicorybridge-workspace'
 DIGEST_HEADER = b'content-digest'
@@ -39,6 +41,10 @@
     deadline_at: Millis
     workspace_id: WorkspaceId | None = None
     key: RequestKey | None = None
+    # The workspace whose key the caller sent, if workspaces have keys.
+    caller_workspace: CallerWorkspace | None = None
+    # Whether callers need keys, which must not reach targets.
+    is_keyed: bool = False
     # Age of the store data behind `configuration` when the request was routed;
     # `None` if hosts don't track it.
     configuration_age_ms: int | None = None
@@ -77,6 +83,15 @@
             return RequestOutcome.unknown
         return outcome_of(self.attempts)
 
+    @property
+    def rank(self) -> Rank:
+        """Return the urgency: that of the workspace before the route's."""
+        rank = self.route.rank
+        workspace = self.caller_workspace
+        if workspace is None or workspace.priority is None:
+            return Rank(first=rank, second=rank)
+        return Rank(first=workspace.priority, second=rank)
+
     def record(self, attempt: Attempt) -> None:
         """Add the attempt that was in progress."""
         self.attempts.append(attempt)
--- a/chicorybridge/fleet/news.py
+++ b/chicorybridge/fleet/news.py
@@ -13,10 +13,13 @@
 from chicorybridge import settings
 from chicorybridge.common.codecs import pack, wire
 from chicorybridge.common.identities import HostId
-from chicorybridge.fleet.configurations import ConfigurationDelta
+from chicorybridge.fleet.configurations import (
+    ConfigurationDelta,
+    KeyedConfigurationDelta,
+)
 from chicorybridge.fleet.directories import TargetsChanged
 
-News = TargetsChanged | ConfigurationDelta
+News = TargetsChanged | ConfigurationDelta | KeyedConfigurationDelta
 
 
 @wire
--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -1,13 +1,16 @@
 """Builds the request dispatcher of a host and its collaborators."""
 
+import functools
 import random
 
 from chicorybridge.common.clocks import Clock
 from chicorybridge.common.events import EventLog
+from chicorybridge.entry.calls import Call
 from chicorybridge.hosts.announcers import Announcer
 from chicorybridge.hosts.crash_checks import CrashChecks
 from chicorybridge.hosts.dispatchers import HostDispatcher
 from chicorybridge.hosts.fleet_views import FleetView
+from chicorybridge.quotas.key_checks import KeyChecks
 from chicorybridge.hosts.metrics import HostMetrics
 from chicorybridge.hosts.placements import Placements
 from chicorybridge.hosts.policies import HostPolicies
@@ -72,6 +75,7 @@
             possible, fleet_view.suspects.witnesses(possible.digest)
         ),
     )
+    key_checks = KeyChecks(state=fleet_view.state, dialect=PLATFORM_DIALECT)
     return HostDispatcher(
         clock=clock,
         state=fleet_view.state,
@@ -90,6 +94,14 @@
             rng=rng,
             state=fleet_view.state,
             policies=policies,
-            check_call=crash_checks.check,
+            check_call=functools.partial(_check_all, crash_checks, key_checks),
         ),
     )
+
+
+def _check_all(
+    crash_checks: CrashChecks, key_checks: KeyChecks, call: Call
+) -> None:
+    """Raise `RefusalError` if a call must wait no longer."""
+    crash_checks.check(call)
+    key_checks.check(call)
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -16,6 +16,7 @@
 from chicorybridge.entry.refusals import RefusalError, check_streamed
 from chicorybridge.hosts.crash_checks import CrashChecks
 from chicorybridge.hosts.final_answers import is_final, last_answer
+from chicorybridge.quotas.key_checks import KeyChecks
 from chicorybridge.hosts.placements import Placements, check_caller
 from chicorybridge.hosts.policies import HostPolicies
 from chicorybridge.hosts.request_logs import RequestLog
@@ -59,6 +60,7 @@
         self._responder = Responder(
             state=state, dialect=dialect, request_log=request_log
         )
+        self._key_checks = KeyChecks(state=state, dialect=dialect)
         self._reader = RequestReader(clock=clock, state=state, dialect=dialect)
 
     async def answer(self, exchange: CallerExchange, head: Head) -> None:
@@ -179,6 +181,7 @@
         check_caller(call)
         try:
             self._crash_checks.check(call)
+            self._key_checks.check(call)
             return await self._placements.place(call)
         except RefusalError:
             if previous is None or call.outcome is RequestOutcome.not_run:
@@ -198,8 +201,11 @@
             target=target,
             connections=self._connections,
             clock=self._clock,
-            limits=self._crash_checks.guard(
-                call, self._policies.attempt_limits(call, option)
+            limits=self._key_checks.guard(
+                call,
+                self._crash_checks.guard(
+                    call, self._policies.attempt_limits(call, option)
+                ),
             ),
         )
 
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -9,8 +9,10 @@
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.identities import HostId
 from chicorybridge.fleet.configurations import (
+    AnyDelta,
     ConfigurationDelta,
     HostConfiguration,
+    KeyedConfigurationDelta,
     patch_configuration,
 )
 from chicorybridge.fleet.directories import TargetsChanged
@@ -304,9 +306,13 @@
         if self.host_table.is_in_other_region(sender):
             self.to_forward.add(message)
 
-    @_handle.register
+    @_handle.register(ConfigurationDelta)
+    @_handle.register(KeyedConfigurationDelta)
     def _handle_delta(
-        self, message: ConfigurationDelta, sender: HostId, now: Millis
+        self,
+        message: AnyDelta,
+        sender: HostId,
+        now: Millis,
     ) -> None:
         current = self.state.configuration
         if current is None or current.version != message.base_version:
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -215,6 +215,7 @@
 
     def _set_store_bounds(self) -> None:
         bounds = self._host_settings.bounds
+        self.state.max_key_age_ms = bounds.max_key_age_ms
         self.fleet_view.targets.schedule.spread_limit_ms = (
             bounds.known_within_ms
         )
--- a/chicorybridge/hosts/placements.py
+++ b/chicorybridge/hosts/placements.py
@@ -205,7 +205,7 @@
     target_latency_ms = min(call.route.target_latency_ms or left_ms, left_ms)
     return Waiter(
         call=call,
-        rank=call.route.rank,
+        rank=call.rank,
         deadline_at=call.deadline_at,
         arrived_at=call.started_at,
         latency_target_at=Millis(call.started_at + target_latency_ms),
--- a/chicorybridge/hosts/request_readers.py
+++ b/chicorybridge/hosts/request_readers.py
@@ -13,6 +13,7 @@
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.refusals import RefusalError
 from chicorybridge.fleet.configurations import HostConfiguration
+from chicorybridge.quotas.key_checks import KeyChecks
 from chicorybridge.hosts.states import HostPhase, HostState
 from chicorybridge.http.bodies import CallerError, RequestBody
 from chicorybridge.http.caller_exchanges import CallerExchange
@@ -33,12 +34,14 @@
         self._state = state
         self._dialect = dialect
         self._rng = random.Random()
+        self._key_checks = KeyChecks(state=state, dialect=dialect)
 
     async def read(self, exchange: CallerExchange, head: Head) -> Call:
         """Return the call with as much of its body as the buffer holds.
 
         Raise `RefusalError` if the host is stopping or has no usable
-        configuration, no route matches, or the body is too late;
+        configuration, the key is rejected, no route matches, or the body is
+        too late;
         `CallerError` if the caller disconnects first.
         """
         arrived_at = self._clock.now()
@@ -49,11 +52,13 @@
         route = configuration.routes.find(
             method=method, path=path, host=_host_name(head)
         )
+        workspace = self._key_checks.identify(head, configuration, route)
         if route is None:
             raise self._unknown_route_error()
         call = self._build_call(
             exchange, head, configuration, route, arrived_at
         )
+        call.caller_workspace = workspace
         await self._read_body(call)
         return call
 
@@ -148,6 +153,7 @@
             configuration_age_ms=self._state.age_ms(),
             dialect=self._dialect,
             caller_ip=exchange.caller_ip,
+            is_keyed=configuration.keys is not None,
         )
 
     def _select_service(self, route: Route) -> ServiceId:
--- a/chicorybridge/hosts/settings_files.py
+++ b/chicorybridge/hosts/settings_files.py
@@ -1,6 +1,7 @@
 """Settings of a host process, read from its INI file."""
 
 import dataclasses
+import math
 import pathlib
 from types import MappingProxyType
 from typing import Any
@@ -25,6 +26,7 @@
     raise_problems,
     read_sections,
 )
+from chicorybridge.quotas.settings import REVOKE_MS
 from chicorybridge.routing.allowances import RetryBound
 
 HOST_SECTION = 'host'
@@ -93,6 +95,8 @@
         'retry_window_s': NON_NEGATIVE,
         'contact_s': NumberField(low=0, high=MAX_NUMBER),
         'target_heartbeat_s': NumberField(low=0, high=MAX_NUMBER),
+        'revoke_s': NumberField(low=0, high=MAX_NUMBER),
+        'fail_closed': FlagField(),
     }
 )
 
@@ -111,6 +115,8 @@
     contact_ms: float = settings.HOST_CONTACT_MS
     # How often targets write their entries in the store.
     target_heartbeat_ms: float = settings.TARGET_HEARTBEAT_MS
+    # Keys of callers are refused when the store data are older than this.
+    max_key_age_ms: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -236,6 +242,11 @@
             values_by_key, 'contact_s', settings.HOST_CONTACT_MS
         ),
         target_heartbeat_ms=heartbeat_ms,
+        max_key_age_ms=(
+            _optional_ms(values_by_key, 'revoke_s', REVOKE_MS)
+            if values_by_key.get('fail_closed')
+            else math.inf
+        ),
         retries=RetryBound(
             ratio=values_by_key['retry_ratio'],
             slack=values_by_key['retry_slack'],
--- a/chicorybridge/hosts/states.py
+++ b/chicorybridge/hosts/states.py
@@ -33,7 +33,8 @@
     `is_current` returns whether the configuration is as new as it should be,
     `is_usable` whether requests may be routed by it, `age_ms` how old the store
     data are that it is part of.
-    `stops_at` is when a planned stop must be over.
+    `stops_at` is when a planned stop must be over. Keys of callers are refused
+    when the store data are older than `max_key_age_ms`.
     """
 
     phase: HostPhase = HostPhase.serving
@@ -42,6 +43,7 @@
     is_usable: Callable[[], bool] = _always
     age_ms: Callable[[], int | None] = lambda: None
     stops_at: Millis = Millis(math.inf)
+    max_key_age_ms: float = math.inf
 
     @property
     def version(self) -> Version:
--- a/chicorybridge/hosts/store_readers.py
+++ b/chicorybridge/hosts/store_readers.py
@@ -15,6 +15,7 @@
 from chicorybridge.common.identities import HostId, TargetId
 from chicorybridge.fleet.configurations import (
     ConfigurationDelta,
+    KeyedConfigurationDelta,
     HostConfiguration,
     diff_configurations,
 )
@@ -113,6 +114,7 @@
 
     @tell.register(TargetsChanged)
     @tell.register(ConfigurationDelta)
+    @tell.register(KeyedConfigurationDelta)
     def tell_news(self, message: News) -> None:
         """Send news through a tree; hosts fetch those that are too large."""
         self._mark_ticks = settings.NEWS_TICKS
--- a/chicorybridge/http/dialects.py
+++ b/chicorybridge/http/dialects.py
@@ -19,7 +19,9 @@
     echo `request_id` and set `signature` on complete answers; `target`
     carries the id of the target that a request is meant for. Another target
     answers with one of `not_run_statuses`, which means that the request was
-    not run, and its id in `instance`.
+    not run, and its id in `instance`. Where workspaces have keys, callers
+    send theirs in `key`, and targets get the name of the workspace in
+    `workspace`.
     """
 
     deadline: bytes
@@ -32,6 +34,8 @@
     signature: bytes | None = None
     target: bytes | None = None
     instance: bytes | None = None
+    key: bytes | None = None
+    workspace: bytes | None = None
     not_run_statuses: frozenset[int] = frozenset()
     # Whether answers carry the chicorybridge outcome and version headers.
     sends_outcome: bool = False
--- a/chicorybridge/http/exchanges.py
+++ b/chicorybridge/http/exchanges.py
@@ -26,6 +26,8 @@
     % {b'digits': MAX_NUMBER_DIGITS}
 )
 
+QUOTED_BYTES = re.compile(r":? (bytearray\(|b['\"]).*", re.DOTALL)
+
 CONTENT_LENGTH = b'content-length'
 TRANSFER_ENCODING = b'transfer-encoding'
 CHUNKED_HEADER = (TRANSFER_ENCODING, b'chunked')
@@ -240,7 +242,9 @@
     code = ErrorCode.request_malformed
     if error.error_status_hint == settings.HEAD_TOO_LARGE_STATUS:
         code = ErrorCode.request_too_large
-    return ExchangeError(code=code, detail=str(error))
+    # h11 appends the line that it rejects, which may contain a secret.
+    detail = QUOTED_BYTES.sub('', str(error))
+    return ExchangeError(code=code, detail=detail)
 
 
 def protocol_error(detail: str) -> ExchangeError:
--- a/chicorybridge/http/problems.py
+++ b/chicorybridge/http/problems.py
@@ -28,6 +28,7 @@
         ErrorCode.body_timeout: 408,
         ErrorCode.host_cut_off: 503,
         ErrorCode.host_failed: 503,
+        ErrorCode.key_rejected: 401,
     }
 )
 
--- a/chicorybridge/platform/dialects.py
+++ b/chicorybridge/platform/dialects.py
@@ -17,6 +17,8 @@
     target=b'x-expect-instance',
     # Holds the id of the target that answers 421.
     instance=b'x-instance-id',
+    key=b'x-key',
+    workspace=b'x-tenant-id',
     # A target answers 421 if the request names another target.
     not_run_statuses=frozenset((421,)),
     fractional_retry_after=True,
--- a/chicorybridge/platform/formats.py
+++ b/chicorybridge/platform/formats.py
@@ -6,7 +6,6 @@
 import base64
 import dataclasses
 import json
-import math
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -27,13 +26,26 @@
     Service,
     TrafficShare,
 )
-from chicorybridge.fleet.configurations import HostConfiguration
+from chicorybridge.fleet.configurations import (
+    HostConfiguration,
+    KeyedConfiguration,
+)
 from chicorybridge.fleet.directories import TargetEntry
 from chicorybridge.fleet.host_tables import FleetMember
 from chicorybridge.fleet.store_versions import version_in_era
 from chicorybridge.http.caller_limits import CallerLimits
+from chicorybridge.platform.fields import (
+    count_field,
+    number_field,
+    text_field,
+)
+from chicorybridge.platform.workspaces import (
+    decode_public_routes,
+    decode_workspaces,
+)
 
-IDEMPOTENT_ROUTE_TYPE = 'idempotent'
+# Requests of all other types, such as uploads, run at most once.
+IDEMPOTENT_ROUTE_TYPES = frozenset(('idempotent', 'download'))
 DRAINING_STATE = 'draining'
 READY_STATE = 'ready'
 VERSION_BASE = 16
@@ -48,10 +60,6 @@
     RecursionError,
 )
 
-# 2**53: every JSON decoder keeps integers up to it exact, and MessagePack can
-# encode them in datagrams.
-MAX_COUNT = 9_007_199_254_740_992
-
 
 class FormatError(ChicorybridgeError):
     """Report a row or an answer that can't be decoded."""
@@ -127,15 +135,15 @@
         entry = TargetEntry(
             target_id=TargetId(row.key),
             row_version=row.version,
-            service_id=ServiceId(_text_field(document, 'service')),
+            service_id=ServiceId(text_field(document, 'service')),
             address=_address_field(document),
-            zone_id=ZoneId(_text_field(document, 'zone')),
+            zone_id=ZoneId(text_field(document, 'zone')),
             # `capacity` holds the number of slots for concurrent requests.
-            slots=_count_field(document, 'capacity'),
+            slots=count_field(document, 'capacity'),
             leaving=_is_draining(document),
-            warming=_number_field(document, 'warmup_left_s') > 0,
+            warming=number_field(document, 'warmup_left_s') > 0,
             # `born` holds the start time in milliseconds since 1970.
-            started_at_ms=_count_field(document, 'born'),
+            started_at_ms=count_field(document, 'born'),
         )
         # Other hosts must be able to receive it.
         pack(entry)
@@ -200,32 +208,40 @@
         routes_by_id=routes_by_id,
         workspaces_by_id={},
     )
-    return HostConfiguration(
+    configuration = HostConfiguration(
         version=Version(int(document['version'], VERSION_BASE)),
         declaration=declaration,
         limits=_decode_limits(document['limits']),
     )
+    if not document.get('tenants'):
+        return configuration
+    return KeyedConfiguration(
+        version=configuration.version,
+        declaration=declaration,
+        limits=configuration.limits,
+        workspaces_by_id=decode_workspaces(document['tenants']),
+        public_routes=decode_public_routes(document['routes']),
+    )
 
 
 def _decode_route(route_fields: Mapping[str, Any]) -> Route:
     split = tuple(
         TrafficShare(
             service_id=ServiceId(backend['service']),
-            weight=_number_field(backend, 'weight'),
+            weight=number_field(backend, 'weight'),
         )
         for backend in route_fields.get('backends') or ()
     )
     service_id = (
-        split[0].service_id if split else _text_field(route_fields, 'service')
+        split[0].service_id if split else text_field(route_fields, 'service')
     )
     return Route(
-        route_id=RouteId(_text_field(route_fields, 'name')),
-        host=_text_field(route_fields, 'host').lower(),
-        prefix=_text_field(route_fields, 'prefix'),
+        route_id=RouteId(text_field(route_fields, 'name')),
+        host=text_field(route_fields, 'host').lower(),
+        prefix=text_field(route_fields, 'prefix'),
         service_id=ServiceId(service_id),
         split=split,
-        # Requests of all other types, such as uploads, run at most once.
-        idempotent=route_fields['route_type'] == IDEMPOTENT_ROUTE_TYPE,
+        idempotent=route_fields['route_type'] in IDEMPOTENT_ROUTE_TYPES,
         attempts=int(route_fields.get('attempts') or 1),
         # A lower `priority` is more urgent.
         rank=int(route_fields.get('priority') or 0),
@@ -261,14 +277,14 @@
 
 
 def _address_field(document: Mapping[str, Any]) -> str:
-    address = parse_address(_text_field(document, 'address'))
+    address = parse_address(text_field(document, 'address'))
     if not address.port:
         raise ValueError('address has port 0')
     return str(address)
 
 
 def _is_draining(document: Mapping[str, Any]) -> bool:
-    state = _text_field(document, 'state')
+    state = text_field(document, 'state')
     if state not in {READY_STATE, DRAINING_STATE}:
         raise ValueError(f'unknown state {state!r}')
     return state == DRAINING_STATE
@@ -282,35 +298,10 @@
         return False
 
 
-def _text_field(document: Mapping[str, Any], key: str) -> str:
-    text = document[key]
-    if not isinstance(text, str) or not text:
-        raise TypeError(f'{key} is empty or not text')
-    return text
-
-
-def _number_field(document: Mapping[str, Any], key: str) -> float:
-    number = document[key]
-    if isinstance(number, bool) or not isinstance(number, int | float):
-        raise TypeError(f'{key} is not a number')
-    if not math.isfinite(number):
-        raise ValueError(f'{key} is not finite')
-    return number
-
-
-def _count_field(document: Mapping[str, Any], key: str) -> int:
-    number = document[key]
-    if isinstance(number, bool) or not isinstance(number, int):
-        raise TypeError(f'{key} is not an integer')
-    if not 0 <= number <= MAX_COUNT:
-        raise ValueError(f'{key} is negative or above 2**53')
-    return number
-
-
 def _milliseconds(document: Mapping[str, Any], key: str) -> int | None:
     if document.get(key) is None:
         return None
-    return round(_number_field(document, key) * MILLIS_PER_SECOND)
+    return round(number_field(document, key) * MILLIS_PER_SECOND)
 
 
 def _format_error(source: str, error: Exception) -> FormatError:
--- /dev/null
+++ b/chicorybridge/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: their keys, and the limits on their requests."""
--- a/chicorybridge/routing/queues.py
+++ b/chicorybridge/routing/queues.py
@@ -7,6 +7,7 @@
 
 from chicorybridge import settings
 from chicorybridge.common.clocks import Millis
+from chicorybridge.routing.ranks import Rank
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -14,13 +15,17 @@
     """A waiting request.
 
     `latency_target_at` is when the target latency of its route ends,
-    `deadline_at` when its final answer is due. Rank 0 is the most urgent.
+    `deadline_at` when its final answer is due. Lower ranks are more urgent.
     """
 
     arrived_at: Millis
     latency_target_at: Millis
     deadline_at: Millis
-    rank: int = 0
+    rank: Rank = Rank()
+
+
+# Largest weight of the second rank; it must be below half a rank.
+SECOND_RANK_SHARE = 0.4
 
 
 Queued = TypeVar('Queued', bound=QueuedRequest)
@@ -109,5 +114,9 @@
 
 
 def _urgency(request: QueuedRequest, direction: int) -> float:
-    rank_penalty_ms = request.rank * settings.QUEUE_RANK_PENALTY_MS
+    first, second = request.rank
+    difference = second - first
+    # Never outweighs a difference of the first rank.
+    rank = first + SECOND_RANK_SHARE * difference / (1 + abs(difference))
+    rank_penalty_ms = rank * settings.QUEUE_RANK_PENALTY_MS
     return direction * request.arrived_at + rank_penalty_ms
--- a/chicorybridge/tests/hosts/test_placements.py
+++ b/chicorybridge/tests/hosts/test_placements.py
@@ -17,6 +17,7 @@
 from chicorybridge.hosts.placements import Placements
 from chicorybridge.hosts.states import HostState
 from chicorybridge.http.bodies import CallerError
+from chicorybridge.routing.ranks import Rank
 from chicorybridge.routing.service_latencies import LatencySummary
 from chicorybridge.tests.hosts.deployments import on_curio, until
 
@@ -67,7 +68,8 @@
     host_sock, caller_sock = socket.socketpair()
     return SimpleNamespace(
         service=SimpleNamespace(service_id=QUOTES),
-        route=SimpleNamespace(rank=1, target_latency_ms=1000),
+        route=SimpleNamespace(target_latency_ms=1000),
+        rank=Rank(first=1, second=1),
         started_at=now,
         deadline_at=Millis(now + deadline_ms),
         outcome=RequestOutcome.not_run,
--- a/chicorybridge/tests/platform/rows.py
+++ b/chicorybridge/tests/platform/rows.py
@@ -36,10 +36,15 @@
     }
 
 
+def tenant(name: str, *keys: str, **fields: Any) -> dict[str, Any]:
+    """Return a configured workspace with `fields` added."""
+    return {'name': name, 'api_keys': list(keys), **fields}
+
+
 def configuration_row(
-    *routes: dict[str, Any], version: str = '0000000c'
+    *routes: dict[str, Any], version: str = '0000000c', **fields: Any
 ) -> bytes:
-    """Return the operator's configuration with `routes`."""
+    """Return the operator's configuration with `routes` and `fields`."""
     service = {
         'name': 'quotes',
         'health_check': '/healthz',
@@ -58,5 +63,6 @@
         'routes': list(routes),
         'services': [service],
         'limits': limits,
+        **fields,
     }
     return json.dumps(document).encode()
--- a/chicorybridge/tests/platform/test_formats.py
+++ b/chicorybridge/tests/platform/test_formats.py
@@ -1,6 +1,7 @@
 """Tests of decoding rows: malformed rows are rejected."""
 
 import json
+from typing import Any
 
 import pytest
 
@@ -18,6 +19,7 @@
     configuration_row,
     route,
     server_row,
+    tenant,
 )
 
 
@@ -162,3 +164,75 @@
 def test_malformed_profile_is_rejected(body):
     with pytest.raises(ChicorybridgeError):
         decode_profile(_row(body))
+
+
+def _keyed(*tenants, **fields):
+    return configuration_row(route(**fields), tenants=list(tenants))
+
+
+def test_download_may_run_twice():
+    body = configuration_row(
+        route(name='r-1', prefix='/a/', route_type='download'),
+        route(name='r-2', prefix='/b/', route_type='upload'),
+    )
+    routes: Any = decode_configuration(body).declaration.routes_by_id
+    assert routes['r-1'].idempotent
+    assert not routes['r-2'].idempotent
+
+
+def test_workspaces_are_decoded():
+    configuration: Any = decode_configuration(
+        _keyed(
+            tenant('acme', 'k-1', 'k-2', priority=3, rate_per_s=1.5, burst=4),
+            tenant('zeta', 'k-3', rate_per_s=None),
+            public=True,
+        )
+    )
+    acme = configuration.keys.find(b'k-2')
+    assert (acme.workspace_id, acme.priority) == ('acme', 3)
+    assert (acme.rate_per_s, acme.burst, acme.is_limited) == (1.5, 4, True)
+    zeta = configuration.keys.find(b'k-3')
+    assert (zeta.priority, zeta.is_limited) == (None, False)
+    assert configuration.public_routes == ('r-1',)
+
+
+@pytest.mark.parametrize('tenants', [None, []])
+def test_callers_need_no_key_without_workspaces(tenants):
+    body = configuration_row(route(), tenants=tenants)
+    assert decode_configuration(body).keys is None
+
+
+@pytest.mark.parametrize(
+    'tenants',
+    [
+        {'acme': ['k-secret']},
+        ['acme'],
+        [{'name': 'acme'}],
+        [tenant('acme', 'k-secret'), tenant('zeta', 'k-secret')],
+        [tenant('acme', 'k-secret', 'k-secret')],
+        [tenant('acme', 'k-1'), tenant('acme', 'k-2')],
+        [tenant('', 'k-secret')],
+        [tenant('acme\r\nx-other: 1', 'k-secret')],
+        [tenant(' acme', 'k-secret')],
+        [tenant('acme', '')],
+        [tenant('acme', 'k-secret\udfff')],
+        [{'name': 'acme', 'api_keys': [7]}],
+        [{'name': 'acme', 'api_keys': 'k-secret'}],
+        [tenant('acme', 'k-secret', priority='1')],
+        [tenant('acme', 'k-secret', priority=True)],
+        [tenant('acme', 'k-secret', priority=2**70)],
+        [tenant('acme', 'k-secret', rate_per_s=-1)],
+        [tenant('acme', 'k-secret', rate_per_s='5')],
+        [tenant('acme', 'k-secret', burst=-0.5)],
+        [tenant('acme', 'k-secret', burst=float('nan'))],
+    ],
+)
+def test_malformed_workspaces_are_rejected_without_naming_a_key(tenants):
+    with pytest.raises(FormatError) as raised:
+        decode_configuration(configuration_row(route(), tenants=tenants))
+    assert 'secret' not in str(raised.value)
+
+
+def test_malformed_public_field_is_rejected():
+    with pytest.raises(FormatError):
+        decode_configuration(_keyed(tenant('acme', 'k-1'), public='yes'))
--- /dev/null
+++ b/chicorybridge/tests/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of keys and quotas of workspaces."""
--- a/chicorybridge/tests/regions/regions.py
+++ b/chicorybridge/tests/regions/regions.py
@@ -25,7 +25,7 @@
 from chicorybridge.common.identities import HostId, ServiceId, TargetId, Version
 from chicorybridge.fleet.channels import Datagram
 from chicorybridge.fleet.configurations import (
-    ConfigurationDelta,
+    AnyDelta,
     HostConfiguration,
     diff_configurations,
 )
@@ -192,7 +192,7 @@
         self._configuration = make_configuration(1, routes=1)[0]
         self._accepted: list[Accepted] = []
         self._deltas_by_versions: dict[
-            tuple[Version, Version], ConfigurationDelta | None
+            tuple[Version, Version], AnyDelta | None
         ] = {}
         self.left_at_by_id: dict[TargetId, Millis] = {}
         zone = SimpleNamespace(
@@ -567,7 +567,7 @@
 
     def _delta(
         self, before: HostConfiguration, after: HostConfiguration
-    ) -> ConfigurationDelta | None:
+    ) -> AnyDelta | None:
         versions = (before.version, after.version)
         if versions not in self._deltas_by_versions:
             self._deltas_by_versions[versions] = diff_configurations(
--- a/chicorybridge/tests/routing/test_queues.py
+++ b/chicorybridge/tests/routing/test_queues.py
@@ -3,6 +3,7 @@
 from chicorybridge import settings
 from chicorybridge.common.clocks import Millis
 from chicorybridge.routing.queues import QueuedRequest, RequestQueue
+from chicorybridge.routing.ranks import Rank
 
 TARGET_LATENCY_MS = 1000
 DEADLINE_MS = 6000
@@ -14,7 +15,7 @@
         arrived_at=Millis(arrived_at),
         latency_target_at=Millis(arrived_at + TARGET_LATENCY_MS),
         deadline_at=Millis(arrived_at + DEADLINE_MS),
-        rank=rank,
+        rank=Rank(first=rank, second=rank),
     )
 
 
@@ -68,3 +69,12 @@
     queue.add(request)
     queue.remove(request)
     assert not len(queue)
+
+
+def test_rank_of_the_workspace_comes_before_that_of_the_route():
+    urgent, other = _request(0), _request(0)
+    urgent.rank = Rank(first=1, second=9)
+    other.rank = Rank(first=2, second=0)
+    assert _serving_order(100, other, urgent) == [urgent, other]
+    other.rank = Rank(first=1, second=8)
+    assert _serving_order(100, urgent, other) == [other, urgent]
