Close all idle connections to an address that fell silent

When connections go silent for good, each idle connection of the pool cost another timeout (1.2 s to the store), so that a host could exceed the bound on a new configuration. After the first timeout the others are closed.

--- a/chicorybridge/http/clients.py
+++ b/chicorybridge/http/clients.py
@@ -205,6 +205,10 @@
 
         Raise as `fetch` does, but only if nothing is received for
         `idle_timeout_ms`. The size of answers should be limited.
+
+        Idle connections to an address that fell silent are closed: whatever
+        silenced one connection may have silenced all, and each would cost
+        another timeout.
         """
         connection: ClientConnection | None = None
         try:
@@ -218,6 +222,7 @@
                 on_bytes=self._count_received,
             )
         except curio.TaskTimeout as error:
+            await self._close_idle(address)
             raise _timeout_error(connection) from error
         finally:
             if connection:
@@ -226,10 +231,13 @@
 
     async def close(self) -> None:
         """Close all idle connections."""
-        while self._idle_by_address:
-            _, idle = self._idle_by_address.popitem()
-            while idle:
-                await idle.pop().close()
+        for address in tuple(self._idle_by_address):
+            await self._close_idle(address)
+
+    async def _close_idle(self, address: Address) -> None:
+        idle = self._idle_by_address.pop(address, [])
+        while idle:
+            await idle.pop().close()
 
     async def _connect(self, address: Address) -> ClientConnection:
         idle = self._idle_by_address.get(address, [])
