Limit the requests of workspaces by permits of one granter a zone

Nothing limited a workspace over all hosts. In each zone the first host by rendezvous hashing now holds a token bucket with an equal share of the rate and burst. A host asks it for a permit before it buffers the body, then the granters of other zones; without any it answers 429, or 503 if none replied. Permits of requests that were not run are returned once. Workspaces without a limit and fleets without workspaces send no message.

Tests run: quotas, and host processes, metrics, fleet views and late configurations of the hosts: passed.

--- a/chicorybridge/common/errors.py
+++ b/chicorybridge/common/errors.py
@@ -43,6 +43,7 @@
     body_timeout = 'CB4016'
     host_failed = 'CB4017'
     key_rejected = 'CB4018'
+    quota_unknown = 'CB4019'
 
     # Operations.
     apply_conflict = 'CB5001'
--- a/chicorybridge/entry/calls.py
+++ b/chicorybridge/entry/calls.py
@@ -1,6 +1,7 @@
 """The state of a caller's request while it is processed."""
 
 import dataclasses
+from typing import Any
 
 from chicorybridge.claims.request_keys import fingerprint
 from chicorybridge.common.attempts import Attempt
@@ -45,6 +46,8 @@
     caller_workspace: CallerWorkspace | None = None
     # Whether callers need keys, which must not reach targets.
     is_keyed: bool = False
+    # The permit that counts against the limit of the workspace.
+    permit: Any = None
     # Age of the store data behind `configuration` when the request was routed;
     # `None` if hosts don't track it.
     configuration_age_ms: int | None = None
--- a/chicorybridge/entry/refusals.py
+++ b/chicorybridge/entry/refusals.py
@@ -1,5 +1,9 @@
 """Refusals of requests, and the last answer or error for the caller."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
 from chicorybridge.claims.claim_messages import ClaimDecided
 from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.errors import ErrorCode, RequestError
@@ -9,6 +13,9 @@
 from chicorybridge.routing.routes import IDEMPOTENCY_KEY_HEADER
 
 
+NO_FACTS: Mapping[str, Any] = MappingProxyType({})
+
+
 class RefusalError(RequestError):
     """Report a refused request with its outcome and Retry-After time."""
 
@@ -19,11 +26,13 @@
         detail: str,
         outcome: RequestOutcome = RequestOutcome.not_run,
         retry_after_ms: float = 0,
+        facts: Mapping[str, Any] = NO_FACTS,
     ) -> None:
-        """Keep what is sent to the caller.
+        """Keep what is sent to the caller, and `facts` for the log.
 
         There is no Retry-After header if `retry_after_ms` is 0.
         """
+        self.facts = facts
         super().__init__(code=code, detail=detail)
         self.outcome = outcome
         self.retry_after_ms = retry_after_ms
--- a/chicorybridge/fleet/channels.py
+++ b/chicorybridge/fleet/channels.py
@@ -7,7 +7,7 @@
 import dataclasses
 import logging
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import curio
@@ -34,6 +34,10 @@
     message: Any
 
 
+async def _continue() -> None:
+    """Do nothing."""
+
+
 class Channel:
     """Send datagrams, and pass received messages to `on_message`."""
 
@@ -54,6 +58,8 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(sockets.split_address(address))
         self._socket.setblocking(False)
+        # Called after messages were handled.
+        self.after_messages: Callable[[], Awaitable[None]] = _continue
         # Number of datagrams for which sendto() failed, and of received ones.
         self.unsent = 0
         self.received = 0
@@ -85,6 +91,7 @@
                 continue
             self._handle(body, source)
             self.receive_waiting()
+            await self.after_messages()
 
     def receive_waiting(self) -> None:
         """Handle the datagrams that wait in the socket; don't block.
--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -16,9 +16,12 @@
 from chicorybridge.hosts.policies import HostPolicies
 from chicorybridge.hosts.reporters import Reporter
 from chicorybridge.hosts.request_logs import RequestLog
+from chicorybridge.hosts.request_readers import RequestReader
+from chicorybridge.hosts.responders import Responder
 from chicorybridge.hosts.settings_files import HostSettings
 from chicorybridge.http.target_connections import TargetConnections
 from chicorybridge.platform.dialects import PLATFORM_DIALECT
+from chicorybridge.quotas.permit_builders import build_permits
 from chicorybridge.routing.allowances import LONG_AGO, RetryAllowances
 from chicorybridge.routing.selections import Selector, TargetEstimates
 
@@ -75,26 +78,45 @@
             possible, fleet_view.suspects.witnesses(possible.digest)
         ),
     )
-    key_checks = KeyChecks(state=fleet_view.state, dialect=PLATFORM_DIALECT)
-    return HostDispatcher(
+    permits = build_permits(
+        clock=clock,
+        rng=rng,
+        state=fleet_view.state,
+        host_table=fleet_view.host_table,
+        is_first_start=host_settings.bootstrap,
+    )
+    permits.send = announcer.send_to_host
+    reader = RequestReader(
         clock=clock,
         state=fleet_view.state,
         dialect=PLATFORM_DIALECT,
-        policies=policies,
-        connections=connections,
-        request_log=RequestLog(
-            log=log,
+        permits=permits,
+    )
+    return HostDispatcher(
+        clock=clock,
+        reader=reader,
+        permits=permits,
+        responder=Responder(
             state=fleet_view.state,
             dialect=PLATFORM_DIALECT,
-            metrics=metrics,
+            request_log=RequestLog(
+                log=log,
+                state=fleet_view.state,
+                dialect=PLATFORM_DIALECT,
+                metrics=metrics,
+            ),
         ),
+        policies=policies,
+        connections=connections,
         crash_checks=crash_checks,
         placements=Placements(
             clock=clock,
             rng=rng,
             state=fleet_view.state,
             policies=policies,
-            check_call=functools.partial(_check_all, crash_checks, key_checks),
+            check_call=functools.partial(
+                _check_all, crash_checks, reader.key_checks
+            ),
         ),
     )
 
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -16,18 +16,15 @@
 from chicorybridge.entry.refusals import RefusalError, check_streamed
 from chicorybridge.hosts.crash_checks import CrashChecks
 from chicorybridge.hosts.final_answers import is_final, last_answer
-from chicorybridge.quotas.key_checks import KeyChecks
 from chicorybridge.hosts.placements import Placements, check_caller
 from chicorybridge.hosts.policies import HostPolicies
-from chicorybridge.hosts.request_logs import RequestLog
 from chicorybridge.hosts.request_readers import RequestReader
 from chicorybridge.hosts.responders import Responder
-from chicorybridge.hosts.states import HostState
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.target_connections import TargetConnections
-from chicorybridge.http.dialects import Dialect
 from chicorybridge.http.exchanges import Head
+from chicorybridge.quotas.permits import Permits
 from chicorybridge.routing.allowances import RetryBound
 from chicorybridge.routing.selections import Option
 
@@ -39,29 +36,28 @@
         self,
         *,
         clock: Clock,
-        state: HostState,
-        dialect: Dialect,
+        reader: RequestReader,
+        permits: Permits,
+        responder: Responder,
         policies: HostPolicies,
         connections: TargetConnections,
-        request_log: RequestLog,
         crash_checks: CrashChecks,
         placements: Placements,
     ) -> None:
-        """Use the header names of `dialect`."""
+        """Read requests with `reader`, answer them with `responder`."""
         self.calls_by_number: dict[int, Call] = {}
         self._clock = clock
         self._policies = policies
         self.reporter = policies.reporter
         self._connections = connections
-        self._request_log = request_log
+        self._request_log = responder.request_log
         self._crash_checks = crash_checks
         self._placements = placements
         self._last_number = 0
-        self._responder = Responder(
-            state=state, dialect=dialect, request_log=request_log
-        )
-        self._key_checks = KeyChecks(state=state, dialect=dialect)
-        self._reader = RequestReader(clock=clock, state=state, dialect=dialect)
+        self._responder = responder
+        self._reader = reader
+        self._key_checks = reader.key_checks
+        self.permits = permits
 
     async def answer(self, exchange: CallerExchange, head: Head) -> None:
         """Answer one request.
@@ -87,7 +83,7 @@
             raise
         finally:
             self.calls_by_number.pop(number)
-            self._crash_checks.end(call)
+            self._end(call)
         self._request_log.log_end(call, status=status, now=self._clock.now())
 
     @property
@@ -108,6 +104,11 @@
         """Answer a request that could not be read."""
         await self._responder.refuse(exchange, error, outcome)
 
+    def _end(self, call: Call) -> None:
+        self._crash_checks.end(call)
+        if call.outcome is RequestOutcome.not_run:
+            self._reader.give_back(call)
+
     async def _read(self, exchange: CallerExchange, head: Head) -> Call:
         with self._responder.wrap_unexpected_errors(head):
             return await self._reader.read(exchange, head)
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -3,7 +3,7 @@
 import dataclasses
 import functools
 import random
-from typing import Any
+from typing import Any, Callable
 
 from chicorybridge.common.clocks import Clock, Millis
 from chicorybridge.common.events import Event, EventKind, EventLog
@@ -59,6 +59,10 @@
 )
 
 
+def _ignore(message: Any, sender: HostId) -> None:
+    """Ignore a message of an unknown type."""
+
+
 class FleetView:
     """Hosts, targets, workloads and reputations known to this host."""
 
@@ -70,8 +74,13 @@
         rng: random.Random,
         state: HostState,
         host_table: HostTable,
+        receive_other: Callable[[Any, HostId], None] = _ignore,
     ) -> None:
-        """Start without targets; `host_table` may already list hosts."""
+        """Start without targets; `host_table` may already list hosts.
+
+        Messages about other things go to `receive_other`.
+        """
+        self._receive_other = receive_other
         self._clock = clock
         self._log = log
         self.state = state
@@ -234,7 +243,8 @@
 
     @functools.singledispatchmethod
     def _handle(self, message: Any, sender: HostId, now: Millis) -> None:
-        """Ignore a message of an unknown type."""
+        """Pass a message about other things on."""
+        self._receive_other(message, sender)
 
     @_handle.register
     def _handle_profile(
--- a/chicorybridge/hosts/gauges.py
+++ b/chicorybridge/hosts/gauges.py
@@ -49,4 +49,19 @@
             'datagrams_unsent': self._channel.unsent,
             'datagrams_received': self._channel.received,
             'aggregator_changes': self._fleet_view.zone_sums.changes,
+            **self._permit_gauges(),
         }
+
+    def _permit_gauges(self) -> dict[str, float]:
+        """Return counts of permits, none before the first one."""
+        permits = self._dispatcher.permits
+        granter = permits.granter
+        gauges: dict[str, float] = {
+            f'permits_{source}': count
+            for source, count in permits.counts.items()
+        }
+        for reply, count in granter.counts.items():
+            gauges[f'permit_requests_{reply}'] = count
+        if gauges:
+            gauges['permit_buckets'] = len(granter)
+        return gauges
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -65,8 +65,10 @@
                 zone_id=host_settings.zone_id,
                 regions_by_zone=host_settings.regions_by_zone,
             ),
+            receive_other=lambda *received: self.dispatcher.permits.receive(
+                *received
+            ),
         )
-        self._set_store_bounds()
         self._channel = Channel(
             clock=clock,
             host_id=host_settings.host_id,
@@ -110,6 +112,8 @@
             metrics=self.metrics,
             announcer=self._announcer,
         )
+        self._channel.after_messages = self.dispatcher.permits.wake
+        self._set_store_bounds()
         self.callers = CallerConnections(
             clock=clock,
             log=self.log,
@@ -216,6 +220,7 @@
     def _set_store_bounds(self) -> None:
         bounds = self._host_settings.bounds
         self.state.max_key_age_ms = bounds.max_key_age_ms
+        self.dispatcher.permits.granter.bounds = bounds.quotas
         self.fleet_view.targets.schedule.spread_limit_ms = (
             bounds.known_within_ms
         )
@@ -293,6 +298,7 @@
         while True:
             await curio.sleep(as_seconds(settings.TICK_MS))
             await self._tick()
+            await self.dispatcher.permits.tick()
 
     async def _tick(self) -> None:
         now = self._clock.now()
--- a/chicorybridge/hosts/request_logs.py
+++ b/chicorybridge/hosts/request_logs.py
@@ -1,6 +1,7 @@
 """Log lines and counters of requests and attempts."""
 
 import traceback
+from typing import Any
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
@@ -67,6 +68,7 @@
             'status': status,
             'outcome': outcome.value,
             'version': self._state.version,
+            **getattr(error, 'facts', {}),
         }
         self._log.emit(Event(kind=EventKind.request_refused, facts=facts))
 
@@ -101,6 +103,7 @@
             'placed_after_ms': round(attempt.started_at - call.started_at),
             'seen_ms_ago': _rounded_age(option.result_age_ms),
             'list_age_ms': option.list_age_ms,
+            **_workspace_facts(call, attempt),
         }
         self._log.emit(Event(kind=EventKind.attempt_ended, facts=facts))
 
@@ -138,6 +141,23 @@
         self._log.emit(Event(kind=kind, facts=facts))
 
 
+def _workspace_facts(call: Call, attempt: Attempt) -> dict[str, Any]:
+    """Return whose request it is, and who granted its permit and when."""
+    if call.caller_workspace is None:
+        return {}
+    facts: dict[str, Any] = {
+        'workspace': call.caller_workspace.workspace_id,
+        'rank': call.rank,
+    }
+    if call.permit is not None:
+        facts['permit_from'] = call.permit.granter_id
+        facts['permit_wait_ms'] = round(call.permit.wait_ms, 1)
+        facts['permit_age_ms'] = round(
+            attempt.started_at - call.permit.granted_at
+        )
+    return facts
+
+
 def _is_caller_error(error: BaseException) -> bool:
     # Any other code means that the host cut an answer it had begun.
     if not isinstance(error, CallerError | ExchangeError):
--- a/chicorybridge/hosts/request_readers.py
+++ b/chicorybridge/hosts/request_readers.py
@@ -14,6 +14,11 @@
 from chicorybridge.entry.refusals import RefusalError
 from chicorybridge.fleet.configurations import HostConfiguration
 from chicorybridge.quotas.key_checks import KeyChecks
+from chicorybridge.quotas.permits import Permits
+from chicorybridge.quotas.settings import (
+    MAX_PERMIT_WAIT_MS,
+    PERMIT_WAIT_SHARE,
+)
 from chicorybridge.hosts.states import HostPhase, HostState
 from chicorybridge.http.bodies import CallerError, RequestBody
 from chicorybridge.http.caller_exchanges import CallerExchange
@@ -27,14 +32,20 @@
     """Build calls from requests under the active configuration."""
 
     def __init__(
-        self, *, clock: Clock, state: HostState, dialect: Dialect
+        self,
+        *,
+        clock: Clock,
+        state: HostState,
+        dialect: Dialect,
+        permits: Permits | None = None,
     ) -> None:
-        """Compute deadlines on `clock`."""
+        """Compute deadlines on `clock`; get permits from `permits`."""
+        self.permits = permits
         self._clock = clock
         self._state = state
         self._dialect = dialect
         self._rng = random.Random()
-        self._key_checks = KeyChecks(state=state, dialect=dialect)
+        self.key_checks = KeyChecks(state=state, dialect=dialect)
 
     async def read(self, exchange: CallerExchange, head: Head) -> Call:
         """Return the call with as much of its body as the buffer holds.
@@ -52,16 +63,45 @@
         route = configuration.routes.find(
             method=method, path=path, host=_host_name(head)
         )
-        workspace = self._key_checks.identify(head, configuration, route)
+        workspace = self.key_checks.identify(head, configuration, route)
         if route is None:
             raise self._unknown_route_error()
         call = self._build_call(
             exchange, head, configuration, route, arrived_at
         )
         call.caller_workspace = workspace
-        await self._read_body(call)
+        await self._acquire_permit(call)
+        try:
+            await self._read_body(call)
+        except BaseException:
+            self.give_back(call)
+            raise
         return call
 
+    def give_back(self, call: Call) -> None:
+        """Return the permit of a call that was not run."""
+        if call.permit is not None and self.permits is not None:
+            self.permits.give_back(call.permit)
+
+    async def _acquire_permit(self, call: Call) -> None:
+        """Get a permit if the workspace of the call has a limit.
+
+        Raise `RefusalError` if it is over its limit.
+        """
+        workspace = call.caller_workspace
+        if workspace is None or self.permits is None:
+            return
+        left_ms = max(0, call.deadline_at - self._clock.now())
+        target_latency_ms = min(
+            call.route.target_latency_ms or left_ms, left_ms
+        )
+        call.permit = await self.permits.acquire(
+            workspace,
+            max_wait_ms=min(
+                target_latency_ms * PERMIT_WAIT_SHARE, MAX_PERMIT_WAIT_MS
+            ),
+        )
+
     def _unknown_route_error(self) -> RefusalError:
         if self._state.is_current():
             return RefusalError(
--- a/chicorybridge/hosts/responders.py
+++ b/chicorybridge/hosts/responders.py
@@ -30,14 +30,14 @@
         """Use the header names of `dialect`."""
         self._state = state
         self._dialect = dialect
-        self._request_log = request_log
+        self.request_log = request_log
 
     def wrap_unexpected_errors(
         self, head: Head
     ) -> AbstractContextManager[None]:
         """Log an unexpected error and raise `RequestError` in its place."""
         return wrap_unexpected_errors(
-            lambda error: self._request_log.log_failure(head, error)
+            lambda error: self.request_log.log_failure(head, error)
         )
 
     async def refuse(
@@ -60,10 +60,10 @@
             retry_after_ms=wait_ms,
             fractional=self._dialect.fractional_retry_after,
         )
-        request_id = self._request_log.request_id(head)
+        request_id = self.request_log.request_id(head)
         if request_id and self._dialect.request_id:
             headers.append((self._dialect.request_id, request_id.encode()))
-        self._request_log.log_refusal(head, error, outcome, status=status)
+        self.request_log.log_refusal(head, error, outcome, status=status)
         answer = BufferedAnswer(status=status, headers=headers, body=body)
         await self.send(exchange, answer)
         return status
--- a/chicorybridge/hosts/settings_files.py
+++ b/chicorybridge/hosts/settings_files.py
@@ -26,7 +26,8 @@
     raise_problems,
     read_sections,
 )
-from chicorybridge.quotas.settings import REVOKE_MS
+from chicorybridge.quotas.limits import QuotaBounds
+from chicorybridge.quotas.settings import QUOTA_WINDOW_MS, REVOKE_MS
 from chicorybridge.routing.allowances import RetryBound
 
 HOST_SECTION = 'host'
@@ -97,6 +98,9 @@
         'target_heartbeat_s': NumberField(low=0, high=MAX_NUMBER),
         'revoke_s': NumberField(low=0, high=MAX_NUMBER),
         'fail_closed': FlagField(),
+        'quota_window_s': NumberField(low=0, high=MAX_NUMBER),
+        'quota_overage': NumberField(low=0, high=MAX_NUMBER),
+        'quota_slack': NumberField(low=0, high=MAX_NUMBER),
     }
 )
 
@@ -117,6 +121,7 @@
     target_heartbeat_ms: float = settings.TARGET_HEARTBEAT_MS
     # Keys of callers are refused when the store data are older than this.
     max_key_age_ms: float = math.inf
+    quotas: QuotaBounds = QuotaBounds()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -247,6 +252,13 @@
             if values_by_key.get('fail_closed')
             else math.inf
         ),
+        quotas=QuotaBounds(
+            window_ms=_optional_ms(
+                values_by_key, 'quota_window_s', QUOTA_WINDOW_MS
+            ),
+            overage=values_by_key.get('quota_overage') or 0,
+            slack=values_by_key.get('quota_slack') or 0,
+        ),
         retries=RetryBound(
             ratio=values_by_key['retry_ratio'],
             slack=values_by_key['retry_slack'],
--- a/chicorybridge/http/problems.py
+++ b/chicorybridge/http/problems.py
@@ -29,6 +29,7 @@
         ErrorCode.host_cut_off: 503,
         ErrorCode.host_failed: 503,
         ErrorCode.key_rejected: 401,
+        ErrorCode.quota_unknown: 503,
     }
 )
 
--- a/chicorybridge/quotas/key_checks.py
+++ b/chicorybridge/quotas/key_checks.py
@@ -52,6 +52,7 @@
         raise RefusalError(
             code=ErrorCode.key_rejected,
             detail='the request has no key of a workspace',
+            facts={'keys': len(keys), 'keys_age_ms': self._state.age_ms()},
         )
 
     def check(self, call: Call) -> None:
