--- /dev/null
+++ b/chicorybridge/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission over the fleet."""
