Refuse requests early by the queues of the zone

With workspaces or download routes, hosts report what waits to their zone or its aggregator (QueueReport, QueueTotals) and refuse a request at once if more urgent ones take the room. Each refusal is logged and counted with what decided it. Download routes have a message type of their own, so that other configurations are encoded as before.

--- a/chicorybridge/configuration/declarations.py
+++ b/chicorybridge/configuration/declarations.py
@@ -133,6 +133,16 @@
     rank: int = 0
 
 
+@wire
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DownloadRoute(Route):
+    """A route whose answers are large.
+
+    It has a message type of its own, so that configurations without such
+    routes are encoded as before there were any.
+    """
+
+
 @wire
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Workspace:
--- a/chicorybridge/entry/refusals.py
+++ b/chicorybridge/entry/refusals.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+import dataclasses
+
 from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.errors import ErrorCode, RequestError
 from chicorybridge.common.outcomes import COMPLETE_OUTCOMES, RequestOutcome
@@ -14,6 +16,23 @@
     from chicorybridge.claims.claim_messages import ClaimDecided
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EarlyRefusal:
+    """What decided that a request was refused before its time had run out.
+
+    `work_ahead_ms` is the expected work that went before it, `slots` what the
+    zone used of the service, `admitted` the least urgent rank that was
+    admitted, `inputs_age_ms` the age of the oldest report of other hosts.
+    """
+
+    service: str
+    rank: str
+    admitted: str
+    work_ahead_ms: int
+    slots: float
+    inputs_age_ms: int
+
+
 class RefusalError(RequestError):
     """Report a refused request with its outcome and Retry-After time."""
 
@@ -24,14 +43,16 @@
         detail: str,
         outcome: RequestOutcome = RequestOutcome.not_run,
         retry_after_ms: float = 0,
+        early: EarlyRefusal | None = None,
     ) -> None:
-        """Keep what is sent to the caller.
+        """Keep what is sent to the caller, and what is logged of `early`.
 
         There is no Retry-After header if `retry_after_ms` is 0.
         """
         super().__init__(code=code, detail=detail)
         self.outcome = outcome
         self.retry_after_ms = retry_after_ms
+        self.early = early
 
 
 def outcome_before_attempts(head: Head) -> RequestOutcome:
--- a/chicorybridge/fleet/configurations.py
+++ b/chicorybridge/fleet/configurations.py
@@ -10,7 +10,7 @@
 from chicorybridge import settings
 from chicorybridge.common.codecs import wire
 from chicorybridge.common.identities import Version
-from chicorybridge.configuration.declarations import Declaration
+from chicorybridge.configuration.declarations import Declaration, DownloadRoute
 from chicorybridge.configuration.deltas import apply_delta, make_delta
 from chicorybridge.http.caller_limits import CallerLimits
 from chicorybridge.routing.routes import RouteTable
@@ -30,6 +30,17 @@
         """Return the route table of this version, built on first use."""
         return RouteTable(declaration=self.declaration)
 
+    @functools.cached_property
+    def has_fleet_admission(self) -> bool:
+        """Return whether hosts decide on requests by the queues of others.
+
+        They do with workspaces or download routes.
+        """
+        if self.declaration.workspaces_by_id:
+            return True
+        routes = self.declaration.routes_by_id.values()
+        return any(isinstance(route, DownloadRoute) for route in routes)
+
 
 @wire
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -7,6 +7,7 @@
 from chicorybridge.hosts.announcers import Announcer
 from chicorybridge.hosts.crash_checks import CrashChecks
 from chicorybridge.hosts.dispatchers import HostDispatcher
+from chicorybridge.hosts.fleet_admissions import FleetAdmission
 from chicorybridge.hosts.fleet_views import FleetView
 from chicorybridge.hosts.metrics import HostMetrics
 from chicorybridge.hosts.placements import Placements
@@ -91,5 +92,6 @@
             state=fleet_view.state,
             policies=policies,
             check_call=crash_checks.check,
+            admission=FleetAdmission(clock=clock, fleet_view=fleet_view),
         ),
     )
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -246,6 +246,7 @@
             call.attempt_in_progress = False
         else:
             call.record(attempt)
+            self._placements.record_attempt(attempt)
         self._policies.record_attempt(
             attempt, option.entry, rate_per_s=named_rate(call, runner.head)
         )
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -38,7 +38,11 @@
 from chicorybridge.quarantine.suspect_views import SuspectView
 from chicorybridge.hosts.target_lists import TargetList
 from chicorybridge.hosts.target_results import TargetResults
-from chicorybridge.hosts.zone_sums import WorkloadMessage, ZoneSums
+from chicorybridge.hosts.zone_sums import (
+    WorkloadMessage,
+    ZoneMessage,
+    ZoneSums,
+)
 from chicorybridge.quarantine.crash_reports import CrashMessage
 from chicorybridge.routing.reputations import ReputationTable, TargetSeen
 from chicorybridge.routing.service_latencies import LatencyTable
@@ -48,13 +52,7 @@
     TargetSign,
     TargetSigns,
 )
-from chicorybridge.routing.workloads import (
-    HostWorkload,
-    RelayedWorkload,
-    WorkloadTable,
-    ZoneTotals,
-    ZoneWorkload,
-)
+from chicorybridge.routing.workloads import WorkloadTable
 
 
 class FleetView:
@@ -115,6 +113,7 @@
         self.zone_sums = ZoneSums(
             clock=clock,
             log=log,
+            rng=rng,
             state=state,
             host_table=host_table,
             results=self.results,
@@ -266,14 +265,16 @@
     ) -> None:
         self.results.record_remote(message, now=now)
 
-    @_handle.register(HostWorkload)
-    @_handle.register(ZoneWorkload)
-    @_handle.register(ZoneTotals)
-    @_handle.register(RelayedWorkload)
+    @_handle.register(ZoneMessage)
     def _handle_workload(
-        self, message: WorkloadMessage, sender: HostId, now: Millis
+        self, message: ZoneMessage, sender: HostId, now: Millis
     ) -> None:
-        self.zone_sums.receive(message, sender)
+        if isinstance(message, WorkloadMessage):
+            self.zone_sums.receive(message, sender)
+            return
+        self.zone_sums.inbox.receive(
+            message, sender, aggregator=self.zone_sums.aggregator, now=now
+        )
 
     @_handle.register
     def _handle_suspects(
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -324,6 +324,7 @@
             )
         self.fleet_view.marks.ask_if_due()
         reporter.send_summaries()
+        reporter.queue_reporter.send()
 
     def _expire_hosts(self, now: Millis) -> None:
         lost = self.fleet_view.host_table.expire(now=now)
--- a/chicorybridge/hosts/metrics.py
+++ b/chicorybridge/hosts/metrics.py
@@ -15,6 +15,7 @@
 from prometheus_client.registry import Collector
 
 from chicorybridge.common.meters import Meters
+from chicorybridge.entry.refusals import EarlyRefusal
 from chicorybridge.http.servers import Request, Response, ServerConnection
 
 QUANTILES = (0.5, 0.9, 0.99)
@@ -37,6 +38,19 @@
             'scope',
             'Answers of the address directory, by whose hosts they name.',
         ),
+        'early_refusals': ('rank', 'Requests refused early, by their rank.'),
+        'early_refusals_admitting': (
+            'admitted',
+            'Requests refused early, by the least urgent rank admitted.',
+        ),
+        'early_refusal_work_ms': (
+            'rank',
+            'Sum of the work ahead of requests refused early, by rank.',
+        ),
+        'early_refusal_age_ms': (
+            'rank',
+            'Sum of the ages of the inputs of early refusals, by rank.',
+        ),
         'log_lines_dropped': ('kind', 'Log lines above the rate, by kind.'),
     }
 )
@@ -68,6 +82,13 @@
         """Add `by` to the counter `name` for a value of its label."""
         self._counts[name, label] += by
 
+    def count_early_refusal(self, early: EarlyRefusal) -> None:
+        """Count a request that was refused early, and what decided it."""
+        self.count('early_refusals', early.rank)
+        self.count('early_refusals_admitting', early.admitted)
+        self.count('early_refusal_work_ms', early.rank, early.work_ahead_ms)
+        self.count('early_refusal_age_ms', early.rank, early.inputs_age_ms)
+
     def record_latency(self, service_id: str, elapsed_ms: float) -> None:
         """Record how long a request of a service took."""
         self._meters.record_duration(service_id, elapsed_ms)
--- a/chicorybridge/hosts/placements.py
+++ b/chicorybridge/hosts/placements.py
@@ -2,27 +2,33 @@
 
 import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import curio
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
+from chicorybridge.common.attempts import Attempt
 from chicorybridge.common.clocks import Clock, Millis, as_seconds
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.common.identities import ServiceId
 from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.refusals import RefusalError
+from chicorybridge.hosts.fleet_admissions import FleetAdmission, urgency_of
 from chicorybridge.hosts.policies import HostPolicies
 from chicorybridge.hosts.states import HostPhase, HostState
 from chicorybridge.http.bodies import CallerError
-from chicorybridge.routing.queues import QueuedRequest, RequestQueue
+from chicorybridge.routing.fleet_requests import (
+    FleetRequest,
+    serving_order,
+)
+from chicorybridge.routing.queues import RequestQueue
 from chicorybridge.routing.selections import Option
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
-class Waiter(QueuedRequest):
+class Waiter(FleetRequest):
     """A queued call; `decided` is set once it has an option or a refusal."""
 
     call: Call
@@ -55,11 +61,14 @@
         state: HostState,
         policies: HostPolicies,
         check_call: Callable[[Call], None] = _accept,
+        admission: FleetAdmission | None = None,
     ) -> None:
         """Select targets with `policies` until `state` is closing.
 
         `check_call` raises `RefusalError` for a call that must wait no longer.
+        `admission`, if it is on, refuses calls by the queues of the zone.
         """
+        self._admission = admission
         self._check_call = check_call
         self._state = state
         self._clock = clock
@@ -81,24 +90,31 @@
         """
         self._check_closing(call)
         queue = self._queue_of(call.service.service_id)
+        waiter = _build_waiter(call)
+        self._check_arrival(waiter)
         if not len(queue):
             option = self._policies.select_target(call)
             if option is not None:
-                self._reporter.attempt_started(option.entry.target_id)
+                self._start(waiter, option)
                 self._reporter.flush()
                 return option
-        waiter = _build_waiter(call)
-        queue.add(waiter)
+        self._add(waiter, queue)
         try:
             return await self._await_target(waiter, queue)
         except BaseException:
-            if waiter.option is not None:
-                self._reporter.attempt_finished(waiter.option.entry.target_id)
-                self._reporter.flush()
+            self._undo(waiter)
             raise
         finally:
             if not waiter.decided.is_set():
                 queue.remove(waiter)
+            if self._admission is not None:
+                self._admission.remove(waiter)
+
+    def record_attempt(self, attempt: Attempt) -> None:
+        """Learn the cost of a route from an attempt, if that is of use."""
+        admission = self._active_admission()
+        if admission is not None:
+            admission.record_attempt(attempt)
 
     async def serve_queue(self, service_id: ServiceId) -> None:
         """Assign free slots of targets to the first requests of a queue."""
@@ -109,9 +125,7 @@
             self._policies.latencies(service_id).mean_ms if len(queue) else 0
         )
         failed_count = 0
-        for waiter in tuple(
-            queue.serving_order(now=now, expected_ms=mean_latency_ms)
-        ):
+        for waiter in self._serving_order(queue, mean_latency_ms):
             if failed_count >= settings.MAX_FAILED_QUEUE_CHOICES:
                 break
             is_selected = self._select_for(waiter)
@@ -123,6 +137,51 @@
         queue.record_check(found=is_found, rng=self._rng, now=now)
         self._reporter.flush()
 
+    def _serving_order(
+        self, queue: RequestQueue[Waiter], mean_latency_ms: float
+    ) -> Sequence[Waiter]:
+        now = self._clock.now()
+        order = tuple(queue.serving_order(now=now, expected_ms=mean_latency_ms))
+        if self._active_admission() is None:
+            return order
+        return serving_order(order, now=now)
+
+    def _active_admission(self) -> FleetAdmission | None:
+        admission = self._admission
+        return admission if admission and admission.is_on else None
+
+    def _check_arrival(self, waiter: Waiter) -> None:
+        """Raise if a call that has just arrived is to be refused."""
+        admission = self._active_admission()
+        if admission is None:
+            return
+        call = waiter.call
+        waiter.urgency = urgency_of(call)
+        mean_ms = self._policies.latencies(waiter.service_id).mean_ms
+        admission.estimate_work(waiter, call.route.route_id, mean_ms=mean_ms)
+        waiter.workspace_id = call.workspace_id
+        # A retry was admitted before.
+        if not call.attempts:
+            admission.check_arrival(waiter)
+
+    def _add(self, waiter: Waiter, queue: RequestQueue[Waiter]) -> None:
+        queue.add(waiter)
+        admission = self._active_admission()
+        if admission is not None:
+            admission.add(waiter)
+
+    def _undo(self, waiter: Waiter) -> None:
+        """Free the slot of a call that ends before it gets its target."""
+        if waiter.option is not None:
+            self._reporter.attempt_finished(waiter.option.entry.target_id)
+            self._reporter.flush()
+
+    def _start(self, waiter: Waiter, option: Option) -> None:
+        self._reporter.attempt_started(option.entry.target_id)
+        admission = self._active_admission()
+        if admission is not None:
+            admission.record_start(waiter.service_id)
+
     def _select_for(self, waiter: Waiter) -> bool:
         """Select a target for a queued call; return whether there was one."""
         try:
@@ -131,7 +190,7 @@
             waiter.refusal = error
         if waiter.option is None:
             return False
-        self._reporter.attempt_started(waiter.option.entry.target_id)
+        self._start(waiter, waiter.option)
         return True
 
     async def _await_target(
@@ -157,6 +216,9 @@
         check_caller(call)
         self._check_call(call)
         self._check_closing(call)
+        admission = self._active_admission()
+        if admission is not None and not call.attempts:
+            admission.check_waiting(waiter)
         left_ms = call.deadline_at - self._clock.now()
         mean_latency_ms = self._policies.latencies(
             call.service.service_id
@@ -205,6 +267,7 @@
     target_latency_ms = min(call.route.target_latency_ms or left_ms, left_ms)
     return Waiter(
         call=call,
+        service_id=call.service.service_id,
         rank=call.route.rank,
         deadline_at=call.deadline_at,
         arrived_at=call.started_at,
--- a/chicorybridge/hosts/reporters.py
+++ b/chicorybridge/hosts/reporters.py
@@ -11,6 +11,7 @@
 from chicorybridge.fleet.directories import TargetEntry
 from chicorybridge.hosts.announcers import Announcer
 from chicorybridge.hosts.fleet_views import FleetView
+from chicorybridge.hosts.queue_reports import QueueReporter
 from chicorybridge.routing.reputations import Sign, TargetSeen
 from chicorybridge.routing.target_signs import TargetSign
 from chicorybridge.routing.workloads import RelayedWorkload, ZoneWorkload
@@ -31,6 +32,9 @@
         self, *, clock: Clock, fleet_view: FleetView, announcer: Announcer
     ) -> None:
         """Update `fleet_view` and send the reports with `announcer`."""
+        self.queue_reporter = QueueReporter(
+            clock=clock, fleet_view=fleet_view, announcer=announcer
+        )
         self._clock = clock
         self._fleet_view = fleet_view
         self._announcer = announcer
--- a/chicorybridge/hosts/request_logs.py
+++ b/chicorybridge/hosts/request_logs.py
@@ -1,6 +1,8 @@
 """Log lines and counters of requests and attempts."""
 
+import dataclasses
 import traceback
+from typing import Any
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
@@ -10,6 +12,7 @@
 from chicorybridge.common.events import Event, EventKind, EventLog
 from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.entry.calls import Call
+from chicorybridge.entry.refusals import EarlyRefusal
 from chicorybridge.hosts.metrics import HostMetrics
 from chicorybridge.hosts.states import HostState
 from chicorybridge.http.bodies import CallerError
@@ -60,7 +63,7 @@
     ) -> None:
         """Log a request that the host itself answered with an error."""
         self._metrics.count('refusals', error.code.name)
-        facts = {
+        facts: dict[str, Any] = {
             'request': self.request_id(head),
             'code': error.code.value,
             'detail': error.detail,
@@ -68,6 +71,10 @@
             'outcome': outcome.value,
             'version': self._state.version,
         }
+        early: EarlyRefusal | None = getattr(error, 'early', None)
+        if early is not None:
+            self._metrics.count_early_refusal(early)
+            facts.update(dataclasses.asdict(early))
         self._log.emit(Event(kind=EventKind.request_refused, facts=facts))
 
     def log_failure(self, head: Head, error: Exception) -> None:
--- a/chicorybridge/hosts/zone_sums.py
+++ b/chicorybridge/hosts/zone_sums.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import random
 from collections.abc import Callable
 
 from chicorybridge import settings
@@ -11,6 +12,7 @@
 from chicorybridge.common.identities import HostId
 from chicorybridge.fleet.aggregators import AggregatorChoice
 from chicorybridge.fleet.host_tables import HostTable, aggregator_order
+from chicorybridge.hosts.queue_inboxes import QueueInbox, QueueMessage
 from chicorybridge.hosts.states import HostState
 from chicorybridge.hosts.target_results import TargetResults
 from chicorybridge.routing.reputations import Sign, TargetSeen
@@ -25,6 +27,7 @@
 BITS_PER_MS_AND_MBPS = 1000
 
 WorkloadMessage = HostWorkload | ZoneWorkload | ZoneTotals | RelayedWorkload
+ZoneMessage = WorkloadMessage | QueueMessage
 
 
 class ZoneSums:
@@ -35,6 +38,7 @@
         *,
         clock: Clock,
         log: EventLog,
+        rng: random.Random,
         state: HostState,
         host_table: HostTable,
         results: TargetResults,
@@ -55,6 +59,7 @@
         self._seen_by_host: dict[HostId, tuple[TargetSeen, ...]] = {}
         # Results in `_seen_by_host`.
         self._results_kept = 0
+        self.inbox = QueueInbox(rng=rng)
         self._asked_until = Millis(0)
         self._sent_at = Millis(0)
         self._completed_at = Millis(0)
@@ -134,6 +139,7 @@
     def receive_host(self, message: HostWorkload, sender: HostId) -> None:
         """Count the requests of a host of the zone."""
         now = self._clock.now()
+        self.inbox.heard_at = now
         if self.aggregator is not None:
             self._asked_until = Millis(now + settings.AGGREGATOR_ASKED_MS)
         self._workloads.record_host(sender, message, now=now)
@@ -166,6 +172,7 @@
         now = self._clock.now()
         if not self._choice.record_totals(sender, now=now):
             return
+        self.inbox.heard_at = now
         has_own = self._workloads.record_totals(message, now=now)
         if message.complete:
             self._choice.check_complete_sums(has_own=has_own, now=now)
--- a/chicorybridge/platform/formats.py
+++ b/chicorybridge/platform/formats.py
@@ -23,6 +23,7 @@
 )
 from chicorybridge.configuration.declarations import (
     Declaration,
+    DownloadRoute,
     Route,
     Service,
     TrafficShare,
@@ -34,6 +35,7 @@
 from chicorybridge.http.caller_limits import CallerLimits
 
 IDEMPOTENT_ROUTE_TYPE = 'idempotent'
+DOWNLOAD_ROUTE_TYPE = 'download'
 DRAINING_STATE = 'draining'
 READY_STATE = 'ready'
 VERSION_BASE = 16
@@ -218,7 +220,9 @@
     service_id = (
         split[0].service_id if split else _text_field(route_fields, 'service')
     )
-    return Route(
+    is_download = route_fields['route_type'] == DOWNLOAD_ROUTE_TYPE
+    route_class = DownloadRoute if is_download else Route
+    return route_class(
         route_id=RouteId(_text_field(route_fields, 'name')),
         host=_text_field(route_fields, 'host').lower(),
         prefix=_text_field(route_fields, 'prefix'),
--- a/chicorybridge/routing/arrival_rates.py
+++ b/chicorybridge/routing/arrival_rates.py
@@ -58,5 +58,7 @@
         )
         equal_share = squares if squares else 1
         share = rate.at(now) / total
-        fairness = settings.FAIR_SHARE_FACTOR * equal_share / max(share, 1e-9)
-        return max(settings.MIN_FAIRNESS, min(1, fairness))
+        if share <= settings.FAIR_SHARE_FACTOR * equal_share:
+            return 1
+        fairness = settings.FAIR_SHARE_FACTOR * equal_share / share
+        return max(settings.MIN_FAIRNESS, fairness)
--- a/chicorybridge/routing/settings.py
+++ b/chicorybridge/routing/settings.py
@@ -50,3 +50,6 @@
 # More work is admitted than the slots in use can take, by this factor, as some
 # of what is admitted ends early, and so that no slot is left without a request.
 ADMITTED_MARGIN = 1.1
+# The slots that a zone uses are counted again after this time, as they are
+# known with a delay of about as much and the count reads all targets.
+USED_SLOTS_MAX_AGE_MS = 50.0
--- a/chicorybridge/routing/workloads.py
+++ b/chicorybridge/routing/workloads.py
@@ -223,7 +223,14 @@
 
     def in_flight(self, target_id: TargetId) -> int:
         """Return the requests in flight at a target, own and reported ones."""
-        return self._in_zone(target_id) + self._zones.total_by_id[target_id]
+        return self.in_zone(target_id) + self._zones.total_by_id[target_id]
+
+    def in_zone(self, target_id: TargetId) -> int:
+        """Return the requests in flight at a target of hosts of this zone."""
+        own = self._own_by_id[target_id]
+        if self._is_aggregated:
+            return self._totals.in_flight(target_id, own=own)
+        return own + self._hosts.total_by_id[target_id]
 
     def follow_aggregator(self, *, follows: bool, now: Millis) -> None:
         """Set whether the sums of an aggregator are to count.
@@ -339,12 +346,6 @@
         self._update_busy(expired, now)
         self._update_busy(self._zones.expire(now=now), now)
 
-    def _in_zone(self, target_id: TargetId) -> int:
-        own = self._own_by_id[target_id]
-        if self._is_aggregated:
-            return self._totals.in_flight(target_id, own=own)
-        return own + self._hosts.total_by_id[target_id]
-
     def _update_busy(
         self, target_ids: Collection[TargetId], now: Millis
     ) -> None:
--- a/chicorybridge/tests/admission/model.py
+++ b/chicorybridge/tests/admission/model.py
@@ -19,11 +19,8 @@
 from chicorybridge import settings
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import HostId, ServiceId
-from chicorybridge.routing.fleet_queues import (
-    FleetQueues,
-    FleetRequest,
-    serving_order,
-)
+from chicorybridge.routing.fleet_queues import FleetQueues
+from chicorybridge.routing.fleet_requests import FleetRequest, serving_order
 from chicorybridge.routing.queue_reports import QueueBook
 from chicorybridge.routing.queues import RequestQueue
 
@@ -105,7 +102,7 @@
         self._rng = random.Random(load.seed)
         self._events: list[tuple[float, int, Callable[..., None], Any]] = []
         self._serial = itertools.count()
-        self.now = 0.0
+        self.now: float = 0
         self.asks: list[Ask] = []
         self.hosts = [
             Host(
@@ -204,7 +201,7 @@
     def _serve(self, host: Host, *, freed: bool) -> None:
         region = host.zone % len(self._busy)
         now = Millis(self.now)
-        order = (
+        order: list[Any] = (
             serving_order(host.waiting, now=now)
             if self._is_new
             else list(
