Merge admission by the queues of the zone

Conflicts with keys of workspaces: the urgency is the rank of the call, the condition is that callers need keys or a route is for downloads.

--- a/chicorybridge/entry/refusals.py
+++ b/chicorybridge/entry/refusals.py
@@ -4,6 +4,8 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
+import dataclasses
+
 from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.errors import ErrorCode, RequestError
 from chicorybridge.common.outcomes import COMPLETE_OUTCOMES, RequestOutcome
@@ -19,6 +21,23 @@
 NO_FACTS: Mapping[str, Any] = MappingProxyType({})
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EarlyRefusal:
+    """What decided that a request was refused before its time had run out.
+
+    `work_ahead_ms` is the expected work that went before it, `slots` what the
+    zone used of the service, `admitted` the least urgent rank that was
+    admitted, `inputs_age_ms` the age of the oldest report of other hosts.
+    """
+
+    service: str
+    rank: str
+    admitted: str
+    work_ahead_ms: int
+    slots: float
+    inputs_age_ms: int
+
+
 class RefusalError(RequestError):
     """Report a refused request with its outcome and Retry-After time."""
 
@@ -30,8 +49,9 @@
         outcome: RequestOutcome = RequestOutcome.not_run,
         retry_after_ms: float = 0,
         facts: Mapping[str, Any] = NO_FACTS,
+        early: EarlyRefusal | None = None,
     ) -> None:
-        """Keep what is sent to the caller, and `facts` for the log.
+        """Keep what is sent to the caller; `facts` and `early` are logged.
 
         There is no Retry-After header if `retry_after_ms` is 0.
         """
@@ -39,6 +59,7 @@
         super().__init__(code=code, detail=detail)
         self.outcome = outcome
         self.retry_after_ms = retry_after_ms
+        self.early = early
 
 
 def outcome_before_attempts(head: Head) -> RequestOutcome:
--- a/chicorybridge/fleet/configurations.py
+++ b/chicorybridge/fleet/configurations.py
@@ -11,7 +11,11 @@
 from chicorybridge import settings
 from chicorybridge.common.codecs import pack, wire
 from chicorybridge.common.identities import RouteId, Version
-from chicorybridge.configuration.declarations import Declaration, Route
+from chicorybridge.configuration.declarations import (
+    Declaration,
+    DownloadRoute,
+    Route,
+)
 from chicorybridge.configuration.deltas import apply_delta, make_delta
 from chicorybridge.http.caller_limits import CallerLimits
 from chicorybridge.quotas.keys import KeyTable
@@ -36,6 +40,17 @@
     def keys(self) -> KeyTable | None:
         """Return the keys of workspaces; `None` if callers need no key."""
 
+    @functools.cached_property
+    def has_fleet_admission(self) -> bool:
+        """Return whether hosts decide on requests by the queues of others.
+
+        They do with workspaces or download routes.
+        """
+        if self.keys is not None:
+            return True
+        routes = self.declaration.routes_by_id.values()
+        return any(isinstance(route, DownloadRoute) for route in routes)
+
     def is_public(self, route: Route | None) -> bool:
         """Return whether requests of a route need no key."""
         return True
--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -9,6 +9,7 @@
 from chicorybridge.hosts.announcers import Announcer
 from chicorybridge.hosts.crash_checks import CrashChecks
 from chicorybridge.hosts.dispatchers import HostDispatcher
+from chicorybridge.hosts.fleet_admissions import FleetAdmission
 from chicorybridge.hosts.fleet_views import FleetView
 from chicorybridge.quotas.key_checks import KeyChecks
 from chicorybridge.hosts.metrics import HostMetrics
@@ -117,6 +118,7 @@
             check_call=functools.partial(
                 _check_all, crash_checks, reader.key_checks
             ),
+            admission=FleetAdmission(clock=clock, fleet_view=fleet_view),
         ),
     )
 
--- a/chicorybridge/platform/formats.py
+++ b/chicorybridge/platform/formats.py
@@ -22,6 +22,7 @@
 )
 from chicorybridge.configuration.declarations import (
     Declaration,
+    DownloadRoute,
     Route,
     Service,
     TrafficShare,
@@ -46,6 +47,7 @@
 
 # Requests of all other types, such as uploads, run at most once.
 IDEMPOTENT_ROUTE_TYPES = frozenset(('idempotent', 'download'))
+DOWNLOAD_ROUTE_TYPE = 'download'
 DRAINING_STATE = 'draining'
 READY_STATE = 'ready'
 VERSION_BASE = 16
@@ -235,7 +237,9 @@
     service_id = (
         split[0].service_id if split else text_field(route_fields, 'service')
     )
-    return Route(
+    is_download = route_fields['route_type'] == DOWNLOAD_ROUTE_TYPE
+    route_class = DownloadRoute if is_download else Route
+    return route_class(
         route_id=RouteId(text_field(route_fields, 'name')),
         host=text_field(route_fields, 'host').lower(),
         prefix=text_field(route_fields, 'prefix'),
