Read and start pipelined requests while earlier ones are unanswered

Requests sent behind an unanswered one stayed unread until it was answered, so one slow request delayed all behind it. Only idempotent ones are sent to a target ahead of their turn. While the host stops, none is, and an answer ends the connection only if no later request was forwarded; those behind it never are.

Connections without pipelining keep the code path of before.

--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -20,6 +20,7 @@
 from chicorybridge.hosts.policies import HostPolicies
 from chicorybridge.hosts.request_readers import RequestReader
 from chicorybridge.hosts.responders import Responder
+from chicorybridge.hosts.turn_checks import TurnChecks
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.target_connections import TargetConnections
@@ -53,6 +54,7 @@
         self._request_log = responder.request_log
         self._crash_checks = crash_checks
         self._placements = placements
+        self._turns = TurnChecks(clock=clock, state=responder.state)
         self._last_number = 0
         self._responder = responder
         self._reader = reader
@@ -129,6 +131,7 @@
             )
 
     async def _forward_and_send(self, call: Call) -> int:
+        await self._turns.await_turn(call)
         self._policies.record_request(call)
         answer = await self._try_targets(call)
         if answer is None:
@@ -180,6 +183,7 @@
         `RefusalError` instead if no target has run the request.
         """
         check_caller(call)
+        self._turns.check(call)
         try:
             self._crash_checks.check(call)
             self._key_checks.check(call)
@@ -190,6 +194,9 @@
             return None
 
     def _build_runner(self, call: Call, option: Option) -> AttemptRunner:
+        limits = self._policies.attempt_limits(call, option)
+        limits = self._crash_checks.guard(call, limits)
+        limits = self._key_checks.guard(call, limits)
         entry = option.entry
         target = Target(
             target_id=entry.target_id,
@@ -202,12 +209,8 @@
             target=target,
             connections=self._connections,
             clock=self._clock,
-            limits=self._key_checks.guard(
-                call,
-                self._crash_checks.guard(
-                    call, self._policies.attempt_limits(call, option)
-                ),
-            ),
+            # Last, as the call counts as sent from then on.
+            limits=self._turns.guard(call, limits),
         )
 
     async def _run_attempt(
--- a/chicorybridge/hosts/gauges.py
+++ b/chicorybridge/hosts/gauges.py
@@ -45,6 +45,7 @@
             'requests_in_flight': len(self._dispatcher.calls_by_number),
             'requests_waiting': self._dispatcher.waiting_count,
             'callers_connected': len(self._callers),
+            'requests_read_ahead': self._callers.ahead_count,
             'store_calls': self._reader.calls,
             'datagrams_unsent': self._channel.unsent,
             'datagrams_received': self._channel.received,
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -123,6 +123,7 @@
                 'connections_ended', reason.value
             ),
             limits=lambda: self.state.limits,
+            reads_ahead=True,
         )
         self.metrics.attach_gauges(
             HostGauges(
--- a/chicorybridge/hosts/responders.py
+++ b/chicorybridge/hosts/responders.py
@@ -28,7 +28,7 @@
         self, *, state: HostState, dialect: Dialect, request_log: RequestLog
     ) -> None:
         """Use the header names of `dialect`."""
-        self._state = state
+        self.state = state
         self._dialect = dialect
         self.request_log = request_log
 
@@ -71,9 +71,15 @@
     async def send(
         self, exchange: CallerExchange, answer: BufferedAnswer
     ) -> None:
-        """Send a complete answer, with `Connection: close` while stopping."""
+        """Send a complete answer once its turn has come.
+
+        With `Connection: close` while stopping, unless a later request of the
+        connection was forwarded.
+        """
+        await exchange.turn.wait()
         headers = answer.headers
-        if self._state.phase is not HostPhase.serving:
+        is_stopping = self.state.phase is not HostPhase.serving
+        if is_stopping and exchange.turn.close_after_answer():
             headers = [*headers, (b'connection', b'close')]
         await send_buffered(
             exchange, dataclasses.replace(answer, headers=headers)
--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -1,18 +1,14 @@
 """Connections from callers: accept, serve, limit and close them."""
 
-import dataclasses
 import logging
-from collections.abc import Awaitable, Callable
-from typing import Protocol
+from collections.abc import Callable
 
 import curio
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
 from chicorybridge.common.clocks import Clock, Millis
-from chicorybridge.common.errors import ErrorCode, RequestError
 from chicorybridge.common.events import EventLog
-from chicorybridge.common.outcomes import RequestOutcome
 from chicorybridge.common.tasks import wait_tick
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.http.caller_exchanges import CallerExchange
@@ -23,47 +19,23 @@
     close_reason,
     has_request,
     is_idle,
-    linger,
     shut_down_writing,
 )
-from chicorybridge.http.exchanges import ExchangeError, Head
+from chicorybridge.http.connection_servers import (
+    CallerConnection,
+    ConnectionServer,
+    LocalAnswer,
+    RequestDispatcher,
+)
+from chicorybridge.http.exchanges import ExchangeError
 
 logger = logging.getLogger(__name__)
 
 NEVER = Millis(float('inf'))
 
-LocalAnswer = Callable[[CallerExchange, Head], Awaitable[bool]]
-
 
-class RequestDispatcher(Protocol):
-    """Answers the requests of callers."""
-
-    async def answer(self, exchange: CallerExchange, head: Head) -> None:
-        """Answer one request.
-
-        Raise `CallerError` if the caller disconnects or violates HTTP, or if
-        an answer that was started cannot be completed.
-        """
-
-    async def refuse(
-        self,
-        exchange: CallerExchange,
-        error: RequestError,
-        outcome: RequestOutcome,
-    ) -> None:
-        """Answer a request with a problem document."""
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class CallerConnection:
-    """An open connection from a caller and the task that serves it.
-
-    `close_reason` is set when the host starts to close the connection.
-    """
-
-    exchange: CallerExchange
-    task: curio.Task | None = None
-    close_reason: CloseReason | None = None
+def _always() -> bool:
+    return True
 
 
 class CallerConnections:
@@ -78,22 +50,31 @@
         answer_locally: LocalAnswer,
         on_connection_end: Callable[[CloseReason], None],
         limits: Callable[[], CallerLimits] = CallerLimits,
+        reads_ahead: bool = False,
+        may_read_ahead: Callable[[], bool] = _always,
     ) -> None:
         """Start without connections.
 
         `answer_locally` answers requests to paths of the process itself and
         returns whether it did; `limits` returns the current limits.
         `on_connection_end` is called for each connection that
-        `close_expired` or `close_idle` closes.
+        `close_expired` or `close_idle` closes. With `reads_ahead`, requests
+        are passed to `dispatcher` while earlier ones of their connection are
+        unanswered, if `may_read_ahead` returns true: there is memory for
+        another one.
         """
+        self._server = ConnectionServer(
+            dispatcher=dispatcher,
+            answer_locally=answer_locally,
+            reads_ahead=reads_ahead,
+            may_read_ahead=may_read_ahead,
+        )
         self._on_connection_end = on_connection_end
         self._log = log
         self._limits = limits
         self._last_limits: CallerLimits | None = None
         self._limits_since = clock.now()
         self._clock = clock
-        self._dispatcher = dispatcher
-        self._answer_locally = answer_locally
         self._last_number = 0
         self._listener: curio.io.Socket | None = None
         self._accept_task: curio.Task | None = None
@@ -128,7 +109,8 @@
         """Close connections that exceed a timeout or whose caller disconnected.
 
         Timeouts are those of idle connections, incomplete heads and stalled
-        exchanges.
+        exchanges. Requests are read ahead from now on where bytes arrived
+        behind an unanswered one.
         """
         now = self._clock.now()
         limits = self._limits()
@@ -143,7 +125,9 @@
                 limits_since=self._limits_since,
                 now=now,
             )
-            if reason is not None:
+            if reason is None:
+                await self._watch_requests(connection)
+            else:
                 await self._close(connection, reason)
 
     async def close_idle(self) -> None:
@@ -154,21 +138,27 @@
 
     @property
     def pending_count(self) -> int:
-        """Return how many connections have an unanswered request.
+        """Return how many requests are unanswered.
 
-        A request counts from its first byte.
+        The first one of a connection counts from its first byte, those
+        behind it once their heads were read.
         """
         connections = self._connections_by_number.values()
-        return sum(
+        return self.ahead_count + sum(
             has_request(connection.exchange) for connection in connections
         )
 
+    @property
+    def ahead_count(self) -> int:
+        """Return how many requests were read behind an unanswered one."""
+        connections = self._connections_by_number.values()
+        return sum(connection.ahead_count for connection in connections)
+
     def has_unanswered(self, *, read_by: Millis) -> bool:
         """Return whether a request read until `read_by` is unanswered."""
         connections = self._connections_by_number.values()
         return any(
-            connection.exchange.in_request
-            and connection.exchange.request_read_at <= read_by
+            connection.has_unanswered(read_by=read_by)
             for connection in connections
         )
 
@@ -194,13 +184,21 @@
                 clock=self._clock,
                 max_head_bytes=self._limits().max_head_bytes,
             )
-            connection = CallerConnection(exchange=exchange)
+            connection = CallerConnection(first_exchange=exchange)
             self._last_number += 1
             self._connections_by_number[self._last_number] = connection
             connection.task = await curio.spawn(
                 self._serve(self._last_number, connection), daemon=True
             )
 
+    async def _watch_requests(self, connection: CallerConnection) -> None:
+        """Start to read ahead if that is due, or end what nobody awaits."""
+        if connection.pipeline is None:
+            await self._server.read_ahead_if_due(connection)
+        elif sockets.is_closed(connection.first_exchange.sock):
+            # The first request must not be cancelled, so it continues.
+            await connection.pipeline.drop_later()
+
     async def _close(
         self, connection: CallerConnection, reason: CloseReason
     ) -> None:
@@ -208,9 +206,16 @@
             return
         connection.close_reason = reason
         self._on_connection_end(reason)
-        event = close_event(connection.exchange, reason, self._clock.now())
+        event = close_event(
+            connection.exchange,
+            reason,
+            self._clock.now(),
+            ahead=connection.ahead_count,
+        )
         if event is not None:
             self._log.emit(event)
+        if connection.pipeline is not None:
+            connection.pipeline.withdraw()
         if not connection.exchange.in_request:
             # Shut down here, not in the cancelled task, which runs later: a
             # request that arrives until then would be lost.
@@ -218,56 +223,20 @@
         await connection.task.cancel(blocking=False)
 
     async def _serve(self, number: int, connection: CallerConnection) -> None:
-        exchange = connection.exchange
         try:
-            await self._answer_requests(exchange)
+            await self._server.serve(connection)
         except (CallerError, ExchangeError) as error:
             logger.debug(
                 'aborting the connection of caller %s: %s',
-                exchange.caller_ip,
+                connection.first_exchange.caller_ip,
                 error,
             )
-            await exchange.abort()
+            await connection.abort()
         except curio.CancelledError:
             # A reset could discard a complete answer that is in transit.
-            if exchange.in_request:
-                await exchange.abort()
+            if connection.exchange.in_request:
+                await connection.abort()
             raise
         finally:
             self._connections_by_number.pop(number)
-            await exchange.close()
-
-    async def _answer_requests(self, exchange: CallerExchange) -> None:
-        head = await self._next_head(exchange)
-        while head is not None:
-            await self._answer(exchange, head)
-            if not exchange.next_cycle():
-                await linger(exchange)
-                return
-            head = await self._next_head(exchange)
-
-    async def _next_head(self, exchange: CallerExchange) -> Head | None:
-        try:
-            return await exchange.next_request()
-        except ExchangeError as error:
-            await self._refuse_malformed(exchange, error)
-            return None
-
-    async def _answer(self, exchange: CallerExchange, head: Head) -> None:
-        if await self._answer_locally(exchange, head):
-            return
-        try:
-            await self._dispatcher.answer(exchange, head)
-        except CallerError as error:
-            if exchange.answer_started:
-                raise
-            await self._refuse_malformed(exchange, error)
-
-    async def _refuse_malformed(
-        self, exchange: CallerExchange, error: ExchangeError | CallerError
-    ) -> None:
-        if error.code is ErrorCode.stream_closed:
-            raise error
-        refusal = RequestError(code=error.code, detail=error.detail)
-        await self._dispatcher.refuse(exchange, refusal, RequestOutcome.not_run)
-        await linger(exchange)
+            await connection.close()
--- a/chicorybridge/http/caller_exchanges.py
+++ b/chicorybridge/http/caller_exchanges.py
@@ -21,13 +21,17 @@
     content_length,
     protocol_error,
 )
+from chicorybridge.http.turns import Turn
 
 HEAD_END = re.compile(rb'\r?\n\r?\n')
 BARE_LINE_FEED = re.compile(rb'(?<!\r)\n')
 
 
 class CallerExchange(Exchange):
-    """Requests and answers on one connection from a caller."""
+    """Requests and answers on one connection from a caller.
+
+    One after the other, or one only, if requests are pipelined.
+    """
 
     def __init__(
         self,
@@ -51,6 +55,11 @@
         self.lingering = False
         # Whether the answer to the current request may have been sent in part.
         self.answer_started = False
+        # Whether the request violated HTTP, so that none can follow.
+        self.is_malformed = False
+        self.turn = Turn()
+        # Set at the end of the request, if a task waits for it.
+        self._end: curio.Event | None = None
         self._raw_head = b''
         self._method = b''
         self.caller_ip = sockets.peer_ip(sock)
@@ -77,10 +86,14 @@
     async def read_chunk(self) -> bytes:
         """Return the next chunk of the body, after 100 Continue if expected."""
         if self._conn.they_are_waiting_for_100_continue:
+            await self.turn.wait()
             await self.send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        return await super().read_chunk()
+        chunk = await super().read_chunk()
+        if not chunk and self._end is not None:
+            await self._end.set()
+        return chunk
 
     async def send_head(self, *, status: int, headers: Headers) -> None:
         """Send the head of the answer."""
@@ -97,18 +110,66 @@
             events.append(h11.Data(data=body))
         await self._start_answer(*events, h11.EndOfMessage())
 
+    @property
+    def has_trailing_data(self) -> bool:
+        """Return whether bytes behind the request were read."""
+        return bool(self._conn.trailing_data[0])
+
+    def is_pipelined(self) -> bool:
+        """Return whether a later request, or a part of it, has arrived.
+
+        The one that is unanswered must have been read and not be the last.
+        """
+        if not self.in_request or self.turn.closes:
+            return False
+        if self._conn.their_state is not h11.DONE:
+            return False
+        return self.has_trailing_data or not sockets.is_idle(self.sock)
+
+    async def request_ended(self) -> bool:
+        """Wait until the request was read; return whether others may follow.
+
+        One that is answered before it was read is the last one.
+        """
+        while self._conn.their_state is h11.SEND_BODY:
+            self._end = curio.Event()
+            await self._end.wait()
+        return self._conn.their_state is h11.DONE
+
+    def successor(self) -> 'CallerExchange':
+        """Return the exchange of the next request, which waits for its turn."""
+        exchange = CallerExchange(
+            sock=self.sock,
+            clock=self._clock,
+            max_head_bytes=self._max_head_bytes,
+        )
+        exchange.turn = Turn(is_first=False)
+        exchange.take_over(bytes(self._conn.trailing_data[0]))
+        return exchange
+
+    def take_over(self, received: bytes) -> None:
+        """Use bytes of this request that arrived with the one before."""
+        if received:
+            self.head_started_at = self._clock.now()
+            self._raw_head = received
+            self._conn.receive_data(received)
+
     def next_cycle(self) -> bool:
         """Prepare for another request; return `False` if that is impossible."""
+        if not self.end_cycle():
+            return False
+        self._conn.start_next_cycle()
+        self._raw_head = bytes(self._conn.trailing_data[0])
+        return True
+
+    def end_cycle(self) -> bool:
+        """End the request; return whether another one may follow."""
         self.in_request = False
         self.answer_started = False
         self._method = b''
         if self._conn.our_state is not h11.DONE:
             return False
-        if self._conn.their_state is not h11.DONE:
-            return False
-        self._conn.start_next_cycle()
-        self._raw_head = bytes(self._conn.trailing_data[0])
-        return True
+        return self._conn.their_state is h11.DONE and not self.is_malformed
 
     async def _receive(self) -> bytes:
         data = await super()._receive()
@@ -121,6 +182,7 @@
     async def _start_answer(self, *events: Any) -> None:
         """Send the start of an answer, or raise before anything is sent."""
         encoded = self._encode(*events)
+        await self.turn.wait()
         self.answer_started = True
         await self._write(encoded)
 
--- a/chicorybridge/http/close_reasons.py
+++ b/chicorybridge/http/close_reasons.py
@@ -109,10 +109,15 @@
 
 
 def close_event(
-    exchange: CallerExchange, reason: CloseReason, now: Millis
+    exchange: CallerExchange,
+    reason: CloseReason,
+    now: Millis,
+    *,
+    ahead: int = 0,
 ) -> Event | None:
     """Return the log event of a connection that the host closes.
 
+    `ahead` requests were read behind the unanswered one of `exchange`.
     `None` for a plain idle timeout, which is how most connections end.
     """
     unread = not sockets.is_idle(exchange.sock)
@@ -125,6 +130,8 @@
         'unread': unread,
         'waited_ms': _waited_ms(exchange, now),
     }
+    if ahead:
+        facts['ahead'] = ahead
     return Event(kind=EventKind.connection_ended, facts=facts)
 
 
