--- /dev/null
+++ b/chicorybridge/tests/crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of callers that send more than a host can hold."""
--- a/chicorybridge/tests/stops/processes.py
+++ b/chicorybridge/tests/stops/processes.py
@@ -8,6 +8,7 @@
 
 import chicorybridge
 from chicorybridge.hosts.__main__ import SETTINGS_VARIABLE
+from chicorybridge.hosts.settings_files import HOST_FIELDS
 
 SETTINGS_TEMPLATE = """
 [host]
@@ -22,7 +23,7 @@
 fleet_ports = 7660,7675
 seeds = {seeds}
 store = {store}
-
+{memory_line}
 [zones]
 groningen = noord
 
@@ -36,6 +37,7 @@
 retry_slack = {retry_slack}
 """
 DEFAULT_RETRY_SLACK = 62
+MEMORY_KEY = 'memory_mb'
 # The part that is cut off holds required settings.
 TRUNCATED_SHARE = 0.7
 
@@ -51,11 +53,13 @@
         store: str,
         grace_s: float,
         folder: pathlib.Path,
+        memory_mb: float = 0,
     ) -> None:
         """Start host `number` of those at `ips`.
 
         `store` is the address of the store. The settings file and the log of
-        the process are in `folder`.
+        the process are in `folder`. The memory of the machine is not set if
+        `memory_mb` is 0.
         """
         ip = ips[number]
         self.front_address = f'{ip}:8144'
@@ -70,10 +74,16 @@
             seeds=','.join(f'{seed}:8146' for seed in ips),
             store=store,
             grace_s=grace_s,
+            memory_line=_memory_line(memory_mb),
         )
         self.write_settings(DEFAULT_RETRY_SLACK)
         self._process = self._start()
 
+    @property
+    def process_id(self) -> int:
+        """Return the process id."""
+        return self._process.pid
+
     @property
     def exit_status(self) -> int | None:
         """Return the exit status, `None` while the process runs."""
@@ -112,3 +122,10 @@
                     'PYTHONPATH': str(root),
                 },
             )
+
+
+def _memory_line(memory_mb: float) -> str:
+    """Return the setting, nothing if this program does not have it."""
+    if not memory_mb or MEMORY_KEY not in HOST_FIELDS:
+        return ''
+    return f'{MEMORY_KEY} = {memory_mb}\n'
--- a/chicorybridge/tests/stops/runs.py
+++ b/chicorybridge/tests/stops/runs.py
@@ -143,7 +143,7 @@
             )
             programs.append(program)
         for started in programs:
-            await _wait_until_ready(started)
+            await wait_until_ready(started)
         yield platform, programs
     finally:
         for running in programs:
@@ -158,7 +158,8 @@
     return [str(first_ip + number) for number in range(count)]
 
 
-async def _wait_until_ready(program: HostProgram) -> None:
+async def wait_until_ready(program: HostProgram) -> None:
+    """Return when the host says that it is ready."""
     client = Client()
     address = parse_address(program.readiness_address)
     request = Request(method='GET', path='/readiness')
