--- a/chicorybridge/hosts/placements.py
+++ b/chicorybridge/hosts/placements.py
@@ -17,6 +17,7 @@
 from chicorybridge.entry.refusals import RefusalError
 from chicorybridge.hosts.fleet_admissions import FleetAdmission, urgency_of
 from chicorybridge.hosts.policies import HostPolicies
+from chicorybridge.hosts.reporters import Reporter
 from chicorybridge.hosts.states import HostPhase, HostState
 from chicorybridge.http.bodies import CallerError
 from chicorybridge.routing.fleet_requests import (
@@ -102,13 +103,10 @@
         try:
             return await self._await_target(waiter, queue)
         except BaseException:
-            self._undo(waiter)
+            _free(waiter, self._reporter)
             raise
         finally:
-            if not waiter.decided.is_set():
-                queue.remove(waiter)
-            if self._admission is not None:
-                self._admission.remove(waiter)
+            self._remove(waiter, queue)
 
     def record_attempt(self, attempt: Attempt) -> None:
         """Learn the cost of a route from an attempt, if that is of use."""
@@ -170,11 +168,13 @@
         if admission is not None:
             admission.add(waiter)
 
-    def _undo(self, waiter: Waiter) -> None:
-        """Free the slot of a call that ends before it gets its target."""
-        if waiter.option is not None:
-            self._reporter.attempt_finished(waiter.option.entry.target_id)
-            self._reporter.flush()
+    def _remove(self, waiter: Waiter, queue: RequestQueue[Waiter]) -> None:
+        if not waiter.decided.is_set():
+            queue.remove(waiter)
+        if self._admission is not None:
+            self._admission.remove(waiter)
+        # Its traceback would keep the body until a garbage collection.
+        waiter.refusal = None
 
     def _start(self, waiter: Waiter, option: Option) -> None:
         self._reporter.attempt_started(option.entry.target_id)
@@ -262,6 +262,13 @@
         )
 
 
+def _free(waiter: Waiter, reporter: Reporter) -> None:
+    """Free the slot of a call that ends before it gets its target."""
+    if waiter.option is not None:
+        reporter.attempt_finished(waiter.option.entry.target_id)
+        reporter.flush()
+
+
 def _workspace_id(call: Call) -> WorkspaceId | None:
     workspace = call.caller_workspace
     return None if workspace is None else workspace.workspace_id
--- a/chicorybridge/http/caller_connections.py
+++ b/chicorybridge/http/caller_connections.py
@@ -11,6 +11,7 @@
 from chicorybridge.common.events import EventLog
 from chicorybridge.common.tasks import wait_tick
 from chicorybridge.http.bodies import CallerError
+from chicorybridge.http.byte_budgets import UNLIMITED, ByteBudget, HeldKind
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.caller_limits import CallerLimits
 from chicorybridge.http.close_reasons import (
@@ -34,10 +35,6 @@
 NEVER = Millis(float('inf'))
 
 
-def _always() -> bool:
-    return True
-
-
 class CallerConnections:
     """Accept connections from callers and serve each in its own task."""
 
@@ -50,28 +47,28 @@
         answer_locally: LocalAnswer,
         on_connection_end: Callable[[CloseReason], None],
         limits: Callable[[], CallerLimits] = CallerLimits,
-        reads_ahead: bool = False,
-        may_read_ahead: Callable[[], bool] = _always,
+        may_read_ahead: Callable[[], bool] | None = None,
+        budget: ByteBudget = UNLIMITED,
     ) -> None:
         """Start without connections.
 
         `answer_locally` answers requests to paths of the process itself and
-        returns whether it did; `limits` returns the current limits.
+        returns whether it did; `limits` returns the current limits. What is
+        held for callers counts towards `budget`.
         `on_connection_end` is called for each connection that
-        `close_expired` or `close_idle` closes. With `reads_ahead`, requests
+        `close_expired` or `close_idle` closes. With `may_read_ahead`, requests
         are passed to `dispatcher` while earlier ones of their connection are
-        unanswered, if `may_read_ahead` returns true: there is memory for
-        another one.
+        unanswered, if it returns true: there is memory for another one.
         """
         self._server = ConnectionServer(
             dispatcher=dispatcher,
             answer_locally=answer_locally,
-            reads_ahead=reads_ahead,
             may_read_ahead=may_read_ahead,
         )
         self._on_connection_end = on_connection_end
         self._log = log
         self._limits = limits
+        self._budget = budget
         self._last_limits: CallerLimits | None = None
         self._limits_since = clock.now()
         self._clock = clock
@@ -184,6 +181,7 @@
                 clock=self._clock,
                 max_head_bytes=self._limits().max_head_bytes,
             )
+            exchange.count_towards(self._budget, HeldKind.connection)
             connection = CallerConnection(first_exchange=exchange)
             self._last_number += 1
             self._connections_by_number[self._last_number] = connection
@@ -236,7 +234,8 @@
             # A reset could discard a complete answer that is in transit.
             if connection.exchange.in_request:
                 await connection.abort()
-            raise
+            # Not raised again: the traceback of a task that ends with it keeps
+            # the task and its request in memory until a garbage collection.
         finally:
             self._connections_by_number.pop(number)
             await connection.close()
--- a/chicorybridge/http/caller_exchanges.py
+++ b/chicorybridge/http/caller_exchanges.py
@@ -10,6 +10,7 @@
 from chicorybridge.common import sockets
 from chicorybridge.common.clocks import Clock, Millis
 from chicorybridge.common.errors import ErrorCode
+from chicorybridge.http.byte_budgets import HeldKind
 from chicorybridge.http.exchanges import (
     CONTENT_LENGTH,
     HEAD_METHOD,
@@ -39,8 +40,12 @@
         sock: curio.io.Socket,
         clock: Clock,
         max_head_bytes: int = settings.MAX_HEAD_BYTES,
+        received: bytes = b'',
     ) -> None:
-        """Use the connection `sock`; a head has at most `max_head_bytes`."""
+        """Use the connection `sock`; a head has at most `max_head_bytes`.
+
+        The bytes `received` of the request arrived with an earlier one.
+        """
         self._max_head_bytes = max_head_bytes
         super().__init__(sock=sock, role=h11.SERVER, clock=clock)
         # When the first byte of an incomplete request head arrived, if any.
@@ -60,9 +65,12 @@
         self.turn = Turn()
         # Set at the end of the request, if a task waits for it.
         self._end: curio.Event | None = None
-        self._raw_head = b''
+        self._raw_head = received
         self._method = b''
         self.caller_ip = sockets.peer_ip(sock)
+        if received:
+            self.head_started_at = clock.now()
+            self._conn.receive_data(received)
 
     async def next_request(self) -> Head | None:
         """Return the next request head, or `None` if the caller closed.
@@ -142,18 +150,14 @@
             sock=self.sock,
             clock=self._clock,
             max_head_bytes=self._max_head_bytes,
+            received=bytes(self._conn.trailing_data[0]),
         )
         exchange.turn = Turn(is_first=False)
-        exchange.take_over(bytes(self._conn.trailing_data[0]))
+        # The connection is counted once.
+        exchange.budget = self.budget
+        exchange.holding = self.holding
         return exchange
 
-    def take_over(self, received: bytes) -> None:
-        """Use bytes of this request that arrived with the one before."""
-        if received:
-            self.head_started_at = self._clock.now()
-            self._raw_head = received
-            self._conn.receive_data(received)
-
     def next_cycle(self) -> bool:
         """Prepare for another request; return `False` if that is impossible."""
         if not self.end_cycle():
@@ -171,6 +175,17 @@
             return False
         return self._conn.their_state is h11.DONE and not self.is_malformed
 
+    def drop_received(self) -> None:
+        """Drop what was received; no request can be read after this."""
+        self._conn = h11.Connection(our_role=h11.SERVER)
+        self._raw_head = b''
+
+    def _evict(self) -> bool:
+        """Close the connection unless a request of it is held for others."""
+        if self.in_request and self.holding.kind is HeldKind.connection:
+            return False
+        return super()._evict()
+
     async def _receive(self) -> bytes:
         data = await super()._receive()
         if self._conn.their_state is h11.IDLE:
--- a/chicorybridge/http/connection_servers.py
+++ b/chicorybridge/http/connection_servers.py
@@ -93,17 +93,15 @@
         *,
         dispatcher: RequestDispatcher,
         answer_locally: LocalAnswer,
-        reads_ahead: bool,
-        may_read_ahead: Callable[[], bool],
+        may_read_ahead: Callable[[], bool] | None,
     ) -> None:
         """Answer with `dispatcher` what `answer_locally` doesn't.
 
-        With `reads_ahead`, requests are read and answered while earlier ones
-        of their connection are unanswered, if `may_read_ahead` returns true.
+        With `may_read_ahead`, requests are read and answered while earlier
+        ones of their connection are unanswered, if it returns true.
         """
         self._dispatcher = dispatcher
         self._answer_locally = answer_locally
-        self._reads_ahead = reads_ahead
         self._may_read_ahead = may_read_ahead
 
     async def serve(self, connection: CallerConnection) -> None:
@@ -124,7 +122,7 @@
 
     async def read_ahead_if_due(self, connection: CallerConnection) -> None:
         """Read further requests if there are any behind an unanswered one."""
-        if connection.pipeline is not None or not self._reads_ahead:
+        if connection.pipeline is not None or self._may_read_ahead is None:
             return
         if not connection.first_exchange.is_pipelined():
             return
--- /dev/null
+++ b/chicorybridge/tests/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of hosts whose callers pipeline requests."""
--- a/chicorybridge/tests/hosts/test_pipelined_requests.py
+++ b/chicorybridge/tests/connections/test_pipelined_requests.py
@@ -8,7 +8,7 @@
 from chicorybridge.hosts.states import HostPhase
 from chicorybridge.http import settings
 from chicorybridge.tests.hosts.deployments import deployed, on_curio, until
-from chicorybridge.tests.hosts.pipelines import (
+from chicorybridge.tests.connections.pipelines import (
     PacedOrigin,
     connect,
     ids,
--- a/chicorybridge/tests/http/test_pipelines.py
+++ b/chicorybridge/tests/http/test_pipelines.py
@@ -96,7 +96,6 @@
             answer_locally=_answer_nothing,
             on_connection_end=lambda reason: server.ends.append(reason),
             limits=lambda: LIMITS,
-            reads_ahead=True,
             may_read_ahead=lambda: server.has_memory,
         ),
         clock=clock,
--- a/chicorybridge/tests/stops/processes.py
+++ b/chicorybridge/tests/stops/processes.py
@@ -22,7 +22,7 @@
 fleet_ports = 7660,7675
 seeds = {seeds}
 store = {store}
-
+{memory_line}
 [zones]
 groningen = noord
 
@@ -51,11 +51,13 @@
         store: str,
         grace_s: float,
         folder: pathlib.Path,
+        memory_mb: float = 0,
     ) -> None:
         """Start host `number` of those at `ips`.
 
         `store` is the address of the store. The settings file and the log of
-        the process are in `folder`.
+        the process are in `folder`. The memory of the machine is not set if
+        `memory_mb` is 0.
         """
         ip = ips[number]
         self.front_address = f'{ip}:8144'
@@ -70,10 +72,16 @@
             seeds=','.join(f'{seed}:8146' for seed in ips),
             store=store,
             grace_s=grace_s,
+            memory_line=_memory_line(memory_mb),
         )
         self.write_settings(DEFAULT_RETRY_SLACK)
         self._process = self._start()
 
+    @property
+    def process_id(self) -> int:
+        """Return the process id."""
+        return self._process.pid
+
     @property
     def exit_status(self) -> int | None:
         """Return the exit status, `None` while the process runs."""
@@ -112,3 +120,8 @@
                     'PYTHONPATH': str(root),
                 },
             )
+
+
+def _memory_line(memory_mb: float) -> str:
+    """Return the setting, nothing if it is not known."""
+    return f'memory_mb = {memory_mb}\n' if memory_mb else ''
