--- a/chicorybridge/tests/hosts/test_settings_files.py
+++ b/chicorybridge/tests/hosts/test_settings_files.py
@@ -87,3 +87,23 @@
 def test_missing_file_is_refused(tmp_path):
     with pytest.raises(SettingsError, match='CB1007'):
         read_host_settings(tmp_path / 'none.ini')
+
+
+def test_bounds_of_workspaces_are_read(tmp_path):
+    bounds = read_host_settings(_write(tmp_path, COMPLETE_FILE)).bounds
+    assert bounds.max_key_age_ms == float('inf')
+    assert (bounds.quotas.overage, bounds.quotas.slack) == (0, 0)
+    assert bounds.quotas.window_ms == 5000
+    text = f"""{COMPLETE_FILE}revoke_s = 7
+fail_closed = true
+quota_window_s = 4
+quota_overage = 0.1
+quota_slack = 20
+"""
+    bounds = read_host_settings(_write(tmp_path, text)).bounds
+    assert bounds.max_key_age_ms == 7000
+    assert (bounds.quotas.overage, bounds.quotas.slack) == (0.1, 20)
+    assert bounds.quotas.window_ms == 4000
+    text = text.replace('fail_closed = true', 'fail_closed = false')
+    bounds = read_host_settings(_write(tmp_path, text)).bounds
+    assert bounds.max_key_age_ms == float('inf')
