Test one limit over two host processes

Two processes on loopback addresses with one granter between them give six permits of a burst of six.

--- a/chicorybridge/tests/quotas/test_limits.py
+++ b/chicorybridge/tests/quotas/test_limits.py
@@ -1,16 +1,20 @@
 """Limits of workspaces through a host process and between hosts."""
 
+import dataclasses
 import random
 from typing import Any
 
 import curio
 
+from chicorybridge.common import sockets
 from chicorybridge.common.addresses import parse_address
 from chicorybridge.common.clocks import Clock
 from chicorybridge.common.codecs import pack
 from chicorybridge.common.errors import ErrorCode, RequestError
 from chicorybridge.common.identities import HostId
+from chicorybridge.common.log_streams import BoundedHandler
 from chicorybridge.fleet.channels import Datagram
+from chicorybridge.hosts.host_processes import HostProcess
 from chicorybridge.http.servers import Request, Response
 from chicorybridge.quotas.messages import (
     PermitReply,
@@ -47,7 +51,9 @@
     await until(lambda: deployment.host.state.version == 13)
 
 
-async def _send(deployment: Deployment, key: str = KEY) -> Response:
+async def _send(
+    deployment: Deployment, key: str = KEY, *, front: str = ''
+) -> Response:
     request = Request(
         method='GET',
         path='/lookup/7',
@@ -59,7 +65,9 @@
         },
     )
     return await deployment.client.fetch(
-        parse_address(deployment.front), request, timeout_ms=FETCH_TIMEOUT_MS
+        parse_address(front or deployment.front),
+        request,
+        timeout_ms=FETCH_TIMEOUT_MS,
     )
 
 
@@ -209,3 +217,59 @@
     for message in messages:
         datagram = Datagram(sender=HostId('edge-south-osu-12'), message=message)
         assert len(pack(datagram)) < 150
+
+
+@on_curio
+async def test_two_hosts_share_one_limit():
+    async with deployed(Origin(target_id='i-1')) as deployment:
+        listener = sockets.listen('127.0.0.2:0')
+        second = _second_host(deployment, sockets.bound_address(listener))
+        running = await curio.spawn(second.run, listener)
+        await _limit(deployment, rate_per_s=0.01, burst=6)
+        hosts = (deployment.host, second)
+        await until(
+            lambda: all(
+                host.state.ready and host.fleet_view.host_table.in_zone()
+                for host in hosts
+            )
+        )
+        await until(
+            lambda: all(
+                profile.serving
+                for host in hosts
+                for profile in host.fleet_view.host_table.in_zone()
+            )
+        )
+        statuses = []
+        for number in range(16):
+            front = (deployment.front, sockets.bound_address(listener))
+            answer = await _send(deployment, front=front[number % 2])
+            statuses.append(answer.status)
+        counts = [dict(host.dispatcher.permits.counts) for host in hosts]
+        await running.cancel()
+    assert statuses.count(200) == 6
+    assert statuses.count(429) == 10
+    assert sorted('zone' in count for count in counts) == [False, True]
+
+
+def _second_host(deployment: Deployment, front: str) -> HostProcess:
+    """Return another host of the same zone."""
+    first = deployment.settings
+    fields = ('readiness', 'directory', 'metrics')
+    addresses = {
+        field: getattr(first, field).replace('127.0.0.1', '127.0.0.2')
+        for field in fields
+    }
+    host_settings = dataclasses.replace(
+        first,
+        host_id=HostId('edge-groningen-2'),
+        ip_number='127.0.0.2',
+        front=front,
+        **addresses,
+    )
+    return HostProcess(
+        host_settings=host_settings,
+        clock=Clock(),
+        rng=random.Random(2),
+        logs=BoundedHandler(descriptor=1, clock=Clock(), bytes_per_second=0),
+    )
