--- a/chicorybridge/routing/settings.py
+++ b/chicorybridge/routing/settings.py
@@ -23,7 +23,7 @@
 # Requests are refused early only while the zone needs more than this share of
 # the request's target latency to start all that waits. Waits are shorter below
 # the room of a service, where hosts wait for news of free slots only.
-SHORT_WAIT_SHARE = 0.2
+SHORT_WAIT_SHARE = 0.3
 # A rank is admitted while its turn should come within this share of the time
 # that its expected work leaves of its target latency, so that variations of
 # work and arrivals don't make most of those that wait late.
