--- a/chicorybridge/hosts/fleet_admissions.py
+++ b/chicorybridge/hosts/fleet_admissions.py
@@ -1,6 +1,7 @@
 """Admission of the requests of a host by the queues of its zone."""
 
 import dataclasses
+from collections import deque
 
 from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Clock, Millis
@@ -36,7 +37,7 @@
         self._clock = clock
         self._fleet_view = fleet_view
         self._queues = fleet_view.zone_sums.inbox.queues
-        self._slots_by_id: dict[ServiceId, UsedSlots] = {}
+        self._slots_by_id: dict[ServiceId, deque[UsedSlots]] = {}
 
     @property
     def is_on(self) -> bool:
@@ -109,16 +110,20 @@
         )
 
     def _used_slots(self, service_id: ServiceId, now: Millis) -> float:
-        used = self._slots_by_id.get(service_id)
+        """Return the most slots that the zone used of late.
+
+        Fewer are used for moments while hosts wait for sound targets.
+        """
+        counts = self._slots_by_id.setdefault(service_id, deque())
         if (
-            used is None
-            or now - used.counted_at > settings.USED_SLOTS_MAX_AGE_MS
+            not counts
+            or now - counts[-1].counted_at > settings.USED_SLOTS_MAX_AGE_MS
         ):
-            used = UsedSlots(
-                count=self._count_slots(service_id), counted_at=now
-            )
-            self._slots_by_id[service_id] = used
-        return used.count
+            count = self._count_slots(service_id)
+            counts.append(UsedSlots(count=count, counted_at=now))
+        while now - counts[0].counted_at > settings.USED_SLOTS_WINDOW_MS:
+            counts.popleft()
+        return max(used.count for used in counts)
 
     def _count_slots(self, service_id: ServiceId) -> float:
         """Return the slots of a service that the zone uses, or its share.
--- a/chicorybridge/routing/settings.py
+++ b/chicorybridge/routing/settings.py
@@ -52,3 +52,6 @@
 # The slots that a zone uses are counted again after this time, as they are
 # known with a delay of about as much and the count reads all targets.
 USED_SLOTS_MAX_AGE_MS = 50.0
+# The most slots that were used within this time count, as a service doesn't
+# lose its room each time that hosts wait for a target known to be sound.
+USED_SLOTS_WINDOW_MS = 2000.0
