--- a/chicorybridge/hosts/gauges.py
+++ b/chicorybridge/hosts/gauges.py
@@ -59,7 +59,7 @@
         }
 
     def _permit_gauges(self) -> dict[str, float]:
-        """Return counts of permits, none before the first one."""
+        """Return counts of permits; those of 0 are left out."""
         permits = self._dispatcher.permits
         granter = permits.granter
         gauges: dict[str, float] = {
@@ -68,6 +68,5 @@
         }
         for reply, count in granter.counts.items():
             gauges[f'permit_requests_{reply}'] = count
-        if gauges:
-            gauges['permit_buckets'] = len(granter)
+        gauges['permit_buckets'] = len(granter)
         return gauges
