Prefer own targets of each host where admission over the fleet is on

Hosts know each other's requests 100 to 200 ms late and choose the same free slots; a rejection then made all hosts avoid the target, so that it became idle and the others full. Two hosts of a zone prefer each of its targets by rendezvous hashing and divide its slots. Off without fleet admission: the same choices and random draws as before.

--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -1,5 +1,6 @@
 """Builds the request dispatcher of a host and its collaborators."""
 
+import functools
 import random
 
 from chicorybridge.common.clocks import Clock
@@ -14,12 +15,22 @@
 from chicorybridge.hosts.reporters import Reporter
 from chicorybridge.hosts.request_logs import RequestLog
 from chicorybridge.hosts.settings_files import HostSettings
+from chicorybridge.hosts.states import HostState
 from chicorybridge.http.target_connections import TargetConnections
 from chicorybridge.platform.dialects import PLATFORM_DIALECT
 from chicorybridge.routing.allowances import LONG_AGO, RetryAllowances
+from chicorybridge.routing.preferences import PreferredTargets
 from chicorybridge.routing.selections import Selector, TargetEstimates
 
 
+def has_fleet_admission(state: HostState) -> bool:
+    """Return whether the configuration calls for admission over the fleet.
+
+    Not if it has no such property.
+    """
+    return getattr(state.configuration, 'has_fleet_admission', False)
+
+
 def build_dispatcher(
     *,
     host_settings: HostSettings,
@@ -32,6 +43,10 @@
     announcer: Announcer,
 ) -> HostDispatcher:
     """Return the dispatcher; it uses the header names of the platform."""
+    prefers_own_targets = functools.partial(
+        has_fleet_admission, fleet_view.state
+    )
+    fleet_view.reputations.rejections_are_collisions = prefers_own_targets
     selector = Selector(
         directory=fleet_view.directory,
         estimates=TargetEstimates(
@@ -45,6 +60,12 @@
         has_idle_connection=lambda address: connections.idle_count(address) > 0,
         signs=fleet_view.signs,
         is_list_usable=fleet_view.targets.is_usable,
+        preferred=PreferredTargets(
+            directory=fleet_view.directory,
+            host_table=fleet_view.host_table,
+            is_serving=lambda: fleet_view.state.ready,
+        ),
+        prefers_own_targets=prefers_own_targets,
     )
     policies = HostPolicies(
         clock=clock,
--- a/chicorybridge/routing/reputations.py
+++ b/chicorybridge/routing/reputations.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from enum import Enum
 from types import MappingProxyType
 
@@ -124,6 +124,10 @@
     def __init__(self) -> None:
         """Start without targets."""
         self._reputations_by_id: dict[TargetId, Reputation] = {}
+        # Returns whether a rejection only shows that several hosts chose the
+        # same slot. If all hosts avoided the target, it would become idle and
+        # others full.
+        self.rejections_are_collisions: Callable[[], bool] = bool
 
     def of(self, target_id: TargetId) -> Reputation:
         """Return the reputation of a target, created on first use."""
@@ -155,15 +159,21 @@
 
     def record_remote(self, seen: TargetSeen, *, now: Millis) -> None:
         """Record the result of a request of another host."""
+        is_rejected = seen.sign is Sign.rejected
+        if is_rejected and self.rejections_are_collisions():
+            return
         reputation = self.of(seen.target_id)
         reputation.update(seen.sign, now)
-        if seen.sign is Sign.rejected:
+        if is_rejected:
             self._pause_after_rejection(reputation, now)
 
     def record_own(self, seen: TargetSeen, *, now: Millis) -> None:
         """Record the result of an attempt of this host."""
         reputation = self.of(seen.target_id)
-        reputation.update(seen.sign, now)
+        if seen.sign is not Sign.rejected or not (
+            self.rejections_are_collisions()
+        ):
+            reputation.update(seen.sign, now)
         match seen.sign:
             case Sign.answered:
                 reputation.unreachable_count = 0
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -31,8 +31,14 @@
     ZoneId,
 )
 from chicorybridge.fleet.directories import TargetDirectory, TargetEntry
+from chicorybridge.routing.preferences import OwnTarget, PreferredTargets
 from chicorybridge.routing.reputations import Reputation, ReputationTable
 from chicorybridge.routing.service_latencies import LatencyTable
+from chicorybridge.routing.settings import (
+    DOUBTED_INTERVAL_MS,
+    DRAWN_LOSS_MARGIN,
+    MIN_PREFERRED_SOUNDNESS,
+)
 from chicorybridge.routing.target_draws import TargetDraws
 from chicorybridge.routing.target_signs import TargetSigns
 from chicorybridge.routing.workloads import WorkloadTable
@@ -113,10 +119,14 @@
         )
 
 
-class Selector:
+def _never() -> bool:
+    return False
+
+
+class Selector:  # noqa: WPS214
     """Choose targets for the requests of one availability zone."""
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         *,
         directory: TargetDirectory,
@@ -127,13 +137,18 @@
         has_idle_connection: Callable[[str], bool],
         signs: TargetSigns,
         is_list_usable: Callable[[], bool],
+        preferred: PreferredTargets | None = None,
+        prefers_own_targets: Callable[[], bool] = _never,
     ) -> None:
         """Choose among the entries of `directory`.
 
         `has_idle_connection` returns whether this host has an idle
         connection to an address, `is_list_usable` whether the entries are
-        new enough for a choice.
+        new enough for a choice, `prefers_own_targets` whether the targets
+        in `preferred` come first.
         """
+        self._preferred = preferred
+        self._prefers_own_targets = prefers_own_targets
         self._is_list_usable = is_list_usable
         self._has_idle_connection = has_idle_connection
         self._directory = directory
@@ -170,6 +185,9 @@
         """
         if not self._is_list_usable():
             return None
+        own = self._choose_own(service_id, mode, excluded, now)
+        if own is not None:
+            return own
         drawn = itertools.chain(
             self._take_freed(service_id, now), self._draws.near(service_id)
         )
@@ -184,7 +202,10 @@
         if not free:
             return None
         lowest_loss = min(option.idle_loss for option in options)
-        safest = self._safest(free)
+        margin = settings.CHOICE_LOSS_MARGIN
+        if self._prefers_own_targets():
+            margin = DRAWN_LOSS_MARGIN
+        safest = self._safest(free, margin)
         return safest if safest.loss <= lowest_loss + max_extra_loss else None
 
     def available_at(
@@ -227,6 +248,51 @@
             FreedTarget(target_id=entry.target_id, freed_at=now)
         )
 
+    def _choose_own(
+        self,
+        service_id: ServiceId,
+        mode: SelectionMode,
+        excluded: Collection[TargetId],
+        now: Millis,
+    ) -> Option | None:
+        """Return a target that this host prefers, `None` if none qualifies.
+
+        It is due to be tried, or else probably sound, and has a free slot.
+        """
+        if self._preferred is None or not self._prefers_own_targets():
+            return None
+        own = self._preferred.of(service_id)
+        drawn = self._rng.sample(own, min(len(own), settings.MAX_TARGET_DRAWS))
+        entries = (target.entry for target in drawn)
+        free = [
+            option
+            for option in self._compared(entries, excluded, 0, now)
+            if option.load < 1
+        ]
+        unused = self._unused(free, drawn)
+        due = _least_recently_observed(unused, mode)
+        if due is None and mode is SelectionMode.returning:
+            due = _longest_doubted(unused)
+        if due is not None:
+            return due
+        sound = list(filter(_is_probably_sound, unused)) or list(
+            filter(_is_probably_sound, free)
+        )
+        return self._safest(sound) if sound else None
+
+    def _unused(
+        self, options: Iterable[Option], own: Iterable[OwnTarget]
+    ) -> list[Option]:
+        """Return the targets with a free slot of those kept for this host."""
+        own_in_flight = self._estimates.workloads.own_in_flight
+        slots_by_id = {target.entry.target_id: target.slots for target in own}
+        return [
+            option
+            for option in options
+            if own_in_flight(option.entry.target_id)
+            < slots_by_id[option.entry.target_id]
+        ]
+
     def _take_freed(
         self, service_id: ServiceId, now: Millis
     ) -> Iterator[TargetEntry]:
@@ -288,12 +354,14 @@
         in_flight = self._estimates.workloads.in_flight(entry.target_id)
         return in_flight / max(1, entry.slots)
 
-    def _safest(self, options: Sequence[Option]) -> Option:
+    def _safest(
+        self,
+        options: Sequence[Option],
+        margin: float = settings.CHOICE_LOSS_MARGIN,
+    ) -> Option:
         lowest_loss = min(option.loss for option in options)
         similar = [
-            option
-            for option in options
-            if option.loss < lowest_loss + settings.CHOICE_LOSS_MARGIN
+            option for option in options if option.loss < lowest_loss + margin
         ]
         return self._rng.choice(similar)
 
@@ -372,6 +440,33 @@
     )
 
 
+def _longest_doubted(options: Iterable[Option]) -> Option | None:
+    """Return the idle target without results for the longest time, if due.
+
+    Of services whose requests may all run only once, nothing else shows that
+    a target that failed has recovered.
+    """
+    return min(
+        (
+            option
+            for option in options
+            if not option.load
+            and option.result_age_ms >= DOUBTED_INTERVAL_MS
+            and option.idle_loss < settings.MAX_EXPLORED_LOSS
+        ),
+        key=lambda option: -option.result_age_ms,
+        default=None,
+    )
+
+
+def _is_probably_sound(option: Option) -> bool:
+    """Return whether a target has answered lately and has no pause."""
+    return (
+        option.soundness >= MIN_PREFERRED_SOUNDNESS
+        and option.idle_loss < settings.MAX_EXTRA_LOSS
+    )
+
+
 def _is_probably_recovered(option: Option) -> bool:
     """Return whether a target has probably become sound again."""
     if option.result_age_ms < settings.RECOVERED_INTERVAL_MS:
--- a/chicorybridge/routing/workloads.py
+++ b/chicorybridge/routing/workloads.py
@@ -196,7 +196,7 @@
         return changed
 
 
-class WorkloadTable:
+class WorkloadTable:  # noqa: WPS214
     """Requests in flight at targets: own, of the zone, of other zones."""
 
     def __init__(self, *, zone_id: ZoneId) -> None:
@@ -225,6 +225,10 @@
         """Return the requests in flight at a target, own and reported ones."""
         return self._in_zone(target_id) + self._zones.total_by_id[target_id]
 
+    def own_in_flight(self, target_id: TargetId) -> int:
+        """Return the requests in flight at a target of this host."""
+        return self._own_by_id.get(target_id, 0)
+
     def follow_aggregator(self, *, follows: bool, now: Millis) -> None:
         """Set whether the sums of an aggregator are to count.
 
