--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -20,13 +20,23 @@
 from chicorybridge.hosts.request_readers import RequestReader
 from chicorybridge.hosts.responders import Responder
 from chicorybridge.hosts.settings_files import HostSettings
+from chicorybridge.hosts.states import HostState
 from chicorybridge.http.target_connections import TargetConnections
 from chicorybridge.platform.dialects import PLATFORM_DIALECT
 from chicorybridge.quotas.permit_builders import build_permits
 from chicorybridge.routing.allowances import LONG_AGO, RetryAllowances
+from chicorybridge.routing.preferences import PreferredTargets
 from chicorybridge.routing.selections import Selector, TargetEstimates
 
 
+def has_fleet_admission(state: HostState) -> bool:
+    """Return whether the configuration calls for admission over the fleet.
+
+    Not if it has no such property.
+    """
+    return getattr(state.configuration, 'has_fleet_admission', False)
+
+
 def build_dispatcher(
     *,
     host_settings: HostSettings,
@@ -39,6 +49,10 @@
     announcer: Announcer,
 ) -> HostDispatcher:
     """Return the dispatcher; it uses the header names of the platform."""
+    prefers_own_targets = functools.partial(
+        has_fleet_admission, fleet_view.state
+    )
+    fleet_view.reputations.rejections_are_collisions = prefers_own_targets
     selector = Selector(
         directory=fleet_view.directory,
         estimates=TargetEstimates(
@@ -52,6 +66,12 @@
         has_idle_connection=lambda address: connections.idle_count(address) > 0,
         signs=fleet_view.signs,
         is_list_usable=fleet_view.targets.is_usable,
+        preferred=PreferredTargets(
+            directory=fleet_view.directory,
+            host_table=fleet_view.host_table,
+            is_serving=lambda: fleet_view.state.ready,
+        ),
+        prefers_own_targets=prefers_own_targets,
     )
     policies = HostPolicies(
         clock=clock,
