Export the number of buckets from the start

A metric that the page of metrics names was missing before the first permit, and the test of that page failed. Tests run: hosts/test_metrics.py: passed.

--- a/chicorybridge/hosts/gauges.py
+++ b/chicorybridge/hosts/gauges.py
@@ -54,15 +54,12 @@
         }
 
     def _permit_gauges(self) -> dict[str, float]:
-        """Return counts of permits, none before the first one."""
+        """Return the number of buckets and the counts of permits so far."""
         permits = self._dispatcher.permits
         granter = permits.granter
-        gauges: dict[str, float] = {
-            f'permits_{source}': count
-            for source, count in permits.counts.items()
-        }
-        for reply, count in granter.counts.items():
-            gauges[f'permit_requests_{reply}'] = count
-        if gauges:
-            gauges['permit_buckets'] = len(granter)
+        gauges: dict[str, float] = {'permit_buckets': len(granter)}
+        for source, count in permits.counts.items():
+            gauges[f'permits_{source}'] = count
+        for reply, number in granter.counts.items():
+            gauges[f'permit_requests_{reply}'] = number
         return gauges
