Refuse keys of unknown age with fail_closed; never name a digest in an error

A host whose store data had no known age accepted keys with fail_closed. A malformed delta raised a KeyError whose text is the digest of a key, and the text is logged.

--- a/chicorybridge/quotas/key_checks.py
+++ b/chicorybridge/quotas/key_checks.py
@@ -1,6 +1,7 @@
 """Check the keys of callers, at arrival and before each attempt."""
 
 import dataclasses
+import math
 
 from chicorybridge.common.errors import ErrorCode
 from chicorybridge.configuration.declarations import Route
@@ -84,7 +85,11 @@
         return True
 
     def _is_outdated(self) -> bool:
-        """Return whether the known keys are too old to be used."""
-        age_ms = self._state.age_ms()
-        max_age_ms = self._state.max_key_age_ms
-        return age_ms is not None and age_ms > max_age_ms
+        """Return whether the known keys are too old to be used.
+
+        Those of unknown age are, if there is a limit.
+        """
+        age_ms: float | None = self._state.age_ms()
+        if age_ms is None:
+            age_ms = math.inf
+        return age_ms > self._state.max_key_age_ms
--- a/chicorybridge/quotas/keys.py
+++ b/chicorybridge/quotas/keys.py
@@ -84,7 +84,8 @@
             if by_id.pop(name, None) is None:
                 continue
             for digest in _split(before[name][0]):
-                by_digest.pop(digest)
+                # An error would name the digest.
+                by_digest.pop(digest, None)
         return KeyTable(rows=changed, by_digest=by_digest, by_id=by_id)
 
     def _add(self, rows: WorkspaceRows) -> None:
--- a/chicorybridge/tests/quotas/test_keys.py
+++ b/chicorybridge/tests/quotas/test_keys.py
@@ -178,7 +178,10 @@
         deployment.host.state.max_key_age_ms = 5000
         refused = await _send(deployment, '/lookup/7', KEY)
         public = await _send(deployment, '/open/7', KEY)
+        deployment.host.state.age_ms = lambda: None
+        unknown = await _send(deployment, '/lookup/7', KEY)
     assert (trusted.status, refused.status, public.status) == (200, 503, 200)
+    assert unknown.status == 503
 
 
 @on_curio
