Let hosts that a zone refuses ask again one after the other

A workspace at 4.7 times its limit caused 14 datagrams a request, as all hosts asked for the next token at once.

--- a/chicorybridge/quotas/granters.py
+++ b/chicorybridge/quotas/granters.py
@@ -11,7 +11,11 @@
 from collections.abc import Callable, Iterator, Mapping
 
 from chicorybridge.common.buckets import TokenBucket
-from chicorybridge.common.clocks import Millis, as_seconds
+from chicorybridge.common.clocks import (
+    MILLIS_PER_SECOND,
+    Millis,
+    as_seconds,
+)
 from chicorybridge.common.identities import HostId, WorkspaceId
 from chicorybridge.quotas.keys import CallerWorkspace
 from chicorybridge.quotas.limits import QuotaBounds
@@ -27,6 +31,7 @@
     HANDOVER_BUCKETS,
     IDLE_BUCKET_MS,
     ISOLATION_CHECK_MS,
+    MAX_REFUSAL_SPREAD_MS,
     MIN_REFUSAL_MS,
     PERMIT_MEMORY_MS,
 )
@@ -51,6 +56,19 @@
 
     bucket: TokenBucket
     used_at: Millis
+    # When the host that was refused last is to ask again.
+    promised_at: Millis = Millis(-math.inf)
+
+    def promise_ms(self, now: Millis) -> float:
+        """Return after how long the next host that is refused asks again.
+
+        Hosts get different times, or all would ask for the next token at once.
+        """
+        token_at = now + self.bucket.wait_ms(now=now)
+        turn_at = self.promised_at + MILLIS_PER_SECOND / self.bucket.per_second
+        latest_at = token_at + MAX_REFUSAL_SPREAD_MS
+        self.promised_at = Millis(min(max(token_at, turn_at), latest_at))
+        return max(MIN_REFUSAL_MS, self.promised_at - now)
 
 
 class Granter:
@@ -119,9 +137,10 @@
         """Go on with the buckets of the previous granter."""
         for workspace_id, level in message.levels_by_id.items():
             is_new = workspace_id not in self._buckets_by_id
-            bucket = self._bucket_of(workspace_id, now)
-            if bucket is None or not math.isfinite(level):
+            held = self._held(workspace_id, now)
+            if held is None or not math.isfinite(level):
                 continue
+            bucket = held.bucket
             # A new one is full if the news that this host is the granter comes
             # later than this message.
             least = 0 if is_new else bucket.level(now=now)
@@ -144,19 +163,19 @@
             return PermitReply(
                 number=request.number, is_granted=False, granter_id=granter_id
             )
-        bucket = self._bucket_of(request.workspace_id, now)
-        if bucket is None or bucket.take(now=now):
+        held = self._held(request.workspace_id, now)
+        if held is None or held.bucket.take(now=now):
             self.counts['granted'] += 1
             return PermitReply(number=request.number, is_granted=True)
         self.counts['refused'] += 1
-        wait_ms = max(MIN_REFUSAL_MS, bucket.wait_ms(now=now))
+        wait_ms = held.promise_ms(now)
         return PermitReply(
             number=request.number, is_granted=False, wait_ms=round(wait_ms, 1)
         )
 
-    def _bucket_of(
+    def _held(
         self, workspace_id: WorkspaceId, now: Millis
-    ) -> TokenBucket | None:
+    ) -> WorkspaceBucket | None:
         """Return the bucket, `None` if the workspace has no limit here."""
         workspace = self._find_workspace(workspace_id)
         if workspace is None or not workspace.is_limited:
@@ -172,7 +191,7 @@
             self._buckets_by_id[workspace_id] = held
         held.used_at = now
         _resize(held.bucket, rate_per_s, size, now)
-        return held.bucket
+        return held
 
     def _new_bucket(
         self, rate_per_s: float, size: float, now: Millis
--- a/chicorybridge/quotas/settings.py
+++ b/chicorybridge/quotas/settings.py
@@ -29,6 +29,10 @@
 MAX_PERMIT_WAIT_MS = 100.0
 # Shortest pause before a zone is asked again that has refused.
 MIN_REFUSAL_MS = 5.0
+# Hosts that a zone refuses ask again one after the other, as tokens come, but
+# at most this long after the next token. Without it a hot workspace caused 14
+# datagrams a request, most of them at four granters.
+MAX_REFUSAL_SPREAD_MS = 250.0
 
 # A granter that stood still for longer starts again with empty buckets.
 GRANTER_PAUSE_MS = 1000.0
