--- a/chicorybridge/hosts/gauges.py
+++ b/chicorybridge/hosts/gauges.py
@@ -7,7 +7,6 @@
 from chicorybridge.hosts.dispatchers import HostDispatcher
 from chicorybridge.hosts.fleet_views import FleetView
 from chicorybridge.hosts.store_readers import StoreReader
-from chicorybridge.http.byte_budgets import ByteBudget
 from chicorybridge.http.caller_connections import CallerConnections
 
 
@@ -23,7 +22,6 @@
         callers: CallerConnections,
         reader: StoreReader,
         channel: Channel,
-        budget: ByteBudget,
     ) -> None:
         """Read the gauges from these components."""
         self._clock = clock
@@ -32,7 +30,6 @@
         self._callers = callers
         self._reader = reader
         self._channel = channel
-        self._budget = budget
 
     def __call__(self) -> Mapping[str, float]:
         """Return the values by name; `docs/metrics.md` lists them."""
@@ -49,8 +46,6 @@
             'requests_waiting': self._dispatcher.waiting_count,
             'callers_connected': len(self._callers),
             'requests_read_ahead': self._callers.ahead_count,
-            'held_bytes': self._budget.held_bytes,
-            'held_bytes_limit': self._budget.size_bytes,
             'store_calls': self._reader.calls,
             'datagrams_unsent': self._channel.unsent,
             'datagrams_received': self._channel.received,
@@ -59,14 +54,12 @@
         }
 
     def _permit_gauges(self) -> dict[str, float]:
-        """Return counts of permits; those of 0 are left out."""
+        """Return the number of buckets and the counts of permits so far."""
         permits = self._dispatcher.permits
         granter = permits.granter
-        gauges: dict[str, float] = {
-            f'permits_{source}': count
-            for source, count in permits.counts.items()
-        }
-        for reply, count in granter.counts.items():
-            gauges[f'permit_requests_{reply}'] = count
-        gauges['permit_buckets'] = len(granter)
+        gauges: dict[str, float] = {'permit_buckets': len(granter)}
+        for source, count in permits.counts.items():
+            gauges[f'permits_{source}'] = count
+        for reply, number in granter.counts.items():
+            gauges[f'permit_requests_{reply}'] = number
         return gauges
