--- a/chicorybridge/hosts/fleet_admissions.py
+++ b/chicorybridge/hosts/fleet_admissions.py
@@ -63,6 +63,9 @@
         self._queues.arrived(request, now=now)
         if not self._is_informed(now):
             return
+        if not self._queues.is_waiting_for(request.service_id, now=now):
+            # Counting the slots takes longer than all else here.
+            return
         slots = self._used_slots(request.service_id, now)
         rejection = self._queues.decide(request, slots=slots, now=now)
         if rejection is not None:
--- a/chicorybridge/routing/fleet_queues.py
+++ b/chicorybridge/routing/fleet_queues.py
@@ -42,6 +42,13 @@
         if request.workspace_id is not None:
             queue.workspaces.record(request.workspace_id, now=now)
 
+    def is_waiting_for(self, service_id: ServiceId, *, now: Millis) -> bool:
+        """Return whether a request waits for a service, on any known host."""
+        if self._queue(service_id).waiting:
+            return True
+        backlog = self.book.others(service_id, now=now)
+        return any(backlog.work_ms_by_urgency.values())
+
     def decide(
         self, request: FleetRequest, *, slots: float, now: Millis
     ) -> Rejection | None:
--- a/chicorybridge/tests/admission/test_queue_reports.py
+++ b/chicorybridge/tests/admission/test_queue_reports.py
@@ -130,7 +130,8 @@
     return False
 
 
-def _zone_short_of_room() -> Zone:
+def short_zone() -> Zone:
+    """Return a zone in which urgent requests wait for a full service."""
     zone = Zone(LARGE, _Configuration())
     zone.run(ms=1000)
     for host in zone.others[:6]:
@@ -142,7 +143,7 @@
 
 def test_less_urgent_request_is_refused_where_nothing_waits():
     # A host that knows only its own queue would admit it.
-    zone = _zone_short_of_room()
+    zone = short_zone()
     idle = zone.others[10]
     refused = sum(_refused_when_short(zone, idle) for _ in range(10))
     # One start is kept for its rank at most.
@@ -152,7 +153,7 @@
 @pytest.mark.parametrize('fault', ['silent aggregator', 'cut off'])
 def test_host_without_news_decides_by_its_own_queue(fault):
     # Old reports would let a host refuse for a queue that is gone.
-    zone = _zone_short_of_room()
+    zone = short_zone()
     host = zone.others[10]
     if fault == 'cut off':
         zone.cut_off(host)
@@ -230,7 +231,7 @@
 
 
 def test_refusal_is_counted_with_what_decided_it():
-    zone = _zone_short_of_room()
+    zone = short_zone()
     admission = _admission(zone.others[10], zone)
     early = None
     for _ in range(3):
