Read large answers from their targets at once, whatever the caller's pace

An answer above the buffer of 512 KiB was relayed at the pace of its caller. A slow caller held the slot and the connection of the target, which cuts off an answer that stays unread. Now the task of the request reads it and another task sends it, with up to 1 MiB held for the caller, which counts towards the budget of bytes. The attempt ends when the target has sent all of it, so the time limit of the request no longer cuts a caller that reads the rest later. A gauge shows the bytes.

--- a/chicorybridge/entry/attempt_runners.py
+++ b/chicorybridge/entry/attempt_runners.py
@@ -25,7 +25,7 @@
 )
 from chicorybridge.entry.calls import Call
 from chicorybridge.entry.hedges import Hedge
-from chicorybridge.http.bodies import CallerError
+from chicorybridge.http.answer_relays import AnswerRelay
 from chicorybridge.http.target_connections import TargetConnections
 from chicorybridge.http.exchanges import (
     CHUNKED_HEADER,
@@ -109,11 +109,10 @@
         self._is_new_connection = False
         self._first_byte_ms: float | None = None
         self.head: Head | None = None
-        # Time spent on sending to the caller; not part of the latency of the
-        # target.
+        # Time spent on waiting for the caller to read; not part of the latency
+        # of the target.
         self._caller_wait_ms: float = 0
         self._body_wait_before_ms = call.body.wait_ms
-        self._is_sending_to_caller = False
         # At most one, removed when it is raised: its traceback would keep this
         # object, and with it the body, until a full garbage collection.
         self._body_errors: list[Exception] = []
@@ -302,33 +301,30 @@
     async def _stream_answer(
         self, exchange: TargetExchange, head: Head, parts: list[bytes]
     ) -> None:
+        """Relay an answer that is read as fast as the target sends it.
+
+        The caller may get its end later.
+        """
         headers = answer_headers(self._call, head)
         if head.length is None:
             headers.append(CHUNKED_HEADER)
         self._call.committed = True
-        caller = self._call.exchange
-        await self._send_to_caller(
-            caller.send_head(status=head.status, headers=headers)
-        )
+        relay = AnswerRelay(caller=self._call.exchange)
+        self._call.relay = relay
+        await relay.start(status=head.status, headers=headers)
         while parts:
-            await self._send_to_caller(caller.send_chunk(parts.pop()))
+            started_at = self._clock.now()
+            await relay.add(parts.pop())
+            self._caller_wait_ms += self._clock.now() - started_at
             chunk = await exchange.read_chunk()
             if chunk:
                 parts.append(chunk)
-        await self._send_to_caller(caller.finish())
-
-    async def _send_to_caller(self, operation) -> None:
-        started_at = self._clock.now()
-        self._is_sending_to_caller = True
-        try:
-            await operation
-        except ExchangeError as error:
-            raise CallerError(code=error.code, detail=error.detail) from error
-        self._is_sending_to_caller = False
-        self._caller_wait_ms += self._clock.now() - started_at
 
     def _timeout_outcome(self) -> AttemptOutcome:
-        if self._call.body.waiting_for_caller or self._is_sending_to_caller:
+        relay = self._call.relay
+        if relay is not None and relay.waiting_for_caller:
+            return AttemptOutcome.cancelled
+        if self._call.body.waiting_for_caller:
             return AttemptOutcome.cancelled
         return AttemptOutcome.timed_out
 
--- a/chicorybridge/entry/calls.py
+++ b/chicorybridge/entry/calls.py
@@ -10,6 +10,7 @@
 from chicorybridge.common.outcomes import RequestOutcome, outcome_of
 from chicorybridge.configuration.declarations import Route, Service
 from chicorybridge.fleet.configurations import HostConfiguration
+from chicorybridge.http.answer_relays import AnswerRelay
 from chicorybridge.http.bodies import RequestBody
 from chicorybridge.http.caller_exchanges import CallerExchange
 from chicorybridge.http.dialects import DEFAULT_DIALECT, Dialect
@@ -65,6 +66,8 @@
     retry_taken_at: Millis | None = None
     # Whether part of an answer has been sent to the caller.
     committed: bool = False
+    # Sends an answer that is too large to be buffered.
+    relay: AnswerRelay | None = None
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     # Whether an attempt has started that is not yet in `attempts`.
     attempt_in_progress: bool = False
@@ -103,6 +106,16 @@
         self.attempts.append(attempt)
         self.attempt_in_progress = False
 
+    async def finish_relay(self) -> None:
+        """Wait until a relayed answer was sent; raise what prevents that."""
+        if self.relay is not None:
+            await self.relay.finish()
+
+    async def stop_relay(self) -> None:
+        """End the relay of an answer, also an incomplete one."""
+        if self.relay is not None:
+            await self.relay.stop()
+
     @property
     def body_bytes(self) -> int:
         """Return the length of the body, or the limit while it is unknown."""
--- a/chicorybridge/entry/dispatchers.py
+++ b/chicorybridge/entry/dispatchers.py
@@ -101,7 +101,7 @@
         exchange.cancel_on_disconnect = call.idempotent
         try:
             with wrap_unexpected_errors(_log_failure):
-                await self._run(call)
+                await self._run_and_relay(call)
         except RequestError as error:
             await self._answer_error(call, error)
         finally:
@@ -176,6 +176,12 @@
         await call.body.read_ahead()
         return call
 
+    async def _run_and_relay(self, call: Call) -> None:
+        try:
+            await self._run(call)
+        finally:
+            await call.stop_relay()
+
     async def _run(self, call: Call) -> None:
         if call.key is None:
             answer = await self._try_targets(call)
@@ -213,6 +219,7 @@
             attempt = await self._run_attempt(call, runner)
             if call.committed:
                 check_streamed(attempt)
+                await call.finish_relay()
                 return None
             if attempt.outcome in COMPLETE_OUTCOMES:
                 return runner.answer
--- a/chicorybridge/hosts/dispatchers.py
+++ b/chicorybridge/hosts/dispatchers.py
@@ -135,7 +135,10 @@
     async def _forward_and_send(self, call: Call) -> int:
         await self._turns.await_turn(call)
         self._policies.record_request(call)
-        answer = await self._try_targets(call)
+        try:
+            answer = await self._try_targets(call)
+        finally:
+            await call.stop_relay()
         if answer is None:
             return HTTPStatus.OK
         await self._responder.send(call.exchange, answer)
@@ -152,6 +155,7 @@
             attempt = call.attempts[-1]
             if call.committed:
                 check_streamed(attempt)
+                await call.finish_relay()
                 return None
             if is_final(runner, attempt):
                 return runner.answer
--- a/chicorybridge/hosts/gauges.py
+++ b/chicorybridge/hosts/gauges.py
@@ -46,6 +46,11 @@
             'targets': len(self._fleet_view.directory.entries_by_id),
             'hosts_heard': len(self._fleet_view.host_table.profiles()),
             'requests_in_flight': len(self._dispatcher.calls_by_number),
+            'answer_bytes_held': sum(
+                call.relay.held_bytes
+                for call in self._dispatcher.calls_by_number.values()
+                if call.relay is not None
+            ),
             'requests_waiting': self._dispatcher.waiting_count,
             'callers_connected': len(self._callers),
             'requests_read_ahead': self._callers.ahead_count,
--- a/chicorybridge/http/caller_exchanges.py
+++ b/chicorybridge/http/caller_exchanges.py
@@ -196,8 +196,8 @@
 
     async def _start_answer(self, *events: Any) -> None:
         """Send the start of an answer, or raise before anything is sent."""
-        encoded = self._encode(*events)
         await self.turn.wait()
+        encoded = self._encode(*events)
         self.answer_started = True
         await self._write(encoded)
 
--- a/chicorybridge/http/settings.py
+++ b/chicorybridge/http/settings.py
@@ -47,3 +47,8 @@
 # peak, at most once in this time, as it takes milliseconds.
 RETURN_AFTER_BYTES = 8 * 1024 * 1024
 RETURN_INTERVAL_MS = 2000
+
+# Bytes of one answer that are read from its target and that its caller has yet
+# to read. Above the largest answers of the two loads, which have 540 KB, so
+# that these are read at once.
+MAX_HELD_ANSWER_BYTES = 1024 * 1024
