--- a/chicorybridge/hosts/gauges.py
+++ b/chicorybridge/hosts/gauges.py
@@ -7,6 +7,7 @@
 from chicorybridge.hosts.dispatchers import HostDispatcher
 from chicorybridge.hosts.fleet_views import FleetView
 from chicorybridge.hosts.store_readers import StoreReader
+from chicorybridge.http.byte_budgets import ByteBudget
 from chicorybridge.http.caller_connections import CallerConnections
 
 
@@ -22,6 +23,7 @@
         callers: CallerConnections,
         reader: StoreReader,
         channel: Channel,
+        budget: ByteBudget,
     ) -> None:
         """Read the gauges from these components."""
         self._clock = clock
@@ -30,6 +32,7 @@
         self._callers = callers
         self._reader = reader
         self._channel = channel
+        self._budget = budget
 
     def __call__(self) -> Mapping[str, float]:
         """Return the values by name; `docs/metrics.md` lists them."""
@@ -43,14 +46,11 @@
             'targets': len(self._fleet_view.directory.entries_by_id),
             'hosts_heard': len(self._fleet_view.host_table.profiles()),
             'requests_in_flight': len(self._dispatcher.calls_by_number),
-            'answer_bytes_held': sum(
-                call.relay.held_bytes
-                for call in self._dispatcher.calls_by_number.values()
-                if call.relay is not None
-            ),
             'requests_waiting': self._dispatcher.waiting_count,
             'callers_connected': len(self._callers),
             'requests_read_ahead': self._callers.ahead_count,
+            'held_bytes': self._budget.held_bytes,
+            'held_bytes_limit': self._budget.size_bytes,
             'store_calls': self._reader.calls,
             'datagrams_unsent': self._channel.unsent,
             'datagrams_received': self._channel.received,
