--- a/chicorybridge/common/clocks.py
+++ b/chicorybridge/common/clocks.py
@@ -1,7 +1,7 @@
 """Monotonic clocks that count milliseconds."""
 
 import time
-from typing import NewType
+from typing import Any, NewType
 
 # Milliseconds on the clock of one process; comparable only within it.
 Millis = NewType('Millis', float)
@@ -19,9 +19,11 @@
 
     def now(self) -> Millis:
         """Return the milliseconds since an arbitrary point in time."""
-        return Millis(
+        now_ms: Any = (
             time.clock_gettime_ns(MONOTONIC_CLOCK_ID) / NANOS_PER_MILLI
         )
+        # Without a call of `Millis`, which takes longer than the division.
+        return now_ms
 
     def wall_time(self) -> Millis:
         """Return the wall time in milliseconds since 1970, for display only."""
--- a/chicorybridge/common/codecs.py
+++ b/chicorybridge/common/codecs.py
@@ -27,6 +27,9 @@
 # Message parts within each other; messages of this project need a few.
 MAX_NESTING = 32
 
+# Decoded messages that are kept for equal ones, above the hosts of a fleet.
+MAX_KEPT_MESSAGES = 2048
+
 # Errors that msgpack and the constructors raise on a malformed body.
 MESSAGE_DECODE_ERRORS = (
     ValueError,
@@ -41,6 +44,9 @@
 _names_by_class: dict[type, str] = {}
 # Members of enums as `pack` encodes them, which most messages have.
 _members_by_body: dict[bytes, Enum] = {}
+# Messages of these classes that were decoded lately, by their encoding.
+_kept_classes: set[type] = set()
+_kept_by_body: dict[bytes, Any] = {}
 # Cached, as every message needs them and they are slow to compute.
 _fields_by_class: dict[type, tuple[str, ...]] = {}
 
@@ -50,6 +56,15 @@
     return _register(cls, name=cls.__name__)
 
 
+def wire_repeated(cls: Registered) -> Registered:
+    """Register a frozen dataclass of which most messages equal an earlier one.
+
+    Equal ones are decoded once, so all of its fields must be immutable.
+    """
+    _kept_classes.add(cls)
+    return _register(cls, name=cls.__name__)
+
+
 def wire_as(name: str) -> Callable[[Registered], Registered]:
     """Register a frozen dataclass or an enum under `name`.
 
@@ -126,6 +141,9 @@
 def _decode(extension: int, body: bytes, *, depth: int) -> Any:
     if extension == ENUM_EXTENSION and body in _members_by_body:
         return _members_by_body[body]
+    kept = _kept_by_body.get(body)
+    if kept is not None:
+        return kept
     name, *fields = _unpack(body, depth=depth)
     registered = _classes_by_name[name]
     if extension == ENUM_EXTENSION:
@@ -136,7 +154,16 @@
     ):
         if not check(content):
             raise TypeError(f'field {field_name} of {name} has another type')
-    return registered(**dict(zip(names, fields, strict=True)))
+    message = registered(**dict(zip(names, fields, strict=True)))
+    if registered in _kept_classes:
+        _keep(body, message)
+    return message
+
+
+def _keep(body: bytes, message: Any) -> None:
+    if len(_kept_by_body) >= MAX_KEPT_MESSAGES:
+        _kept_by_body.pop(next(iter(_kept_by_body)))
+    _kept_by_body[body] = message
 
 
 def _field_names(registered: Any) -> tuple[str, ...]:
--- a/chicorybridge/common/log_streams.py
+++ b/chicorybridge/common/log_streams.py
@@ -1,5 +1,6 @@
 """Structured logs as JSON lines, written without blocking the process."""
 
+import json
 import logging
 import os
 import select
@@ -15,6 +16,8 @@
 # A write of up to this many bytes to a pipe that polls ready does not block.
 MAX_WRITE_BYTES = select.PIPE_BUF
 MESSAGE = 'message'
+RECORD_FIELDS = frozenset((MESSAGE, 'level', 'logger', 'levelname', 'name'))
+EVENT_ENCODER = json.JSONEncoder(default=str)
 
 
 class LineFormatter(JsonFormatter):
@@ -28,6 +31,16 @@
             json_default=str,
         )
 
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line; that of an event without what others need.
+
+        Most lines are events. The library would look up each of their fields
+        several times and build an encoder for each line.
+        """
+        if not _is_plain_event(record):
+            return super().format(record)
+        return EVENT_ENCODER.encode(record.msg)
+
     def process_log_record(self, log_data: dict[str, Any]) -> dict[str, Any]:
         """Return the fields; for events, leave out those of the log record."""
         if log_data.get(MESSAGE):
@@ -108,6 +121,14 @@
         return dropped
 
 
+def _is_plain_event(record: logging.LogRecord) -> bool:
+    """Return whether a record has an event and nothing else."""
+    fields: Any = record.msg
+    if not isinstance(fields, dict) or record.exc_info or record.stack_info:
+        return False
+    return RECORD_FIELDS.isdisjoint(fields)
+
+
 def _kind_of(record: logging.LogRecord) -> str:
     if isinstance(record.msg, dict):
         return str(record.msg.get('event', MESSAGE))
--- a/chicorybridge/common/sockets.py
+++ b/chicorybridge/common/sockets.py
@@ -2,11 +2,13 @@
 
 import contextlib
 import errno
+import functools
 import logging
 import os
 import select
 import socket
 import struct
+from collections.abc import Collection
 
 import curio
 
@@ -20,10 +22,14 @@
 
 LISTEN_BACKLOG = 1024
 
+# Addresses of which the parts are kept; messages go to the same ones again.
+MAX_SPLIT_ADDRESSES = 4096
+
 # The kernel ends a connection whose bytes are not acknowledged for this time.
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
 
 
+@functools.lru_cache(maxsize=MAX_SPLIT_ADDRESSES)
 def split_address(address: str) -> tuple[str, int]:
     """Split IP:PORT into IP address and port."""
     host, _, port = address.rpartition(':')
@@ -122,6 +128,16 @@
     return _has_events(sock, select.POLLRDHUP)
 
 
+def idle_ones(socks: Collection[curio.io.Socket]) -> list[bool]:
+    """Return for each socket whether it is open with nothing to read."""
+    poller = select.poll()
+    descriptors = [sock.fileno() for sock in socks]
+    for descriptor in descriptors:
+        poller.register(descriptor, select.POLLIN | select.POLLRDHUP)
+    busy = dict(poller.poll(0))
+    return [number not in busy for number in descriptors]
+
+
 def _has_events(sock: curio.io.Socket, events: int) -> bool:
     # Errors and resets are reported whatever `events` are.
     poller = select.poll()
--- a/chicorybridge/common/type_checks.py
+++ b/chicorybridge/common/type_checks.py
@@ -32,9 +32,10 @@
     if typing.get_origin(hint) is not None:
         return _build_generic_check(hint)
     if hint is float:
-        return functools.partial(_is_instance, (int, float))
+        return _is_number
     if isinstance(hint, type) and hint is not typing.Any:
-        return functools.partial(_is_instance, hint)
+        # What `isinstance` calls, without a Python function around it.
+        return hint.__instancecheck__
     return _accept
 
 
@@ -54,8 +55,8 @@
     return True
 
 
-def _is_instance(classes: type | tuple[type, ...], value: typing.Any) -> bool:
-    return isinstance(value, classes)
+def _is_number(value: typing.Any) -> bool:
+    return isinstance(value, (int, float))
 
 
 def _is_any(checks: Iterable[TypeCheck], value: typing.Any) -> bool:
--- a/chicorybridge/fleet/channels.py
+++ b/chicorybridge/fleet/channels.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
-import curio
+from curio import traps
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
@@ -77,19 +77,9 @@
 
     async def run(self) -> None:
         """Receive datagrams until cancelled."""
-        reader = curio.io.Socket(self._socket)
         while True:
-            try:
-                body, source = await reader.recvfrom(
-                    settings.MAX_DATAGRAM_BYTES
-                )
-            except ConnectionError as error:
-                # ICMP port unreachable, caused by an earlier datagram.
-                logger.debug(
-                    'earlier datagram could not be delivered: %s', error
-                )
-                continue
-            self._handle(body, source)
+            # A read of curio would first find the socket empty once more.
+            await traps._read_wait(self._socket)
             self.receive_waiting()
             await self.after_messages()
 
@@ -109,6 +99,7 @@
                 self._emptied_at = asked_at
                 return
             except ConnectionError as error:
+                # ICMP port unreachable, caused by an earlier datagram.
                 logger.debug(
                     'earlier datagram could not be delivered: %s', error
                 )
--- a/chicorybridge/fleet/host_tables.py
+++ b/chicorybridge/fleet/host_tables.py
@@ -11,19 +11,19 @@
 
 from chicorybridge import settings
 from chicorybridge.common.clocks import Millis
-from chicorybridge.common.codecs import wire
+from chicorybridge.common.codecs import wire, wire_repeated
 from chicorybridge.common.identities import (
     HostId,
     Incarnation,
     RegionId,
     ZoneId,
 )
-
+from chicorybridge.fleet.host_groups import HostGroups, rank_hash
 
 NEVER = Millis(-math.inf)
 
 
-@wire
+@wire_repeated
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class FleetMember:
     """The profile that a host sends of itself; addresses are IP:PORT.
@@ -278,88 +278,6 @@
         return self.groups.in_other_zones
 
 
-class HostGroups:
-    """Hosts of a table by place, each group built when it is first used.
-
-    Most messages go to a group, while hosts come and go rarely.
-    """
-
-    def __init__(
-        self, *, table: HostTable, records_by_id: Mapping[HostId, HostRecord]
-    ) -> None:
-        """Group `records_by_id` as seen from the host of `table`."""
-        self._table = table
-        self._records_by_id = records_by_id
-
-    def renewed(self) -> 'HostGroups':
-        """Return the groups of the records as they will be."""
-        return HostGroups(table=self._table, records_by_id=self._records_by_id)
-
-    @functools.cached_property
-    def profiles(self) -> tuple[FleetMember, ...]:
-        """Return all hosts."""
-        return tuple(record.profile for record in self._records_by_id.values())
-
-    @functools.cached_property
-    def in_zone(self) -> tuple[FleetMember, ...]:
-        """Return the hosts of the own zone."""
-        return tuple(
-            profile
-            for profile in self.profiles
-            if profile.zone_id == self._table.zone_id
-        )
-
-    @functools.cached_property
-    def in_region(self) -> tuple[FleetMember, ...]:
-        """Return the hosts of the own region."""
-        return tuple(filter(self._table.is_in_region, self.profiles))
-
-    @functools.cached_property
-    def in_other_zones(self) -> tuple[FleetMember, ...]:
-        """Return the hosts of the region's other zones."""
-        return tuple(
-            profile
-            for profile in self.in_region
-            if profile.zone_id != self._table.zone_id
-        )
-
-    @functools.cached_property
-    def in_other_regions(self) -> tuple[FleetMember, ...]:
-        """Return the hosts of other regions."""
-        return tuple(
-            itertools.filterfalse(self._table.is_in_region, self.profiles)
-        )
-
-    @functools.cached_property
-    def region_order(self) -> tuple[HostId, ...]:
-        """Return the serving hosts of the region and the own one by rank."""
-        host_ids = [
-            profile.host_id for profile in self.in_region if profile.serving
-        ]
-        return tuple(sorted((*host_ids, self._table.host_id), key=_rank_hash))
-
-    @functools.cached_property
-    def all_by_rank(self) -> tuple[HostId, ...]:
-        """Return the hosts of the region by rank, with those that stop."""
-        host_ids = [profile.host_id for profile in self.in_region]
-        return tuple(sorted((*host_ids, self._table.host_id), key=_rank_hash))
-
-    @functools.cached_property
-    def reading_order(self) -> tuple[HostId, ...]:
-        """Return the hosts of the region that read the store, by rank.
-
-        Beside those of `region_order` the hosts that don't serve yet: of
-        hosts that start together each would else take itself for the first.
-        """
-        host_ids = [
-            profile.host_id
-            for profile in self.in_region
-            if profile.serving
-            or not self._records_by_id[profile.host_id].has_served
-        ]
-        return tuple(sorted((*host_ids, self._table.host_id), key=_rank_hash))
-
-
 def _timeout_ms(
     table: HostTable,
     profile: FleetMember,
@@ -393,12 +311,8 @@
 
     With this one, if it is `serving`, too.
     """
-    host_ids = [
-        profile.host_id for profile in table.in_zone() if profile.serving
-    ]
-    if serving:
-        host_ids.append(table.host_id)
-    return tuple(sorted(host_ids, key=_rank_hash))
+    groups = table.groups
+    return groups.zone_order if serving else groups.other_zone_order
 
 
 def informs_newcomer(table: HostTable, newcomer: FleetMember) -> bool:
@@ -423,7 +337,7 @@
     if not host_ids:
         host_ids = [profile.host_id for profile in others]
         host_ids.append(table.host_id)
-    order = sorted(host_ids, key=_rank_hash)
+    order = sorted(host_ids, key=rank_hash)
     return table.host_id in order[: settings.NEWCOMER_INFORMANTS]
 
 
@@ -486,10 +400,7 @@
 
 
 def _own_share(table: HostTable, shared: Sequence[Any]) -> Sequence[Any]:
-    host_ids = [
-        profile.host_id for profile in table.in_zone() if profile.serving
-    ]
-    order = sorted((*host_ids, table.host_id), key=_rank_hash)
+    order = zone_order(table, serving=True)
     return shared[order.index(table.host_id) :: len(order)]
 
 
@@ -498,7 +409,7 @@
 ) -> tuple[FleetMember, ...]:
     """Return the first-ranked serving hosts of each zone."""
     first_by_zone: dict[ZoneId, list[FleetMember]] = {}
-    ranked = sorted(profiles, key=lambda profile: _rank_hash(profile.host_id))
+    ranked = sorted(profiles, key=lambda profile: rank_hash(profile.host_id))
     for profile in ranked:
         first = first_by_zone.setdefault(profile.zone_id, [])
         if profile.serving and len(first) < per_zone:
@@ -530,11 +441,6 @@
     return profile.serial < current.serial
 
 
-@functools.lru_cache(maxsize=settings.MAX_LOST_HOSTS)
-def _rank_hash(host_id: HostId) -> int:
-    return xxhash.xxh64_intdigest(host_id.encode())
-
-
 def _pair_hash(zone_id: ZoneId, profile: FleetMember) -> int:
     return xxhash.xxh64_intdigest(f'{zone_id} {profile.host_id}'.encode())
 
--- a/chicorybridge/hosts/fleet_views.py
+++ b/chicorybridge/hosts/fleet_views.py
@@ -156,6 +156,8 @@
         # Messages for single hosts.
         self.to_hosts: list[tuple[HostId, Any]] = self.marks.to_hosts
         self.suspects.to_hosts = self.to_hosts
+        # Each look-up of a dispatched method builds it anew.
+        self._handle_bound = self._handle
 
     def apply_configuration(
         self, configuration: HostConfiguration, *, source: str
@@ -238,7 +240,7 @@
         self.host_table.touch(
             sender, now=now, arrived_after=self._arrived_after
         )
-        self._handle(message, sender, now)
+        self._handle_bound(message, sender, now)
 
     @functools.singledispatchmethod
     def _handle(self, message: Any, sender: HostId, now: Millis) -> None:
@@ -282,7 +284,7 @@
         self, message: ZoneMessage, sender: HostId, now: Millis
     ) -> None:
         if isinstance(message, WorkloadMessage):
-            self.zone_sums.receive(message, sender)
+            self.zone_sums.receive_bound(message, sender)
             return
         self.zone_sums.inbox.receive(
             message, sender, aggregator=self.zone_sums.aggregator, now=now
--- a/chicorybridge/hosts/zone_sums.py
+++ b/chicorybridge/hosts/zone_sums.py
@@ -65,6 +65,10 @@
         self._completed_at = Millis(0)
         # When sums that aren't empty may be sent again.
         self._due_at = Millis(0)
+        # Each look-up of a dispatched method builds it anew.
+        self.receive_bound: Callable[[WorkloadMessage, HostId], None] = (
+            self.receive
+        )
 
     @property
     def aggregator(self) -> HostId | None:
--- a/chicorybridge/http/target_connections.py
+++ b/chicorybridge/http/target_connections.py
@@ -1,13 +1,18 @@
 """A pool of connections to targets."""
 
+import itertools
 from collections import deque
 
 import curio
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
+<<<<<<< HEAD
 from chicorybridge.common.clocks import Clock, as_seconds
 from chicorybridge.http.byte_budgets import UNLIMITED, ByteBudget, HeldKind
+=======
+from chicorybridge.common.clocks import Clock, Millis, as_seconds
+>>>>>>> 1131905 (Spend less processor time on messages, ticks, log lines and start)
 from chicorybridge.http.target_exchanges import TargetExchange
 
 
@@ -86,11 +91,21 @@
 
         Call this on each tick.
         """
-        for address, idle in tuple(self._idle_by_address.items()):
-            stale = [exchange for exchange in idle if self._is_stale(exchange)]
-            for exchange in stale:
+        exchanges = list(
+            itertools.chain.from_iterable(self._idle_by_address.values())
+        )
+        # In one call for all, as most hosts have many idle connections.
+        unused = sockets.idle_ones([exchange.sock for exchange in exchanges])
+        now = self._clock.now()
+        for exchange, is_unused in zip(exchanges, unused, strict=True):
+            if is_unused and not _is_too_old(exchange, now):
+                continue
+            idle = self._idle_by_address.get(exchange.address, deque())
+            # It may have been taken while another one was closed.
+            if exchange in idle:
                 idle.remove(exchange)
                 await self.discard(exchange)
+        for address, idle in tuple(self._idle_by_address.items()):
             if not idle:
                 self._idle_by_address.pop(address, None)
 
@@ -136,12 +151,8 @@
             return False
         return sockets.is_idle(exchange.sock)
 
-    def _is_stale(self, exchange: TargetExchange) -> bool:
-        if (
-            self._clock.now() - exchange.opened_at
-            > settings.MAX_CONNECTION_AGE_MS
-        ):
-            return True
-        # Unread bytes make a connection unusable: a target may still send
-        # after its answer.
-        return not self._is_reusable(exchange, settings.MAX_CONNECTION_IDLE_MS)
+
+def _is_too_old(exchange: TargetExchange, now: Millis) -> bool:
+    if now - exchange.opened_at > settings.MAX_CONNECTION_AGE_MS:
+        return True
+    return now - exchange.idle_since > settings.MAX_CONNECTION_IDLE_MS
--- a/chicorybridge/routing/preferences.py
+++ b/chicorybridge/routing/preferences.py
@@ -14,7 +14,8 @@
 
 from chicorybridge.common.identities import HostId, ServiceId, TargetId
 from chicorybridge.fleet.directories import TargetDirectory, TargetEntry
-from chicorybridge.fleet.host_tables import HostGroups, HostTable, zone_order
+from chicorybridge.fleet.host_groups import HostGroups
+from chicorybridge.fleet.host_tables import HostTable, zone_order
 from chicorybridge.routing.settings import PREFERRING_HOSTS
 
 
--- a/chicorybridge/routing/reputations.py
+++ b/chicorybridge/routing/reputations.py
@@ -108,8 +108,9 @@
         likelihoods = LIKELIHOODS.get(sign)
         if likelihoods is None:
             return
-        sound = self.soundness_at(now) * likelihoods[0]
-        gray = (1 - self.soundness_at(now)) * likelihoods[1]
+        soundness = self.soundness_at(now)
+        sound = soundness * likelihoods[0]
+        gray = (1 - soundness) * likelihoods[1]
         bounded = max(settings.MIN_SOUNDNESS, sound / (sound + gray))
         self.soundness = min(settings.MAX_SOUNDNESS, bounded)
         self.updated_at = now
--- a/chicorybridge/tests/routing/test_preferences.py
+++ b/chicorybridge/tests/routing/test_preferences.py
@@ -2,17 +2,20 @@
 
 import dataclasses
 import functools
+from typing import Any
 
 import pytest
 
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import HostId, TargetId
 from chicorybridge.fleet.directories import TargetsChanged
-from chicorybridge.routing.preferences import preferring_hosts
+from chicorybridge.routing.preferences import PreferredTargets, preferring_hosts
+from chicorybridge.routing.selections import SelectionMode
 from chicorybridge.routing.settings import PREFERRING_HOSTS
 from chicorybridge.tools.measurements.placement_measures import served_share
 from chicorybridge.tools.models.placement_hosts import (
     SERVICE_ID,
+    ModelHost,
     PlacementPlan,
 )
 from chicorybridge.tools.models.placement_models import PlacementModel
@@ -35,7 +38,7 @@
     return model
 
 
-def _pair(plan: PlacementPlan, **faults: float):
+def _pair(plan: PlacementPlan, **faults: Any):
     """Return the fleet with and without preferred targets."""
     plan = dataclasses.replace(plan, **faults)
     return (
@@ -44,6 +47,12 @@
     )
 
 
+def _own_targets(host: ModelHost) -> PreferredTargets:
+    preferred = host.selector._preferred
+    assert preferred is not None
+    return preferred
+
+
 def _share(model: PlacementModel, part: str, whole: str) -> float:
     return model.counts[part] / model.counts[whole]
 
@@ -54,7 +63,7 @@
     model = PlacementModel(plan, seed=1)
     own_slots = dict.fromkeys(model.targets_by_id, 0)
     for host in model.hosts:
-        for target in host.selector._preferred.of(SERVICE_ID):
+        for target in _own_targets(host).of(SERVICE_ID):
             assert target.entry.zone_id == host.zone_id
             own_slots[target.entry.target_id] += target.slots
     assert set(own_slots.values()) == {plan.slots}
@@ -74,7 +83,7 @@
 def test_preferences_are_computed_again_when_targets_change():
     """A host would send requests to a target that has left."""
     model = PlacementModel(REPLAY, seed=1)
-    preferred = model.hosts[0].selector._preferred
+    preferred = _own_targets(model.hosts[0])
     own = preferred.of(SERVICE_ID)
     assert preferred.of(SERVICE_ID) is own
     gone_id = own[0].entry.target_id
@@ -121,6 +130,8 @@
     model = PlacementModel(plan, seed=1)
     host = model.hosts[0]
     state = host.selector._rng.getstate()
-    chosen = host.selector._choose_own(SERVICE_ID, None, (), Millis(0))
+    chosen = host.selector._choose_own(
+        SERVICE_ID, SelectionMode.safest, (), Millis(0)
+    )
     assert chosen is None
     assert host.selector._rng.getstate() == state
