--- a/chicorybridge/http/target_connections.py
+++ b/chicorybridge/http/target_connections.py
@@ -7,12 +7,8 @@
 
 from chicorybridge import settings
 from chicorybridge.common import sockets
-<<<<<<< HEAD
-from chicorybridge.common.clocks import Clock, as_seconds
-from chicorybridge.http.byte_budgets import UNLIMITED, ByteBudget, HeldKind
-=======
 from chicorybridge.common.clocks import Clock, Millis, as_seconds
->>>>>>> 1131905 (Spend less processor time on messages, ticks, log lines and start)
+from chicorybridge.http.byte_budgets import UNLIMITED, ByteBudget, HeldKind
 from chicorybridge.http.target_exchanges import TargetExchange
 
 
--- a/chicorybridge/routing/workloads.py
+++ b/chicorybridge/routing/workloads.py
@@ -223,20 +223,16 @@
 
     def in_flight(self, target_id: TargetId) -> int:
         """Return the requests in flight at a target, own and reported ones."""
-<<<<<<< HEAD
-        return self.in_zone(target_id) + self._zones.total_by_id[target_id]
+        # A counter calls a method for each key that it lacks.
+        elsewhere = self._zones.total_by_id.get(target_id, 0)
+        return self.in_zone(target_id) + elsewhere
 
     def in_zone(self, target_id: TargetId) -> int:
         """Return the requests in flight at a target of hosts of this zone."""
-        own = self._own_by_id[target_id]
+        own = self._own_by_id.get(target_id, 0)
         if self._is_aggregated:
             return self._totals.in_flight(target_id, own=own)
-        return own + self._hosts.total_by_id[target_id]
-=======
-        # A counter calls a method for each key that it lacks.
-        elsewhere = self._zones.total_by_id.get(target_id, 0)
-        return self._in_zone(target_id) + elsewhere
->>>>>>> 1131905 (Spend less processor time on messages, ticks, log lines and start)
+        return own + self._hosts.total_by_id.get(target_id, 0)
 
     def own_in_flight(self, target_id: TargetId) -> int:
         """Return the requests in flight at a target of this host."""
@@ -356,15 +352,6 @@
         self._update_busy(expired, now)
         self._update_busy(self._zones.expire(now=now), now)
 
-<<<<<<< HEAD
-=======
-    def _in_zone(self, target_id: TargetId) -> int:
-        own = self._own_by_id.get(target_id, 0)
-        if self._is_aggregated:
-            return self._totals.in_flight(target_id, own=own)
-        return own + self._hosts.total_by_id.get(target_id, 0)
-
->>>>>>> 1131905 (Spend less processor time on messages, ticks, log lines and start)
     def _update_busy(
         self, target_ids: Collection[TargetId], now: Millis
     ) -> None:
