Count the expected size of answers towards the cost of another zone

The cost of a target in another region covered an answer of some kilobytes; downloads of 90 KB filled the link between the regions. What exceeds 4,000 bytes counts like the body of the request, with admission over the fleet only. Tests of host processes, hedges, fleet views and workloads passed; the bytes saved are not measured.

--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -5,6 +5,7 @@
 
 from chicorybridge.common.clocks import Clock
 from chicorybridge.common.events import EventLog
+from chicorybridge.common.identities import RouteId
 from chicorybridge.entry.calls import Call
 from chicorybridge.hosts.announcers import Announcer
 from chicorybridge.hosts.crash_checks import CrashChecks
@@ -37,6 +38,13 @@
     return getattr(state.configuration, 'has_fleet_admission', False)
 
 
+def _answer_bytes(fleet_view: FleetView, route_id: RouteId) -> float:
+    """Return the mean size of answers on a route, 0 if it is not to count."""
+    if not has_fleet_admission(fleet_view.state):
+        return 0
+    return fleet_view.zone_sums.inbox.route_costs.answer_bytes(route_id) or 0
+
+
 def build_dispatcher(
     *,
     host_settings: HostSettings,
@@ -87,6 +95,7 @@
         state=fleet_view.state,
         latencies=fleet_view.results.latencies,
         targets=fleet_view.targets,
+        answer_bytes=functools.partial(_answer_bytes, fleet_view),
     )
     crash_checks = CrashChecks(
         clock=clock,
--- a/chicorybridge/hosts/policies.py
+++ b/chicorybridge/hosts/policies.py
@@ -9,7 +9,7 @@
 from chicorybridge.common.attempts import Attempt, AttemptOutcome
 from chicorybridge.common.clocks import Clock, Millis
 from chicorybridge.common.errors import ErrorCode
-from chicorybridge.common.identities import ServiceId, TargetId
+from chicorybridge.common.identities import RouteId, ServiceId, TargetId
 from chicorybridge.common.outcomes import was_not_run
 from chicorybridge.entry.attempt_runners import AttemptLimits
 from chicorybridge.entry.calls import Call
@@ -23,14 +23,19 @@
 from chicorybridge.routing.reputations import Sign, TargetSeen
 from chicorybridge.routing.selections import Option, SelectionMode, Selector
 from chicorybridge.routing.service_latencies import LatencySummary, LatencyTable
+from chicorybridge.routing.settings import INCLUDED_ANSWER_BYTES
 from chicorybridge.routing.target_limits import LimitSeen
 from chicorybridge.routing.target_signs import LeavingSeen
 
 
-class HostPolicies:
+def _no_bytes(_: RouteId) -> float:
+    return 0
+
+
+class HostPolicies:  # noqa: WPS214
     """Select targets for calls and record the results of attempts."""
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         *,
         clock: Clock,
@@ -41,12 +46,16 @@
         state: HostState,
         latencies: LatencyTable,
         targets: TargetList,
+        answer_bytes: Callable[[RouteId], float] = _no_bytes,
     ) -> None:
         """Combine the components.
 
         `host_count` returns the number of hosts that share the bound on
-        retries; `reporter` sends results of attempts to other hosts.
+        retries; `reporter` sends results of attempts to other hosts;
+        `answer_bytes` returns the expected size of an answer,
+        0 if it is not to count.
         """
+        self._answer_bytes = answer_bytes
         self._clock = clock
         self._selector = selector
         self._allowances = allowances
@@ -93,7 +102,7 @@
             service_id,
             self._selection_mode(call, now),
             excluded=excluded,
-            body_bytes=call.body_bytes,
+            body_bytes=self._moved_bytes(call),
             max_extra_loss=_max_extra_loss(call, now),
             now=now,
         )
@@ -214,6 +223,13 @@
         call.retry_taken_at = now
         return True
 
+    def _moved_bytes(self, call: Call) -> int:
+        """Return the bytes that count towards the cost of another zone."""
+        answer_bytes = self._answer_bytes(call.route.route_id)
+        # The cost of another region includes an answer of some kilobytes.
+        beyond = max(0, answer_bytes - INCLUDED_ANSWER_BYTES)
+        return call.body_bytes + round(beyond)
+
     def _hedge_delay_ms(self, call: Call, option: Option) -> float:
         now = self._clock.now()
         service_id = call.service.service_id
@@ -256,7 +272,7 @@
             service_id,
             SelectionMode.safest,
             excluded=tried_ids | {target_id},
-            body_bytes=call.body_bytes,
+            body_bytes=self._moved_bytes(call),
             max_extra_loss=_max_extra_loss(call, now),
             now=now,
         )
--- a/chicorybridge/routing/settings.py
+++ b/chicorybridge/routing/settings.py
@@ -72,3 +72,6 @@
 # is below the two seconds in which most sound targets must get requests; with
 # 2.5 s up to a tenth got none in the model.
 DOUBTED_INTERVAL_MS = 1700.0
+# The cost of a target in another region includes an answer of this size; what
+# exceeds it costs as much as the same bytes of a request.
+INCLUDED_ANSWER_BYTES = 4000
