--- a/chicorybridge/hosts/gauges.py
+++ b/chicorybridge/hosts/gauges.py
@@ -49,6 +49,11 @@
             'requests_waiting': self._dispatcher.waiting_count,
             'callers_connected': len(self._callers),
             'requests_read_ahead': self._callers.ahead_count,
+            'answer_bytes_held': sum(
+                call.relay.held_bytes
+                for call in self._dispatcher.calls_by_number.values()
+                if call.relay is not None
+            ),
             'held_bytes': self._budget.held_bytes,
             'held_bytes_limit': self._budget.size_bytes,
             'store_calls': self._reader.calls,
