Count bytes sent to other zones and regions by content

Which traffic fills the link between the regions could only be guessed. Counted are each message type of the hosts, requests to targets and answers.

--- a/chicorybridge/fleet/channels.py
+++ b/chicorybridge/fleet/channels.py
@@ -7,7 +7,7 @@
 import dataclasses
 import logging
 import socket
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from typing import Any
 
 from curio import traps
@@ -38,6 +38,10 @@
     """Do nothing."""
 
 
+def _ignore(content: str, size: int, receivers: Collection[str]) -> None:
+    """Count nothing."""
+
+
 class Channel:
     """Send datagrams, and pass received messages to `on_message`."""
 
@@ -63,11 +67,15 @@
         # Number of datagrams for which sendto() failed, and of received ones.
         self.unsent = 0
         self.received = 0
+        # Called with the type, size and receivers of each message.
+        self.on_sent: Callable[[str, int, Collection[str]], None] = _ignore
 
     def send(self, message: Any, addresses: Iterable[str]) -> None:
         """Send a message to each address without blocking."""
         body = pack(Datagram(sender=self._host_id, message=message))
-        for address in addresses:
+        receivers = tuple(addresses)
+        self.on_sent(type(message).__name__, len(body), receivers)
+        for address in receivers:
             try:
                 self._socket.sendto(body, sockets.split_address(address))
             except OSError as error:
--- a/chicorybridge/hosts/announcers.py
+++ b/chicorybridge/hosts/announcers.py
@@ -8,6 +8,7 @@
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import HostId, Incarnation
 from chicorybridge.fleet.channels import Channel
+from chicorybridge.fleet.far_bytes import FarBytes
 from chicorybridge.fleet.host_tables import (
     FleetMember,
     HostTable,
@@ -44,6 +45,8 @@
         self._state = state
         self._host_table = host_table
         self._channel = channel
+        self.far_bytes = FarBytes(host_table=host_table)
+        channel.on_sent = self.far_bytes.add_message
         self._serial = 0
         self._heartbeat_at = Millis(0)
         self.losses = LossReports(host_table=host_table)
--- a/chicorybridge/hosts/host_processes.py
+++ b/chicorybridge/hosts/host_processes.py
@@ -96,6 +96,7 @@
             send_far=self._announcer.send_to_other_regions,
         )
         self.metrics = HostMetrics()
+        self.metrics.far_bytes = self._announcer.far_bytes
         self._reports = TickReports(
             clock=clock, log=self.log, logs=logs, metrics=self.metrics
         )
--- a/chicorybridge/hosts/metrics.py
+++ b/chicorybridge/hosts/metrics.py
@@ -14,7 +14,10 @@
 )
 from prometheus_client.registry import Collector
 
+from chicorybridge.common.attempts import Attempt
+from chicorybridge.common.identities import ZoneId
 from chicorybridge.common.meters import Meters
+from chicorybridge.fleet.far_bytes import FarBytes
 from chicorybridge.entry.refusals import EarlyRefusal
 from chicorybridge.http.servers import Request, Response, ServerConnection
 
@@ -75,6 +78,8 @@
         self._counts: Counter[tuple[str, str]] = Counter()
         self._meters = Meters()
         self._gauges: Gauges = dict
+        # Counts the bytes sent to other zones and regions, if set.
+        self.far_bytes: FarBytes | None = None
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
@@ -93,6 +98,15 @@
         self.count('early_refusal_work_ms', early.rank, early.work_ahead_ms)
         self.count('early_refusal_age_ms', early.rank, early.inputs_age_ms)
 
+    def record_exchange(self, zone_id: ZoneId, attempt: Attempt) -> None:
+        """Count the bytes of an attempt at a target in a zone."""
+        if self.far_bytes is not None:
+            self.far_bytes.add_exchange(
+                zone_id,
+                sent_bytes=attempt.sent_bytes,
+                received_bytes=attempt.received_bytes,
+            )
+
     def record_latency(self, service_id: str, elapsed_ms: float) -> None:
         """Record how long a request of a service took."""
         self._meters.record_duration(service_id, elapsed_ms)
@@ -107,6 +121,8 @@
                 if counter == name:
                     family.add_metric([label_value], count)
             yield family
+        if self.far_bytes is not None:
+            yield _far_bytes_metric(self.far_bytes)
         for name, gauge in self._gauges().items():
             yield GaugeMetricFamily(_metric_name(name), name, value=gauge)
         yield from self._latency_metrics()
@@ -153,5 +169,16 @@
         await connection.respond(response)
 
 
+def _far_bytes_metric(far_bytes: FarBytes) -> Metric:
+    family = CounterMetricFamily(
+        _metric_name('far_bytes'),
+        'Bytes sent to other zones and regions, by content.',
+        labels=['scope', 'content'],
+    )
+    for labels, count in far_bytes.by_scope_and_content.items():
+        family.add_metric(labels, count)
+    return family
+
+
 def _metric_name(name: str) -> str:
     return f'chicorybridge_{name}'
--- a/chicorybridge/hosts/request_logs.py
+++ b/chicorybridge/hosts/request_logs.py
@@ -90,6 +90,7 @@
     def log_attempt(self, call: Call, attempt: Attempt, option: Option) -> None:
         """Log an attempt and why its target was selected."""
         self._metrics.count('attempts', attempt.outcome.value)
+        self._metrics.record_exchange(option.entry.zone_id, attempt)
         facts = {
             'request': self.request_id(call.head),
             'caller': call.caller_ip,
