Give the messages of workspace permits names of their own

PermitRequest was registered by detection already, so that a process that imports both packages failed at its start; eight test modules could not be collected.

--- a/chicorybridge/quotas/messages.py
+++ b/chicorybridge/quotas/messages.py
@@ -1,15 +1,16 @@
 """Messages about permits for requests of workspaces.
 
-They are distinct from the permits of ejection in package `detection`.
+They are distinct from the permits of ejection in package `detection`, whose
+messages have the shorter names.
 """
 
 import dataclasses
 
-from chicorybridge.common.codecs import wire
+from chicorybridge.common.codecs import wire_as
 from chicorybridge.common.identities import HostId, WorkspaceId
 
 
-@wire
+@wire_as('WorkspacePermitRequest')
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PermitRequest:
     """Ask a granter for a permit; `number` is unique to the sender.
@@ -21,7 +22,7 @@
     workspace_id: WorkspaceId
 
 
-@wire
+@wire_as('WorkspacePermitReply')
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PermitReply:
     """Give a permit, or tell after how long one is likely.
@@ -35,7 +36,7 @@
     granter_id: HostId | None = None
 
 
-@wire
+@wire_as('WorkspacePermitReturn')
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PermitReturn:
     """Return the permit of a request that was not run."""
@@ -43,7 +44,7 @@
     number: int
 
 
-@wire
+@wire_as('WorkspacePermitHandover')
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PermitHandover:
     """Tell the next granter the levels of buckets by workspace."""
