Try doubted own targets early only while a service fails

Services whose requests may all run only once tried an own target that had failed after 1.7 s, at all times. It is done now while at least 0.08 of the recent attempts fail, as the floor of working targets binds from a tenth on.

--- a/chicorybridge/hosts/dispatcher_builders.py
+++ b/chicorybridge/hosts/dispatcher_builders.py
@@ -67,6 +67,7 @@
             reputations=fleet_view.reputations,
             workloads=fleet_view.workloads,
             latencies=fleet_view.results.latencies,
+            failure_share=fleet_view.results.failure_shares.of,
         ),
         zone_id=host_settings.zone_id,
         regions_by_zone=host_settings.regions_by_zone,
--- a/chicorybridge/routing/selections.py
+++ b/chicorybridge/routing/selections.py
@@ -37,6 +37,7 @@
 from chicorybridge.routing.settings import (
     DOUBTED_INTERVAL_MS,
     DRAWN_LOSS_MARGIN,
+    MIN_DOUBTED_FAILURE_SHARE,
     MIN_PREFERRED_SOUNDNESS,
 )
 from chicorybridge.routing.target_draws import TargetDraws
@@ -90,13 +91,22 @@
     freed_at: Millis
 
 
+def _all_fail(_: ServiceId) -> float:
+    return 1
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TargetEstimates:
-    """What is known of targets from their answers and requests in flight."""
+    """What is known of targets from their answers and requests in flight.
+
+    `failure_share` returns the share of recent attempts of a service that
+    failed.
+    """
 
     reputations: ReputationTable
     workloads: WorkloadTable
     latencies: LatencyTable
+    failure_share: Callable[[ServiceId], float] = _all_fail
 
     def soundness(
         self, entry: TargetEntry, reputation: Reputation, now: Millis
@@ -272,7 +282,8 @@
         unused = self._unused(free, drawn)
         due = _least_recently_observed(unused, mode)
         if due is None and mode is SelectionMode.returning:
-            due = _longest_doubted(unused)
+            if self._is_failing(service_id):
+                due = _longest_doubted(unused)
         if due is not None:
             return due
         sound = list(filter(_is_probably_sound, unused)) or list(
@@ -280,6 +291,10 @@
         )
         return self._safest(sound) if sound else None
 
+    def _is_failing(self, service_id: ServiceId) -> bool:
+        share = self._estimates.failure_share(service_id)
+        return share >= MIN_DOUBTED_FAILURE_SHARE
+
     def _unused(
         self, options: Iterable[Option], own: Iterable[OwnTarget]
     ) -> list[Option]:
--- a/chicorybridge/routing/settings.py
+++ b/chicorybridge/routing/settings.py
@@ -70,8 +70,13 @@
 # A host sends a request that may run only once to an own target that it doubts
 # when no host has observed it for this time, if the service has no others. It
 # is below the two seconds in which most sound targets must get requests; with
-# 2.5 s up to a tenth got none in the model.
+# 2.5 s up to a tenth got none in the model. Most such requests fail, so this is
+# done only while at least this share of the recent attempts fails: operators
+# ask for it from a tenth on.
 DOUBTED_INTERVAL_MS = 1700.0
+MIN_DOUBTED_FAILURE_SHARE = 0.08
+# Time constant of the shares of failures.
+FAILURE_SHARE_MS = 2000.0
 # The cost of a target in another region includes an answer of this size; what
 # exceeds it costs as much as the same bytes of a request.
 INCLUDED_ANSWER_BYTES = 4000
