Move admission over the fleet to a package of its own

Import rules of the package are in tests/common/test_imports.py. Tests of admission reports, placements, imports and constants pass.

--- a/chicorybridge/routing/fleet_queues.py
+++ b/chicorybridge/admission/fleet_queues.py
@@ -12,10 +12,10 @@
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import ServiceId
 from chicorybridge.routing import settings
-from chicorybridge.routing.fleet_requests import FleetRequest
-from chicorybridge.routing.prospects import Prospect, Rejection
-from chicorybridge.routing.queue_reports import QueueBook, QueueReport
-from chicorybridge.routing.service_queues import Rank, ServiceQueue
+from chicorybridge.admission.fleet_requests import FleetRequest
+from chicorybridge.admission.prospects import Prospect, Rejection
+from chicorybridge.admission.queue_reports import QueueBook, QueueReport
+from chicorybridge.admission.service_queues import Rank, ServiceQueue
 from chicorybridge.settings import TICK_MS
 
 
--- a/chicorybridge/routing/fleet_requests.py
+++ b/chicorybridge/admission/fleet_requests.py
@@ -7,7 +7,7 @@
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import ServiceId
 from chicorybridge.routing import settings
-from chicorybridge.routing.queue_reports import Urgency
+from chicorybridge.admission.queue_reports import Urgency
 from chicorybridge.routing.queues import QueuedRequest
 
 
--- a/chicorybridge/routing/prospects.py
+++ b/chicorybridge/admission/prospects.py
@@ -5,8 +5,8 @@
 
 from chicorybridge.common.clocks import Millis
 from chicorybridge.routing import settings
-from chicorybridge.routing.fleet_requests import FleetRequest
-from chicorybridge.routing.queue_reports import Backlog, Urgency
+from chicorybridge.admission.fleet_requests import FleetRequest
+from chicorybridge.admission.queue_reports import Backlog, Urgency
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/chicorybridge/routing/service_queues.py
+++ b/chicorybridge/admission/service_queues.py
@@ -6,9 +6,9 @@
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import ServiceId
 from chicorybridge.routing import settings
-from chicorybridge.routing.arrival_rates import DecayingRate, WorkspaceShares
-from chicorybridge.routing.fleet_requests import FleetRequest
-from chicorybridge.routing.queue_reports import RankLoad, Urgency
+from chicorybridge.admission.arrival_rates import DecayingRate, WorkspaceShares
+from chicorybridge.admission.fleet_requests import FleetRequest
+from chicorybridge.admission.queue_reports import RankLoad, Urgency
 
 RATE_DIGITS = 3
 
--- a/chicorybridge/hosts/fleet_admissions.py
+++ b/chicorybridge/hosts/fleet_admissions.py
@@ -11,9 +11,9 @@
 from chicorybridge.entry.refusals import EarlyRefusal, RefusalError
 from chicorybridge.hosts.fleet_views import FleetView
 from chicorybridge.routing import settings
-from chicorybridge.routing.fleet_requests import FleetRequest
-from chicorybridge.routing.prospects import Rejection
-from chicorybridge.routing.queue_reports import Urgency
+from chicorybridge.admission.fleet_requests import FleetRequest
+from chicorybridge.admission.prospects import Rejection
+from chicorybridge.admission.queue_reports import Urgency
 
 
 def urgency_of(call: Call) -> Urgency:
--- a/chicorybridge/hosts/placements.py
+++ b/chicorybridge/hosts/placements.py
@@ -20,7 +20,7 @@
 from chicorybridge.hosts.reporters import Reporter
 from chicorybridge.hosts.states import HostPhase, HostState
 from chicorybridge.http.bodies import CallerError
-from chicorybridge.routing.fleet_requests import (
+from chicorybridge.admission.fleet_requests import (
     FleetRequest,
     serving_order,
 )
--- a/chicorybridge/hosts/queue_inboxes.py
+++ b/chicorybridge/hosts/queue_inboxes.py
@@ -4,8 +4,8 @@
 
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import HostId
-from chicorybridge.routing.fleet_queues import FleetQueues
-from chicorybridge.routing.queue_reports import (
+from chicorybridge.admission.fleet_queues import FleetQueues
+from chicorybridge.admission.queue_reports import (
     QueueBook,
     QueueReport,
     QueueTotals,
--- a/chicorybridge/hosts/queue_reports.py
+++ b/chicorybridge/hosts/queue_reports.py
@@ -3,7 +3,7 @@
 from chicorybridge.common.clocks import Clock
 from chicorybridge.hosts.announcers import Announcer
 from chicorybridge.hosts.fleet_views import FleetView
-from chicorybridge.routing.queue_reports import QueueReport
+from chicorybridge.admission.queue_reports import QueueReport
 
 
 class QueueReporter:
--- a/chicorybridge/tests/admission/loads.py
+++ b/chicorybridge/tests/admission/loads.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator
 
 from chicorybridge.common.identities import ServiceId
-from chicorybridge.routing.fleet_requests import FleetRequest
+from chicorybridge.admission.fleet_requests import FleetRequest
 
 PULL = ServiceId('pull')
 # Requests that arrive before or in the last seconds of a load don't count, as
--- a/chicorybridge/tests/admission/model.py
+++ b/chicorybridge/tests/admission/model.py
@@ -17,9 +17,9 @@
 from chicorybridge import settings
 from chicorybridge.common.clocks import Millis
 from chicorybridge.common.identities import HostId
-from chicorybridge.routing.fleet_queues import FleetQueues
-from chicorybridge.routing.fleet_requests import serving_order
-from chicorybridge.routing.queue_reports import QueueBook, QueueReport
+from chicorybridge.admission.fleet_queues import FleetQueues
+from chicorybridge.admission.fleet_requests import serving_order
+from chicorybridge.admission.queue_reports import QueueBook, QueueReport
 from chicorybridge.routing.queues import RequestQueue
 from chicorybridge.routing.ranks import Rank
 from chicorybridge.tests.admission.loads import KINDS, PULL, Ask, Kind, Load
--- a/chicorybridge/tests/admission/test_queue_reports.py
+++ b/chicorybridge/tests/admission/test_queue_reports.py
@@ -16,9 +16,9 @@
 from chicorybridge.hosts.metrics import HostMetrics
 from chicorybridge.platform.formats import decode_configuration
 from chicorybridge.routing import settings
-from chicorybridge.routing.fleet_queues import FleetQueues
-from chicorybridge.routing.fleet_requests import FleetRequest
-from chicorybridge.routing.queue_reports import (
+from chicorybridge.admission.fleet_queues import FleetQueues
+from chicorybridge.admission.fleet_requests import FleetRequest
+from chicorybridge.admission.queue_reports import (
     QueueBook,
     QueueReport,
     QueueTotals,
--- a/chicorybridge/tests/common/test_imports.py
+++ b/chicorybridge/tests/common/test_imports.py
@@ -13,6 +13,7 @@
     ('common', {'http', 'routing', 'fleet', 'hosts', 'platform', 'control'}),
     ('http', {'routing', 'hosts', 'platform', 'control', 'standins'}),
     ('routing', {'hosts', 'platform', 'control', 'operators', 'standins'}),
+    ('admission', {'hosts', 'platform', 'fleet', 'http', 'operators'}),
     ('detection', {'hosts', 'platform', 'http', 'operators', 'standins'}),
     ('claims', {'hosts', 'platform', 'operators', 'standins'}),
     ('configuration', {'hosts', 'platform', 'operators', 'standins'}),
