Count answers that wait for their turn; keep busy pipelines open

The answer of a pipelined request waits in memory for those before it, which was not counted. A connection whose first request was answered also looked idle to the eviction while later ones ran; it now asks for the first unanswered request.

--- a/chicorybridge/http/caller_exchanges.py
+++ b/chicorybridge/http/caller_exchanges.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 exchanges on connections from callers, as a server."""
 
+import functools
 import re
+import socket
 from typing import Any
 
 import curio
@@ -182,7 +184,9 @@
 
     def _evict(self) -> bool:
         """Close the connection unless a request of it is held for others."""
-        if self.in_request and self.holding.kind is HeldKind.connection:
+        pipeline = self.turn.pipeline
+        current = self if pipeline is None else pipeline.current
+        if current.in_request and self.holding.kind is HeldKind.connection:
             return False
         return super()._evict()
 
@@ -196,7 +200,9 @@
 
     async def _start_answer(self, *events: Any) -> None:
         """Send the start of an answer, or raise before anything is sent."""
-        await self.turn.wait()
+        if not self.turn.is_taken:
+            parts = (event for event in events if isinstance(event, h11.Data))
+            await _wait_for_turn(self, sum(len(part.data) for part in parts))
         encoded = self._encode(*events)
         self.answer_started = True
         await self._write(encoded)
@@ -221,6 +227,24 @@
             )
 
 
+async def _wait_for_turn(exchange: CallerExchange, count: int) -> None:
+    """Wait for the answers before one of `count` bytes."""
+    holding = exchange.budget.open(
+        kind=HeldKind.running,
+        evict=functools.partial(_close_connection, exchange),
+    )
+    holding.set_bytes(count)
+    try:
+        await exchange.turn.wait()
+    finally:
+        holding.close()
+
+
+def _close_connection(exchange: CallerExchange) -> bool:
+    sockets.shut_down(exchange.sock, socket.SHUT_RDWR)
+    return True
+
+
 def _request_head(request: h11.Request) -> Head:
     headers = list(request.headers)
     chunked = any(name == TRANSFER_ENCODING for name, _ in headers)
--- a/chicorybridge/http/turns.py
+++ b/chicorybridge/http/turns.py
@@ -22,6 +22,11 @@
         self.closes = False
         self._taken = None if is_first else curio.Event()
 
+    @property
+    def is_taken(self) -> bool:
+        """Return whether the earlier requests are answered."""
+        return self._taken is None or self._taken.is_set()
+
     async def wait(self) -> None:
         """Wait until the earlier requests are answered."""
         if self._taken is not None:
--- a/chicorybridge/tests/http/test_body_evictions.py
+++ b/chicorybridge/tests/http/test_body_evictions.py
@@ -10,6 +10,7 @@
 from chicorybridge.http.bodies import CallerError, RequestBody
 from chicorybridge.http.byte_budgets import ByteBudget, HeldKind
 from chicorybridge.http.caller_exchanges import CallerExchange
+from chicorybridge.http.pipelines import Pipeline
 from chicorybridge.tests.hosts.deployments import on_curio
 
 HEAD = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n'
@@ -134,6 +135,42 @@
         await exchange.send_chunk(answer)
 
 
+@on_curio
+async def test_answer_that_waits_for_its_turn_is_counted():
+    """Answers of pipelined requests wait in memory for a slow first one."""
+    caller = Caller()
+    await caller.exchange.next_request()
+    later = caller.exchange.successor()
+    before = caller.budget.held_bytes
+    caller.sock.sendall(HEAD)
+    await later.next_request()
+    answer = b'a' * 5000
+    sending = await curio.spawn(_answer, later, answer)
+    await curio.sleep(0.01)
+    assert caller.budget.held_bytes == before + len(answer)
+    await later.turn.take()
+    await sending.join()
+    assert caller.budget.held_bytes == before
+
+
+async def _answer(exchange: CallerExchange, answer: bytes) -> None:
+    await exchange.answer(status=200, headers=[], body=answer)
+
+
+@on_curio
+async def test_connection_with_a_pipelined_request_is_not_closed_as_idle():
+    """The first request is answered; a later one runs at a target."""
+    caller = Caller()
+    await caller.exchange.next_request()
+    later = caller.exchange.successor()
+    later.in_request = True
+    caller.exchange.in_request = False
+    caller.exchange.turn.pipeline = Pipeline(first=later)
+    caller.fill()
+    caller.sock.sendall(b'a')
+    assert await caller.exchange.sock.recv(1)
+
+
 @on_curio
 async def test_closed_request_and_connection_count_nothing():
     caller = Caller()
