Accept the options of connect in the fake of a test

The fake took the address alone, so the limit of the receive buffer raised an error and the test waited for ever. What it checks is unchanged.

--- a/chicorybridge/tests/hosts/test_unanswered_requests.py
+++ b/chicorybridge/tests/hosts/test_unanswered_requests.py
@@ -182,8 +182,8 @@
     connected = curio.Event()
     released = curio.Event()
 
-    async def connect_and_wait(address):  # noqa: WPS430
-        sock = await connect(address)
+    async def connect_and_wait(address, **options):  # noqa: WPS430
+        sock = await connect(address, **options)
         await connected.set()
         await released.wait()
         return sock
