--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -106,7 +106,9 @@
         self.address = ''
         # Closes a connection after so many answers, as sound servers do.
         self.answers_per_connection = None
-        self.on_commit = None
+        # How often it came back from a copy (letter 11), and whether it is away.
+        self.era = None
+        self.away = False
 
     async def start(self, ip):
         server = await asyncio.start_server(self._serve, ip, 0, limit=2**22)
@@ -126,6 +128,13 @@
             'deleted': True,
         }
 
+    def copy(self):
+        return dict(self.rows), self.version
+
+    def restore(self, copy):
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.era = (self.era or 0) + 1
+
     async def _serve(self, reader, writer):
         answers = 0
         try:
@@ -136,9 +145,13 @@
                 body = await read_body(reader, head[1])
                 self.calls += 1
                 await asyncio.sleep(0.004)
+                if self.away:
+                    return
                 status, document = self._answer(head[0], body)
                 answers += 1
                 headers = [('Content-Type', 'application/json')]
+                if self.era is not None:
+                    headers.append(('Store-Era', str(self.era)))
                 closes = answers == self.answers_per_connection
                 if closes:
                     headers.append(('Connection', 'close'))
@@ -167,6 +180,8 @@
             return 200, self._get(query)
         if url.path == '/rows-feed':
             after = int(query['after'])
+            if after > self.version:
+                return 410, {}
             rows = [
                 row for (table, _, _), row in self.rows.items()
                 if table == query['table'] and row['ver'] > after
@@ -257,6 +272,8 @@
         self.state = 'ready'
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        # Whether it writes its entry again at each beat.
+        self.beats = False
         self.address = ''
         self.answer_headers = lambda: []
 
@@ -278,8 +295,8 @@
     async def _beat_forever(self):
         while True:
             await asyncio.sleep(SERVER_BEAT_S)
-            # The entry changes only when more than `sequence` does; the
-            # first one, which is there, stays valid.
+            if self.beats and not self.store.away:
+                self.beat()
 
     async def _serve(self, reader, writer):
         try:
