Add review case 6: a harmless read is refused for good

The blame of quarantine/suspects.py counts all copies of a request as one, is cleared by an answer only once, and is renewed by each refusal.

--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -230,7 +230,8 @@
             self.rows[key] = {**row, 'ver': self.version, 'deleted': True}
         return 200, {'ver': self.version, 'now_s': time.monotonic()}
 
-    def configure(self, version, routes, limits=LIMITS, services=(SERVICE,)):
+    def configure(self, version, routes, limits=LIMITS, services=(SERVICE,),
+                  **fields):
         document = {
             'version': f'{version:08x}', 'routes': routes,
             'services': [
@@ -238,7 +239,7 @@
                  'max_connections': 330, 'protocol': 'h1', 'tls': False}
                 for name in services
             ],
-            'limits': limits,
+            'limits': limits, **fields,
         }
         self.put('op', 'config', json.dumps(document).encode())
 
@@ -276,13 +277,40 @@
         self.beats = False
         self.address = ''
         self.answer_headers = lambda: []
+        self.crashed = False
+        self.starts = 0
+        self._writers = set()
 
     async def start(self):
-        server = await asyncio.start_server(self._serve, self.ip, 0, limit=2**22)
-        self.address = '%s:%d' % server.sockets[0].getsockname()[:2]
+        await self._listen(0)
         self.beat()
         asyncio.ensure_future(self._beat_forever())
 
+    async def _listen(self, port):
+        self._server = await asyncio.start_server(
+            self._serve, self.ip, port, limit=2**22)
+        self.address = '%s:%d' % self._server.sockets[0].getsockname()[:2]
+
+    async def crash(self, for_s):
+        """End without a word; start again later, with a new id."""
+        self.record.write(f'CRASH {self.id}')
+        self.crashed = True
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+        store, old_id = self.store, self.id
+        # Its entry is removed after three heartbeat intervals of silence.
+        asyncio.get_running_loop().call_later(
+            3 * SERVER_BEAT_S, store.remove, 'servers', old_id)
+        await asyncio.sleep(for_s)
+        self.starts += 1
+        self.id = f'{old_id.split("-s")[0]}-s{self.starts}'
+        self.born, self.sequence, self.running = int(time.time() * 1000), 0, 0
+        self.crashed = False
+        await self._listen(int(self.address.rpartition(':')[2]))
+        self.record.write(f'BACK {self.id}')
+        self.beat()
+
     def beat(self):
         self.sequence += 1
         self.store.put('servers', self.id, json.dumps({
@@ -299,6 +327,7 @@
                 self.beat()
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -309,6 +338,7 @@
         except (ConnectionError, OSError, asyncio.IncompleteReadError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def answer(self, head, body, writer):
@@ -473,7 +503,7 @@
     """A store, servers and hosts on loopback."""
 
     def __init__(self, folder, temporary, *, hosts=1, servers=3, zones=None,
-                 memory_mb=300, before_exec=None, work_s=0.05, routes=(READ, BOOK)):
+                 memory_mb=300, before_exec=None, work_s=0.05, routes=(READ, BOOK), **fields):
         self.record = Record(folder)
         self.folder = pathlib.Path(temporary)
         self.zones = zones or {'south-osu': 'south'}
@@ -481,6 +511,7 @@
         self.before_exec = before_exec
         self.store = Store(self.record)
         self.routes = list(routes)
+        self.fields = fields
         net = f'127.{random.randrange(20, 250)}.{random.randrange(1, 250)}'
         self.ports = {'fleet': 0}
         names = ('front', 'readiness', 'directory', 'metrics', 'fleet')
@@ -500,7 +531,7 @@
         await self.store.start('127.0.0.1')
         for server in self.servers:
             await server.start()
-        self.store.configure(7, self.routes)
+        self.store.configure(7, self.routes, **self.fields)
         for host in self.hosts:
             host.start()
         asyncio.ensure_future(self._watch())
